--- /dev/null
+++ b/internal/standin/table.go
@@ -0,0 +1,181 @@
+package standin
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/guavatrack/guavatrack/internal/table"
+)
+
+// TableFaults says how a [Table] misbehaves. The zero value is faultless.
+type TableFaults struct {
+	// Down makes every call fail with table.ErrUnavailable.
+	Down bool
+	// Delay is added to every call.
+	Delay time.Duration
+	// LoseAnswers makes that many of the next transactions take effect and
+	// fail with table.ErrUnknown.
+	LoseAnswers int
+	// LoseRequests makes that many of the next transactions have no effect and
+	// fail with table.ErrUnknown.
+	LoseRequests int
+}
+
+// TableCounts counts the calls that reached a [Table].
+type TableCounts struct {
+	Gets, Queries, Transactions, Writes, Conflicts int
+}
+
+// Table is a table service in memory. It implements [table.Store], so tests use
+// it without HTTP.
+type Table struct {
+	mu      sync.Mutex
+	records map[table.Key]table.Record
+	tokens  map[table.Token]struct{}
+	faults  TableFaults
+	counts  TableCounts
+}
+
+var _ table.Store = (*Table)(nil)
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{
+		records: make(map[table.Key]table.Record),
+		tokens:  make(map[table.Token]struct{}),
+	}
+}
+
+// SetFaults replaces the faults.
+func (t *Table) SetFaults(faults TableFaults) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.faults = faults
+}
+
+// Counts returns the calls so far.
+func (t *Table) Counts() TableCounts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.counts
+}
+
+// Get implements [table.Store].
+func (t *Table) Get(ctx context.Context, key table.Key) (table.Record, error) {
+	if err := t.enter(ctx); err != nil {
+		return table.Record{}, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counts.Gets++
+	record, found := t.records[key]
+	if !found {
+		return table.Record{}, table.ErrNotFound
+	}
+	return clone(record), nil
+}
+
+// defaultQueryLimit is the number of records that a query without a limit
+// returns at most.
+const defaultQueryLimit = 1000
+
+// Query implements [table.Store].
+func (t *Table) Query(ctx context.Context, span table.Range) ([]table.Record, error) {
+	if err := t.enter(ctx); err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counts.Queries++
+	keys := slices.Collect(maps.Keys(t.records))
+	keys = slices.DeleteFunc(keys, func(key table.Key) bool {
+		return key.Partition != span.Partition || key.Sort <= span.After && span.After != "" ||
+			!strings.HasPrefix(key.Sort, span.Prefix)
+	})
+	slices.SortFunc(keys, func(a, b table.Key) int { return strings.Compare(a.Sort, b.Sort) })
+	limit := span.Limit
+	if limit == 0 {
+		limit = defaultQueryLimit
+	}
+	found := make([]table.Record, 0, min(limit, len(keys)))
+	for _, key := range keys[:min(limit, len(keys))] {
+		found = append(found, clone(t.records[key]))
+	}
+	return found, nil
+}
+
+// Transact implements [table.Store].
+func (t *Table) Transact(ctx context.Context, token table.Token, writes []table.Write) error {
+	if err := t.enter(ctx); err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counts.Transactions++
+	t.counts.Writes += len(writes)
+	if t.faults.LoseRequests > 0 {
+		t.faults.LoseRequests--
+		return table.ErrUnknown
+	}
+	if err := t.apply(token, writes); err != nil {
+		t.counts.Conflicts++
+		return err
+	}
+	if t.faults.LoseAnswers > 0 {
+		t.faults.LoseAnswers--
+		return table.ErrUnknown
+	}
+	return nil
+}
+
+// apply carries out a transaction. The caller holds the lock.
+func (t *Table) apply(token table.Token, writes []table.Write) error {
+	if _, done := t.tokens[token]; done && token != "" {
+		return nil
+	}
+	for _, write := range writes {
+		if t.records[write.Key].Version != write.Expect {
+			return table.ErrConflict
+		}
+	}
+	for _, write := range writes {
+		switch {
+		case write.CheckOnly:
+		case write.Body == nil:
+			delete(t.records, write.Key)
+		default:
+			t.records[write.Key] = table.Record{
+				Key: write.Key, Version: write.Expect + 1, Body: slices.Clone(write.Body),
+			}
+		}
+	}
+	t.tokens[token] = struct{}{}
+	return nil
+}
+
+// enter waits for the delay and fails if the table is down or the caller gave
+// up.
+func (t *Table) enter(ctx context.Context) error {
+	t.mu.Lock()
+	faults := t.faults
+	t.mu.Unlock()
+	if faults.Delay > 0 {
+		select {
+		case <-time.After(faults.Delay):
+		case <-ctx.Done():
+		}
+	}
+	if faults.Down || ctx.Err() != nil {
+		return table.ErrUnavailable
+	}
+	return nil
+}
+
+func clone(record table.Record) table.Record {
+	record.Body = slices.Clone(record.Body)
+	return record
+}
--- /dev/null
+++ b/internal/standin/table_test.go
@@ -0,0 +1,39 @@
+package standin_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/guavatrack/guavatrack/internal/standin"
+	"github.com/guavatrack/guavatrack/internal/table"
+)
+
+func TestTableAppliesAllWritesOrNone(t *testing.T) {
+	c := qt.New(t)
+	ctx := t.Context()
+	store := standin.NewTable()
+	a, b := table.Key{Partition: "p", Sort: "a"}, table.Key{Partition: "p", Sort: "b"}
+	c.Assert(store.Transact(ctx, "1", []table.Write{{Key: a, Body: []byte("1")}}), qt.IsNil)
+	err := store.Transact(ctx, "2", []table.Write{{Key: b, Body: []byte("1")}, {Key: a, Body: []byte("2")}})
+	c.Assert(err, qt.ErrorIs, table.ErrConflict)
+	_, err = store.Get(ctx, b)
+	c.Assert(err, qt.ErrorIs, table.ErrNotFound)
+}
+
+func TestTableLosesAnswersAfterTheEffect(t *testing.T) {
+	c := qt.New(t)
+	ctx := t.Context()
+	store := standin.NewTable()
+	key := table.Key{Partition: "p", Sort: "a"}
+	store.SetFaults(standin.TableFaults{LoseAnswers: 1})
+	write := []table.Write{{Key: key, Body: []byte("1")}}
+	c.Assert(store.Transact(ctx, "1", write), qt.ErrorIs, table.ErrUnknown)
+	c.Assert(store.Transact(ctx, "1", write), qt.IsNil)
+	record, err := store.Get(ctx, key)
+	c.Assert(err, qt.IsNil)
+	c.Assert(record.Version, qt.Equals, table.Version(1))
+	store.SetFaults(standin.TableFaults{Down: true})
+	_, err = store.Query(ctx, table.Range{Partition: "p"})
+	c.Assert(err, qt.ErrorIs, table.ErrUnavailable)
+}
--- /dev/null
+++ b/pkg/fleet/ids.go
@@ -0,0 +1,59 @@
+package fleet
+
+// ModelID names a base model, for example "hop-advisor".
+type ModelID string
+
+// AdapterID names an adapter within its base model.
+type AdapterID string
+
+// Version names one build of a model's weights.
+type Version string
+
+// ServerID names a backend server as the VM list does.
+type ServerID string
+
+// NodeID names one run of a node process. A restarted process has a new id.
+type NodeID string
+
+// Region names a group of failure domains that are joined by fast links.
+type Region string
+
+// FailureDomain names a group of VMs that may be lost together.
+type FailureDomain string
+
+// CallerID names an authenticated caller.
+type CallerID string
+
+// RequestID identifies one request through all of its attempts.
+type RequestID string
+
+// IdempotencyKey is the caller's own name for a call that must run at most
+// once. It is unique for one [CallerID] only.
+type IdempotencyKey string
+
+// PoolID names a set of backend servers of one kind.
+type PoolID string
+
+// ServiceID names a plain service.
+type ServiceID string
+
+// GrantID identifies one recorded right to hold an item on a server.
+type GrantID string
+
+// FencingNumber orders the grants of one backend server. An engine that checks
+// fencing numbers refuses an order whose number is below one it has seen.
+type FencingNumber uint64
+
+// BootID identifies one run of a backend server's process. Nothing that was
+// loaded or ordered in one run survives into the next.
+type BootID string
+
+// TicketNumber orders configuration changes. The highest accepted number wins
+// for each object that it touches.
+type TicketNumber uint64
+
+// Place says where a process stands.
+type Place struct {
+	Region        Region        `json:"region"`
+	FailureDomain FailureDomain `json:"failureDomain"`
+}
--- /dev/null
+++ b/pkg/fleet/units.go
@@ -0,0 +1,91 @@
+package fleet
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Bytes is a size of memory or of data.
+type Bytes int64
+
+// Sizes of memory.
+const (
+	KiB Bytes = 1 << 10
+	MiB Bytes = 1 << 20
+	GiB Bytes = 1 << 30
+	TiB Bytes = 1 << 40
+)
+
+// byteUnits lists the accepted suffixes, longest first so that "B" is tried
+// after "GiB".
+var byteUnits = []struct {
+	suffix string
+	size   Bytes
+}{{"TiB", TiB}, {"GiB", GiB}, {"MiB", MiB}, {"KiB", KiB}, {"B", 1}}
+
+// ParseBytes reads a size such as "16GiB" or "512B". The unit is required.
+func ParseBytes(text string) (Bytes, error) {
+	for _, unit := range byteUnits {
+		digits, found := strings.CutSuffix(text, unit.suffix)
+		if !found {
+			continue
+		}
+		number, err := strconv.ParseFloat(strings.TrimSpace(digits), 64)
+		if err != nil || number < 0 || number*float64(unit.size) > float64(1<<62) {
+			return 0, errors.Errorf("size %q: not a number before %s", text, unit.suffix)
+		}
+		return Bytes(number * float64(unit.size)), nil
+	}
+	return 0, errors.Errorf("size %q: missing unit, use B, KiB, MiB, GiB or TiB", text)
+}
+
+// String returns the size with the largest unit that keeps it exact.
+func (b Bytes) String() string {
+	for _, unit := range byteUnits {
+		if b != 0 && b%unit.size == 0 {
+			return fmt.Sprintf("%d%s", b/unit.size, unit.suffix)
+		}
+	}
+	return "0B"
+}
+
+// MarshalText implements [encoding.TextMarshaler].
+func (b Bytes) MarshalText() ([]byte, error) { return []byte(b.String()), nil }
+
+// UnmarshalText implements [encoding.TextUnmarshaler].
+func (b *Bytes) UnmarshalText(text []byte) (err error) {
+	*b, err = ParseBytes(string(text))
+	return err
+}
+
+// Duration is a span of time whose JSON form is a string with a unit, such as
+// "1m30s".
+type Duration time.Duration
+
+// Std returns the duration as a [time.Duration].
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// String returns the form that [time.ParseDuration] reads.
+func (d Duration) String() string { return time.Duration(d).String() }
+
+// MarshalText implements [encoding.TextMarshaler].
+func (d Duration) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
+// UnmarshalText implements [encoding.TextUnmarshaler].
+func (d *Duration) UnmarshalText(text []byte) error {
+	span, err := time.ParseDuration(string(text))
+	if err != nil {
+		return errors.Errorf("duration %q: use a number with a unit, such as 250ms, 30s or 1h", text)
+	}
+	*d = Duration(span)
+	return nil
+}
+
+var (
+	_ fmt.Stringer = Bytes(0)
+	_ fmt.Stringer = Duration(0)
+)
