Read JSON that a person wrote and report every mistake at once

Cause: settings and tickets must name the exact path of each wrong value, all at once; encoding/json stops at the first. Ruled out: JSON Schema, since it can't parse units and doubles the types.

--- a/internal/metric/prometheus_test.go
+++ b/internal/metric/prometheus_test.go
@@ -1,6 +1,7 @@
 package metric_test
 
 import (
+	"net/http"
 	"net/http/httptest"
 	"testing"
 
@@ -18,7 +19,7 @@
 	metrics.GetOrRegisterHistogram("requests.waitMs", registry, metrics.NewUniformSample(8)).Update(5)
 	response := httptest.NewRecorder()
 	docs := []metric.Doc{{Name: "members.live", Kind: metric.Gauge, Help: "Live nodes."}}
-	metric.Handler(registry, docs).ServeHTTP(response, httptest.NewRequest("GET", "/metrics", nil))
+	metric.Handler(registry, docs).ServeHTTP(response, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	c.Assert(response.Body.String(), qt.Equals, `# HELP guavatrack_members_live Live nodes.
 # TYPE guavatrack_members_live gauge
 guavatrack_members_live 7
--- /dev/null
+++ b/internal/strictjson/problem.go
@@ -0,0 +1,56 @@
+package strictjson
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Problem is one mistake and where it is.
+type Problem struct {
+	// Path has a dot between object keys and [n] behind an array's name. It is
+	// empty for the whole value.
+	Path    string `json:"path"`
+	Message string `json:"message"`
+}
+
+// String returns the path and the message.
+func (p Problem) String() string {
+	if p.Path == "" {
+		return p.Message
+	}
+	return p.Path + ": " + p.Message
+}
+
+// Problems is an error that holds all mistakes of one document. An empty list
+// is no error: use [Problems.Err].
+type Problems []Problem
+
+// Add appends a mistake.
+func (p *Problems) Add(path, format string, values ...any) {
+	*p = append(*p, Problem{Path: path, Message: fmt.Sprintf(format, values...)})
+}
+
+// Error lists the mistakes, one a line.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, problem := range p {
+		lines[i] = problem.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err returns the problems as an error, or nil if there are none.
+func (p Problems) Err() error {
+	if len(p) == 0 {
+		return nil
+	}
+	return p
+}
+
+// Join appends a key to a path.
+func Join(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
