--- a/internal/strictjson/decode.go
+++ b/internal/strictjson/decode.go
@@ -20,10 +20,10 @@
 const maxDepth = 64
 
 // Decode reads one JSON value into the pointer's target. The returned error,
-// if any, is a [Problems] with every mistake; the target then holds the parts
+// if any, is a [FieldErrors] with every mistake; the target then holds the parts
 // that were right.
 func Decode(data []byte, target any) error {
-	var problems Problems
+	var problems FieldErrors
 	tree, err := parse(data, &problems)
 	if err != nil {
 		problems.Add("", "%s", err)
@@ -41,7 +41,7 @@
 }
 
 // parse reads the text into objects, []any, string, json.Number, bool and nil.
-func parse(data []byte, problems *Problems) (any, error) {
+func parse(data []byte, problems *FieldErrors) (any, error) {
 	reader := json.NewDecoder(bytes.NewReader(data))
 	reader.UseNumber()
 	tree, err := parseValue(reader, "", 0, problems)
@@ -67,7 +67,7 @@
 	return errors.Errorf("line %d, column %d: %v", line, column, err)
 }
 
-func parseValue(reader *json.Decoder, path string, depth int, problems *Problems) (any, error) {
+func parseValue(reader *json.Decoder, path string, depth int, problems *FieldErrors) (any, error) {
 	if depth > maxDepth {
 		return nil, errors.Errorf("%s: nested deeper than %d", path, maxDepth)
 	}
@@ -84,7 +84,7 @@
 	return token, nil
 }
 
-func parseObject(reader *json.Decoder, path string, depth int, problems *Problems) (any, error) {
+func parseObject(reader *json.Decoder, path string, depth int, problems *FieldErrors) (any, error) {
 	found := object{values: make(map[string]any)}
 	for reader.More() {
 		token, err := reader.Token()
@@ -112,7 +112,7 @@
 	return found, nil
 }
 
-func parseArray(reader *json.Decoder, path string, depth int, problems *Problems) (any, error) {
+func parseArray(reader *json.Decoder, path string, depth int, problems *FieldErrors) (any, error) {
 	found := []any{}
 	for reader.More() {
 		value, err := parseValue(reader, index(path, len(found)), depth+1, problems)
@@ -131,7 +131,7 @@
 
 // decoder moves a parsed tree into Go values.
 type decoder struct {
-	problems *Problems
+	problems *FieldErrors
 }
 
 func (d decoder) value(path string, tree any, into reflect.Value) {
--- a/internal/strictjson/problem.go
+++ b/internal/strictjson/fielderror.go
@@ -5,8 +5,8 @@
 	"strings"
 )
 
-// Problem is one mistake and where it is.
-type Problem struct {
+// FieldError is one mistake and where it is.
+type FieldError struct {
 	// Path has a dot between object keys and [n] behind an array's name. It is
 	// empty for the whole value.
 	Path    string `json:"path"`
@@ -14,24 +14,24 @@
 }
 
 // String returns the path and the message.
-func (p Problem) String() string {
+func (p FieldError) String() string {
 	if p.Path == "" {
 		return p.Message
 	}
 	return p.Path + ": " + p.Message
 }
 
-// Problems is an error that holds all mistakes of one document. An empty list
-// is no error: use [Problems.Err].
-type Problems []Problem
+// FieldErrors is an error that holds all mistakes of one document. An empty list
+// is no error: use [FieldErrors.Err].
+type FieldErrors []FieldError
 
 // Add appends a mistake.
-func (p *Problems) Add(path, format string, values ...any) {
-	*p = append(*p, Problem{Path: path, Message: fmt.Sprintf(format, values...)})
+func (p *FieldErrors) Add(path, format string, values ...any) {
+	*p = append(*p, FieldError{Path: path, Message: fmt.Sprintf(format, values...)})
 }
 
 // Error lists the mistakes, one a line.
-func (p Problems) Error() string {
+func (p FieldErrors) Error() string {
 	lines := make([]string, len(p))
 	for i, problem := range p {
 		lines[i] = problem.String()
@@ -40,7 +40,7 @@
 }
 
 // Err returns the problems as an error, or nil if there are none.
-func (p Problems) Err() error {
+func (p FieldErrors) Err() error {
 	if len(p) == 0 {
 		return nil
 	}
