policy: load on the first wake, unload what idles

Cause: a burst of first requests at many nodes must start one load. Change: Plan turns waiting requests into loads and evictions, Controller carries them out for the items whose first home it is; others forward.

--- /dev/null
+++ b/internal/policy/controller.go
@@ -0,0 +1,267 @@
+package policy
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/guavatrack/guavatrack/internal/engine"
+	"github.com/guavatrack/guavatrack/internal/table"
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+	"github.com/guavatrack/guavatrack/pkg/ticket"
+)
+
+// Periods of the controller.
+const (
+	planEvery    = 500 * time.Millisecond
+	waitingFor   = 5 * time.Second // a wake is forgotten unless it is repeated
+	actionLimit  = 20 * time.Second
+	shardCount   = 16
+	retryPause   = time.Second     // after a load that failed
+	viewLag      = 5 * time.Second // a recorded grant shows up within this
+	kickCapacity = 1
+)
+
+// ErrNotServed says that no deployment allows the item to be served.
+var ErrNotServed = errors.New("item not configured")
+
+// Grants carries out what the policy decides. A load is recorded before its
+// order is sent, and an unload is over when its memory is proved free.
+type Grants interface {
+	Load(ctx context.Context, item fleet.Item, server fleet.ServerID) (fleet.GrantID, error)
+	Unload(ctx context.Context, grant fleet.GrantID) error
+	Replicas(item fleet.Item) []engine.Replica
+	Servers() []Server
+}
+
+// Estimate tells a waiting request when a replica will be ready.
+type Estimate struct {
+	ReadyIn time.Duration
+	// Progress is the loaded fraction, from 0 to 1.
+	Progress float64
+}
+
+// Controller carries out the decisions for the items that this node decides.
+// For each item one node decides at a time, its first home, so that a burst of
+// first requests at many nodes starts one load.
+type Controller struct {
+	Node     fleet.NodeID
+	Grants   Grants
+	Snapshot func() *ticket.Snapshot
+	// Decides reports whether this node is the first home of a base model. It
+	// is asked for base models only: adapters are decided where their base is.
+	Decides func(base fleet.Item) bool
+	// Forward asks the first home of the item's base model, whose node answers
+	// with [Controller.WakeHere].
+	Forward func(ctx context.Context, item fleet.Item, deadline time.Time) (Estimate, error)
+	// Weights describes the weight store; the zero value uses defaults.
+	Weights Store
+	Store   table.Store
+	Log     *slog.Logger
+	Metrics metrics.Registry
+
+	once     sync.Once
+	shards   [shardCount]shard
+	kick     chan struct{}
+	counters counters
+	working  sync.WaitGroup
+}
+
+// shard holds the state of some of the items.
+type shard struct {
+	sync.Mutex
+	items map[fleet.Item]*itemState
+}
+
+// itemState is what the node knows of the requests for one item.
+type itemState struct {
+	// wokenAt is the last time that a waiting request asked for the item.
+	wokenAt  time.Time
+	since    time.Time
+	deadline time.Time
+	// active counts requests between arrival and end.
+	active   int
+	lastBusy time.Time
+	// loading says that a load is being recorded and ordered.
+	loading bool
+	// granted is the newest load, which the view of the servers may not show
+	// yet at grantedAt.
+	granted   fleet.GrantID
+	grantedAt time.Time
+	retryAt   time.Time
+	unloading map[fleet.GrantID]bool
+	blocked   string
+}
+
+func (c *Controller) init() {
+	c.once.Do(func() {
+		c.kick = make(chan struct{}, kickCapacity)
+		if c.Log == nil {
+			c.Log = slog.New(slog.DiscardHandler)
+		}
+		if c.Metrics == nil {
+			c.Metrics = metrics.NewRegistry()
+		}
+		c.counters = newCounters(c.Metrics)
+		for i := range c.shards {
+			c.shards[i].items = make(map[fleet.Item]*itemState)
+		}
+	})
+}
+
+// with calls f with the state of an item under the lock of its shard.
+func (c *Controller) with(item fleet.Item, f func(*itemState)) {
+	c.init()
+	shard := &c.shards[xxhash.Sum64String(item.String())%shardCount]
+	shard.Lock()
+	defer shard.Unlock()
+	state := shard.items[item]
+	if state == nil {
+		state = &itemState{unloading: make(map[fleet.GrantID]bool)}
+		shard.items[item] = state
+	}
+	f(state)
+}
+
+// Wake asks for a replica of an item on behalf of a request that waits until
+// the deadline. It returns at once with an estimate and is called again while
+// requests wait. Only the first home of the base model decides on a load; other
+// nodes forward the call.
+func (c *Controller) Wake(ctx context.Context, item fleet.Item, deadline time.Time) (estimate Estimate, err error) {
+	c.init()
+	if c.Decides == nil || c.Decides(item.Base()) || c.Forward == nil {
+		return c.WakeHere(item, deadline)
+	}
+	if !c.Snapshot().Serves(item) {
+		return Estimate{}, errors.Wrap(ErrNotServed, item.String())
+	}
+	if ready, progress := c.progress(item); ready {
+		return Estimate{Progress: progress}, nil
+	}
+	c.counters.forwarded.Inc(1)
+	if estimate, err = c.Forward(ctx, item, deadline); err != nil {
+		return Estimate{}, errors.Wrapf(err, "wake %s at its first home", item)
+	}
+	return estimate, nil
+}
+
+// WakeHere is [Controller.Wake] for a call that another node has forwarded. It
+// never forwards again, even if the nodes disagree on who decides: the grants
+// keep the number of replicas.
+func (c *Controller) WakeHere(item fleet.Item, deadline time.Time) (Estimate, error) {
+	c.init()
+	if !c.Snapshot().Serves(item) {
+		return Estimate{}, errors.Wrap(ErrNotServed, item.String())
+	}
+	now := time.Now()
+	if ready, _ := c.progress(item); ready {
+		c.with(item, func(s *itemState) { s.lastBusy = now })
+		return Estimate{Progress: 1}, nil
+	}
+	c.with(item, func(s *itemState) { s.wait(now, deadline) })
+	c.counters.wakes.Inc(1)
+	select {
+	case c.kick <- struct{}{}:
+	default:
+	}
+	return c.estimate(item), nil
+}
+
+// wait notes a waiting request.
+func (s *itemState) wait(now, deadline time.Time) {
+	if now.Sub(s.wokenAt) > waitingFor {
+		s.since = now
+		s.deadline = deadline
+	}
+	s.wokenAt = now
+	if deadline.Before(s.deadline) {
+		s.deadline = deadline
+	}
+}
+
+// progress reports whether a replica is ready and, if not, how far the most
+// advanced load is.
+func (c *Controller) progress(item fleet.Item) (ready bool, progress float64) {
+	for _, replica := range c.Grants.Replicas(item) {
+		switch {
+		case replica.Draining:
+		case replica.State == engine.Ready:
+			return true, 1
+		case replica.State == engine.Loading:
+			progress = max(progress, replica.Progress)
+		}
+	}
+	return false, progress
+}
+
+// estimate returns when the item will be ready. An adapter waits for its base
+// model first.
+func (c *Controller) estimate(item fleet.Item) Estimate {
+	ready, progress := c.progress(item)
+	if ready {
+		return Estimate{Progress: 1}
+	}
+	size := c.Snapshot().Size(item)
+	span := c.Weights.LoadTime(item, size, &Server{})
+	estimate := Estimate{
+		ReadyIn:  time.Duration((1 - progress) * float64(span)),
+		Progress: progress,
+	}
+	if item.IsAdapter() {
+		base := c.estimate(item.Base())
+		estimate.ReadyIn += base.ReadyIn
+		estimate.Progress = min(estimate.Progress, base.Progress)
+	}
+	return estimate
+}
+
+// Arrived notes that a request for the item has arrived at this node.
+func (c *Controller) Arrived(item fleet.Item, at time.Time) {
+	for _, used := range uses(item) {
+		c.with(used, func(s *itemState) {
+			s.active++
+			s.lastBusy = at
+		})
+	}
+}
+
+// Finished notes that a request for the item has ended at this node.
+func (c *Controller) Finished(item fleet.Item, at time.Time) {
+	for _, used := range uses(item) {
+		c.with(used, func(s *itemState) {
+			s.active = max(0, s.active-1)
+			s.lastBusy = at
+		})
+	}
+}
+
+// uses returns what a request for the item keeps busy.
+func uses(item fleet.Item) []fleet.Item {
+	if item.IsAdapter() {
+		return []fleet.Item{item, item.Base()}
+	}
+	return []fleet.Item{item}
+}
+
+// Run decides and acts until the context ends, then waits for the actions that
+// have begun.
+func (c *Controller) Run(ctx context.Context) error {
+	c.init()
+	defer c.working.Wait()
+	ticker := time.NewTicker(planEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		case <-c.kick:
+		}
+		c.step(ctx, time.Now())
+	}
+}
--- /dev/null
+++ b/internal/policy/store.go
@@ -0,0 +1,88 @@
+package policy
+
+import (
+	"time"
+
+	"github.com/guavatrack/guavatrack/internal/engine"
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+)
+
+// Default rates of the paths that a checkpoint takes into accelerator memory,
+// used until loads have been observed.
+const (
+	defaultStoreBytesPerSecond = 1 * fleet.GiB
+	diskBytesPerSecond         = 2 * fleet.GiB
+	hostMemoryBytesPerSecond   = 16 * fleet.GiB
+	linkBytesPerSecond         = 4 * fleet.MiB // tens of Mbit/s between regions
+)
+
+// minLoad is the least time that a load of any item takes.
+const minLoad = 5 * time.Millisecond
+
+// Store is what is known of the weight store.
+type Store struct {
+	// Region is where the store stands. Empty means that it is near everywhere.
+	Region fleet.Region
+	// Concurrency is the number of loads at once that run at full speed.
+	Concurrency int
+	// LoadsPerSecond is the rate at which loads may start.
+	LoadsPerSecond float64
+	// BytesPerSecond is the speed of one load at full speed; 0 means the
+	// default.
+	BytesPerSecond fleet.Bytes
+	// Slowness is the factor by which loads take longer at present, at least 1.
+	Slowness float64
+	// Down says that loads from the store fail at present.
+	Down bool
+}
+
+// observedWeight is the share of the newest load in the average slowness.
+const observedWeight = 0.3
+
+// Observe returns the store with the slowness updated by one load of bytes
+// from the store which took a time.
+func (s Store) Observe(size fleet.Bytes, took time.Duration) Store {
+	full := s.transfer(size, 1)
+	if full <= 0 || took <= 0 {
+		return s
+	}
+	slowness := max(1, took.Seconds()/full.Seconds())
+	s.Slowness = (1-observedWeight)*max(1, s.Slowness) + observedWeight*slowness
+	s.Down = false
+	return s
+}
+
+// LoadTime returns how long a load takes on a server, from where the bytes are.
+// It is the time of the transfer; waiting for a slot comes on top.
+func (s Store) LoadTime(item fleet.Item, size fleet.Bytes, server *Server) time.Duration {
+	switch server.Checkpoints[item.String()] {
+	case engine.HostMemory:
+		return max(minLoad, bytesOver(size, hostMemoryBytesPerSecond))
+	case engine.LocalDisk:
+		return max(minLoad, bytesOver(size, diskBytesPerSecond))
+	default:
+	}
+	remote := s.transfer(size, max(1, s.Slowness))
+	if s.Region != "" && server.Region != s.Region {
+		remote = max(remote, bytesOver(size, linkBytesPerSecond))
+	}
+	return max(minLoad, remote)
+}
+
+func (s Store) transfer(size fleet.Bytes, slowness float64) time.Duration {
+	rate := s.BytesPerSecond
+	if rate == 0 {
+		rate = defaultStoreBytesPerSecond
+	}
+	return time.Duration(slowness * float64(bytesOver(size, rate)))
+}
+
+func bytesOver(size, bytesPerSecond fleet.Bytes) time.Duration {
+	return time.Duration(float64(size) / float64(bytesPerSecond) * float64(time.Second))
+}
+
+// remote reports whether a load on the server would read from the store.
+func remote(item fleet.Item, server *Server) bool {
+	_, cached := server.Checkpoints[item.String()]
+	return !cached
+}
