--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -35,9 +34,11 @@
 type Table struct {
 	mu      sync.Mutex
 	records map[table.Key]table.Record
-	tokens  map[table.Token]struct{}
-	faults  TableFaults
-	counts  TableCounts
+	// sorted holds the sort keys of each partition in ascending order.
+	sorted map[string][]string
+	tokens map[table.Token]struct{}
+	faults TableFaults
+	counts TableCounts
 }
 
 var _ table.Store = (*Table)(nil)
@@ -46,6 +47,7 @@
 func NewTable() *Table {
 	return &Table{
 		records: make(map[table.Key]table.Record),
+		sorted:  make(map[string][]string),
 		tokens:  make(map[table.Token]struct{}),
 	}
 }
@@ -91,19 +93,21 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.counts.Queries++
-	keys := slices.Collect(maps.Keys(t.records))
-	keys = slices.DeleteFunc(keys, func(key table.Key) bool {
-		return key.Partition != span.Partition || key.Sort <= span.After && span.After != "" ||
-			!strings.HasPrefix(key.Sort, span.Prefix)
-	})
-	slices.SortFunc(keys, func(a, b table.Key) int { return strings.Compare(a.Sort, b.Sort) })
 	limit := span.Limit
 	if limit == 0 {
 		limit = defaultQueryLimit
 	}
-	found := make([]table.Record, 0, min(limit, len(keys)))
-	for _, key := range keys[:min(limit, len(keys))] {
-		found = append(found, clone(t.records[key]))
+	sorted := t.sorted[span.Partition]
+	start, exact := slices.BinarySearch(sorted, max(span.After, span.Prefix))
+	if exact && span.After != "" && sorted[start] == span.After {
+		start++
+	}
+	found := make([]table.Record, 0)
+	for _, sort := range sorted[start:] {
+		if len(found) == limit || !strings.HasPrefix(sort, span.Prefix) {
+			break
+		}
+		found = append(found, clone(t.records[table.Key{Partition: span.Partition, Sort: sort}]))
 	}
 	return found, nil
 }
@@ -137,17 +141,23 @@
 	if _, done := t.tokens[token]; done && token != "" {
 		return nil
 	}
-	for _, write := range writes {
+	conflict := &conflictError{failed: make(map[int]bool)}
+	for i, write := range writes {
 		if t.records[write.Key].Version != write.Expect {
-			return table.ErrConflict
+			conflict.failed[i] = true
 		}
 	}
+	if len(conflict.failed) > 0 {
+		return conflict
+	}
 	for _, write := range writes {
 		switch {
 		case write.CheckOnly:
 		case write.Body == nil:
 			delete(t.records, write.Key)
+			t.unsort(write.Key)
 		default:
+			t.sort(write.Key)
 			t.records[write.Key] = table.Record{
 				Key: write.Key, Version: write.Expect + 1, Body: slices.Clone(write.Body),
 			}
@@ -157,6 +167,29 @@
 	return nil
 }
 
+// sort adds a key to its partition's sorted list unless it is there. The caller
+// holds the lock.
+func (t *Table) sort(key table.Key) {
+	list := t.sorted[key.Partition]
+	if at, found := slices.BinarySearch(list, key.Sort); !found {
+		t.sorted[key.Partition] = slices.Insert(list, at, key.Sort)
+	}
+}
+
+// unsort removes a key from its partition's sorted list.
+func (t *Table) unsort(key table.Key) {
+	list := t.sorted[key.Partition]
+	if at, found := slices.BinarySearch(list, key.Sort); found {
+		t.sorted[key.Partition] = slices.Delete(list, at, at+1)
+	}
+}
+
+// conflictError says which writes of a transaction failed, by their index.
+type conflictError struct{ failed map[int]bool }
+
+func (c *conflictError) Error() string { return table.ErrConflict.Error() }
+func (c *conflictError) Unwrap() error { return table.ErrConflict }
+
 // enter waits for the delay and fails if the table is down or the caller gave
 // up.
 func (t *Table) enter(ctx context.Context) error {
