Serve callers: completions, streams and plain services over a filter chain

Cause: a node needs a side for callers before the rest can be tried end to end. Change: caller.Server with its filters, the closed set of refusals, the decoder of event streams, matching of plain services and the position of a stream.

--- /dev/null
+++ b/internal/caller/caller_test.go
@@ -0,0 +1,177 @@
+package caller_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/guavatrack/guavatrack/internal/caller"
+	"github.com/guavatrack/guavatrack/internal/engine"
+	"github.com/guavatrack/guavatrack/internal/standin"
+	"github.com/guavatrack/guavatrack/internal/vmlist"
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+	"github.com/guavatrack/guavatrack/pkg/refusal"
+	"github.com/guavatrack/guavatrack/pkg/ticket"
+)
+
+// directory is a fixed set of replicas.
+type directory []engine.Replica
+
+func (d directory) Replicas(fleet.Item) []engine.Replica { return d }
+
+func snapshot() *ticket.Snapshot {
+	return &ticket.Snapshot{
+		Deployments: map[fleet.ModelID]*ticket.Deployment{"hop": {
+			Class: ticket.Interactive, Timeout: fleet.Duration(5 * time.Second), Concurrency: 8,
+			Adapters: map[fleet.AdapterID]ticket.Adapter{"fair": {}},
+		}},
+		Services: map[fleet.ServiceID]*ticket.Service{"orders": {
+			Prefix: "/orders/", Pool: "orders",
+			Routes: []ticket.Route{
+				{Method: http.MethodGet, Path: "/stock", Idempotent: true},
+				{Method: http.MethodPost, Path: "/book"},
+			},
+		}},
+	}
+}
+
+// replica returns a ready replica at the address of a test server.
+func replica(server *httptest.Server) engine.Replica {
+	address := strings.TrimPrefix(server.URL, "http://")
+	return engine.Replica{
+		Item: fleet.Item{Model: "hop"}, Server: fleet.ServerID(address), Address: address, State: engine.Ready,
+	}
+}
+
+// start starts a node over the backend servers.
+func start(t *testing.T, adjust func(*caller.Server), backends ...http.Handler) *httptest.Server {
+	t.Helper()
+	replicas := make(directory, 0, len(backends))
+	vms := make([]vmlist.VM, 0, len(backends))
+	for _, backend := range backends {
+		server := httptest.NewServer(backend)
+		t.Cleanup(server.Close)
+		found := replica(server)
+		replicas = append(replicas, found)
+		vms = append(vms, vmlist.VM{ID: found.Server, Address: found.Address, State: vmlist.Live})
+	}
+	node := &caller.Server{
+		Snapshot: snapshot, Directory: replicas, Store: standin.NewTable(),
+		Services: func(fleet.PoolID) []vmlist.VM { return vms },
+	}
+	if adjust != nil {
+		adjust(node)
+	}
+	server := httptest.NewServer(node.Handler())
+	t.Cleanup(server.Close)
+	return server
+}
+
+// stream answers a completion with a number of events.
+func stream(events int) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := fleet.RequestID(r.Header.Get(engine.RequestIDHeader))
+		first := uint64(0)
+		if _, offset, found := engine.ParseEventID(r.Header.Get(engine.LastEventIDHeader)); found {
+			first = offset + 1
+		}
+		for at := first; at < uint64(events); at++ {
+			_, _ = fmt.Fprintf(w, "id: %s\ndata: {\"n\":%d}\n\n", engine.EventID(id, at), at)
+		}
+		_, _ = fmt.Fprintf(w, "id: %s\ndata: [DONE]\n\n", engine.EventID(id, uint64(events)))
+	})
+}
+
+func post(t *testing.T, url, body string, headers ...string) (int, string, http.Header) {
+	t.Helper()
+	c := qt.New(t)
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, strings.NewReader(body))
+	c.Assert(err, qt.IsNil)
+	request.Header.Set("Content-Type", "application/json")
+	for at := 0; at+1 < len(headers); at += 2 {
+		request.Header.Set(headers[at], headers[at+1])
+	}
+	response, err := http.DefaultClient.Do(request)
+	c.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	c.Assert(err, qt.IsNil)
+	return response.StatusCode, string(answer), response.Header
+}
+
+const chat = `{"model":"hop","stream":true,"messages":[{"role":"user","content":"which wreath?"}]}`
+
+func TestStreamIsRelayedWhole(t *testing.T) {
+	c := qt.New(t)
+	node := start(t, nil, stream(3))
+	status, answer, header := post(t, node.URL+"/v1/chat/completions", chat)
+	c.Assert(status, qt.Equals, http.StatusOK)
+	c.Assert(header.Get("Content-Type"), qt.Equals, "text/event-stream")
+	c.Assert(strings.Count(answer, "data: {"), qt.Equals, 3)
+	c.Assert(answer, qt.Contains, "data: [DONE]")
+}
+
+func TestStreamGoesOnAtAnotherReplicaWhenOneDies(t *testing.T) {
+	c := qt.New(t)
+	dying := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := fleet.RequestID(r.Header.Get(engine.RequestIDHeader))
+		_, _ = fmt.Fprintf(w, "id: %s\ndata: {\"n\":0}\n\n", engine.EventID(id, 0))
+		http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	})
+	node := start(t, nil, dying, stream(3))
+	for range 4 {
+		_, answer, _ := post(t, node.URL+"/v1/chat/completions", chat)
+		c.Assert(strings.Count(answer, "data: {"), qt.Equals, 3)
+		c.Assert(strings.Count(answer, `"n":0`), qt.Equals, 1)
+	}
+}
+
+func TestBadInputGetsClearErrors(t *testing.T) {
+	node := start(t, nil, stream(1))
+	cases := []struct {
+		name, path, body, contentType string
+		status                        int
+		code                          refusal.Reason
+	}{
+		{"malformed", "/v1/chat/completions", `{"model":`, "application/json", 400, refusal.Malformed},
+		{"no model", "/v1/chat/completions", `{}`, "application/json", 400, refusal.Malformed},
+		{"no messages", "/v1/chat/completions", `{"model":"hop"}`, "application/json", 400, refusal.Malformed},
+		{"unknown model", "/v1/chat/completions", `{"model":"x","messages":[]}`, "application/json", 404, refusal.UnknownModel},
+		{"unknown adapter", "/v1/completions", `{"model":"hop:x","prompt":""}`, "application/json", 404, refusal.UnknownModel},
+		{"content type", "/v1/chat/completions", chat, "text/plain", 415, refusal.WrongContentType},
+		{"too large", "/v1/chat/completions", strings.Repeat(" ", caller.MaxBody+1), "application/json", 413, refusal.TooLarge},
+		{"unknown path", "/v2/x", "", "application/json", 404, refusal.UnknownPath},
+		{"method", "/v1/models", "", "application/json", 405, refusal.WrongMethod},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			status, answer, header := post(t, node.URL+test.path, test.body, "Content-Type", test.contentType)
+			c.Assert(status, qt.Equals, test.status)
+			c.Assert(answer, qt.Contains, `"code":"`+string(test.code)+`"`)
+			c.Assert(header.Get(refusal.RunHeader), qt.Equals, string(refusal.NotRun))
+		})
+	}
+}
+
+func TestBookingIsSentOnceWhenTheServerDies(t *testing.T) {
+	c := qt.New(t)
+	runs := make(chan struct{}, 10)
+	dying := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		runs <- struct{}{}
+		panic(http.ErrAbortHandler)
+	})
+	node := start(t, nil, dying, dying)
+	status, answer, header := post(t, node.URL+"/orders/book", "{}")
+	c.Assert(status, qt.Equals, http.StatusBadGateway)
+	c.Assert(header.Get(refusal.RunHeader), qt.Equals, string(refusal.Unknown))
+	c.Assert(answer, qt.Contains, `"run":"unknown"`)
+	c.Assert(runs, qt.HasLen, 1)
+}
--- /dev/null
+++ b/internal/caller/decode.go
@@ -0,0 +1,181 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"mime"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/guavatrack/guavatrack/internal/engine"
+	"github.com/guavatrack/guavatrack/internal/plain"
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+	"github.com/guavatrack/guavatrack/pkg/refusal"
+	"github.com/guavatrack/guavatrack/pkg/ticket"
+)
+
+// readBody reads the body of a call within its limits.
+func readBody(call *Call) (body []byte, err error) {
+	if call.Request.ContentLength > MaxBody {
+		return nil, refusal.New(refusal.TooLarge, "the body is larger than 4 MiB")
+	}
+	controller := http.NewResponseController(call.Response)
+	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
+	reader := http.MaxBytesReader(call.Response, call.Request.Body, MaxBody)
+	var buffer bytes.Buffer
+	if size := call.Request.ContentLength; size > 0 {
+		buffer.Grow(int(size) + bytes.MinRead)
+	}
+	_, err = buffer.ReadFrom(reader)
+	_ = controller.SetReadDeadline(time.Time{})
+	tooLarge := (*http.MaxBytesError)(nil)
+	switch {
+	case err == nil:
+		return buffer.Bytes(), nil
+	case errors.As(err, &tooLarge):
+		return nil, refusal.New(refusal.TooLarge, "the body is larger than 4 MiB")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, refusal.New(refusal.SlowSender, "the body did not come within 10 s")
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return nil, refusal.New(refusal.Malformed, "the body is shorter than its Content-Length")
+	default:
+		return nil, refusal.New(refusal.Malformed, "the body could not be read")
+	}
+}
+
+// completionRequest is what a node reads of a completion; the rest is the
+// engine's.
+type completionRequest struct {
+	Model    string          `json:"model"`
+	Stream   bool            `json:"stream"`
+	Messages json.RawMessage `json:"messages"`
+	Prompt   json.RawMessage `json:"prompt"`
+}
+
+const jsonType = "application/json"
+
+// parseCompletion reads a completion request.
+func parseCompletion(contentType string, body []byte) (request completionRequest, err error) {
+	if kind, _, err := mime.ParseMediaType(contentType); err != nil || kind != jsonType {
+		return request, refusal.New(refusal.WrongContentType, "the body must be application/json")
+	}
+	if err := json.Unmarshal(body, &request); err != nil {
+		return request, refusal.New(refusal.Malformed, "the body is not a JSON request: "+err.Error())
+	}
+	if request.Model == "" {
+		return request, refusal.New(refusal.Malformed, "model: missing")
+	}
+	return request, nil
+}
+
+// decodeCompletion reads the body of a completion and finds the deployment.
+func (s *Server) decodeCompletion(call *Call, next Handler) error {
+	body, err := readBody(call)
+	if err != nil {
+		return err
+	}
+	request, err := parseCompletion(call.Request.Header.Get("Content-Type"), body)
+	if err != nil {
+		return err
+	}
+	if call.Request.URL.Path == chatPath && request.Messages == nil {
+		return refusal.New(refusal.Malformed, "messages: missing")
+	}
+	if call.Request.URL.Path == completionPath && request.Prompt == nil {
+		return refusal.New(refusal.Malformed, "prompt: missing")
+	}
+	call.Body, call.Stream = body, request.Stream
+	call.Item = fleet.ParseItem(request.Model)
+	if !call.Snapshot.Serves(call.Item) {
+		return refusal.New(refusal.UnknownModel, "model "+strconv.Quote(request.Model)+" is not served here")
+	}
+	call.Deployment = call.Snapshot.Deployments[call.Item.Model]
+	call.Class = call.Deployment.Class
+	if err := call.resumeFrom(call.Request.Header.Get(engine.LastEventIDHeader)); err != nil {
+		return err
+	}
+	return next.Handle(call)
+}
+
+// resumeFrom sets the offset at which a stream goes on.
+func (c *Call) resumeFrom(lastID string) error {
+	if lastID == "" || !c.Stream {
+		return nil
+	}
+	request, offset, valid := engine.ParseEventID(lastID)
+	if !valid || request != c.ID {
+		return refusal.New(refusal.Malformed, "Last-Event-Id does not belong to this X-Request-Id")
+	}
+	c.Next = offset + 1
+	return nil
+}
+
+// decodeService finds the plain service of a path and reads the body.
+func (s *Server) decodeService(call *Call, next Handler) error {
+	target, found := plain.Match(call.Snapshot, call.Request.Method, call.Request.URL.EscapedPath())
+	if !found {
+		return refusal.New(refusal.UnknownPath, "no service has the path "+strconv.Quote(call.Request.URL.Path))
+	}
+	body, err := readBody(call)
+	if err != nil {
+		return err
+	}
+	call.Target, call.Body = target, body
+	return next.Handle(call)
+}
+
+// Bounds of deadlines.
+const (
+	defaultTimeout = time.Minute
+	maxTimeout     = 24 * time.Hour
+)
+
+// setDeadline sets the deadline to the caller's or the configured one,
+// whichever the caller chose, and ends the call's context there.
+func (s *Server) setDeadline(call *Call, next Handler) error {
+	timeout, err := timeoutOf(call)
+	if err != nil {
+		return err
+	}
+	call.Deadline = call.Started.Add(timeout)
+	ctx, cancel := context.WithDeadline(call.Context, call.Deadline)
+	defer cancel()
+	call.Context = ctx
+	return next.Handle(call)
+}
+
+func timeoutOf(call *Call) (time.Duration, error) {
+	if text := call.Request.Header.Get(engine.DeadlineHeader); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || ms <= 0 || ms > maxTimeout.Milliseconds() {
+			return 0, refusal.New(refusal.Malformed, "X-Deadline-Ms must be milliseconds from 1 to 86400000")
+		}
+		return time.Duration(ms) * time.Millisecond, nil
+	}
+	timeout := call.Target.Timeout
+	if call.Deployment != nil {
+		timeout = call.Deployment.Timeout.Std()
+	}
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	return timeout, nil
+}
+
+// priority returns the engine's priority of a class; lower goes first.
+func priority(class ticket.Class) string {
+	switch class {
+	case ticket.Interactive:
+		return "0"
+	case ticket.Diagnosis:
+		return "1"
+	default:
+		return "2"
+	}
+}
--- /dev/null
+++ b/internal/engine/stream.go
@@ -0,0 +1,193 @@
+package engine
+
+import (
+	"bytes"
+	"io"
+	"strconv"
+
+	"github.com/go-faster/errors"
+
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+)
+
+// MaxEventSize is the largest event that a [StreamDecoder] accepts, in bytes.
+const MaxEventSize = 1 << 20
+
+// initialBuffer is the size of a decoder's first buffer, in bytes.
+const initialBuffer = 8 << 10
+
+// Errors of a [StreamDecoder].
+var (
+	// ErrEventTooLarge says that an event is longer than [MaxEventSize].
+	ErrEventTooLarge = errors.New("event too large")
+	// ErrCutOff says that the stream ended within an event.
+	ErrCutOff = errors.New("stream ended within an event")
+)
+
+// Event is one server-sent event. Its slices are valid until the next call of
+// [StreamDecoder.Next].
+type Event struct {
+	// Raw is the event as received, with the empty line that ends it.
+	Raw []byte
+	// ID is the content of the last id field, empty if there is none.
+	ID []byte
+	// Data is the content of the first data field.
+	Data []byte
+}
+
+var doneData = []byte("[DONE]")
+
+// Done reports whether the event ends the answer.
+func (e Event) Done() bool { return bytes.Equal(e.Data, doneData) }
+
+// Position returns the request and the offset that the event id names. It
+// fails if there is no such id.
+func (e Event) Position() (request []byte, offset uint64, found bool) {
+	slash := bytes.LastIndexByte(e.ID, '/')
+	if slash <= 0 {
+		return nil, 0, false
+	}
+	offset, found = parseOffset(e.ID[slash+1:])
+	return e.ID[:slash], offset, found
+}
+
+// maxOffsetDigits keeps an offset within 64 bits.
+const maxOffsetDigits = 18
+
+func parseOffset(digits []byte) (offset uint64, valid bool) {
+	if len(digits) == 0 || len(digits) > maxOffsetDigits {
+		return 0, false
+	}
+	for _, digit := range digits {
+		if digit < '0' || digit > '9' {
+			return 0, false
+		}
+		offset = offset*10 + uint64(digit-'0')
+	}
+	return offset, true
+}
+
+// EventID returns the id of an event of a request.
+func EventID(request fleet.RequestID, offset uint64) string {
+	return string(request) + "/" + strconv.FormatUint(offset, 10)
+}
+
+// ParseEventID reads what [EventID] returns.
+func ParseEventID(id string) (request fleet.RequestID, offset uint64, valid bool) {
+	name, offset, valid := Event{ID: []byte(id)}.Position()
+	return fleet.RequestID(name), offset, valid
+}
+
+// StreamDecoder reads server-sent events. It allocates only to grow its
+// buffer.
+type StreamDecoder struct {
+	source io.Reader
+	buffer []byte
+	// Unread input is buffer[start:end]; scanned bytes of it hold no end of an
+	// event.
+	start, end, scanned int
+	err                 error
+}
+
+// NewStreamDecoder returns a decoder of the source.
+func NewStreamDecoder(source io.Reader) *StreamDecoder {
+	return &StreamDecoder{source: source, buffer: make([]byte, initialBuffer)}
+}
+
+// Next returns the next event. It fails with io.EOF at the end of the stream,
+// [ErrCutOff], [ErrEventTooLarge] or the error of the source.
+func (d *StreamDecoder) Next() (Event, error) {
+	for {
+		if size := d.complete(); size > 0 {
+			raw := d.buffer[d.start : d.start+size]
+			d.start += size
+			d.scanned = 0
+			return parseEvent(raw), nil
+		}
+		if d.err != nil {
+			return Event{}, d.ending()
+		}
+		if err := d.fill(); err != nil {
+			return Event{}, err
+		}
+	}
+}
+
+// Buffered reports whether Next would return an event without reading.
+func (d *StreamDecoder) Buffered() bool { return d.complete() > 0 }
+
+func (d *StreamDecoder) ending() error {
+	if errors.Is(d.err, io.EOF) && len(bytes.TrimSpace(d.buffer[d.start:d.end])) > 0 {
+		return ErrCutOff
+	}
+	return d.err
+}
+
+// complete returns the length of the first whole event, 0 if there is none.
+func (d *StreamDecoder) complete() int {
+	unread := d.buffer[d.start:d.end]
+	for at := d.scanned; at < len(unread); {
+		line := bytes.IndexByte(unread[at:], '\n')
+		if line < 0 {
+			break
+		}
+		// The byte after the line end may be yet to come or to be looked at
+		// again, so only lines before it count as scanned.
+		d.scanned = at + line
+		at += line + 1
+		rest := unread[at:]
+		switch {
+		case len(rest) > 0 && rest[0] == '\n':
+			return at + 1
+		case len(rest) > 1 && rest[0] == '\r' && rest[1] == '\n':
+			return at + 2
+		case len(rest) == 0, len(rest) == 1 && rest[0] == '\r':
+			return 0
+		}
+	}
+	return 0
+}
+
+func (d *StreamDecoder) fill() error {
+	if d.start > 0 && (d.start == d.end || d.end == len(d.buffer)) {
+		copy(d.buffer, d.buffer[d.start:d.end])
+		d.end -= d.start
+		d.start = 0
+	}
+	if d.end == len(d.buffer) {
+		if len(d.buffer) >= MaxEventSize {
+			return ErrEventTooLarge
+		}
+		larger := make([]byte, 2*len(d.buffer))
+		copy(larger, d.buffer[:d.end])
+		d.buffer = larger
+	}
+	read, err := d.source.Read(d.buffer[d.end:])
+	d.end += read
+	d.err = err
+	return nil
+}
+
+var (
+	idField   = []byte("id:")
+	dataField = []byte("data:")
+)
+
+func parseEvent(raw []byte) Event {
+	event := Event{Raw: raw}
+	for rest := raw; len(rest) > 0; {
+		line := rest
+		if end := bytes.IndexByte(rest, '\n'); end >= 0 {
+			line, rest = rest[:end], rest[end+1:]
+		} else {
+			rest = nil
+		}
+		line = bytes.TrimSuffix(line, []byte{'\r'})
+		if value, found := bytes.CutPrefix(line, idField); found {
+			event.ID = bytes.TrimPrefix(value, []byte{' '})
+		} else if value, found := bytes.CutPrefix(line, dataField); found && event.Data == nil {
+			event.Data = bytes.TrimPrefix(value, []byte{' '})
+		}
+	}
+	return event
+}
