Carry JSON-RPC between nodes, in memory for tests

Cause: members and configuration exchange messages. Change: peer.Peer over TCP with one connection a node, dropped on silence; standin.Network. Conclusion: what may be repeated is the caller's decision.

--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,297 @@
+// Package peer carries JSON-RPC 2.0 between the nodes of one installation.
+//
+// A [Peer] listens on one TCP address and holds few long connections to other
+// nodes, one for each node it calls. A connection over which a call got no
+// answer in time is no longer used: the next call dials a new one, so that a
+// connection that went silent costs one call. Bytes are counted, and those on
+// connections between regions are counted apart.
+//
+// Other packages register their methods with [Peer.Handle] before Run. A call
+// is neither repeated nor queued here; what may be repeated is the caller's
+// decision.
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+)
+
+// Errors of a call, to be tested with errors.Is.
+var (
+	// ErrUnknownNode says that no address is known for the node.
+	ErrUnknownNode = errors.New("no address known for the node")
+	// ErrUnreachable says that no connection could be made, or that it broke
+	// or stayed silent before the answer came.
+	ErrUnreachable = errors.New("node unreachable")
+)
+
+const (
+	// dialTimeout bounds the making of a connection.
+	dialTimeout = 2 * time.Second
+	// writeTimeout bounds one write, so that a reader that stopped does not
+	// hold up others.
+	writeTimeout = 5 * time.Second
+	// idleTimeout is how long an unused connection is kept.
+	idleTimeout = 2 * time.Minute
+	// retireAfter is how long calls that still wait on a doubted connection
+	// may go on.
+	retireAfter = 10 * time.Second
+	// maxRunning bounds the calls that run at once on one connection.
+	maxRunning = 64
+	// maxInbound bounds the connections that others hold to this node.
+	maxInbound = 1024
+)
+
+// Handler answers one method. Its params are JSON; its result is marshaled.
+type Handler func(ctx context.Context, params json.RawMessage) (any, error)
+
+// Typed makes a handler from a function with typed input and output.
+func Typed[In, Out any](handle func(context.Context, In) (Out, error)) Handler {
+	return func(ctx context.Context, params json.RawMessage) (any, error) {
+		var in In
+		if len(params) > 0 {
+			if err := json.Unmarshal(params, &in); err != nil {
+				return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+			}
+		}
+		return handle(ctx, in)
+	}
+}
+
+// Peer is one node's end of the exchange. Set the exported fields before Run.
+type Peer struct {
+	// Address is the host and port to listen on.
+	Address string
+	// TLS is used on both ends of every connection. Nil means plain TCP.
+	TLS *tls.Config
+	// Resolve returns the peer address of a node.
+	Resolve func(fleet.NodeID) (address string, found bool)
+	// Crosses reports whether the address stands in another region. Nil means
+	// that none does.
+	Crosses func(address string) bool
+	Log     *slog.Logger
+	Metrics metrics.Registry
+
+	once     sync.Once
+	handlers map[string]Handler
+	ready    chan struct{}
+	listener net.Listener
+	counts   counters
+	shards   [connShards]connShard
+	inbound  chan struct{}
+}
+
+func (p *Peer) init() {
+	p.once.Do(func() {
+		p.handlers = make(map[string]Handler)
+		p.ready = make(chan struct{})
+		p.inbound = make(chan struct{}, maxInbound)
+		p.counts = newCounters(p.Metrics)
+		if p.Log == nil {
+			p.Log = slog.New(slog.DiscardHandler)
+		}
+	})
+}
+
+// Handle registers a method. It must be called before Run.
+func (p *Peer) Handle(method string, handler Handler) {
+	p.init()
+	p.handlers[method] = handler
+}
+
+// Ready is closed once the peer listens.
+func (p *Peer) Ready() <-chan struct{} {
+	p.init()
+	return p.ready
+}
+
+// ListenAddress returns the address that the peer listens on, which differs
+// from Address if that asked for any free port. It is valid once Ready is
+// closed.
+func (p *Peer) ListenAddress() string { return p.listener.Addr().String() }
+
+// Listen opens the listening socket. Run does it if it has not been done.
+func (p *Peer) Listen(ctx context.Context) (err error) {
+	p.init()
+	defer func() {
+		if err != nil {
+			err = errors.Wrapf(err, "peer listen on %s", p.Address)
+		}
+	}()
+	if p.listener != nil {
+		return nil
+	}
+	var listening net.ListenConfig
+	if p.listener, err = listening.Listen(ctx, "tcp", p.Address); err != nil {
+		return err
+	}
+	if p.TLS != nil {
+		p.listener = tls.NewListener(p.listener, p.TLS)
+	}
+	close(p.ready)
+	return nil
+}
+
+// Run accepts connections until the context ends.
+func (p *Peer) Run(ctx context.Context) error {
+	if err := p.Listen(ctx); err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = p.listener.Close() })
+	defer stop()
+	defer p.closeAll()
+	go p.sweep(ctx)
+	for {
+		conn, err := p.listener.Accept()
+		switch {
+		case ctx.Err() != nil:
+			return nil
+		case err != nil:
+			p.counts.acceptErrors.Inc(1)
+			wait(ctx, acceptPause)
+		default:
+			p.accept(ctx, conn)
+		}
+	}
+}
+
+// acceptPause keeps a listener that fails from spinning.
+const acceptPause = 50 * time.Millisecond
+
+func wait(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// accept serves a connection that another node made.
+func (p *Peer) accept(ctx context.Context, conn net.Conn) {
+	select {
+	case p.inbound <- struct{}{}:
+	default:
+		p.counts.inboundRefused.Inc(1)
+		_ = conn.Close()
+		return
+	}
+	served := p.serve(ctx, &countedConn{Conn: conn, sent: p.counts.bytesSent, received: p.counts.bytesReceived})
+	go func() {
+		select {
+		case <-served.DisconnectNotify():
+		case <-ctx.Done():
+			_ = served.Close()
+		}
+		<-p.inbound
+	}()
+}
+
+func (p *Peer) serve(ctx context.Context, conn net.Conn) *jsonrpc2.Conn {
+	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
+	return jsonrpc2.NewConn(ctx, stream, &dispatcher{peer: p, running: make(chan struct{}, maxRunning)},
+		jsonrpc2.SetLogger(discard{}))
+}
+
+// discard drops the library's own log lines; counters tell the same.
+type discard struct{}
+
+func (discard) Printf(string, ...any) {}
+
+// dispatcher hands the requests of one connection to their handlers.
+type dispatcher struct {
+	peer    *Peer
+	running chan struct{}
+}
+
+// Handle implements [jsonrpc2.Handler]. It blocks the reading of the
+// connection while too many of its requests run.
+func (d *dispatcher) Handle(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	d.running <- struct{}{}
+	go func() {
+		defer func() { <-d.running }()
+		d.answer(ctx, conn, request)
+	}()
+}
+
+func (d *dispatcher) answer(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	d.peer.counts.callsServed.Inc(1)
+	handler, found := d.peer.handlers[request.Method]
+	if !found {
+		d.reply(ctx, conn, request, nil, &jsonrpc2.Error{
+			Code: jsonrpc2.CodeMethodNotFound, Message: "no method " + request.Method,
+		})
+		return
+	}
+	var params json.RawMessage
+	if request.Params != nil {
+		params = *request.Params
+	}
+	result, err := handler(ctx, params)
+	d.reply(ctx, conn, request, result, err)
+}
+
+func (d *dispatcher) reply(
+	ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request, result any, err error,
+) {
+	if request.Notif {
+		return
+	}
+	if err != nil {
+		answer, ok := errors.Into[*jsonrpc2.Error](err)
+		if !ok {
+			answer = &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
+		}
+		_ = conn.ReplyWithError(ctx, request.ID, answer)
+		return
+	}
+	_ = conn.Reply(ctx, request.ID, result)
+}
+
+// Call calls a method of a node and waits for its answer. It fails with
+// ErrUnknownNode, ErrUnreachable or the handler's own error as a
+// [*jsonrpc2.Error].
+func (p *Peer) Call(ctx context.Context, node fleet.NodeID, method string, in, out any) error {
+	address, found := p.Resolve(node)
+	if !found {
+		return errors.Wrapf(ErrUnknownNode, "%s of %s", method, node)
+	}
+	return p.CallAddress(ctx, address, method, in, out)
+}
+
+// CallAddress calls a method of whichever node listens on the address.
+func (p *Peer) CallAddress(ctx context.Context, address, method string, in, out any) (err error) {
+	p.init()
+	defer func() {
+		if err != nil {
+			err = errors.Wrapf(err, "%s of %s", method, address)
+		}
+	}()
+	p.counts.callsMade.Inc(1)
+	conn, err := p.connection(ctx, address)
+	if err != nil {
+		p.counts.callsFailed.Inc(1)
+		return errors.Wrap(ErrUnreachable, err.Error())
+	}
+	err = conn.rpc.Call(ctx, method, in, out)
+	if err == nil {
+		return nil
+	}
+	if answer, ok := errors.Into[*jsonrpc2.Error](err); ok {
+		return answer
+	}
+	p.counts.callsFailed.Inc(1)
+	p.drop(address, conn)
+	return errors.Wrap(ErrUnreachable, err.Error())
+}
--- /dev/null
+++ b/internal/standin/network.go
@@ -0,0 +1,140 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/guavatrack/guavatrack/internal/peer"
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+)
+
+// Network carries calls between nodes in memory, so that tests run in virtual
+// time, and loses what it is told to lose. A lost message is silence: the call
+// ends when its context does.
+type Network struct {
+	// Delay is the time that one direction takes.
+	Delay time.Duration
+
+	mu    sync.Mutex
+	ports map[string]*Port
+	// Lost reports whether a message from one address to another is lost.
+	lost  func(from, to string) bool
+	calls int
+	bytes int
+}
+
+// NewNetwork returns a network that loses nothing.
+func NewNetwork() *Network {
+	return &Network{ports: make(map[string]*Port), lost: func(string, string) bool { return false }}
+}
+
+// Lose replaces the rule that says which messages are lost.
+func (n *Network) Lose(lost func(from, to string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lost = lost
+}
+
+// Traffic returns the calls made so far and the bytes of their JSON.
+func (n *Network) Traffic() (calls, bytes int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.calls, n.bytes
+}
+
+// Port is one node's end of a [Network].
+type Port struct {
+	network  *Network
+	address  string
+	handlers map[string]peer.Handler
+	// Resolve returns the address of a node.
+	Resolve func(fleet.NodeID) (string, bool)
+}
+
+// Port adds a node at an address.
+func (n *Network) Port(address string) *Port {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	port := &Port{network: n, address: address, handlers: make(map[string]peer.Handler)}
+	n.ports[address] = port
+	return port
+}
+
+// Remove takes the node at an address off the network.
+func (n *Network) Remove(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.ports, address)
+}
+
+// Handle registers a method.
+func (p *Port) Handle(method string, handler peer.Handler) { p.handlers[method] = handler }
+
+// Call calls a method of a node.
+func (p *Port) Call(ctx context.Context, node fleet.NodeID, method string, in, out any) error {
+	address, found := p.Resolve(node)
+	if !found {
+		return peer.ErrUnknownNode
+	}
+	return p.CallAddress(ctx, address, method, in, out)
+}
+
+// CallAddress calls a method of the node at an address.
+func (p *Port) CallAddress(ctx context.Context, address, method string, in, out any) error {
+	request, err := json.Marshal(in)
+	if err != nil {
+		return err
+	}
+	to, err := p.network.carry(ctx, p.address, address, len(request))
+	if err != nil {
+		return err
+	}
+	handler, found := to.handlers[method]
+	if !found {
+		return errors.Errorf("no method %s", method)
+	}
+	result, err := handler(context.WithoutCancel(ctx), request)
+	if err != nil {
+		return err
+	}
+	answer, err := json.Marshal(result)
+	if err != nil {
+		return err
+	}
+	if _, err := p.network.carry(ctx, address, p.address, len(answer)); err != nil {
+		return err
+	}
+	return json.Unmarshal(answer, out)
+}
+
+// carry moves one message and returns the port at which it arrives.
+func (n *Network) carry(ctx context.Context, from, to string, size int) (*Port, error) {
+	n.mu.Lock()
+	port, found := n.ports[to]
+	_, sends := n.ports[from]
+	lost := n.lost(from, to) || !sends
+	n.calls++
+	n.bytes += size
+	n.mu.Unlock()
+	if !found && !lost {
+		return nil, errors.Wrap(peer.ErrUnreachable, "refused")
+	}
+	if lost {
+		<-ctx.Done()
+		return nil, errors.Wrap(peer.ErrUnreachable, ctx.Err().Error())
+	}
+	if n.Delay > 0 {
+		timer := time.NewTimer(n.Delay)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return nil, errors.Wrap(peer.ErrUnreachable, ctx.Err().Error())
+		}
+	}
+	return port, nil
+}
