Keep membership by bounded gossip

Cause: nodes find each other through the table and must notice who is gone. Change: member.View decides, member.Controller carries out; one exchange an interval. Conclusion: a suspicion needs a reachable node that can't reach the suspect either.

--- /dev/null
+++ b/internal/member/controller.go
@@ -0,0 +1,378 @@
+package member
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/guavatrack/guavatrack/internal/peer"
+	"github.com/guavatrack/guavatrack/internal/table"
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+)
+
+// Peers carries calls between nodes.
+type Peers interface {
+	Call(ctx context.Context, node fleet.NodeID, method string, in, out any) error
+	CallAddress(ctx context.Context, address, method string, in, out any) error
+	Handle(method string, handler peer.Handler)
+}
+
+var _ Peers = (*peer.Peer)(nil)
+
+const (
+	// defaultInterval is the time between exchanges with neighbours.
+	defaultInterval = time.Second
+	exchangeMethod  = "member.exchange"
+	probeMethod     = "member.probe"
+)
+
+// Controller keeps a [View] up to date. Set the exported fields and call
+// Register before the peers run, then Run.
+type Controller struct {
+	Self  Info
+	Peers Peers
+	// Store holds a record for each node, by which nodes find each other. Nil
+	// means that only Seeds are used.
+	Store table.Store
+	// Seeds returns peer addresses to try besides those in the table. It may
+	// be nil.
+	Seeds func(ctx context.Context) ([]string, error)
+	// Interval is the time between exchanges; 0 means 1 s.
+	Interval time.Duration
+	// Stamp returns what is sent along with each message, and Heard takes what
+	// came with one. Both may be nil.
+	Stamp func() json.RawMessage
+	Heard func(ctx context.Context, from fleet.NodeID, stamp json.RawMessage)
+	// Rand is used under the controller's lock. Nil means a random seed.
+	Rand    *rand.Rand
+	Log     *slog.Logger
+	Metrics metrics.Registry
+
+	once    sync.Once
+	mu      sync.Mutex
+	view    *View
+	live    atomic.Pointer[[]Info]
+	pending sync.WaitGroup
+	running context.Context // set while Run runs; guarded by mu
+	counts  counters
+	record  registration
+}
+
+func (c *Controller) init() {
+	c.once.Do(func() {
+		if c.Interval == 0 {
+			c.Interval = defaultInterval
+		}
+		if c.Rand == nil {
+			c.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+		}
+		if c.Log == nil {
+			c.Log = slog.New(slog.DiscardHandler)
+		}
+		c.counts = newCounters(c.Metrics)
+		c.view = NewView(c.Self, c.Interval, c.Rand)
+		c.publishLive(time.Now())
+	})
+}
+
+// Register adds the controller's methods to the peers.
+func (c *Controller) Register() {
+	c.init()
+	c.Peers.Handle(exchangeMethod, peer.Typed(c.receive))
+	c.Peers.Handle(probeMethod, peer.Typed(c.probe))
+}
+
+// Run exchanges messages until the context ends.
+func (c *Controller) Run(ctx context.Context) error {
+	c.init()
+	c.setRunning(ctx)
+	defer func() {
+		c.mu.Lock()
+		c.running = nil
+		c.mu.Unlock()
+		c.pending.Wait()
+	}()
+	c.pending.Go(func() { c.keepRegistered(ctx) })
+	for {
+		c.locked(func(now time.Time) []Action { return c.view.Tick(now) })
+		if !sleep(ctx, c.jitter(c.Interval)) {
+			return nil
+		}
+	}
+}
+
+// jitter spreads a time by a tenth around it.
+func (c *Controller) jitter(span time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return span*9/10 + time.Duration(c.Rand.Int64N(int64(span)/5+1))
+}
+
+// sleep waits and reports whether the context is still there.
+func sleep(ctx context.Context, span time.Duration) bool {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (c *Controller) setRunning(ctx context.Context) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running = ctx
+}
+
+// locked lets the view decide and then carries out its actions, while Run
+// runs.
+func (c *Controller) locked(decide func(now time.Time) []Action) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	actions := decide(now)
+	actions = append(actions, c.view.Hurry(now)...)
+	c.publishLive(now)
+	ctx := c.running
+	if ctx == nil {
+		return
+	}
+	for _, action := range actions {
+		c.pending.Go(func() { c.carryOut(ctx, action) })
+	}
+}
+
+// publishLive stores the live members for readers without the lock.
+func (c *Controller) publishLive(now time.Time) {
+	live := c.view.Live(now)
+	if before := c.live.Swap(&live); before != nil && len(*before) != len(live) {
+		c.Log.Info("members changed", "members", len(live), "before", len(*before))
+	}
+	c.counts.members.Update(int64(len(live)))
+}
+
+func (c *Controller) carryOut(ctx context.Context, action Action) {
+	if ctx.Err() != nil {
+		return
+	}
+	if action.Target != "" {
+		c.probeThrough(ctx, action)
+		return
+	}
+	began := time.Now()
+	answer, err := c.exchange(ctx, action.Message, func(ctx context.Context, in, out any) error {
+		return c.Peers.Call(ctx, action.To, exchangeMethod, in, out)
+	})
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		c.counts.exchangesFailed.Inc(1)
+		c.locked(func(now time.Time) []Action { return c.view.Failed(now, action.To, began) })
+		return
+	}
+	c.answered(ctx, action.To, action.Message, answer)
+}
+
+func (c *Controller) answered(ctx context.Context, to fleet.NodeID, request, answer Message) {
+	c.locked(func(now time.Time) []Action {
+		c.view.Answered(now, to, request, answer)
+		return nil
+	})
+	c.heard(ctx, answer)
+}
+
+// exchangeTries counts the connection at hand and a new one.
+const exchangeTries = 2
+
+// exchange sends a message. Messages may be repeated, so a silent connection
+// is followed by a new one.
+func (c *Controller) exchange(
+	ctx context.Context, request Message, call func(ctx context.Context, in, out any) error,
+) (answer Message, err error) {
+	if c.Stamp != nil {
+		request.Stamp = c.Stamp()
+	}
+	for range exchangeTries {
+		c.counts.exchanges.Inc(1)
+		err = c.try(ctx, func(ctx context.Context) error { return call(ctx, request, &answer) })
+		if err == nil {
+			return answer, nil
+		}
+	}
+	return Message{}, err
+}
+
+// try bounds a call by half an interval.
+func (c *Controller) try(ctx context.Context, call func(ctx context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Interval/2)
+	defer cancel()
+	return call(ctx)
+}
+
+// receive answers the exchange of another node.
+func (c *Controller) receive(ctx context.Context, request Message) (Message, error) {
+	var answer Message
+	c.locked(func(now time.Time) []Action {
+		answer = c.view.Receive(now, request)
+		return nil
+	})
+	if c.Stamp != nil {
+		answer.Stamp = c.Stamp()
+	}
+	c.heard(context.WithoutCancel(ctx), request)
+	return answer, nil
+}
+
+func (c *Controller) heard(ctx context.Context, message Message) {
+	if c.Heard != nil && len(message.Stamp) > 0 {
+		c.Heard(ctx, message.From, message.Stamp)
+	}
+}
+
+// probeRequest asks a node to reach another one.
+type probeRequest struct {
+	Target  fleet.NodeID `json:"target"`
+	Address string       `json:"address"`
+}
+
+type probeAnswer struct {
+	Reached bool `json:"reached"`
+}
+
+// probe answers whether this node reaches another one.
+func (c *Controller) probe(ctx context.Context, request probeRequest) (probeAnswer, error) {
+	c.counts.probes.Inc(1)
+	message := Message{From: c.Self.Node, Region: c.Self.Region}
+	c.mu.Lock()
+	message.Digest = c.view.Digest()
+	c.mu.Unlock()
+	_, err := c.exchange(ctx, message, func(ctx context.Context, in, out any) error {
+		return c.Peers.CallAddress(ctx, request.Address, exchangeMethod, in, out)
+	})
+	return probeAnswer{Reached: err == nil}, nil
+}
+
+// probeThrough asks other nodes to reach the target.
+func (c *Controller) probeThrough(ctx context.Context, action Action) {
+	began := time.Now()
+	address, found := c.Resolve(action.Target)
+	if !found {
+		return
+	}
+	results := make([]Probe, len(action.Via))
+	var probes sync.WaitGroup
+	for i, via := range action.Via {
+		probes.Go(func() { results[i] = c.probeVia(ctx, via, probeRequest{action.Target, address}) })
+	}
+	probes.Wait()
+	if ctx.Err() == nil {
+		c.locked(func(now time.Time) []Action {
+			c.view.Probed(now, action.Target, began, results)
+			return nil
+		})
+	}
+}
+
+func (c *Controller) probeVia(ctx context.Context, via fleet.NodeID, request probeRequest) Probe {
+	ctx, cancel := context.WithTimeout(ctx, c.Interval*3/2)
+	defer cancel()
+	var answer probeAnswer
+	switch err := c.Peers.Call(ctx, via, probeMethod, request, &answer); {
+	case err != nil:
+		return ProbeSilent
+	case answer.Reached:
+		return ProbeReached
+	default:
+		return ProbeUnreachable
+	}
+}
+
+// Resolve returns the peer address of a node.
+func (c *Controller) Resolve(node fleet.NodeID) (address string, found bool) {
+	c.init()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	record, found := c.view.record(node)
+	return record.PeerAddress, found
+}
+
+// Members returns the live members, this node included, ordered by id. The
+// slice must not be changed.
+func (c *Controller) Members() []Info {
+	c.init()
+	return *c.live.Load()
+}
+
+// Records returns the belief about every node that is remembered.
+func (c *Controller) Records() []Record {
+	c.init()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.Records()
+}
+
+// Neighbors returns the nodes of the region to which a change is handed.
+func (c *Controller) Neighbors() []fleet.NodeID {
+	c.init()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]fleet.NodeID(nil), c.view.Neighbors()...)
+}
+
+// Across returns one node of each other region that can be reached.
+func (c *Controller) Across() []fleet.NodeID {
+	c.init()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.Across(time.Now())
+}
+
+// Publish tells the other nodes a fact of this one for the lifetime.
+func (c *Controller) Publish(fact Fact, lifetime time.Duration) bool {
+	c.init()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.Publish(time.Now(), fact, lifetime)
+}
+
+// Facts returns the facts of a kind.
+func (c *Controller) Facts(kind string) []Fact {
+	c.init()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.Facts(time.Now(), kind)
+}
+
+// Leave announces that the node drains, so that it is no longer named.
+func (c *Controller) Leave() {
+	c.init()
+	c.locked(func(time.Time) []Action {
+		c.view.Leave(false)
+		return nil
+	})
+}
+
+// Gone announces that the node is no more there and removes its record. It
+// returns once the first neighbours know or have not answered.
+func (c *Controller) Gone(ctx context.Context) {
+	c.init()
+	c.mu.Lock()
+	c.view.Leave(true)
+	actions := c.view.Hurry(time.Now())
+	c.mu.Unlock()
+	var told sync.WaitGroup
+	for _, action := range actions {
+		told.Go(func() { c.carryOut(ctx, action) })
+	}
+	told.Wait()
+	c.unregister(ctx)
+}
--- /dev/null
+++ b/internal/member/exchange.go
@@ -0,0 +1,295 @@
+package member
+
+import (
+	"slices"
+	"time"
+
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+)
+
+// Tick returns what to send. It is to be called once per interval.
+func (v *View) Tick(now time.Time) []Action {
+	if gap := now.Sub(v.lastTick); !v.lastTick.IsZero() && gap > pauseIntervals*v.interval {
+		v.wake(now, gap)
+	}
+	v.lastTick = now
+	v.expire(now)
+	actions := v.tickAcross(now)
+	if target, found := v.nextNeighbor(); found {
+		actions = append(actions, v.exchangeWith(now, target))
+	}
+	return actions
+}
+
+// exchangeWith returns the message to a neighbour. A suspect is told that it
+// is one, so that its answer refutes it.
+func (v *View) exchangeWith(now time.Time, target fleet.NodeID) Action {
+	message := v.message(now, &v.memberRumors, &v.factRumors)
+	if held, found := v.entries[target]; found && held.Status == Suspect {
+		message.Members = append(message.Members, held.Record)
+	}
+	return Action{To: target, Message: message}
+}
+
+// hurryFanout is the number of neighbours that are told of a change at once.
+const hurryFanout = 3
+
+// Hurry returns messages that are not to wait for the next tick, because a
+// node has come, is leaving or is gone.
+func (v *View) Hurry(now time.Time) []Action {
+	if !v.hurry {
+		return nil
+	}
+	v.hurry = false
+	neighbors := v.Neighbors()
+	actions := make([]Action, 0, hurryFanout)
+	for _, target := range neighbors[:min(len(neighbors), hurryFanout)] {
+		actions = append(actions, v.exchangeWith(now, target))
+	}
+	for _, crossing := range v.across {
+		if crossing.failures == 0 {
+			crossing.next = now
+		}
+	}
+	return append(actions, v.tickAcross(now)...)
+}
+
+// wake keeps a pause of this process from counting against others, and tells
+// them that it is there.
+func (v *View) wake(now time.Time, gap time.Duration) {
+	v.wokeAt = now
+	for _, held := range v.entries {
+		if held.Status == Suspect {
+			held.changed = held.changed.Add(gap)
+		}
+	}
+	if v.self.Status != Left {
+		v.raise(0)
+	}
+}
+
+// Paused reports whether the process was paused after the given time, so that
+// what failed since then says nothing about others.
+func (v *View) Paused(since time.Time) bool { return since.Before(v.wokeAt) }
+
+// nextNeighbor returns the neighbour to exchange a message with: suspects
+// first, then each in turn.
+func (v *View) nextNeighbor() (fleet.NodeID, bool) {
+	for len(v.urgent) > 0 {
+		node := v.urgent[0]
+		v.urgent = v.urgent[1:]
+		if held, found := v.entries[node]; found && held.Status == Suspect {
+			return node, true
+		}
+	}
+	neighbors := v.Neighbors()
+	if len(neighbors) == 0 {
+		return "", false
+	}
+	v.cursor++
+	return neighbors[v.cursor%len(neighbors)], true
+}
+
+// message returns a message with the next rumors of the queues.
+func (v *View) message(now time.Time, members *rumors[fleet.NodeID], facts *rumors[factKey]) Message {
+	message := Message{From: v.self.Node, Region: v.self.Region, Digest: v.total}
+	for _, node := range members.take(len(v.entries) + 1) {
+		if record, found := v.record(node); found {
+			message.Members = append(message.Members, record)
+		}
+	}
+	for _, key := range facts.take(len(v.entries) + 1) {
+		if fact, found := v.facts[key]; found && now.Before(fact.expires) {
+			fact.TTLMillis = fact.expires.Sub(now).Milliseconds()
+			message.Facts = append(message.Facts, fact)
+		}
+	}
+	if v.differing >= mismatches {
+		v.differing = 0
+		message.Buckets = slices.Clone(v.sums[:])
+	}
+	return message
+}
+
+// Join returns the message by which a node that knows nobody asks a node for
+// everything.
+func (v *View) Join() Message {
+	return Message{
+		From: v.self.Node, Region: v.self.Region, Digest: v.total,
+		Buckets: slices.Clone(v.sums[:]), Members: []Record{v.self},
+	}
+}
+
+// Receive takes in a message and returns the answer.
+func (v *View) Receive(now time.Time, request Message) Message {
+	answer := Message{}
+	for i, record := range request.Members {
+		if v.merge(now, record, request.Region) {
+			answer.KnownMembers = append(answer.KnownMembers, i)
+		}
+	}
+	for i, fact := range request.Facts {
+		if v.mergeFact(now, fact) {
+			answer.KnownFacts = append(answer.KnownFacts, i)
+		}
+	}
+	members, facts := &v.memberRumors, &v.factRumors
+	if request.Region != v.self.Region {
+		crossing := v.crossingTo(request.Region)
+		members, facts = &crossing.members, &crossing.facts
+	}
+	reply := v.message(now, members, facts)
+	reply.KnownMembers, reply.KnownFacts, reply.Buckets = answer.KnownMembers, answer.KnownFacts, nil
+	reply.Members = v.differingRecords(reply.Members, request.Buckets)
+	if held, found := v.entries[request.From]; found && !held.live() {
+		// The sender is there after all and has to refute.
+		reply.Members = append(reply.Members, held.Record)
+	}
+	return reply
+}
+
+// differingRecords appends the records of the buckets whose digest differs.
+func (v *View) differingRecords(list []Record, sums []uint64) []Record {
+	if len(sums) != digestBuckets {
+		return list
+	}
+	listed := make(map[fleet.NodeID]bool, len(list))
+	for _, record := range list {
+		listed[record.Node] = true
+	}
+	for _, record := range v.Records() {
+		bucket := bucketOf(record.Node)
+		if sums[bucket] != v.sums[bucket] && !listed[record.Node] {
+			list = append(list, record)
+		}
+	}
+	return list
+}
+
+// Answered takes in the answer to a message.
+func (v *View) Answered(now time.Time, to fleet.NodeID, request, answer Message) {
+	members, facts := &v.memberRumors, &v.factRumors
+	if answer.Region != v.self.Region {
+		crossing := v.crossingTo(answer.Region)
+		members, facts = &crossing.members, &crossing.facts
+		v.crossed(now, answer.Region, true)
+	}
+	for _, i := range answer.KnownMembers {
+		if i >= 0 && i < len(request.Members) {
+			members.feedback(request.Members[i].Node)
+		}
+	}
+	for _, i := range answer.KnownFacts {
+		if i >= 0 && i < len(request.Facts) {
+			facts.feedback(request.Facts[i].id())
+		}
+	}
+	for _, record := range answer.Members {
+		v.merge(now, record, answer.Region)
+	}
+	for _, fact := range answer.Facts {
+		v.mergeFact(now, fact)
+	}
+	v.tellMissing(request, answer)
+	v.reached(now, to)
+	switch {
+	case answer.Digest == v.total:
+		v.differing = 0
+	case len(request.Buckets) == 0:
+		v.differing++
+	}
+}
+
+// tellMissing queues the records of the requested buckets that the other node
+// did not have.
+func (v *View) tellMissing(request, answer Message) {
+	if len(request.Buckets) == 0 || answer.Digest == v.total {
+		return
+	}
+	has := make(map[fleet.NodeID]bool, len(answer.Members))
+	buckets := make(map[int]bool)
+	for _, record := range answer.Members {
+		has[record.Node] = true
+		buckets[bucketOf(record.Node)] = true
+	}
+	for node, held := range v.entries {
+		if !has[node] && buckets[bucketOf(node)] {
+			v.spread(held.Record)
+		}
+	}
+}
+
+// reached ends a suspicion that this node itself raised against a node that
+// has answered it since. Others are refuted by the suspect.
+func (v *View) reached(now time.Time, node fleet.NodeID) {
+	held, found := v.entries[node]
+	if found && held.Status == Suspect {
+		held.changed = now
+		v.memberRumors.add(node)
+	}
+}
+
+// Failed takes in that a node did not answer, neither on an open nor on a new
+// connection.
+func (v *View) Failed(now time.Time, to fleet.NodeID, began time.Time) []Action {
+	held, found := v.entries[to]
+	if !found || v.Paused(began) {
+		return nil
+	}
+	if held.Region != v.self.Region {
+		v.crossed(now, held.Region, false)
+		return nil
+	}
+	via := slices.DeleteFunc(v.inRegion(v.self.Region), func(node fleet.NodeID) bool { return node == to })
+	if len(via) == 0 {
+		for _, region := range v.regions() {
+			via = append(via, v.targetIn(region))
+		}
+	}
+	if len(via) == 0 {
+		v.suspect(now, to)
+		return nil
+	}
+	slices.Sort(via)
+	v.random.Shuffle(len(via), func(i, j int) { via[i], via[j] = via[j], via[i] })
+	return []Action{{Target: to, Via: via[:min(len(via), indirectProbes)]}}
+}
+
+// Probe is the result of one indirect probe.
+type Probe int
+
+// Results of an indirect probe.
+const (
+	// ProbeSilent says that the node asked gave no answer, which tells nothing
+	// about the target.
+	ProbeSilent Probe = iota
+	// ProbeReached says that it reached the target.
+	ProbeReached
+	// ProbeUnreachable says that it could not reach the target either.
+	ProbeUnreachable
+)
+
+// Probed takes in the results of the indirect probes of a target. Without an
+// answer from anyone the fault may be this node's own, and nobody is accused.
+func (v *View) Probed(now time.Time, target fleet.NodeID, began time.Time, results []Probe) {
+	if v.Paused(began) || slices.Contains(results, ProbeReached) || !slices.Contains(results, ProbeUnreachable) {
+		return
+	}
+	v.suspect(now, target)
+}
+
+// suspect accuses a node of being unreachable.
+func (v *View) suspect(now time.Time, node fleet.NodeID) {
+	held, found := v.entries[node]
+	switch {
+	case !found || !held.live():
+	case held.Status == Suspect:
+		if v.accuse(held, v.self.Node) {
+			v.memberRumors.add(node)
+		}
+	default:
+		record := held.Record
+		record.Status, record.Accuser = Suspect, v.self.Node
+		v.put(now, record)
+	}
+}
--- /dev/null
+++ b/internal/member/neighbor.go
@@ -0,0 +1,62 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+)
+
+// neighborOrders is the number of hashed orders in which a node has a
+// successor. It bounds the connections that a node holds within its region.
+// The union of a few random cycles is an expander, so that a change reaches
+// everyone in a number of steps that grows with the logarithm of the members.
+const neighborOrders = 8
+
+func orderHash(node fleet.NodeID, order string) uint64 {
+	return xxhash.Sum64String(order + "/" + string(node))
+}
+
+// Neighbors returns the nodes of the region that this node exchanges messages
+// with. The first ones, one for each order, reach everyone when each node
+// forwards to them.
+func (v *View) Neighbors() []fleet.NodeID {
+	if v.stale {
+		v.neighbors = successors(v.self.Node, v.inRegion(v.self.Region))
+		v.stale = false
+	}
+	return v.neighbors
+}
+
+// successors returns the successor of the node in each order, each node once.
+func successors(self fleet.NodeID, others []fleet.NodeID) []fleet.NodeID {
+	found := make([]fleet.NodeID, 0, neighborOrders)
+	for order := range neighborOrders {
+		name := strconv.Itoa(order)
+		own := orderHash(self, name)
+		var next fleet.NodeID
+		var nearest uint64
+		for _, node := range others {
+			// The distance wraps around, so the order is a cycle.
+			if distance := orderHash(node, name) - own; next == "" || distance < nearest {
+				next, nearest = node, distance
+			}
+		}
+		if next != "" && !slices.Contains(found, next) {
+			found = append(found, next)
+		}
+	}
+	return found
+}
+
+// ranked orders nodes by their hash for a purpose. All nodes with the same
+// view get the same order.
+func ranked(nodes []fleet.NodeID, purpose string) []fleet.NodeID {
+	slices.SortFunc(nodes, func(a, b fleet.NodeID) int {
+		return cmp.Or(cmp.Compare(orderHash(a, purpose), orderHash(b, purpose)), cmp.Compare(a, b))
+	})
+	return nodes
+}
