Record, send, adopt and release grants with proof

Cause: no model may exceed its decided replicas and no VM its memory, whatever dies, lapses or is lost. Change: grant.Machine follows one server as pure code; grant.Controller checks both bounds in one transaction, sends each load order once and releases only what is proved over. An accepted order is not taken as carried out. Conclusion: engines that ignore fencing numbers keep a dead sender's grant reserved; a later load of the item renews it.

--- a/internal/dynamo/dynamo_test.go
+++ b/internal/dynamo/dynamo_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/guavatrack/guavatrack/internal/dynamo"
+	"github.com/guavatrack/guavatrack/internal/standin"
 	"github.com/guavatrack/guavatrack/internal/table"
 )
 
@@ -68,3 +69,41 @@
 	_, err = store.Get(t.Context(), table.Key{Partition: "p", Sort: "s"})
 	c.Assert(err, qt.ErrorIs, table.ErrUnavailable)
 }
+
+func TestStoreAgainstTheStandIn(t *testing.T) {
+	c := qt.New(t)
+	ctx := t.Context()
+	held := standin.NewTable()
+	server := httptest.NewServer(standin.NewTableServer(held))
+	defer server.Close()
+	store := dynamo.New(dynamo.Store{
+		Endpoint: server.URL, Region: "local", Table: standin.TableName,
+		Credentials: credentials.NewStaticCredentialsProvider("id", "secret", ""),
+	})
+	key := func(sort string) table.Key { return table.Key{Partition: "p", Sort: sort} }
+	put := []table.Write{{Key: key("a#1"), Body: []byte("1")}, {Key: key("a#2"), Body: []byte("2")}, {Key: key("b"), Body: []byte("3")}}
+	c.Assert(store.Transact(ctx, "1", put), qt.IsNil)
+	c.Assert(store.Transact(ctx, "1", put), qt.IsNil)
+	c.Assert(store.Transact(ctx, "2", put[:1]), qt.ErrorIs, table.ErrConflict)
+	record, err := store.Get(ctx, key("a#1"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(record, qt.DeepEquals, table.Record{Key: key("a#1"), Version: 1, Body: []byte("1")})
+	_, err = store.Get(ctx, key("c"))
+	c.Assert(err, qt.ErrorIs, table.ErrNotFound)
+	records, err := store.Query(ctx, table.Range{Partition: "p", Prefix: "a#", After: "a#1"})
+	c.Assert(err, qt.IsNil)
+	c.Assert(records, qt.HasLen, 1)
+	c.Assert(records[0].Key.Sort, qt.Equals, "a#2")
+	changes := []table.Write{{Key: key("a#1"), Expect: 1, CheckOnly: true}, {Key: key("b"), Expect: 1}}
+	c.Assert(store.Transact(ctx, "3", changes), qt.IsNil)
+	_, err = store.Get(ctx, key("b"))
+	c.Assert(err, qt.ErrorIs, table.ErrNotFound)
+	held.SetFaults(standin.TableFaults{LoseAnswers: 1})
+	err = store.Transact(ctx, "4", []table.Write{{Key: key("d"), Body: []byte("4")}})
+	c.Assert(err, qt.ErrorIs, table.ErrUnknown)
+	held.SetFaults(standin.TableFaults{Down: true})
+	err = store.Transact(ctx, "5", []table.Write{{Key: key("e"), Body: []byte("5")}})
+	c.Assert(err, qt.Not(qt.ErrorIs), table.ErrConflict)
+	_, err = store.Get(ctx, key("d"))
+	c.Assert(err, qt.ErrorIs, table.ErrUnavailable)
+}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -29,19 +28,9 @@
 	ErrNotSent = errors.New("order not sent")
 )
 
-// Accepted is an engine's answer to an order.
-type Accepted struct {
-	// At is the engine's clock when it answered, rounded up to its resolution.
-	// It is zero if the answer did not say.
-	At time.Time
-}
-
 // maxAnswerBytes bounds the answers that a client reads.
 const maxAnswerBytes = 8 << 20
 
-// dateResolution is the resolution of the HTTP Date header.
-const dateResolution = time.Second
-
 // Client speaks to the administrative API of one engine. It sends each order
 // once and never again by itself: whether an order may be repeated is known to
 // its sender only.
@@ -54,68 +43,65 @@
 }
 
 // Load sends an order to load.
-func (c *Client) Load(ctx context.Context, order LoadOrder) (Accepted, error) {
+func (c *Client) Load(ctx context.Context, order LoadOrder) error {
 	return c.order(ctx, "load", order)
 }
 
 // Unload sends an order to unload.
-func (c *Client) Unload(ctx context.Context, order UnloadOrder) (Accepted, error) {
+func (c *Client) Unload(ctx context.Context, order UnloadOrder) error {
 	return c.order(ctx, "unload", order)
 }
 
 // Fence raises the engine's fencing number.
-func (c *Client) Fence(ctx context.Context, order FenceOrder) (Accepted, error) {
+func (c *Client) Fence(ctx context.Context, order FenceOrder) error {
 	return c.order(ctx, "fence", order)
 }
 
 // SetRole changes the engine's role.
-func (c *Client) SetRole(ctx context.Context, order RoleOrder) (Accepted, error) {
+func (c *Client) SetRole(ctx context.Context, order RoleOrder) error {
 	return c.order(ctx, "role", order)
 }
 
 // Cancel stops a request that is queued or running.
 func (c *Client) Cancel(ctx context.Context, order CancelOrder) error {
-	_, err := c.order(ctx, "cancel", order)
-	return err
+	return c.order(ctx, "cancel", order)
 }
 
 // ExportCache reads the cache entry of a prompt prefix.
 func (c *Client) ExportCache(ctx context.Context, order CacheOrder) (block CacheBlock, err error) {
-	_, err = c.call(ctx, http.MethodPost, "kvExport", order, &block)
+	err = c.call(ctx, http.MethodPost, "kvExport", order, &block)
 	return block, err
 }
 
 // ImportCache writes the cache entry of a prompt prefix.
 func (c *Client) ImportCache(ctx context.Context, block CacheBlock) error {
-	_, err := c.order(ctx, "kvImport", block)
-	return err
+	return c.order(ctx, "kvImport", block)
 }
 
 // Report reads what is loaded and how busy the engine is.
 func (c *Client) Report(ctx context.Context) (report Report, err error) {
-	_, err = c.call(ctx, http.MethodGet, "report", nil, &report)
+	err = c.call(ctx, http.MethodGet, "report", nil, &report)
 	return report, err
 }
 
 // Events reads the changes of the prefix cache after a sequence number.
 func (c *Client) Events(ctx context.Context, after uint64) (events []CacheEvent, err error) {
 	path := "events?after=" + strconv.FormatUint(after, 10)
-	_, err = c.call(ctx, http.MethodGet, path, nil, &events)
+	err = c.call(ctx, http.MethodGet, path, nil, &events)
 	return events, err
 }
 
 // Ping returns nil if the engine answers.
 func (c *Client) Ping(ctx context.Context) error {
-	_, err := c.call(ctx, http.MethodGet, "ping", nil, nil)
-	return err
+	return c.call(ctx, http.MethodGet, "ping", nil, nil)
 }
 
-func (c *Client) order(ctx context.Context, path string, order any) (Accepted, error) {
+func (c *Client) order(ctx context.Context, path string, order any) error {
 	return c.call(ctx, http.MethodPost, path, order, nil)
 }
 
 // call makes one exchange. The answer is decoded into out unless out is nil.
-func (c *Client) call(ctx context.Context, method, path string, in, out any) (accepted Accepted, err error) {
+func (c *Client) call(ctx context.Context, method, path string, in, out any) (err error) {
 	defer func() {
 		if err != nil {
 			err = errors.Wrapf(err, "engine %s: %s", c.Address, path)
@@ -123,24 +109,21 @@
 	}()
 	request, err := c.request(ctx, method, path, in)
 	if err != nil {
-		return Accepted{}, err
+		return err
 	}
 	answer, err := c.http().Do(request)
 	if err != nil {
-		return Accepted{}, sendError(err)
+		return sendError(err)
 	}
 	defer answer.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
 	if err == nil {
 		err = statusError(answer.StatusCode, body)
 	}
-	if err != nil {
-		return Accepted{At: answeredAt(answer.Header)}, err
-	}
-	if out != nil {
-		err = json.Unmarshal(body, out)
+	if err != nil || out == nil {
+		return err
 	}
-	return Accepted{At: answeredAt(answer.Header)}, err
+	return json.Unmarshal(body, out)
 }
 
 // http returns a client that follows no redirect, which would send an order a
@@ -199,13 +182,3 @@
 	}
 	return err
 }
-
-// answeredAt reads the engine's clock from an answer. The Date header is cut
-// to whole seconds, so the next whole second is the earliest bound from above.
-func answeredAt(header http.Header) time.Time {
-	date, err := http.ParseTime(header.Get("Date"))
-	if err != nil {
-		return time.Time{}
-	}
-	return date.Add(dateResolution)
-}
--- /dev/null
+++ b/internal/grant/record.go
@@ -0,0 +1,161 @@
+package grant
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/guavatrack/guavatrack/internal/table"
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+)
+
+// Keys of the records in the table.
+const (
+	partition    = "grants"
+	serverPrefix = "server#"
+	itemPrefix   = "item#"
+)
+
+// State is what is wanted of a grant.
+type State string
+
+// States of a grant.
+const (
+	// Granted says that the item is to be held.
+	Granted State = "granted"
+	// Draining says that the item is to be unloaded.
+	Draining State = "draining"
+)
+
+// Order is one load order under a grant. It is sent at most once.
+type Order struct {
+	// ID is the token of the transaction that recorded the order. The engine
+	// is not given it but the id of the grant.
+	ID      table.Token         `json:"id"`
+	Fencing fleet.FencingNumber `json:"fencing"`
+	Boot    fleet.BootID        `json:"boot"`
+	Sender  fleet.NodeID        `json:"sender"`
+	// Closed is the engine's clock after which the order can't arrive any
+	// more; zero while it may.
+	Closed time.Time `json:"closed,omitzero"`
+}
+
+// Grant is the right to hold an item on a server.
+type Grant struct {
+	ID      fleet.GrantID `json:"id"`
+	Item    fleet.Item    `json:"item"`
+	Version fleet.Version `json:"version"`
+	// Size is the accelerator memory that is reserved.
+	Size  fleet.Bytes `json:"size"`
+	State State       `json:"state"`
+	// Fence, when set, is a fencing number that was set aside to shut out the
+	// orders under the grant.
+	Fence  fleet.FencingNumber `json:"fence,omitempty"`
+	Orders []Order             `json:"orders"`
+}
+
+// Newest returns the newest order under the grant.
+func (g *Grant) Newest() Order { return g.Orders[len(g.Orders)-1] }
+
+// ServerRecord is what the table holds of one server.
+type ServerRecord struct {
+	Server  fleet.ServerID `json:"server"`
+	Pool    fleet.PoolID   `json:"pool"`
+	Address string         `json:"address"`
+	Memory  fleet.Bytes    `json:"memory"`
+	// LastFencing is the highest fencing number given out.
+	LastFencing fleet.FencingNumber `json:"lastFencing"`
+	Grants      []Grant             `json:"grants"`
+}
+
+// Reserved returns the memory of all grants.
+func (s *ServerRecord) Reserved() fleet.Bytes {
+	var total fleet.Bytes
+	for i := range s.Grants {
+		total += s.Grants[i].Size
+	}
+	return total
+}
+
+// Find returns the grant of that id, or nil.
+func (s *ServerRecord) Find(id fleet.GrantID) *Grant {
+	i := slices.IndexFunc(s.Grants, func(g Grant) bool { return g.ID == id })
+	if i < 0 {
+		return nil
+	}
+	return &s.Grants[i]
+}
+
+// FindItem returns the grant of the item, or nil. There is at most one.
+func (s *ServerRecord) FindItem(item fleet.Item) *Grant {
+	i := slices.IndexFunc(s.Grants, func(g Grant) bool { return g.Item == item })
+	if i < 0 {
+		return nil
+	}
+	return &s.Grants[i]
+}
+
+// FindOrder returns the grant under which the order was recorded, or nil.
+func (s *ServerRecord) FindOrder(id table.Token) *Grant {
+	i := slices.IndexFunc(s.Grants, func(g Grant) bool {
+		return slices.ContainsFunc(g.Orders, func(o Order) bool { return o.ID == id })
+	})
+	if i < 0 {
+		return nil
+	}
+	return &s.Grants[i]
+}
+
+// Clone returns a deep copy.
+func (s *ServerRecord) Clone() ServerRecord {
+	copied := *s
+	copied.Grants = slices.Clone(s.Grants)
+	for i := range copied.Grants {
+		copied.Grants[i].Orders = slices.Clone(copied.Grants[i].Orders)
+	}
+	return copied
+}
+
+// Holding is one grant in an item's record.
+type Holding struct {
+	Server  fleet.ServerID `json:"server"`
+	Version fleet.Version  `json:"version"`
+}
+
+// ItemRecord is what the table holds of one item: every grant that counts.
+type ItemRecord struct {
+	Item   fleet.Item                `json:"item"`
+	Grants map[fleet.GrantID]Holding `json:"grants"`
+}
+
+// ServerKey returns the key of a server's record.
+func ServerKey(server fleet.ServerID) table.Key {
+	return table.Key{Partition: partition, Sort: serverPrefix + string(server)}
+}
+
+// ItemKey returns the key of an item's record.
+func ItemKey(item fleet.Item) table.Key {
+	return table.Key{Partition: partition, Sort: itemPrefix + item.String()}
+}
+
+// decode reads the body of a record into out; an empty body leaves it as it is.
+func decode(record table.Record, out any) error {
+	if len(record.Body) == 0 {
+		return nil
+	}
+	if err := json.Unmarshal(record.Body, out); err != nil {
+		return errors.Wrapf(err, "record %s", record.Key.Sort)
+	}
+	return nil
+}
+
+// write returns the write of a body under the version that was read.
+func write(key table.Key, expect table.Version, body any) (table.Write, error) {
+	text, err := json.Marshal(body)
+	if err != nil {
+		return table.Write{}, errors.Wrapf(err, "record %s", key.Sort)
+	}
+	return table.Write{Key: key, Expect: expect, Body: text}, nil
+}
--- /dev/null
+++ b/internal/grant/view.go
@@ -0,0 +1,121 @@
+package grant
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/guavatrack/guavatrack/internal/engine"
+	"github.com/guavatrack/guavatrack/internal/vmlist"
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+)
+
+// HeldView is one grant of a server.
+type HeldView struct {
+	Grant   fleet.GrantID
+	Item    fleet.Item
+	Version fleet.Version
+	// Size is the reserved memory.
+	Size fleet.Bytes
+	// State and the fields up to Queued are what the engine reports; State is
+	// empty while it reports nothing.
+	State           engine.ItemState
+	Progress        float64
+	Running, Queued int
+	// Draining says that the grant is wanted no more.
+	Draining bool
+	// Quarantined says that it stays reserved until it is renewed or the VM
+	// ends, because an order under it may still arrive.
+	Quarantined bool
+}
+
+// ServerView is what a node knows of one server.
+type ServerView struct {
+	VM vmlist.VM
+	// Reserved is the memory of all grants, Foreign the memory that the engine
+	// reports held without one.
+	Reserved, Foreign fleet.Bytes
+	Held              []HeldView
+	Boot              fleet.BootID
+	ChecksFencing     bool
+	// AsOf is the engine's clock of the report, PolledAt this node's clock when
+	// it came.
+	AsOf, PolledAt  time.Time
+	Checkpoints     map[string]engine.CacheTier
+	Running, Queued int
+	// Listed says that the VM list names the server.
+	Listed bool
+}
+
+// Leaving tells whether the server must get no new work.
+func (v *ServerView) Leaving() bool { return !v.Listed || v.VM.State != vmlist.Live }
+
+// Views returns all servers that this node follows, by id.
+func (c *Controller) Views() []ServerView {
+	var views []ServerView
+	c.each(func(s *server) {
+		if s.watched || s.listed {
+			views = append(views, c.view(s))
+		}
+	})
+	slices.SortFunc(views, func(a, b ServerView) int {
+		return strings.Compare(string(a.VM.ID), string(b.VM.ID))
+	})
+	return views
+}
+
+func (c *Controller) view(s *server) ServerView {
+	view := ServerView{
+		VM: s.vm, Reserved: s.machine.record.Reserved(), Foreign: s.machine.Foreign(),
+		Boot: s.machine.report.Boot, ChecksFencing: c.checksFencing(s),
+		AsOf: s.machine.report.AsOf, PolledAt: s.polledAt, Checkpoints: s.machine.report.Checkpoints,
+		Running: s.machine.report.Running, Queued: s.machine.report.Queued, Listed: s.listed,
+	}
+	if view.VM.ID == "" {
+		view.VM = vmlist.VM{ID: s.id, Pool: s.machine.record.Pool, Address: s.machine.record.Address, Memory: s.machine.record.Memory}
+	}
+	for i := range s.machine.record.Grants {
+		g := &s.machine.record.Grants[i]
+		held := HeldView{
+			Grant: g.ID, Item: g.Item, Version: g.Version, Size: g.Size,
+			Draining: g.State == Draining, Quarantined: s.machine.Quarantined(g),
+		}
+		if known := s.machine.grant(g.ID).held; known != nil {
+			held.State, held.Progress = known.State, known.Progress
+			held.Running, held.Queued = known.Running, known.Queued
+		}
+		view.Held = append(view.Held, held)
+	}
+	return view
+}
+
+// Replicas returns the replicas of an item that engines report, by server.
+func (c *Controller) Replicas(item fleet.Item) []engine.Replica {
+	var replicas []engine.Replica
+	c.each(func(s *server) {
+		g := s.machine.record.FindItem(item)
+		if g == nil {
+			return
+		}
+		state := s.machine.grant(g.ID)
+		if state.held == nil {
+			return
+		}
+		address := s.vm.Address
+		if address == "" {
+			address = s.machine.record.Address
+		}
+		replicas = append(replicas, engine.Replica{
+			Item: g.Item, Version: state.held.Version, Grant: g.ID, Server: s.id,
+			Boot: s.machine.report.Boot, Address: address, Place: s.vm.Place,
+			State: state.held.State, Progress: state.held.Progress,
+			Running: state.held.Running, Queued: state.held.Queued,
+			AsOf: s.machine.report.AsOf, ReadySince: state.readySince,
+			Draining: g.State == Draining || !s.listed || s.vm.State != vmlist.Live,
+		})
+	})
+	slices.SortFunc(replicas, func(a, b engine.Replica) int {
+		return strings.Compare(string(a.Server), string(b.Server))
+	})
+	return replicas
+}
