Repair views that differ after a long separation

Cause: a node that died while regions were apart came back as live when they met again. Change: digests are compared for each direction apart, and the answer to a request for buckets has the other side's digests, so that what it lacks is told.

--- a/internal/member/crossing.go
+++ b/internal/member/crossing.go
@@ -28,8 +28,7 @@
 
 // crossing is the state of the exchange with one other region.
 type crossing struct {
-	members  rumors[fleet.NodeID]
-	facts    rumors[factKey]
+	channel
 	target   int
 	failures int
 	next     time.Time
@@ -127,7 +126,7 @@
 		if held.failures >= cutAfter {
 			held.next = now.Add(cutRetry * v.interval)
 		}
-		actions = append(actions, Action{To: v.targetIn(region), Message: v.message(now, &held.members, &held.facts)})
+		actions = append(actions, Action{To: v.targetIn(region), Message: v.message(now, &held.channel)})
 	}
 	return actions
 }
--- a/internal/member/exchange.go
+++ b/internal/member/exchange.go
@@ -24,7 +24,7 @@
 // exchangeWith returns the message to a neighbour. A suspect is told that it
 // is one, so that its answer refutes it.
 func (v *View) exchangeWith(now time.Time, target fleet.NodeID) Action {
-	message := v.message(now, &v.memberRumors, &v.factRumors)
+	message := v.message(now, &v.near)
 	if held, found := v.entries[target]; found && held.Status == Suspect {
 		message.Members = append(message.Members, held.Record)
 	}
@@ -90,34 +90,47 @@
 	return neighbors[v.cursor%len(neighbors)], true
 }
 
-// message returns a message with the next rumors of the queues.
-func (v *View) message(now time.Time, members *rumors[fleet.NodeID], facts *rumors[factKey]) Message {
+// channelTo returns what is to be told to nodes of a region.
+func (v *View) channelTo(region fleet.Region) *channel {
+	if region == v.self.Region {
+		return &v.near
+	}
+	return &v.crossingTo(region).channel
+}
+
+// message returns a message with the next rumors of the channel.
+func (v *View) message(now time.Time, channel *channel) Message {
 	message := Message{From: v.self.Node, Region: v.self.Region, Digest: v.total}
-	for _, node := range members.take(len(v.entries) + 1) {
+	for _, node := range channel.members.take(len(v.entries) + 1) {
 		if record, found := v.record(node); found {
 			message.Members = append(message.Members, record)
 		}
 	}
-	for _, key := range facts.take(len(v.entries) + 1) {
+	for _, key := range channel.facts.take(len(v.entries) + 1) {
 		if fact, found := v.facts[key]; found && now.Before(fact.expires) {
 			fact.TTLMillis = fact.expires.Sub(now).Milliseconds()
 			message.Facts = append(message.Facts, fact)
 		}
 	}
-	if v.differing >= mismatches {
-		v.differing = 0
+	if channel.differing >= mismatches {
+		channel.differing = 0
 		message.Buckets = slices.Clone(v.sums[:])
 	}
 	return message
 }
 
-// Join returns the message by which a node that knows nobody asks a node for
-// everything.
-func (v *View) Join() Message {
-	return Message{
+// Join returns the message by which a node asks one that it has no contact
+// with for everything. If it believes that one to be dead it says so, to be
+// refuted.
+func (v *View) Join(target fleet.NodeID) Message {
+	message := Message{
 		From: v.self.Node, Region: v.self.Region, Digest: v.total,
 		Buckets: slices.Clone(v.sums[:]), Members: []Record{v.self},
 	}
+	if held, found := v.entries[target]; found && held.Status != Alive {
+		message.Members = append(message.Members, held.Record)
+	}
+	return message
 }
 
 // Receive takes in a message and returns the answer.
@@ -133,14 +146,12 @@
 			answer.KnownFacts = append(answer.KnownFacts, i)
 		}
 	}
-	members, facts := &v.memberRumors, &v.factRumors
-	if request.Region != v.self.Region {
-		crossing := v.crossingTo(request.Region)
-		members, facts = &crossing.members, &crossing.facts
-	}
-	reply := v.message(now, members, facts)
+	reply := v.message(now, v.channelTo(request.Region))
 	reply.KnownMembers, reply.KnownFacts, reply.Buckets = answer.KnownMembers, answer.KnownFacts, nil
-	reply.Members = v.differingRecords(reply.Members, request.Buckets)
+	if len(request.Buckets) == digestBuckets {
+		reply.Members = v.differingRecords(reply.Members, request.Buckets)
+		reply.Buckets = slices.Clone(v.sums[:])
+	}
 	if held, found := v.entries[request.From]; found && !held.live() {
 		// The sender is there after all and has to refute.
 		reply.Members = append(reply.Members, held.Record)
@@ -150,9 +161,6 @@
 
 // differingRecords appends the records of the buckets whose digest differs.
 func (v *View) differingRecords(list []Record, sums []uint64) []Record {
-	if len(sums) != digestBuckets {
-		return list
-	}
 	listed := make(map[fleet.NodeID]bool, len(list))
 	for _, record := range list {
 		listed[record.Node] = true
@@ -168,20 +176,18 @@
 
 // Answered takes in the answer to a message.
 func (v *View) Answered(now time.Time, to fleet.NodeID, request, answer Message) {
-	members, facts := &v.memberRumors, &v.factRumors
+	channel := v.channelTo(answer.Region)
 	if answer.Region != v.self.Region {
-		crossing := v.crossingTo(answer.Region)
-		members, facts = &crossing.members, &crossing.facts
 		v.crossed(now, answer.Region, true)
 	}
 	for _, i := range answer.KnownMembers {
 		if i >= 0 && i < len(request.Members) {
-			members.feedback(request.Members[i].Node)
+			channel.members.feedback(request.Members[i].Node)
 		}
 	}
 	for _, i := range answer.KnownFacts {
 		if i >= 0 && i < len(request.Facts) {
-			facts.feedback(request.Facts[i].id())
+			channel.facts.feedback(request.Facts[i].id())
 		}
 	}
 	for _, record := range answer.Members {
@@ -190,31 +196,29 @@
 	for _, fact := range answer.Facts {
 		v.mergeFact(now, fact)
 	}
-	v.tellMissing(request, answer)
+	v.tellMissing(channel, answer)
 	v.reached(now, to)
 	switch {
 	case answer.Digest == v.total:
-		v.differing = 0
+		channel.differing = 0
 	case len(request.Buckets) == 0:
-		v.differing++
+		channel.differing++
 	}
 }
 
-// tellMissing queues the records of the requested buckets that the other node
-// did not have.
-func (v *View) tellMissing(request, answer Message) {
-	if len(request.Buckets) == 0 || answer.Digest == v.total {
+// tellMissing queues the records that the other node, which was asked for the
+// differing buckets, did not have.
+func (v *View) tellMissing(channel *channel, answer Message) {
+	if len(answer.Buckets) != digestBuckets {
 		return
 	}
 	has := make(map[fleet.NodeID]bool, len(answer.Members))
-	buckets := make(map[int]bool)
 	for _, record := range answer.Members {
 		has[record.Node] = true
-		buckets[bucketOf(record.Node)] = true
 	}
-	for node, held := range v.entries {
-		if !has[node] && buckets[bucketOf(node)] {
-			v.spread(held.Record)
+	for node := range v.entries {
+		if bucket := bucketOf(node); !has[node] && answer.Buckets[bucket] != v.sums[bucket] {
+			channel.members.add(node)
 		}
 	}
 }
@@ -225,7 +229,7 @@
 	held, found := v.entries[node]
 	if found && held.Status == Suspect {
 		held.changed = now
-		v.memberRumors.add(node)
+		v.near.members.add(node)
 	}
 }
 
@@ -285,7 +289,7 @@
 	case !found || !held.live():
 	case held.Status == Suspect:
 		if v.accuse(held, v.self.Node) {
-			v.memberRumors.add(node)
+			v.near.members.add(node)
 		}
 	default:
 		record := held.Record
--- a/internal/member/fact.go
+++ b/internal/member/fact.go
@@ -48,7 +48,7 @@
 // only out of their owner's region, so that each crosses a link once.
 func (v *View) keep(fact Fact) {
 	v.facts[fact.id()] = fact
-	v.factRumors.add(fact.id())
+	v.near.facts.add(fact.id())
 	if !fact.Wide || fact.Region != v.self.Region {
 		return
 	}
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -126,7 +126,7 @@
 	// Digest is the digest of the sender's live records.
 	Digest uint64 `json:"digest"`
 	// Buckets, in a request, asks for the records of those buckets that
-	// differ.
+	// differ. The answer to that has the other node's own.
 	Buckets []uint64 `json:"buckets,omitempty"`
 	Members []Record `json:"members,omitempty"`
 	Facts   []Fact   `json:"facts,omitempty"`
--- a/internal/member/registration.go
+++ b/internal/member/registration.go
@@ -211,28 +211,36 @@
 // join asks nodes that the view doesn't have for what they know, those of the
 // own region first.
 func (c *Controller) join(ctx context.Context, others []registered) {
-	addresses := c.unknown(others)
+	targets := c.unknown(others)
 	if len(c.Members()) <= 1 && c.Seeds != nil {
 		seeds, err := c.Seeds(ctx)
 		if err != nil {
 			c.counts.seedErrors.Inc(1)
 		}
-		addresses = append(addresses, seeds...)
+		for _, address := range seeds {
+			targets = append(targets, joinTarget{address: address})
+		}
 	}
 	joined := 0
-	for _, address := range addresses {
+	for _, target := range targets {
 		if joined == joins || ctx.Err() != nil {
 			return
 		}
-		if address != "" && address != c.Self.PeerAddress && c.joinAt(ctx, address) {
+		if target.address != "" && target.address != c.Self.PeerAddress && c.joinAt(ctx, target) {
 			joined++
 		}
 	}
 }
 
-// unknown returns the addresses of registered nodes that are not live in the
-// view, shuffled, the own region first.
-func (c *Controller) unknown(others []registered) []string {
+// joinTarget is a node to ask for the members. The node is empty for a seed.
+type joinTarget struct {
+	node    fleet.NodeID
+	address string
+}
+
+// unknown returns the registered nodes that are not live in the view,
+// shuffled, the own region first.
+func (c *Controller) unknown(others []registered) []joinTarget {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	others = slices.DeleteFunc(slices.Clone(others), func(other registered) bool {
@@ -240,27 +248,33 @@
 		return found && (record.live() || record.Status == Left)
 	})
 	c.Rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	var near, far []string
+	var near, far []joinTarget
 	for _, other := range others {
 		if other.Region == c.Self.Region {
-			near = append(near, other.PeerAddress)
+			near = append(near, joinTarget{other.Node, other.PeerAddress})
 		} else {
-			far = append(far, other.PeerAddress)
+			far = append(far, joinTarget{other.Node, other.PeerAddress})
 		}
 	}
 	return append(near, far...)
 }
 
-func (c *Controller) joinAt(ctx context.Context, address string) bool {
-	c.mu.Lock()
-	request := c.view.Join()
-	c.mu.Unlock()
-	answer, err := c.exchange(ctx, request, func(ctx context.Context, in, out any) error {
-		return c.Peers.CallAddress(ctx, address, exchangeMethod, in, out)
-	})
-	if err != nil {
-		return false
+// joinRounds is the number of exchanges in a join. In the first one each side
+// learns whether the other believes it to be dead, and in the second it refutes.
+const joinRounds = 2
+
+func (c *Controller) joinAt(ctx context.Context, target joinTarget) bool {
+	for range joinRounds {
+		c.mu.Lock()
+		request := c.view.Join(target.node)
+		c.mu.Unlock()
+		answer, err := c.exchange(ctx, request, func(ctx context.Context, in, out any) error {
+			return c.Peers.CallAddress(ctx, target.address, exchangeMethod, in, out)
+		})
+		if err != nil {
+			return false
+		}
+		c.answered(ctx, answer.From, request, answer)
 	}
-	c.answered(ctx, answer.From, request, answer)
 	return true
 }
--- a/internal/member/rumor.go
+++ b/internal/member/rumor.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"math/bits"
 	"slices"
+
+	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
 const (
@@ -87,3 +89,12 @@
 		delete(r.queue, key)
 	}
 }
+
+// channel is what still is to be told in one direction: to the neighbours, or
+// to one other region.
+type channel struct {
+	members rumors[fleet.NodeID]
+	facts   rumors[factKey]
+	// differing counts the exchanges in a row in which digests differed.
+	differing int
+}
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -62,9 +62,8 @@
 	sums  [digestBuckets]uint64
 	total uint64
 
-	memberRumors rumors[fleet.NodeID]
-	factRumors   rumors[factKey]
-	across       map[fleet.Region]*crossing
+	near   channel
+	across map[fleet.Region]*crossing
 
 	neighbors []fleet.NodeID
 	stale     bool // neighbors must be chosen again
@@ -74,7 +73,6 @@
 	hurry      bool // a change is to be told at once
 	lastTick   time.Time
 	wokeAt     time.Time
-	differing  int
 	suspicions int
 }
 
@@ -90,7 +88,7 @@
 		stale:    true,
 	}
 	v.addSum(v.self, 1)
-	v.memberRumors.add(self.Node)
+	v.near.members.add(self.Node)
 	return v
 }
 
@@ -115,7 +113,7 @@
 // spread queues the record for the neighbours and, where this node is a
 // candidate to speak for its region, for the other regions.
 func (v *View) spread(record Record) {
-	v.memberRumors.add(record.Node)
+	v.near.members.add(record.Node)
 	if record.Region != v.self.Region {
 		return
 	}
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -16,20 +16,21 @@
 // time, and loses what it is told to lose. A lost message is silence: the call
 // ends when its context does.
 type Network struct {
-	// Delay is the time that one direction takes.
-	Delay time.Duration
-
 	mu    sync.Mutex
 	ports map[string]*Port
-	// Lost reports whether a message from one address to another is lost.
 	lost  func(from, to string) bool
+	delay func(from, to string) time.Duration
 	calls int
 	bytes int
 }
 
-// NewNetwork returns a network that loses nothing.
+// NewNetwork returns a network that loses nothing and takes no time.
 func NewNetwork() *Network {
-	return &Network{ports: make(map[string]*Port), lost: func(string, string) bool { return false }}
+	return &Network{
+		ports: make(map[string]*Port),
+		lost:  func(string, string) bool { return false },
+		delay: func(string, string) time.Duration { return 0 },
+	}
 }
 
 // Lose replaces the rule that says which messages are lost.
@@ -39,6 +40,13 @@
 	n.lost = lost
 }
 
+// Delay replaces the rule that says how long messages take.
+func (n *Network) Delay(delay func(from, to string) time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.delay = delay
+}
+
 // Traffic returns the calls made so far and the bytes of their JSON.
 func (n *Network) Traffic() (calls, bytes int) {
 	n.mu.Lock()
@@ -116,7 +124,7 @@
 	n.mu.Lock()
 	port, found := n.ports[to]
 	_, sends := n.ports[from]
-	lost := n.lost(from, to) || !sends
+	lost, delay := n.lost(from, to) || !sends, n.delay(from, to)
 	n.calls++
 	n.bytes += size
 	n.mu.Unlock()
@@ -127,8 +135,8 @@
 		<-ctx.Done()
 		return nil, errors.Wrap(peer.ErrUnreachable, ctx.Err().Error())
 	}
-	if n.Delay > 0 {
-		timer := time.NewTimer(n.Delay)
+	if delay > 0 {
+		timer := time.NewTimer(delay)
 		defer timer.Stop()
 		select {
 		case <-timer.C:
