--- a/internal/config/fleet_test.go
+++ b/internal/config/fleet_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +16,7 @@
 	"github.com/guavatrack/guavatrack/internal/config"
 	"github.com/guavatrack/guavatrack/internal/member"
 	"github.com/guavatrack/guavatrack/internal/standin"
+	"github.com/guavatrack/guavatrack/internal/table"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 	"github.com/guavatrack/guavatrack/pkg/ticket"
 )
@@ -23,34 +26,90 @@
 	network *standin.Network
 	table   *standin.Table
 	list    []*node
+	started int
 	done    sync.WaitGroup
 }
 
 type node struct {
 	address string
+	link    *link
+	seeds   *atomic.Pointer[[]string]
 	members *member.Controller
 	config  *config.Controller
 	stop    context.CancelFunc
 }
 
+// link is one node's way to the table.
+type link struct {
+	store    table.Store
+	down     atomic.Bool
+	replaced atomic.Pointer[standin.Table]
+}
+
+var _ table.Store = (*link)(nil)
+
+// end returns the table that the link leads to.
+func (l *link) end() (table.Store, error) {
+	if l.down.Load() {
+		return nil, table.ErrUnavailable
+	}
+	if replaced := l.replaced.Load(); replaced != nil {
+		return replaced, nil
+	}
+	return l.store, nil
+}
+
+func (l *link) Get(ctx context.Context, key table.Key) (table.Record, error) {
+	end, err := l.end()
+	if err != nil {
+		return table.Record{}, err
+	}
+	return end.Get(ctx, key)
+}
+
+func (l *link) Query(ctx context.Context, span table.Range) ([]table.Record, error) {
+	end, err := l.end()
+	if err != nil {
+		return nil, err
+	}
+	return end.Query(ctx, span)
+}
+
+func (l *link) Transact(ctx context.Context, token table.Token, writes []table.Write) error {
+	end, err := l.end()
+	if err != nil {
+		return err
+	}
+	return end.Transact(ctx, token, writes)
+}
+
 func newNodes() *nodes {
 	n := &nodes{network: standin.NewNetwork(), table: standin.NewTable()}
-	n.network.Delay = 2 * time.Millisecond
+	n.network.Delay(func(string, string) time.Duration { return 2 * time.Millisecond })
 	return n
 }
 
 // start adds a node in a region.
 func (n *nodes) start(ctx context.Context, region fleet.Region) *node {
-	number := len(n.list)
+	number := n.started
+	n.started++
 	id := fleet.NodeID(fmt.Sprintf("n%02d", number))
 	address := string(region) + "/" + string(id)
 	port := n.network.Port(address)
+	store := &link{store: n.table}
 	place := fleet.Place{Region: region, FailureDomain: fleet.FailureDomain(fmt.Sprint(region, number%2))}
+	seeds := new(atomic.Pointer[[]string])
 	members := &member.Controller{
+		Seeds: func(context.Context) ([]string, error) {
+			if addresses := seeds.Load(); addresses != nil {
+				return *addresses, nil
+			}
+			return nil, nil
+		},
 		Self:  member.Info{Node: id, Place: place, PeerAddress: address, CallerAddress: "caller-" + address},
-		Peers: port, Store: n.table, Rand: rand.New(rand.NewPCG(1, uint64(number))),
+		Peers: port, Store: store, Rand: rand.New(rand.NewPCG(1, uint64(number))),
 	}
-	settings := &config.Controller{Store: n.table, Node: id, Region: region, Peers: port, Group: members}
+	settings := &config.Controller{Store: store, Node: id, Region: region, Peers: port, Group: members}
 	members.Stamp, members.Heard = settings.Stamp, settings.Heard
 	port.Resolve = members.Resolve
 	members.Register()
@@ -58,11 +117,18 @@
 	ctx, cancel := context.WithCancel(ctx)
 	n.done.Go(func() { _ = members.Run(ctx) })
 	n.done.Go(func() { _ = settings.Run(ctx) })
-	added := &node{address: address, members: members, config: settings, stop: cancel}
+	added := &node{address: address, link: store, seeds: seeds, members: members, config: settings, stop: cancel}
 	n.list = append(n.list, added)
 	return added
 }
 
+// end stops one node.
+func (n *nodes) end(gone *node) {
+	gone.stop()
+	n.network.Remove(gone.address)
+	n.list = slices.DeleteFunc(n.list, func(other *node) bool { return other == gone })
+}
+
 // stopAll ends every node.
 func (n *nodes) stopAll() {
 	for _, node := range n.list {
--- /dev/null
+++ b/internal/drain/drain_test.go
@@ -0,0 +1,62 @@
+package drain_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-faster/errors"
+
+	"github.com/guavatrack/guavatrack/internal/drain"
+)
+
+func TestServesOnUntilKeptAnswersHaveRunOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		began := time.Now()
+		var order []string
+		note := func(name string) { order = append(order, name) }
+		sequence := drain.Sequence{
+			Leave:   func() { note("leave") },
+			KeepFor: 10 * time.Second,
+			Finish: func(context.Context) int {
+				c.Check(time.Since(began) >= 10*time.Second, qt.IsTrue)
+				note("finish")
+				return 0
+			},
+			HandOver: []drain.Step{
+				{"grants", func(context.Context) error { note("grants"); return errors.New("table down") }},
+				{"claims", func(context.Context) error { note("claims"); return nil }},
+			},
+			Gone: func(context.Context) { note("gone") },
+		}
+		report, err := sequence.Run(t.Context())
+		c.Assert(err, qt.ErrorMatches, "drain: grants: table down")
+		c.Assert(report.CutOff, qt.Equals, 0)
+		c.Assert(order, qt.DeepEquals, []string{"leave", "finish", "grants", "claims", "gone"})
+	})
+}
+
+func TestHandsOverAlsoWhenTheTimeRunsOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		handed := false
+		sequence := drain.Sequence{
+			Leave: func() {}, KeepFor: time.Minute,
+			Finish: func(context.Context) int { return 2 },
+			HandOver: []drain.Step{{"grants", func(ctx context.Context) error {
+				handed = ctx.Err() == nil
+				return nil
+			}}},
+		}
+		report, err := sequence.Run(ctx)
+		c.Assert(err, qt.IsNil)
+		c.Assert(report.CutOff, qt.Equals, 2)
+		c.Assert(report.Took, qt.Equals, 3*time.Second)
+		c.Assert(handed, qt.IsTrue)
+	})
+}
