--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -77,7 +77,9 @@
 	classes [classCount]line
 	size    int
 	turn    int
-	service time.Duration
+	// service is the average time that a request takes, deviation the average
+	// distance from it.
+	service, deviation time.Duration
 }
 
 const classCount = 3
@@ -102,12 +104,21 @@
 // Served notes how long a request took from its start to its end.
 func (q *Queue) Served(span time.Duration) {
 	if q.service == 0 {
-		q.service = span
+		q.service, q.deviation = span, span/4
 		return
 	}
+	distance := max(span-q.service, q.service-span)
+	q.deviation += time.Duration(serviceWeight * float64(distance-q.deviation))
 	q.service += time.Duration(serviceWeight * float64(span-q.service))
 }
 
+// deviations is the number of deviations that are allowed for, so that few of
+// the requests that are let in miss their deadline.
+const deviations = 2
+
+// longest returns the time that nearly every request takes at most.
+func (q *Queue) longest() time.Duration { return q.service + deviations*q.deviation }
+
 // Service returns the average time that a request takes; 0 if not known.
 func (q *Queue) Service() time.Duration { return q.service }
 
@@ -118,7 +129,7 @@
 	if ahead >= 0 {
 		wait += q.service * time.Duration(ahead+1) / time.Duration(max(1, capacity.Slots))
 	}
-	return now.Add(wait + q.service)
+	return now.Add(wait + q.longest())
 }
 
 // ahead returns how many of the waiting requests would run before a new one.
@@ -213,13 +224,22 @@
 }
 
 // Expire removes the requests that can no longer end before their deadline and
-// returns them. They are to be refused at once.
-func (q *Queue) Expire(now time.Time) (expired []Request) {
-	// A request that starts now takes about the service time. Half of it leaves
-	// room for those that are faster than the average.
-	latest := now.Add(q.service / 2)
+// returns them. They are to be refused at once. Besides those whose time is too
+// short it takes out those that have too many others before them.
+func (q *Queue) Expire(now time.Time, capacity Capacity) (expired []Request) {
+	place := -capacity.Free
 	for at := range q.classes {
-		expired = append(expired, q.classes[at].before(latest)...)
+		for _, request := range q.classes[at].byDeadline() {
+			wait := capacity.ReadyIn
+			if place >= 0 {
+				wait += q.service * time.Duration(place+1) / time.Duration(max(1, capacity.Slots))
+			}
+			if now.Add(wait + q.longest()).After(request.Deadline) {
+				expired = append(expired, request)
+				continue
+			}
+			place++
+		}
 	}
 	for _, request := range expired {
 		q.Remove(request)
@@ -334,15 +354,11 @@
 	return heaviest, count
 }
 
-func (l *line) before(latest time.Time) (expired []Request) {
+func (l *line) byDeadline() []Request {
+	all := make([]Request, 0, l.size)
 	for _, requests := range l.callers {
-		for _, request := range requests {
-			if request.Deadline.After(latest) {
-				break
-			}
-			expired = append(expired, request)
-		}
+		all = append(all, requests...)
 	}
-	slices.SortFunc(expired, compareDeadlines)
-	return expired
+	slices.SortFunc(all, compareDeadlines)
+	return all
 }
--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -6,7 +6,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/guavatrack/guavatrack/internal/claim"
 	"github.com/guavatrack/guavatrack/internal/plain"
+	"github.com/guavatrack/guavatrack/internal/poison"
+	"github.com/guavatrack/guavatrack/internal/retry"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 	"github.com/guavatrack/guavatrack/pkg/ticket"
 )
@@ -36,6 +39,17 @@
 	// Target is set for calls of plain services.
 	Target plain.Target
 
+	// digest names the content, prefix the start of the prompt; 0 if none.
+	digest poison.Digest
+	prefix uint64
+	// alone says that the call must run apart from others.
+	alone bool
+	// failed lists the attempts that failed.
+	failed []retry.Attempt
+	lane   *lane
+	slot   *slot
+	// answer is what a plain service answered.
+	answer *claim.Answer
 	// sent is set before the first byte goes to a backend server.
 	sent atomic.Bool
 	// begun is set before the first byte goes to the caller.
--- /dev/null
+++ b/internal/caller/claim.go
@@ -0,0 +1,65 @@
+package caller
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	"github.com/guavatrack/guavatrack/internal/claim"
+	"github.com/guavatrack/guavatrack/pkg/refusal"
+)
+
+// claimOnce makes a call that is not idempotent run at most once. Such a call
+// goes on when its caller leaves, so that its outcome becomes known.
+func (s *Server) claimOnce(call *Call, next Handler) error {
+	if call.Target.Idempotent {
+		return next.Handle(call)
+	}
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(call.Context), call.Deadline)
+	defer cancel()
+	call.Context = ctx
+	if call.Key == "" {
+		return next.Handle(call)
+	}
+	request := call.Request
+	answer, err := s.claims.Do(ctx, claim.Call{
+		Caller: call.Caller, Key: call.Key, Request: call.ID, Deadline: call.Deadline,
+		Content: claim.Content(request.Method, request.URL.RequestURI(), call.Body),
+	}, func() claim.Result {
+		err := next.Handle(call)
+		return claim.Result{Answer: call.answer, Sent: call.Sent(), Err: err}
+	})
+	call.answer = answer
+	return claimRefusal(err)
+}
+
+// claimRefusal turns the errors of a claim into refusals and leaves others as
+// they are.
+func claimRefusal(err error) error {
+	switch {
+	case errors.Is(err, claim.ErrOutcomeUnknown):
+		return refusal.New(refusal.OutcomeUnknown, "the call with this key may have run and its outcome is not known")
+	case errors.Is(err, claim.ErrReused):
+		return refusal.New(refusal.KeyReused, "the key was used for a call of other content")
+	case errors.Is(err, claim.ErrDropped):
+		return refusal.New(refusal.AnswerNotKept, "the call ran and its answer was too large to keep")
+	case errors.Is(err, claim.ErrTable):
+		return &refusal.Refusal{
+			Reason: refusal.TableUnavailable, Message: "the call could not be recorded, so it was not sent",
+			RetryAfter: tableRetryAfter,
+		}
+	default:
+		return err
+	}
+}
+
+// respond writes the answer that the rest of the chain has got.
+func (s *Server) respond(call *Call, next Handler) error {
+	if err := next.Handle(call); err != nil {
+		return err
+	}
+	if kind := call.answer.ContentType; kind != "" {
+		call.Response.Header().Set("Content-Type", kind)
+	}
+	return writeBody(call, call.answer.Status, call.answer.Body)
+}
--- a/internal/caller/decode.go
+++ b/internal/caller/decode.go
@@ -15,6 +15,7 @@
 
 	"github.com/guavatrack/guavatrack/internal/engine"
 	"github.com/guavatrack/guavatrack/internal/plain"
+	"github.com/guavatrack/guavatrack/internal/poison"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 	"github.com/guavatrack/guavatrack/pkg/refusal"
 	"github.com/guavatrack/guavatrack/pkg/ticket"
@@ -97,6 +98,8 @@
 	}
 	call.Deployment = call.Snapshot.Deployments[call.Item.Model]
 	call.Class = call.Deployment.Class
+	call.prefix = prefixOf(&request)
+	call.digest = poison.DigestOf([]byte(request.Model), request.Messages, request.Prompt)
 	if err := call.resumeFrom(call.Request.Header.Get(engine.LastEventIDHeader)); err != nil {
 		return err
 	}
@@ -127,6 +130,7 @@
 		return err
 	}
 	call.Target, call.Body = target, body
+	call.digest = poison.DigestOf([]byte(call.Request.Method), []byte(call.Request.URL.RequestURI()), body)
 	return next.Handle(call)
 }
 
--- /dev/null
+++ b/internal/caller/failures_test.go
@@ -0,0 +1,252 @@
+package caller_test
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/guavatrack/guavatrack/internal/standin"
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+	"github.com/guavatrack/guavatrack/pkg/refusal"
+)
+
+// bubble runs a test on a site in virtual time.
+func bubble(t *testing.T, config siteConfig, run func(*site)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { run(newSite(t, config)) })
+}
+
+func TestStreamSurvivesTheEndOfItsServer(t *testing.T) {
+	bubble(t, siteConfig{engines: 3, nodes: 1}, func(s *site) {
+		var group sync.WaitGroup
+		for at := range 9 {
+			group.Go(func() { s.chat(0, "which wreath "+strings.Repeat("!", at), 60) })
+		}
+		time.Sleep(400 * time.Millisecond)
+		s.engines[0].Stop()
+		group.Wait()
+	})
+}
+
+func TestStreamSurvivesTwoServersAtOnce(t *testing.T) {
+	bubble(t, siteConfig{engines: 4, nodes: 1}, func(s *site) {
+		var group sync.WaitGroup
+		for at := range 8 {
+			group.Go(func() { s.chat(0, "which wreath "+strings.Repeat("!", at), 60) })
+		}
+		time.Sleep(400 * time.Millisecond)
+		s.engines[0].Stop()
+		s.engines[1].SetFaults(standin.EngineFaults{Faults: standin.Faults{Silence: true}})
+		group.Wait()
+	})
+}
+
+func TestSilentConnectionsAreReplacedLongBeforeTheDeadline(t *testing.T) {
+	bubble(t, siteConfig{engines: 1, nodes: 1}, func(s *site) {
+		var group sync.WaitGroup
+		for range 4 {
+			group.Go(func() {
+				got := s.chat(0, "which hop", 90)
+				s.c.Check(got.took < 5*time.Second, qt.IsTrue, qt.Commentf("%s", got.took))
+			})
+		}
+		time.Sleep(500 * time.Millisecond)
+		s.engines[0].SetFaults(standin.EngineFaults{Faults: standin.Faults{Silence: true}})
+		group.Wait()
+	})
+}
+
+func TestSlowModelIsNotTakenForSilentForEver(t *testing.T) {
+	slow := func(config *standin.EngineConfig) { config.RequestRate = 0.7 }
+	bubble(t, siteConfig{engines: 1, nodes: 1, engine: slow, node: nil}, func(s *site) {
+		body, want := prompt("slow", 6)
+		got := s.send(0, http.MethodPost, chatPath, body, "X-Deadline-Ms", "60000")
+		answer, whole := textOf(got.body)
+		s.c.Assert(whole, qt.IsTrue)
+		s.c.Assert(answer, qt.Equals, want)
+	})
+}
+
+func TestPoisonTakesAtMostTwoServersFromTheFleet(t *testing.T) {
+	bubble(t, siteConfig{engines: 8, nodes: 3}, func(s *site) {
+		for _, made := range s.engines {
+			made.SetFaults(standin.EngineFaults{CrashOn: "poison"})
+		}
+		var group sync.WaitGroup
+		for at := range 12 {
+			group.Go(func() { s.chat(at%3, "which wreath "+strings.Repeat("!", at), 120) })
+		}
+		time.Sleep(200 * time.Millisecond)
+		body, _ := prompt("poison", 10)
+		for at := range 6 {
+			got := s.send(at%3, http.MethodPost, chatPath, body)
+			s.c.Check(got.status, qt.Equals, http.StatusUnprocessableEntity, qt.Commentf("%s", got.body))
+			if at > 0 {
+				s.c.Check(runOf(got), qt.Equals, refusal.NotRun)
+				s.c.Check(got.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		group.Wait()
+		s.c.Assert(s.crashes(), qt.Equals, 2)
+	})
+}
+
+func TestPoisonWithTheTableDown(t *testing.T) {
+	bubble(t, siteConfig{engines: 6, nodes: 1}, func(s *site) {
+		s.table.SetFaults(standin.TableFaults{Down: true})
+		for _, made := range s.engines {
+			made.SetFaults(standin.EngineFaults{CrashOn: "poison"})
+		}
+		body, _ := prompt("poison", 10)
+		for range 5 {
+			s.send(0, http.MethodPost, chatPath, body)
+		}
+		s.c.Assert(s.crashes(), qt.Equals, 2)
+	})
+}
+
+func TestInnocentRequestOfACrashedServerIsCleared(t *testing.T) {
+	bubble(t, siteConfig{engines: 3, nodes: 1}, func(s *site) {
+		var group sync.WaitGroup
+		group.Go(func() { s.chat(0, "innocent", 60) })
+		time.Sleep(300 * time.Millisecond)
+		for _, made := range s.engines {
+			made.Crash()
+			time.Sleep(20 * time.Millisecond)
+			break
+		}
+		group.Wait()
+		for range 3 {
+			s.chat(0, "innocent", 10)
+		}
+	})
+}
+
+func TestBookingRunsOnceThoughItsAnswerIsLost(t *testing.T) {
+	bubble(t, siteConfig{services: 3, nodes: 2}, func(s *site) {
+		for _, service := range s.plain {
+			service.SetFaults(standin.Faults{LoseAnswers: 1})
+		}
+		const body = `{"courier":"monday"}`
+		for at := range 6 {
+			got := s.send(at%2, http.MethodPost, "/orders/book", body, "Idempotency-Key", "k1")
+			s.c.Check(got.status, qt.Equals, http.StatusBadGateway)
+			s.c.Check(runOf(got), qt.Equals, refusal.Unknown)
+			time.Sleep(200 * time.Millisecond)
+		}
+		s.c.Assert(s.runs.Count(standin.Reference("/book", []byte(body), "k1")), qt.Equals, 1)
+		s.c.Assert(s.ledger.Violations(), qt.HasLen, 0)
+	})
+}
+
+func TestBookingSentAtTwoNodesAtOnceRunsOnce(t *testing.T) {
+	bubble(t, siteConfig{services: 3, nodes: 2}, func(s *site) {
+		s.table.SetFaults(standin.TableFaults{Delay: 3 * time.Millisecond, LoseAnswers: 4})
+		var group sync.WaitGroup
+		for at := range 10 {
+			group.Go(func() {
+				got := s.send(at%2, http.MethodPost, "/orders/book", `{"a":1}`, "Idempotency-Key", "k1")
+				s.c.Check(got.status, qt.Equals, http.StatusCreated, qt.Commentf("%s", got.body))
+				s.c.Check(got.body, qt.Contains, `"run":1`)
+			})
+		}
+		group.Wait()
+		s.c.Assert(s.ledger.Violations(), qt.HasLen, 0)
+	})
+}
+
+func TestBookingGoesOnWhenItsCallerLeaves(t *testing.T) {
+	bubble(t, siteConfig{services: 1, nodes: 2}, func(s *site) {
+		s.plain[0].SetFaults(standin.Faults{Slow: fleet.Duration(time.Second)})
+		staying := s.client
+		s.client = &http.Client{Transport: staying.Transport, Timeout: 200 * time.Millisecond}
+		got := s.send(0, http.MethodPost, "/orders/book", `{"a":1}`, "Idempotency-Key", "k1")
+		s.c.Assert(got.err, qt.IsNotNil)
+		s.client = staying
+		got = s.send(1, http.MethodPost, "/orders/book", `{"a":1}`, "Idempotency-Key", "k1")
+		s.c.Assert(got.status, qt.Equals, http.StatusCreated, qt.Commentf("%s", got.body))
+		s.c.Assert(s.ledger.Violations(), qt.HasLen, 0)
+	})
+}
+
+func TestBookingWithTheTableDownIsRefusedUnrun(t *testing.T) {
+	bubble(t, siteConfig{services: 1, nodes: 1}, func(s *site) {
+		s.table.SetFaults(standin.TableFaults{Down: true})
+		got := s.send(0, http.MethodPost, "/orders/book", `{}`, "Idempotency-Key", "k1")
+		s.c.Assert(got.status, qt.Equals, http.StatusServiceUnavailable)
+		s.c.Assert(runOf(got), qt.Equals, refusal.NotRun)
+		s.c.Assert(got.header.Get("Retry-After"), qt.Equals, "5")
+		s.c.Assert(s.runs.Total(), qt.Equals, 0)
+		s.c.Assert(got.took < time.Second, qt.IsTrue)
+	})
+}
+
+func TestLookupIsRetriedElsewhere(t *testing.T) {
+	bubble(t, siteConfig{services: 3, nodes: 1}, func(s *site) {
+		s.plain[0].SetFaults(standin.Faults{Down: true})
+		for range 20 {
+			got := s.send(0, http.MethodGet, "/orders/stock?of=bine", "")
+			s.c.Check(got.status, qt.Equals, http.StatusOK, qt.Commentf("%s", got.body))
+		}
+	})
+}
+
+func TestNoServerAtAllIsRefusedUnrunInTime(t *testing.T) {
+	bubble(t, siteConfig{engines: 1, services: 1, nodes: 1}, func(s *site) {
+		s.gone[s.engines[0].ID()] = true
+		body, _ := prompt("x", 1)
+		got := s.send(0, http.MethodPost, chatPath, body)
+		s.c.Assert(got.status, qt.Equals, http.StatusServiceUnavailable)
+		s.c.Assert(runOf(got), qt.Equals, refusal.NotRun)
+		s.c.Assert(got.took < 100*time.Millisecond, qt.IsTrue)
+	})
+}
+
+func TestDeadlinePassesWithARefusal(t *testing.T) {
+	bubble(t, siteConfig{engines: 1, nodes: 1}, func(s *site) {
+		body, _ := prompt("x", 600)
+		body = strings.Replace(body, `"stream":true`, `"stream":false`, 1)
+		got := s.send(0, http.MethodPost, chatPath, body, "X-Deadline-Ms", "1000")
+		s.c.Assert(got.status, qt.Equals, http.StatusGatewayTimeout, qt.Commentf("%s", got.body))
+		s.c.Assert(runOf(got), qt.Equals, refusal.Unknown)
+		s.c.Assert(got.took < 1050*time.Millisecond, qt.IsTrue)
+	})
+}
+
+func TestOverloadIsRefusedAtOnceAndGoodputStays(t *testing.T) {
+	few := func(config *standin.EngineConfig) { config.Concurrency = 8 }
+	bubble(t, siteConfig{engines: 1, nodes: 1, engine: few}, func(s *site) {
+		// Eight at once, 32 tokens at 60 a second: about 15 requests a second.
+		var mu sync.Mutex
+		var group sync.WaitGroup
+		answered, refused, late := 0, 0, 0
+		body, _ := prompt("x", 32)
+		for range 1500 {
+			time.Sleep(time.Second / 150)
+			group.Go(func() {
+				got := s.send(0, http.MethodPost, chatPath, body, "X-Deadline-Ms", "2000")
+				mu.Lock()
+				defer mu.Unlock()
+				if got.took > 2050*time.Millisecond {
+					late++
+				}
+				if _, whole := textOf(got.body); got.status == http.StatusOK && whole {
+					answered++
+				} else if runOf(got) == refusal.NotRun && got.header.Get("Retry-After") != "" {
+					refused++
+				}
+			})
+		}
+		group.Wait()
+		s.c.Logf("answered %d refused %d late %d", answered, refused, late)
+		s.c.Assert(late, qt.Equals, 0)
+		s.c.Assert(answered > 135, qt.IsTrue, qt.Commentf("%d", answered))
+		s.c.Assert(answered+refused >= 1490, qt.IsTrue, qt.Commentf("%d refused", refused))
+	})
+}
--- /dev/null
+++ b/internal/caller/lane.go
@@ -0,0 +1,411 @@
+package caller
+
+import (
+	"context"
+	"hash/maphash"
+	"sync"
+	"time"
+
+	"github.com/guavatrack/guavatrack/internal/admission"
+	"github.com/guavatrack/guavatrack/internal/retry"
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+	"github.com/guavatrack/guavatrack/pkg/refusal"
+)
+
+// Timing of requests that wait.
+const (
+	// pumpInterval is how often waiting requests look for room that is not
+	// their own model's doing, such as a replica that became ready.
+	pumpInterval = 5 * time.Millisecond
+	// expireInterval is how often waiting requests are looked at for those that
+	// cannot end in time.
+	expireInterval = 20 * time.Millisecond
+	// wakeInterval is the time between two calls of the waker for one item.
+	wakeInterval = 200 * time.Millisecond
+	// wakePatience bounds how long a request waits while no replica can be had.
+	wakePatience = 2 * time.Second
+)
+
+// laneShardCount is the number of shards of the lanes.
+const laneShardCount = 32
+
+type laneShards struct {
+	seed   maphash.Seed
+	shards [laneShardCount]laneShard
+}
+
+type laneShard struct {
+	mu    sync.Mutex
+	lanes map[fleet.ModelID]*lane
+}
+
+func (l *laneShards) setUp() {
+	l.seed = maphash.MakeSeed()
+	for at := range l.shards {
+		l.shards[at].lanes = make(map[fleet.ModelID]*lane)
+	}
+}
+
+// lane returns the lane of a model and makes it if there is none.
+func (s *Server) lane(model fleet.ModelID) *lane {
+	shard := &s.lanes.shards[maphash.String(s.lanes.seed, string(model))%laneShardCount]
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	found := shard.lanes[model]
+	if found == nil {
+		found = &lane{
+			server: s, waiters: make(map[admission.Ticket]*waiter), wakes: make(map[fleet.Item]*wake),
+		}
+		shard.lanes[model] = found
+	}
+	return found
+}
+
+// lane holds the requests that wait for a replica of one model or of one of its
+// adapters.
+type lane struct {
+	server *Server
+
+	mu      sync.Mutex
+	queue   admission.Queue
+	waiters map[admission.Ticket]*waiter
+	wakes   map[fleet.Item]*wake
+	last    admission.Ticket
+	ticking bool
+	// Times to the first byte of streams and of whole answers.
+	streamed, whole retry.Quantiles
+}
+
+// waiter is a request in the queue. Its result is sent exactly once.
+type waiter struct {
+	call    *Call
+	request admission.Request
+	result  chan admitted
+}
+
+type admitted struct {
+	slot *slot
+	err  error
+}
+
+// wake is what is known of the load of an item.
+type wake struct {
+	at       time.Time
+	estimate Estimate
+	// failing is since when no replica can be had.
+	failing time.Time
+	err     error
+}
+
+// acquire waits for a slot at a replica. It fails with a refusal as soon as the
+// call cannot end before its deadline.
+func (l *lane) acquire(call *Call) (*slot, error) {
+	waiting, taken, err := l.enter(call)
+	if waiting == nil {
+		return taken, err
+	}
+	select {
+	case result := <-waiting.result:
+		return result.slot, result.err
+	case <-call.Context.Done():
+		l.leave(waiting)
+		return nil, context.Cause(call.Context)
+	}
+}
+
+func (l *lane) enter(call *Call) (*waiter, *slot, error) {
+	now := time.Now()
+	readyIn, err := l.readyIn(call, now)
+	if err != nil {
+		return nil, nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.queue.Len() == 0 {
+		if taken, found := l.server.take(call, now, false); found {
+			return nil, taken, nil
+		}
+	}
+	l.last++
+	request := admission.Request{
+		Ticket: l.last, Caller: call.Caller, Class: call.Class, Item: call.Item, Deadline: call.Deadline,
+	}
+	decision := l.queue.Offer(now, request, l.server.capacity(call, now, readyIn))
+	if decision.Outcome == admission.Late {
+		if taken, found := l.server.take(call, now, true); found {
+			return nil, taken, nil
+		}
+	}
+	if decision.Outcome != admission.Queued {
+		return nil, nil, refuseAdmission(decision)
+	}
+	if displaced, found := l.waiters[decision.Displaced]; found && decision.Displaced != 0 {
+		l.end(displaced, admitted{err: refuseAdmission(admission.Decision{
+			Outcome: admission.Full, RetryAfter: l.queue.Service(),
+		})})
+	}
+	waiting := &waiter{call: call, request: request, result: make(chan admitted, 1)}
+	l.waiters[request.Ticket] = waiting
+	if !l.ticking {
+		l.ticking = true
+		go l.tick()
+	}
+	return waiting, nil, nil
+}
+
+func refuseAdmission(decision admission.Decision) *refusal.Refusal {
+	if decision.Outcome == admission.Full {
+		return &refusal.Refusal{
+			Reason: refusal.Overloaded, Message: "too many requests wait for this model",
+			RetryAfter: decision.RetryAfter,
+		}
+	}
+	return &refusal.Refusal{
+		Reason: refusal.DeadlineUnreachable, Message: "the answer would come after the deadline",
+		RetryAfter: decision.RetryAfter,
+	}
+}
+
+// end tells a waiter its result. The caller holds the lock.
+func (l *lane) end(waiting *waiter, result admitted) {
+	delete(l.waiters, waiting.request.Ticket)
+	waiting.result <- result
+}
+
+// leave takes a waiter out. A slot that it got at the same moment goes back.
+func (l *lane) leave(waiting *waiter) {
+	l.mu.Lock()
+	_, waits := l.waiters[waiting.request.Ticket]
+	if waits {
+		delete(l.waiters, waiting.request.Ticket)
+		l.queue.Remove(waiting.request)
+	}
+	l.mu.Unlock()
+	if waits {
+		return
+	}
+	if result := <-waiting.result; result.slot != nil {
+		l.server.release(result.slot)
+	}
+}
+
+// expire refuses the waiting requests that cannot end in time any more.
+func (l *lane) expire(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	capacity := admission.Capacity{}
+	seen := make(map[fleet.Item]bool)
+	for _, waiting := range l.waiters {
+		if seen[waiting.call.Item] {
+			continue
+		}
+		seen[waiting.call.Item] = true
+		readyIn := time.Duration(0)
+		if known := l.wakes[waiting.call.Item]; known != nil && known.err == nil {
+			readyIn = max(0, known.estimate.ReadyIn-now.Sub(known.at))
+		}
+		found := l.server.capacity(waiting.call, now, readyIn)
+		if capacity.Slots == 0 || found.ReadyIn < capacity.ReadyIn {
+			capacity = found
+		}
+	}
+	for _, request := range l.queue.Expire(now, capacity) {
+		l.end(l.waiters[request.Ticket], admitted{err: refuseAdmission(admission.Decision{
+			Outcome: admission.Late, RetryAfter: max(l.queue.Service(), capacity.ReadyIn),
+		})})
+	}
+}
+
+// pump starts waiting requests as long as there is room.
+func (l *lane) pump(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.queue.Len() == 0 {
+		return
+	}
+	full := make(map[fleet.Item]bool)
+	stuck := make(map[admission.Ticket]bool)
+	for {
+		request, found := l.queue.Next(func(r admission.Request) bool { return !full[r.Item] && !stuck[r.Ticket] })
+		if !found {
+			return
+		}
+		waiting := l.waiters[request.Ticket]
+		taken, found := l.server.take(waiting.call, now, false)
+		if !found {
+			full[request.Item] = !waiting.call.alone
+			stuck[request.Ticket] = true
+			continue
+		}
+		l.queue.Started(request)
+		l.end(waiting, admitted{slot: taken})
+	}
+}
+
+// tick serves the waiting requests until there are none.
+func (l *lane) tick() {
+	ticker := time.NewTicker(pumpInterval)
+	defer ticker.Stop()
+	lastExpiry := time.Now()
+	for range ticker.C {
+		now := time.Now()
+		l.pump(now)
+		if now.Sub(lastExpiry) >= expireInterval {
+			lastExpiry = now
+			l.wakeWaiting()
+			l.expire(now)
+		}
+		l.mu.Lock()
+		if len(l.waiters) == 0 {
+			l.ticking = false
+			l.mu.Unlock()
+			return
+		}
+		l.mu.Unlock()
+	}
+}
+
+// wakeWaiting asks again for the items that requests wait for, and refuses the
+// requests whose item will not be ready in time.
+func (l *lane) wakeWaiting() {
+	l.mu.Lock()
+	waiting := make([]*waiter, 0, len(l.waiters))
+	for _, found := range l.waiters {
+		waiting = append(waiting, found)
+	}
+	l.mu.Unlock()
+	for _, one := range waiting {
+		if _, err := l.readyIn(one.call, time.Now()); err != nil {
+			l.refuse(one, err)
+		}
+	}
+}
+
+func (l *lane) refuse(waiting *waiter, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, waits := l.waiters[waiting.request.Ticket]; waits {
+		l.queue.Remove(waiting.request)
+		l.end(waiting, admitted{err: err})
+	}
+}
+
+// readyIn returns the time until a replica of the call's item is ready, and a
+// refusal if that is too late. It has the item loaded if there is no replica.
+func (l *lane) readyIn(call *Call, now time.Time) (time.Duration, error) {
+	if len(usable(l.server.Directory.Replicas(call.Item))) > 0 {
+		return 0, nil
+	}
+	if l.server.Waker == nil {
+		return 0, refusal.New(refusal.NoServer, "no replica is loaded")
+	}
+	state := l.wake(call, now)
+	if state.err != nil {
+		patience := min(wakePatience, call.Deadline.Sub(call.Started)/3)
+		if now.Sub(state.failing) < patience {
+			return 0, nil
+		}
+		return 0, &refusal.Refusal{
+			Reason: refusal.NoServer, Message: "no replica can be loaded: " + state.err.Error(),
+			RetryAfter: wakePatience,
+		}
+	}
+	left := state.estimate.ReadyIn - now.Sub(state.at)
+	if now.Add(left).After(call.Deadline) {
+		return 0, &refusal.Refusal{
+			Reason: refusal.DeadlineUnreachable, Message: "the model will not be loaded before the deadline",
+			RetryAfter: left,
+		}
+	}
+	return max(0, left), nil
+}
+
+// wake calls the waker, though not more often than the interval.
+func (l *lane) wake(call *Call, now time.Time) wake {
+	l.mu.Lock()
+	state := l.wakes[call.Item]
+	if state == nil {
+		state = &wake{}
+		l.wakes[call.Item] = state
+	}
+	if now.Sub(state.at) < wakeInterval && !state.at.IsZero() {
+		defer l.mu.Unlock()
+		return *state
+	}
+	state.at = now
+	l.mu.Unlock()
+	estimate, err := l.server.Waker.Wake(context.WithoutCancel(call.Context), call.Item, call.Deadline)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil && (state.err == nil || now.Sub(state.failing) > 2*wakePatience) {
+		state.failing = now
+	}
+	state.estimate, state.err = estimate, err
+	return *state
+}
+
+// capacity returns what the requests of a call's item can run on.
+func (s *Server) capacity(call *Call, now time.Time, readyIn time.Duration) (capacity admission.Capacity) {
+	replicas := usable(s.Directory.Replicas(call.Item))
+	if len(replicas) == 0 {
+		slots := max(1, call.Deployment.Concurrency)
+		return admission.Capacity{Slots: slots, Free: slots, ReadyIn: readyIn}
+	}
+	for at := range replicas {
+		if replicas[at].Region != s.Place.Region && len(replicas) > 1 && s.Place.Region != "" {
+			continue
+		}
+		candidate := s.servers.get(replicas[at].Server).candidate(now, &replicas[at], call)
+		capacity.Slots += candidate.Limit
+		capacity.Free += max(0, candidate.Limit-candidate.InFlight)
+	}
+	return capacity
+}
+
+// served notes the end of a request that got its answer.
+func (l *lane) served(span time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.queue.Served(span)
+}
+
+// firstByte notes the time to a first byte.
+func (l *lane) firstByte(stream bool, span time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.quantiles(stream).Observe(span)
+}
+
+func (l *lane) quantiles(stream bool) *retry.Quantiles {
+	if stream {
+		return &l.streamed
+	}
+	return &l.whole
+}
+
+// Timing of hedges and of the first suspicion of silence.
+const (
+	hedgeQuantile   = 0.95
+	hedgeMedians    = 3
+	leastHedgeDelay = 20 * time.Millisecond
+	lateQuantile    = 0.99
+	lateFactor      = 3
+	leastSilence    = time.Second
+	unknownSilence  = 5 * time.Second
+)
+
+// patience returns after which time without a first byte a call is hedged and
+// after which its connection is suspected. The first is 0 if too little is
+// known.
+func (l *lane) patience(stream bool) (hedge, silence time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.quantiles(stream)
+	late, enough := known.At(lateQuantile)
+	if !enough {
+		return 0, unknownSilence
+	}
+	high, _ := known.At(hedgeQuantile)
+	median, _ := known.At(0.5)
+	return max(leastHedgeDelay, min(high, hedgeMedians*median)), max(leastSilence, min(lateFactor*late, unknownSilence))
+}
--- a/internal/caller/relay.go
+++ b/internal/caller/relay.go
@@ -3,9 +3,7 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -13,169 +11,232 @@
 
 	"github.com/guavatrack/guavatrack/internal/engine"
 	"github.com/guavatrack/guavatrack/internal/retry"
-	"github.com/guavatrack/guavatrack/pkg/fleet"
 	"github.com/guavatrack/guavatrack/pkg/refusal"
 )
 
-const (
-	// maxAnswer bounds an answer that is not streamed, in bytes.
-	maxAnswer = 16 << 20
-	// maxAttempts bounds the attempts of one call.
-	maxAttempts = 4
-	streamType  = "text/event-stream"
-)
+const streamType = "text/event-stream"
 
-var (
-	errForeign  = errors.New("answer belongs to another request")
-	errGap      = errors.New("events are missing from the stream")
-	errTooLarge = errors.New("answer too large")
-)
+// relay carries one completion through its attempts.
+type relay struct {
+	*Server
+	call     *Call
+	position retry.Position
+	// silences counts the connections of the call that were found silent.
+	silences int
+}
 
-// statusError is an answer of a backend server that is worth another attempt.
-type statusError struct{ status int }
-
-// Error implements error.
-func (e *statusError) Error() string { return "backend server answered " + strconv.Itoa(e.status) }
-
-// relayCompletion sends a completion to a replica and relays the answer,
-// trying other replicas as long as that helps.
-func (s *Server) relayCompletion(call *Call) (err error) {
-	position := &retry.Position{Request: call.ID, Next: call.Next}
-	var failed []fleet.ServerID
-	for range maxAttempts {
-		replica, found := s.pick(call, failed)
-		if !found {
-			break
+// relayCompletion sends a completion to the replica that it was admitted to and
+// relays the answer. After a failure it goes on elsewhere, at the event where
+// the answer broke off.
+func (s *Server) relayCompletion(call *Call) error {
+	r := &relay{Server: s, call: call, position: retry.Position{Request: call.ID, Next: call.Next}}
+	s.earn(call.Started)
+	taken := call.slot
+	for {
+		err := r.try(taken)
+		if err == nil {
+			call.lane.served(time.Since(taken.started))
+			r.clear()
+			return nil
 		}
-		err = s.attempt(call, replica, position)
-		if err == nil || call.Context.Err() != nil || !position.Resumable() {
+		if _, final := refusal.As(err); final || call.Context.Err() != nil || len(call.failed) == 0 {
 			return err
 		}
-		failed = append(failed, replica.Server)
-	}
-	if err == nil {
-		return &refusal.Refusal{
-			Reason: refusal.NoServer, Message: "no replica is ready", RetryAfter: time.Second,
+		if taken, err = r.next(err); err != nil {
+			return err
 		}
 	}
-	return err
 }
 
-// pick chooses the replica with the fewest requests, avoiding those that
-// failed this call as long as there are others.
-func (s *Server) pick(call *Call, failed []fleet.ServerID) (best engine.Replica, found bool) {
-	least := int64(0)
-	replicas := usable(s.Directory.Replicas(call.Item))
-	fresh := slices.DeleteFunc(slices.Clone(replicas), func(r engine.Replica) bool {
-		return slices.Contains(failed, r.Server)
+// clear takes back the suspicion of a request that ended well.
+func (r *relay) clear() {
+	if r.call.alone {
+		digest, ctx := r.call.digest, context.WithoutCancel(r.call.Context)
+		r.background.Go(func() { r.poison.Cleared(ctx, digest) })
+	}
+}
+
+// next decides after a failed attempt and takes a slot for another one.
+func (r *relay) next(failed error) (*slot, error) {
+	call := r.call
+	if err := r.judge(call); err != nil {
+		return nil, err
+	}
+	last := call.failed[len(call.failed)-1]
+	decision := r.decide(retry.State{
+		Now: time.Now(), Deadline: call.Deadline, Idempotent: true, Sent: call.Sent(),
+		Resumable: r.position.Resumable() || !call.begun, Failed: call.failed,
 	})
-	if len(fresh) > 0 {
-		replicas = fresh
-	}
-	if len(replicas) == 0 {
-		return best, false
-	}
-	first := s.random.IntN(len(replicas))
-	for at := range replicas {
-		replica := replicas[(first+at)%len(replicas)]
-		load := s.servers.get(replica.Server).inFlight.Load()
-		if !found || load < least {
-			best, least, found = replica, load, true
+	if !decision.Again {
+		return nil, failed
+	}
+	r.meters.retries.Inc(1)
+	if !pause(call.Context, decision.Pause) {
+		return nil, failed
+	}
+	if decision.SameServer {
+		if taken, found := r.again(last); found {
+			return taken, nil
+		}
+	}
+	taken, err := call.lane.acquire(call)
+	if err != nil {
+		return nil, err
+	}
+	taken.fresh = last.Failure == retry.SilentConnection
+	return taken, nil
+}
+
+// again takes another slot at the server whose connection failed.
+func (r *relay) again(last retry.Attempt) (*slot, bool) {
+	for _, replica := range usable(r.Directory.Replicas(r.call.Item)) {
+		if replica.Server == last.Server {
+			taken := r.takeAt(r.call, replica, time.Now(), "")
+			taken.fresh = true
+			return taken, true
 		}
 	}
-	return best, found
+	return nil, false
 }
 
-func (s *Server) attempt(call *Call, replica engine.Replica, position *retry.Position) (err error) {
-	state := s.servers.get(replica.Server)
-	state.inFlight.Add(1)
-	defer state.inFlight.Add(-1)
-	s.meters.sends.Inc(1)
-	ctx, cancel := context.WithCancel(call.Context)
-	defer cancel()
-	request, err := completionTo(traceSent(ctx, call), call, replica, position)
+// try makes an attempt, with a hedge if the first byte is late, and relays what
+// comes. Failed attempts are noted in the call.
+func (r *relay) try(taken *slot) error {
+	winner, err := r.race(taken)
 	if err != nil {
 		return err
 	}
-	response, err := s.Transport.RoundTrip(request)
-	if err != nil {
-		return errors.Wrapf(err, "send to %s", replica.Server)
-	}
-	defer func() { _ = response.Body.Close() }()
-	if id := response.Header.Get(engine.RequestIDHeader); id != "" && id != string(call.ID) {
-		return errForeign
+	defer r.release(winner.slot)
+	defer winner.close(nil)
+	if winner.decoder == nil {
+		winner.slot.server.succeeded()
+		return r.relayWhole(winner)
 	}
-	if retriable(response.StatusCode) {
-		return &statusError{response.StatusCode}
+	stop := r.watchStream(winner)
+	err = r.relayStream(winner)
+	stop()
+	if _, final := refusal.As(err); final {
+		return err
 	}
-	if call.Stream && response.StatusCode == http.StatusOK {
-		return s.relayStream(call, response, position)
+	if err != nil {
+		winner.err = err
+		r.fail(winner)
+		return err
 	}
-	return relayWhole(call, response)
+	winner.slot.server.succeeded()
+	return nil
 }
 
-// completionTo returns the request that sends a completion to a replica.
-func completionTo(
-	ctx context.Context, call *Call, replica engine.Replica, position *retry.Position,
-) (request *http.Request, err error) {
-	url := "http://" + replica.Address + call.Request.URL.Path
-	request, err = http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(call.Body))
+// request returns the request that sends the completion to a replica.
+func (r *relay) request(ctx context.Context, taken *slot) (request *http.Request, err error) {
+	ctx = traceSent(ctx, &r.call.sent, &taken.sent)
+	url := "http://" + taken.replica.Address + r.call.Request.URL.Path
+	request, err = http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(r.call.Body))
 	if err != nil {
-		return nil, errors.Wrapf(err, "request to %s", replica.Server)
+		return nil, errors.Wrapf(err, "request to %s", taken.replica.Server)
 	}
 	header := request.Header
 	header.Set("Content-Type", jsonType)
-	header.Set(engine.RequestIDHeader, string(call.ID))
-	header.Set(engine.PriorityHeader, priority(call.Class))
-	header.Set(engine.DeadlineHeader, strconv.FormatInt(max(1, call.Left().Milliseconds()), 10))
-	if position.Next > 0 {
-		header.Set(engine.LastEventIDHeader, engine.EventID(call.ID, position.Next-1))
+	header.Set(engine.RequestIDHeader, string(r.call.ID))
+	header.Set(engine.PriorityHeader, priority(r.call.Class))
+	header.Set(engine.DeadlineHeader, strconv.FormatInt(max(1, r.call.Left().Milliseconds()), 10))
+	if r.position.Next > 0 {
+		header.Set(engine.LastEventIDHeader, engine.EventID(r.call.ID, r.position.Next-1))
 	}
 	return request, nil
 }
 
-// retriable reports whether an answer with the status may be followed by
-// another attempt.
-func retriable(status int) bool {
-	switch status {
-	case http.StatusNotFound, http.StatusConflict, http.StatusTooManyRequests:
-		return true
+// start begins an exchange in the background and sends it to results when its
+// first byte has come or it has failed.
+func (r *relay) start(taken *slot, results chan<- *exchange) *exchange {
+	r.meters.sends.Inc(1)
+	e := newExchange(r.call.Context, taken)
+	request, err := r.request(e.ctx, taken)
+	if err != nil {
+		e.err = err
+		results <- e
+		return e
+	}
+	transport := r.transports.pooled
+	if taken.fresh {
+		transport = r.transports.fresh
+	}
+	go func() {
+		if r.call.alone {
+			e.err = r.tryAlone(e.ctx, taken)
+		}
+		if e.err == nil {
+			e.open(transport, request)
+		}
+		results <- e
+	}()
+	return e
+}
+
+// fail notes a failed exchange in the call and in the state of its server.
+func (r *relay) fail(e *exchange) {
+	if _, final := refusal.As(e.err); final || r.call.Context.Err() != nil {
+		return
+	}
+	kind := e.failure()
+	if kind == retry.Broken && r.investigate(e.slot) {
+		kind = retry.Crashed
+	}
+	r.call.failed = append(r.call.failed, retry.Attempt{
+		Server: e.slot.replica.Server, Domain: e.slot.replica.FailureDomain, Failure: kind,
+	})
+	now := time.Now()
+	state := e.slot.server
+	switch kind {
+	case retry.Declined:
+		state.declined(now, e.slot)
+	case retry.SilentConnection, retry.Crossed:
+		r.silences++
+		r.transports.dropIdle(now)
+	case retry.Crashed:
 	default:
-		return status >= http.StatusInternalServerError
+		state.failed(now)
+	}
+}
+
+func (r *relay) relayWhole(e *exchange) error {
+	if kind := e.response.Header.Get("Content-Type"); kind != "" {
+		r.call.Response.Header().Set("Content-Type", kind)
 	}
+	return writeBody(r.call, e.response.StatusCode, e.body)
 }
 
 // relayStream relays events to the caller, each as soon as it has come.
-func (s *Server) relayStream(call *Call, response *http.Response, position *retry.Position) error {
-	flusher, _ := call.Response.(http.Flusher)
-	decoder := engine.NewStreamDecoder(response.Body)
+func (r *relay) relayStream(e *exchange) (err error) {
+	flusher, _ := r.call.Response.(http.Flusher)
+	event := e.first
 	for {
-		event, err := decoder.Next()
-		if err != nil {
-			return errors.Wrap(err, "read stream")
-		}
-		switch position.Accept(event) {
-		case retry.Drop:
-			continue
+		verdict := r.position.Accept(event)
+		switch verdict {
 		case retry.Foreign:
 			return errForeign
 		case retry.Gap:
 			return errGap
 		case retry.Forward:
+			if err := r.forward(event); err != nil {
+				return err
+			}
+			if event.Done() || !e.decoder.Buffered() {
+				flusher.Flush()
+			}
+		case retry.Drop:
 		}
-		if err := s.forward(call, event); err != nil {
-			return err
-		}
-		if event.Done() || !decoder.Buffered() {
-			flusher.Flush()
-		}
-		if event.Done() {
+		if event.Done() && verdict == retry.Forward {
 			return nil
 		}
+		if event, err = e.decoder.Next(); err != nil {
+			return errors.Wrap(err, "read stream")
+		}
 	}
 }
 
-func (s *Server) forward(call *Call, event engine.Event) error {
+func (r *relay) forward(event engine.Event) error {
+	call := r.call
 	if !call.begun {
 		call.begun = true
 		header := call.Response.Header()
@@ -184,32 +245,23 @@
 		call.Response.WriteHeader(http.StatusOK)
 	}
 	if _, err := call.Response.Write(event.Raw); err != nil {
-		return errors.Wrap(err, "write to caller")
+		return refusal.New(refusal.CallerLeft, "the caller's connection broke")
 	}
-	s.meters.events.Inc(1)
+	r.meters.events.Inc(1)
 	return nil
 }
 
-// readAnswer reads a whole answer, so that no part of one that breaks off
-// reaches the caller.
-func readAnswer(response *http.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
-	if err != nil {
-		return nil, errors.Wrap(err, "read answer")
-	}
-	if len(body) > maxAnswer {
-		return nil, errTooLarge
-	}
-	return body, nil
-}
-
-func relayWhole(call *Call, response *http.Response) error {
-	body, err := readAnswer(response)
-	if err != nil {
-		return err
+// pause waits and reports whether the context is still alive.
+func pause(ctx context.Context, span time.Duration) bool {
+	if span <= 0 {
+		return ctx.Err() == nil
 	}
-	if kind := response.Header.Get("Content-Type"); kind != "" {
-		call.Response.Header().Set("Content-Type", kind)
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	return writeBody(call, response.StatusCode, body)
 }
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -11,8 +12,12 @@
 
 	"github.com/gorilla/mux"
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
 
+	"github.com/guavatrack/guavatrack/internal/claim"
 	"github.com/guavatrack/guavatrack/internal/engine"
+	"github.com/guavatrack/guavatrack/internal/poison"
+	"github.com/guavatrack/guavatrack/internal/route"
 	"github.com/guavatrack/guavatrack/internal/table"
 	"github.com/guavatrack/guavatrack/internal/vmlist"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
@@ -76,20 +81,29 @@
 	Keys    Authenticator
 	Log     *slog.Logger
 	Metrics metrics.Registry
-	// Rand is used under a lock; nil means a random seed.
+	// Rand is the source of random choices; nil means a random seed.
 	Rand *rand.Rand
-	// Transport carries requests to backend servers; nil means a transport of
-	// the server's own.
-	Transport http.RoundTripper
+	// Dial connects to backend servers; nil means TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// SpreadPoison, if set, tells the other nodes of a request that crashes
+	// backend servers. They call LearnPoison.
+	SpreadPoison func(poison.Notice)
 
-	once     sync.Once
-	router   *mux.Router
-	observer Observer
-	meters   meters
-	random   lockedRand
-	servers  serverShards
-	draining atomic.Bool
-	active   activeCalls
+	once       sync.Once
+	router     *mux.Router
+	observer   Observer
+	meters     meters
+	transports transports
+	servers    serverShards
+	lanes      laneShards
+	prefixes   prefixState
+	budgets    budgets
+	link       linkState
+	claims     *claim.Controller
+	poison     *poison.Controller
+	draining   atomic.Bool
+	active     activeCalls
+	background sync.WaitGroup
 }
 
 // Handler returns the HTTP handler for callers.
@@ -112,16 +126,41 @@
 // Run does the server's work in the background until the context ends.
 func (s *Server) Run(ctx context.Context) error {
 	s.once.Do(s.setUp)
-	<-ctx.Done()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return s.claims.Run(ctx) })
+	group.Go(func() error { return s.poison.Run(ctx) })
+	group.Go(func() error { return s.housekeep(ctx) })
+	return group.Wait()
+}
+
+// housekeepInterval is how often state that is no longer needed is dropped.
+const housekeepInterval = time.Minute
+
+// housekeep drops the state of backend servers without requests now and then.
+// It is learned again in a few requests.
+func (s *Server) housekeep(ctx context.Context) error {
+	for pause(ctx, housekeepInterval) {
+		s.servers.forget(func(fleet.ServerID) bool { return false })
+	}
+	s.transports.close()
 	return nil
 }
 
+// LearnPoison takes in another node's notice of a request that crashes backend
+// servers.
+func (s *Server) LearnPoison(notice poison.Notice) {
+	s.once.Do(s.setUp)
+	s.poison.Learn(notice)
+}
+
 // Drain takes no new requests and waits for those that run. When the context
 // ends it cuts off the rest and returns their number.
 func (s *Server) Drain(ctx context.Context) (cutOff int) {
 	s.once.Do(s.setUp)
 	s.draining.Store(true)
-	return s.active.drain(ctx)
+	cutOff = s.active.drain(ctx)
+	s.claims.Flush(ctx)
+	return cutOff
 }
 
 func (s *Server) setUp() {
@@ -134,13 +173,18 @@
 	if s.Rand == nil {
 		s.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
-	if s.Transport == nil {
-		s.Transport = newTransport()
-	}
 	if observer, is := s.Waker.(Observer); is {
 		s.observer = observer
 	}
-	s.random.source = s.Rand
+	s.Rand = rand.New(&lockedSource{source: s.Rand})
+	s.transports.setUp(s.Dial)
+	s.lanes.setUp()
+	s.budgets.setUp()
+	s.link.setUp()
+	s.claims = &claim.Controller{Store: s.Store, Node: s.Node, Log: s.Log, Metrics: s.Metrics}
+	s.poison = &poison.Controller{
+		Store: s.Store, Node: s.Node, Spread: s.SpreadPoison, Log: s.Log, Metrics: s.Metrics,
+	}
 	s.meters.register(s.Metrics)
 	s.servers.setUp()
 	s.active.setUp()
@@ -154,9 +198,10 @@
 	model := chain(HandlerFunc(s.showModel), FilterFunc(s.authenticate))
 	completion := chain(HandlerFunc(s.relayCompletion),
 		FilterFunc(s.authenticate), FilterFunc(s.decodeCompletion), FilterFunc(s.setDeadline),
-		FilterFunc(s.admit))
-	service := chain(HandlerFunc(s.relayService),
-		FilterFunc(s.authenticate), FilterFunc(s.decodeService), FilterFunc(s.setDeadline))
+		FilterFunc(s.isolate), FilterFunc(s.admit))
+	service := chain(HandlerFunc(s.callService),
+		FilterFunc(s.authenticate), FilterFunc(s.decodeService), FilterFunc(s.setDeadline),
+		FilterFunc(s.respond), FilterFunc(s.claimOnce), FilterFunc(s.isolate))
 	router.Handle("/v1/models", s.serve(models)).Methods(http.MethodGet)
 	router.Handle("/v1/models/{model:.*}", s.serve(model)).Methods(http.MethodGet)
 	router.Handle(chatPath, s.serve(completion)).Methods(http.MethodPost)
@@ -172,17 +217,33 @@
 	completionPath = "/v1/completions"
 )
 
-// lockedRand shares a random source between requests.
-type lockedRand struct {
+// lockedSource shares a random source between requests.
+type lockedSource struct {
 	mu     sync.Mutex
-	source *rand.Rand
+	source rand.Source
+}
+
+// Uint64 implements [rand.Source].
+func (l *lockedSource) Uint64() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.source.Uint64()
+}
+
+// Bounds of what a node sends and receives over the link between regions.
+const (
+	linkPerSecond = 256 * fleet.KiB
+	linkBurst     = 4 * fleet.MiB
+)
+
+// linkState guards [route.Link].
+type linkState struct {
+	sync.Mutex
+	route.Link
 }
 
-// IntN returns a number from 0 to n-1.
-func (r *lockedRand) IntN(n int) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.source.IntN(n)
+func (l *linkState) setUp() {
+	l.PerSecond, l.Burst = linkPerSecond, linkBurst
 }
 
 // activeCalls counts the calls in progress.
--- a/internal/caller/servers.go
+++ b/internal/caller/servers.go
@@ -2,9 +2,14 @@
 
 import (
 	"hash/maphash"
+	"math"
 	"sync"
-	"sync/atomic"
+	"time"
 
+	"github.com/guavatrack/guavatrack/internal/admission"
+	"github.com/guavatrack/guavatrack/internal/engine"
+	"github.com/guavatrack/guavatrack/internal/poison"
+	"github.com/guavatrack/guavatrack/internal/route"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
@@ -25,7 +30,25 @@
 
 // server is the node's own view of a backend server.
 type server struct {
-	inFlight atomic.Int64
+	id fleet.ServerID
+
+	mu      sync.Mutex
+	health  route.Health
+	running map[*slot]struct{}
+	models  map[fleet.ModelID]*modelSlots
+	// firstByte is the average time to the first byte, as of firstByteAt.
+	firstByte   time.Duration
+	firstByteAt time.Time
+	// exclusive is the call that must run alone, if there is one.
+	exclusive *Call
+	// deadBoot is the newest run of the server's process known to have ended.
+	deadBoot fleet.BootID
+}
+
+// modelSlots bounds the requests of one model and its adapters.
+type modelSlots struct {
+	limit    admission.Limit
+	inFlight int
 }
 
 func (s *serverShards) setUp() {
@@ -42,8 +65,159 @@
 	defer shard.mu.Unlock()
 	found := shard.servers[id]
 	if found == nil {
-		found = &server{}
+		found = &server{
+			id: id, running: make(map[*slot]struct{}), models: make(map[fleet.ModelID]*modelSlots),
+		}
 		shard.servers[id] = found
 	}
 	return found
 }
+
+// forget drops the state of servers that have no requests.
+func (s *serverShards) forget(listed func(fleet.ServerID) bool) {
+	for at := range s.shards {
+		shard := &s.shards[at]
+		shard.mu.Lock()
+		for id, state := range shard.servers {
+			if state.load() == 0 && !listed(id) {
+				delete(shard.servers, id)
+			}
+		}
+		shard.mu.Unlock()
+	}
+}
+
+func (s *server) load() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.running)
+}
+
+// slots returns the bound of a model. The caller holds the lock.
+func (s *server) slots(model fleet.ModelID, concurrency int) *modelSlots {
+	found := s.models[model]
+	if found == nil {
+		found = &modelSlots{}
+		s.models[model] = found
+	}
+	found.limit.Max = max(1, concurrency)
+	return found
+}
+
+// firstByteLife is the time in which an average that is not renewed loses its
+// weight.
+const firstByteLife = 10 * time.Second
+
+// candidate describes the server for a choice.
+func (s *server) candidate(now time.Time, replica *engine.Replica, call *Call) route.Candidate {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	slots := s.slots(replica.Item.Model, call.Deployment.Concurrency)
+	slots.limit.Report(now, replica.AsOf, replica.Queued, slots.inFlight)
+	candidate := route.Candidate{
+		Server: s.id, Place: replica.Place, InFlight: slots.inFlight, Limit: slots.limit.Value(),
+		Others: max(0, replica.Running+replica.Queued-slots.inFlight), AsOf: replica.AsOf,
+		ReadySince: replica.ReadySince, Ejected: s.health.Ejected(now),
+	}
+	if s.firstByte > 0 {
+		fade := math.Exp(-float64(now.Sub(s.firstByteAt)) / float64(firstByteLife))
+		candidate.FirstByte = time.Duration(float64(s.firstByte) * fade)
+	}
+	if s.exclusive != nil && s.exclusive != call || replica.Boot != "" && replica.Boot == s.deadBoot {
+		candidate.Limit, candidate.InFlight = 0, math.MaxInt
+	}
+	return candidate
+}
+
+// enter takes a slot.
+func (s *server) enter(now time.Time, taken *slot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running[taken] = struct{}{}
+	s.health.Started(now)
+	if taken.call.alone {
+		s.exclusive = taken.call
+	}
+	if taken.replica.Item.Model != "" {
+		s.slots(taken.replica.Item.Model, taken.call.Deployment.Concurrency).inFlight++
+	}
+}
+
+// leave gives a slot back.
+func (s *server) leave(taken *slot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.running, taken)
+	if s.exclusive == taken.call {
+		s.exclusive = nil
+	}
+	if model := taken.replica.Item.Model; model != "" {
+		s.slots(model, taken.call.Deployment.Concurrency).inFlight--
+	}
+}
+
+const firstByteWeight = 0.2
+
+// observe notes the time to a first byte. A late one counts at once, an early
+// one by and by.
+func (s *server) observe(now time.Time, span time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.firstByteAt = now
+	if span > s.firstByte {
+		s.firstByte = (s.firstByte + span) / 2
+		return
+	}
+	s.firstByte += time.Duration(firstByteWeight * float64(span-s.firstByte))
+}
+
+// died notes the end of a run of the server's process. It returns the digests
+// of what ran on it, and false if the end is known already.
+func (s *server) died(now time.Time, boot fleet.BootID) (aboard []poison.Digest, first bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if boot != "" && s.deadBoot == boot {
+		return nil, false
+	}
+	s.deadBoot = boot
+	s.health.Lost(now)
+	for taken := range s.running {
+		if taken.replica.Boot == boot && taken.sent.Load() {
+			aboard = append(aboard, taken.call.digest)
+		}
+	}
+	return aboard, true
+}
+
+func (s *server) succeeded() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.health.Succeeded()
+}
+
+func (s *server) failed(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.health.Failed(now)
+}
+
+// declined notes that the server had no room.
+func (s *server) declined(now time.Time, taken *slot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.health.Abandoned()
+	s.slots(taken.replica.Item.Model, taken.call.Deployment.Concurrency).limit.Declined(now)
+}
+
+// serviceCandidate describes the server of a plain service for a choice.
+func (s *server) serviceCandidate(now time.Time, place fleet.Place) route.Candidate {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	candidate := route.Candidate{
+		Server: s.id, Place: place, InFlight: len(s.running), Limit: serviceLimit, Ejected: s.health.Ejected(now),
+	}
+	if s.exclusive != nil {
+		candidate.Limit, candidate.InFlight = 0, math.MaxInt
+	}
+	return candidate
+}
--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -10,99 +10,175 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/guavatrack/guavatrack/internal/claim"
 	"github.com/guavatrack/guavatrack/internal/engine"
+	"github.com/guavatrack/guavatrack/internal/retry"
+	"github.com/guavatrack/guavatrack/internal/route"
 	"github.com/guavatrack/guavatrack/internal/vmlist"
-	"github.com/guavatrack/guavatrack/pkg/fleet"
 	"github.com/guavatrack/guavatrack/pkg/refusal"
 )
 
-// relayService sends a call to a plain service and relays the answer. A call
-// that is not idempotent is sent again only if nothing of it was sent.
-func (s *Server) relayService(call *Call) (err error) {
-	var failed []fleet.ServerID
-	for range maxAttempts {
-		vm, found := s.pickService(call, failed)
+const (
+	// serviceLimit is the number of requests of a node that run at once at one
+	// server of a plain service.
+	serviceLimit = 256
+	// tableRetryAfter is when to come back after the table failed.
+	tableRetryAfter = 5 * time.Second
+)
+
+// callService sends a call to a plain service and reads the answer. A call that
+// is not idempotent is sent again only while nothing of it was sent.
+func (s *Server) callService(call *Call) error {
+	s.earn(call.Started)
+	for {
+		vm, found := s.pickService(call)
 		if !found {
-			break
+			return &refusal.Refusal{
+				Reason: refusal.NoServer, Message: "no server of the service is free", RetryAfter: time.Second,
+			}
 		}
-		var answer *serviceAnswer
-		answer, err = s.attemptService(call, vm)
-		if err == nil {
-			return answer.writeTo(call)
+		err := s.attemptService(call, vm)
+		if _, final := refusal.As(err); err == nil || final || call.Context.Err() != nil {
+			return err
 		}
-		if call.Context.Err() != nil || call.Sent() && !call.Target.Idempotent {
+		if err := s.judge(call); err != nil {
 			return err
 		}
-		failed = append(failed, vm.ID)
-	}
-	if err == nil {
-		return &refusal.Refusal{
-			Reason: refusal.NoServer, Message: "no server of the service is live", RetryAfter: time.Second,
+		decision := s.decide(retry.State{
+			Now: time.Now(), Deadline: call.Deadline, Idempotent: call.Target.Idempotent, Sent: call.Sent(),
+			Resumable: true, Failed: call.failed,
+		})
+		if !decision.Again || !pause(call.Context, decision.Pause) {
+			return err
 		}
+		s.meters.retries.Inc(1)
 	}
-	return err
 }
 
-// serviceAnswer is a whole answer of a plain service.
-type serviceAnswer struct {
-	status      int
-	contentType string
-	body        []byte
+func (s *Server) pickService(call *Call) (vm vmlist.VM, found bool) {
+	now := time.Now()
+	vms := slices.DeleteFunc(slices.Clone(s.Services(call.Target.Pool)), func(vm vmlist.VM) bool {
+		return vm.State == vmlist.Leaving
+	})
+	query := route.Query{Now: now, Place: s.Place, Cross: s.linkOpen(now)}
+	for _, failure := range call.failed {
+		query.Avoid = append(query.Avoid, failure.Server)
+		query.AvoidDomains = append(query.AvoidDomains, failure.Domain)
+	}
+	candidates := make([]route.Candidate, len(vms))
+	for at := range vms {
+		candidates[at] = s.servers.get(vms[at].ID).serviceCandidate(now, vms[at].Place)
+	}
+	index, found := route.Pick(query, candidates, s.Rand)
+	if !found {
+		return vmlist.VM{}, false
+	}
+	return vms[index], true
 }
 
-func (a *serviceAnswer) writeTo(call *Call) error {
-	if a.contentType != "" {
-		call.Response.Header().Set("Content-Type", a.contentType)
+// attemptService makes one attempt. A failure is noted in the call.
+func (s *Server) attemptService(call *Call, vm vmlist.VM) (err error) {
+	state := s.servers.get(vm.ID)
+	taken := &slot{
+		server: state, call: call, started: time.Now(),
+		replica: engine.Replica{Server: vm.ID, Address: vm.Address, Place: vm.Place},
+	}
+	if vm.Region != s.Place.Region {
+		taken.cause = route.CauseNoLocal
+	}
+	state.enter(taken.started, taken)
+	defer s.release(taken)
+	s.meters.sends.Inc(1)
+	e := newExchange(call.Context, taken)
+	defer func() { e.close(nil) }()
+	request, err := serviceTo(traceSent(e.ctx, &call.sent, &taken.sent), call, vm)
+	if err != nil {
+		return err
+	}
+	if call.alone {
+		if err := s.tryAlone(e.ctx, taken); err != nil {
+			return err
+		}
 	}
-	return writeBody(call, a.status, a.body)
+	stop := s.watchService(e)
+	e.err = e.read(s.serviceTransport(call), request)
+	stop()
+	if e.err != nil {
+		s.failService(call, e)
+		return e.err
+	}
+	state.succeeded()
+	state.observe(time.Now(), time.Since(taken.started))
+	call.answer = &claim.Answer{
+		Status: e.response.StatusCode, ContentType: e.response.Header.Get("Content-Type"), Body: e.body,
+	}
+	return nil
 }
 
-func (s *Server) pickService(call *Call, failed []fleet.ServerID) (best vmlist.VM, found bool) {
-	least := int64(0)
-	for _, vm := range s.Services(call.Target.Pool) {
-		if vm.State == vmlist.Leaving || slices.Contains(failed, vm.ID) {
-			continue
-		}
-		load := s.servers.get(vm.ID).inFlight.Load()
-		if vm.Region != s.Place.Region {
-			load += remoteServicePenalty
-		}
-		if !found || load < least {
-			best, least, found = vm, load, true
-		}
+// serviceTransport returns new connections for calls that must not be sent
+// twice, since a kept connection may be closed while they are sent.
+func (s *Server) serviceTransport(call *Call) http.RoundTripper {
+	if !call.Target.Idempotent || len(call.failed) > 0 {
+		return s.transports.fresh
 	}
-	return best, found
+	return s.transports.pooled
 }
 
-// remoteServicePenalty is the number of requests that a server of another
-// region must have fewer to be chosen.
-const remoteServicePenalty = 1 << 20
+// serviceSilence is the time without an answer after which an idempotent call
+// tries another connection.
+const serviceSilence = 2 * time.Second
 
-func (s *Server) attemptService(call *Call, vm vmlist.VM) (answer *serviceAnswer, err error) {
-	state := s.servers.get(vm.ID)
-	state.inFlight.Add(1)
-	defer state.inFlight.Add(-1)
-	s.meters.sends.Inc(1)
-	request, err := serviceTo(traceSent(call.Context, call), call, vm)
-	if err != nil {
-		return nil, err
+// watchService ends an exchange that has brought nothing for a while, so that
+// an idempotent call goes on elsewhere. A call that is not idempotent waits
+// until its deadline.
+func (s *Server) watchService(e *exchange) (stop func()) {
+	call := e.slot.call
+	if !call.Target.Idempotent {
+		return func() {}
 	}
-	response, err := s.Transport.RoundTrip(request)
-	if err != nil {
-		return nil, errors.Wrapf(err, "send to %s", vm.ID)
+	patience := min(serviceSilence, call.Left()/3) << min(len(call.failed), maxDoublings)
+	timer := time.AfterFunc(patience, func() {
+		if e.progress.Load() == 0 {
+			e.cancel(errSilentServer)
+		}
+	})
+	return func() { timer.Stop() }
+}
+
+// failService notes a failed attempt at a plain service.
+func (s *Server) failService(call *Call, e *exchange) {
+	if call.Context.Err() != nil {
+		return
 	}
-	defer func() { _ = response.Body.Close() }()
-	if id := response.Header.Get(engine.RequestIDHeader); id != "" && id != string(call.ID) {
-		return nil, errForeign
+	kind := e.failure()
+	now := time.Now()
+	if kind == retry.Broken && !s.accepts(call, e.slot.replica.Address) {
+		kind = retry.Crashed
+		if aboard, first := e.slot.server.died(now, ""); first {
+			s.poison.Crashed(e.slot.replica.Server, "", aboard)
+		}
+	}
+	if kind == retry.SilentServer {
+		s.transports.dropIdle(now)
 	}
-	if response.StatusCode >= http.StatusInternalServerError {
-		return nil, &statusError{response.StatusCode}
+	if kind != retry.Declined {
+		e.slot.server.failed(now)
 	}
-	body, err := readAnswer(response)
+	call.failed = append(call.failed, retry.Attempt{
+		Server: e.slot.replica.Server, Domain: e.slot.replica.FailureDomain, Failure: kind,
+	})
+}
+
+// accepts reports whether a plain service accepts connections.
+func (s *Server) accepts(call *Call, address string) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(call.Context), probeTimeout)
+	defer cancel()
+	connection, err := s.transports.fresh.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, err
+		return false
 	}
-	return &serviceAnswer{response.StatusCode, response.Header.Get("Content-Type"), body}, nil
+	_ = connection.Close()
+	return true
 }
 
 // serviceHeaders are the headers of a caller that reach a plain service.
--- a/internal/caller/transport.go
+++ b/internal/caller/transport.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 )
 
@@ -16,13 +17,28 @@
 	maxIdleConns    = 4096
 	maxIdlePerHost  = 256
 	connBuffer      = 16 << 10
+	// idleDropInterval is the shortest time between two closings of all idle
+	// connections.
+	idleDropInterval = 200 * time.Millisecond
 )
 
-// newTransport returns the transport for requests to backend servers.
-func newTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
-	return &http.Transport{
-		DialContext:         dialer.DialContext,
+// transports carry requests to backend servers.
+type transports struct {
+	// pooled keeps connections for further requests.
+	pooled *http.Transport
+	// fresh opens a connection for each request. It is used where a kept
+	// connection may have gone silent and where a request must not be lost to a
+	// connection that the server closes at the same moment.
+	fresh     *http.Transport
+	droppedAt atomic.Int64
+}
+
+func (t *transports) setUp(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}).DialContext
+	}
+	t.pooled = &http.Transport{
+		DialContext:         dial,
 		MaxIdleConns:        maxIdleConns,
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleConnTimeout,
@@ -30,12 +46,33 @@
 		ReadBufferSize:      connBuffer,
 		WriteBufferSize:     connBuffer,
 	}
+	t.fresh = t.pooled.Clone()
+	t.fresh.DisableKeepAlives = true
+}
+
+// dropIdle closes idle connections, since some of them may have gone silent
+// together with one that has been found silent.
+func (t *transports) dropIdle(now time.Time) {
+	last := t.droppedAt.Load()
+	if now.UnixNano()-last < int64(idleDropInterval) || !t.droppedAt.CompareAndSwap(last, now.UnixNano()) {
+		return
+	}
+	t.pooled.CloseIdleConnections()
+}
+
+func (t *transports) close() {
+	t.pooled.CloseIdleConnections()
+	t.fresh.CloseIdleConnections()
 }
 
-// traceSent marks the call as sent as soon as a connection is at hand, which is
-// before the first byte.
-func traceSent(ctx context.Context, call *Call) context.Context {
+// traceSent sets the flags as soon as a connection is at hand, which is before
+// the first byte is sent.
+func traceSent(ctx context.Context, flags ...*atomic.Bool) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { call.sent.Store(true) },
+		GotConn: func(httptrace.GotConnInfo) {
+			for _, flag := range flags {
+				flag.Store(true)
+			}
+		},
 	})
 }
--- a/internal/poison/book.go
+++ b/internal/poison/book.go
@@ -52,13 +52,21 @@
 	Crashes []Crash `json:"crashes,omitempty"`
 	// ClearedAt takes back the crashes up to that time.
 	ClearedAt time.Time `json:"clearedAt,omitzero"`
-	// Trial names the node that may run the request once more, until TrialEnd.
-	Trial    fleet.NodeID `json:"trial,omitempty"`
-	TrialEnd time.Time    `json:"trialEnd,omitzero"`
+	// Trial is the newest further run that was allowed.
+	Trial Trial `json:"trial,omitzero"`
 	// Until is when the notice is forgotten.
 	Until time.Time `json:"until"`
 }
 
+// Trial is the right to run a suspect once more.
+type Trial struct {
+	Node   fleet.NodeID   `json:"node"`
+	Server fleet.ServerID `json:"server"`
+	Boot   fleet.BootID   `json:"boot"`
+	// End is when the run has ended at the latest.
+	End time.Time `json:"end"`
+}
+
 // MaxCrashes is the number of crashes after which a request is refused.
 const MaxCrashes = 2
 
@@ -94,17 +102,24 @@
 
 // Merge returns what both notices say together. The order does not matter.
 func (n Notice) Merge(other Notice) Notice {
-	known := make(map[Crash]struct{})
+	type run struct {
+		server fleet.ServerID
+		boot   fleet.BootID
+	}
+	// Several nodes may note the same crash; the first time counts.
+	known := make(map[run]Crash)
 	for _, crash := range slices.Concat(n.Crashes, other.Crashes) {
-		crash.At = earliest(crash, n.Crashes, other.Crashes)
-		known[crash] = struct{}{}
+		of := run{crash.Server, crash.Boot}
+		if first, found := known[of]; !found || crash.At.Before(first.At) {
+			known[of] = crash
+		}
 	}
-	n.Crashes = slices.SortedFunc(maps.Keys(known), compareCrashes)
+	n.Crashes = slices.SortedFunc(maps.Values(known), compareCrashes)
 	if other.ClearedAt.After(n.ClearedAt) {
 		n.ClearedAt = other.ClearedAt
 	}
-	if other.TrialEnd.After(n.TrialEnd) || other.TrialEnd.Equal(n.TrialEnd) && other.Trial > n.Trial {
-		n.Trial, n.TrialEnd = other.Trial, other.TrialEnd
+	if order := other.Trial.End.Compare(n.Trial.End); order > 0 || order == 0 && other.Trial.Node > n.Trial.Node {
+		n.Trial = other.Trial
 	}
 	if other.Until.After(n.Until) {
 		n.Until = other.Until
@@ -112,20 +127,6 @@
 	return n
 }
 
-// earliest returns the first time at which the crash was noted, since several
-// nodes may note the same one.
-func earliest(crash Crash, lists ...[]Crash) time.Time {
-	first := crash.At
-	for _, list := range lists {
-		for _, other := range list {
-			if other.Server == crash.Server && other.Boot == crash.Boot && other.At.Before(first) {
-				first = other.At
-			}
-		}
-	}
-	return first
-}
-
 func compareCrashes(a, b Crash) int {
 	return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Server, b.Server), cmp.Compare(a.Boot, b.Boot))
 }
@@ -148,9 +149,16 @@
 	}
 }
 
-// Blame returns which of the requests on a crashed server may have caused the
-// crash: the suspects among them, or all if there is no suspect.
-func (b *Book) Blame(now time.Time, aboard []Digest) []Digest {
+// Blame returns which requests may have caused a crash. If a suspect was on
+// trial on the server, at whichever node, it is that one. Otherwise it is the
+// suspects among the requests that ran there, or all if there is no suspect.
+func (b *Book) Blame(now time.Time, server fleet.ServerID, boot fleet.BootID, aboard []Digest) []Digest {
+	for digest, notice := range b.notices {
+		trial := notice.Trial
+		if trial.Server == server && trial.Boot == boot && now.Before(trial.End) && notice.Counted() > 0 {
+			return []Digest{digest}
+		}
+	}
 	suspects := slices.DeleteFunc(slices.Clone(aboard), func(digest Digest) bool {
 		verdict, _ := b.Check(now, digest)
 		return verdict == Free
--- a/internal/poison/controller.go
+++ b/internal/poison/controller.go
@@ -34,8 +34,10 @@
 	partition    = "poison"
 	pollInterval = 2 * time.Second
 	tableTimeout = time.Second
-	maxTries     = 4
-	pollLimit    = 500
+	// catchUpTimeout bounds the delay of a further attempt after a crash.
+	catchUpTimeout = 200 * time.Millisecond
+	maxTries       = 4
+	pollLimit      = 500
 )
 
 // Controller keeps a [Book] and shares it. Its exported fields are set before
@@ -52,6 +54,7 @@
 	once                     sync.Once
 	mu                       sync.Mutex
 	book                     Book
+	trying                   map[Digest]bool
 	crashes, refused, trials metrics.Counter
 }
 
@@ -62,6 +65,7 @@
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewRegistry()
 	}
+	c.trying = make(map[Digest]bool)
 	c.crashes = metrics.GetOrRegisterCounter(crashesName, c.Metrics)
 	c.refused = metrics.GetOrRegisterCounter(refusedName, c.Metrics)
 	c.trials = metrics.GetOrRegisterCounter(trialsName, c.Metrics)
@@ -86,13 +90,14 @@
 	c.book.Learn(time.Now(), notice)
 }
 
-// Crashed notes the crash of a server against the requests that ran on it and
-// returns when the other nodes can know.
-func (c *Controller) Crashed(ctx context.Context, server fleet.ServerID, boot fleet.BootID, aboard []Digest) {
+// Crashed notes the crash of a server against the requests that ran on it. The
+// other nodes are told in the background; a trial tells them before it begins.
+func (c *Controller) Crashed(server fleet.ServerID, boot fleet.BootID, aboard []Digest) {
 	c.once.Do(c.setUp)
+	c.catchUp()
 	now := time.Now()
 	c.mu.Lock()
-	blamed := c.book.Blame(now, aboard)
+	blamed := c.book.Blame(now, server, boot, aboard)
 	notices := make([]Notice, 0, len(blamed))
 	for _, digest := range blamed {
 		notices = append(notices, c.book.Crashed(now, digest, server, boot))
@@ -100,11 +105,11 @@
 	c.mu.Unlock()
 	c.crashes.Inc(int64(len(notices)))
 	c.Log.Warn("backend server crashed", slog.String("server", string(server)), slog.Int("suspects", len(notices)))
-	var sharing sync.WaitGroup
-	for _, notice := range notices {
-		sharing.Go(func() { c.share(ctx, notice) })
-	}
-	sharing.Wait()
+	go func() {
+		for _, notice := range notices {
+			c.share(context.Background(), notice)
+		}
+	}()
 }
 
 // Cleared notes that a suspect ended well.
@@ -115,11 +120,35 @@
 	c.share(ctx, notice)
 }
 
-// Trial asks for the right to run a suspect once more until the given time. No
+// Trial asks for the right to run a suspect once more on the given server. No
 // two nodes get it at the same time while the table can be reached; without the
-// table the right is given if no other node is known to have it.
-func (c *Controller) Trial(ctx context.Context, digest Digest, end time.Time) (Verdict, time.Time) {
+// table the right is given if no other node is known to have it. If the verdict
+// is [Alone] the caller must end the trial with EndTrial.
+func (c *Controller) Trial(ctx context.Context, digest Digest, trial Trial) (Verdict, time.Time) {
+	trial.Node = c.Node
 	c.once.Do(c.setUp)
+	c.mu.Lock()
+	busy := c.trying[digest]
+	c.trying[digest] = true
+	c.mu.Unlock()
+	if busy {
+		return Refuse, trial.End
+	}
+	verdict, until := c.ask(ctx, digest, trial)
+	if verdict != Alone {
+		c.EndTrial(digest)
+	}
+	return verdict, until
+}
+
+// EndTrial ends what Trial began.
+func (c *Controller) EndTrial(digest Digest) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.trying, digest)
+}
+
+func (c *Controller) ask(ctx context.Context, digest Digest, trial Trial) (Verdict, time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	for range maxTries {
@@ -132,11 +161,12 @@
 			return verdict, until
 		}
 		if trialElsewhere(now, notice, c.Node) {
-			return Refuse, notice.TrialEnd
+			return Refuse, notice.Trial.End
 		}
-		notice.Trial, notice.TrialEnd = c.Node, end
+		notice.Trial = trial
 		if err = c.put(ctx, notice, version); err == nil {
 			c.trials.Inc(1)
+			c.begin(notice)
 			return Alone, notice.Until
 		}
 		if !errors.Is(err, table.ErrConflict) {
@@ -146,13 +176,29 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if notice := c.book.Get(digest); trialElsewhere(time.Now(), notice, c.Node) {
-		return Refuse, notice.TrialEnd
+		return Refuse, notice.Trial.End
 	}
 	return c.book.Check(time.Now(), digest)
 }
 
+// begin tells this and the other nodes of a trial.
+func (c *Controller) begin(notice Notice) {
+	c.Learn(notice)
+	if c.Spread != nil {
+		c.Spread(notice)
+	}
+}
+
 func trialElsewhere(now time.Time, notice Notice, node fleet.NodeID) bool {
-	return notice.Trial != "" && notice.Trial != node && now.Before(notice.TrialEnd)
+	return notice.Trial.Node != "" && notice.Trial.Node != node && now.Before(notice.Trial.End)
+}
+
+// catchUp reads the notices in the table before a crash is held against
+// anyone, since another node may have a suspect on trial on the server.
+func (c *Controller) catchUp() {
+	ctx, cancel := context.WithTimeout(context.Background(), catchUpTimeout)
+	defer cancel()
+	c.poll(ctx)
 }
 
 // share merges a notice into the table and tells the other nodes.
@@ -200,8 +246,10 @@
 		return errors.Wrapf(err, "notice %s", notice.Digest)
 	}
 	write := table.Write{Key: key(notice.Digest), Expect: version, Body: body}
-	return errors.Wrapf(c.Store.Transact(ctx, table.Token(uuid.NewString()), []table.Write{write}),
-		"notice %s", notice.Digest)
+	if err := c.Store.Transact(ctx, table.Token(uuid.NewString()), []table.Write{write}); err != nil {
+		return errors.Wrapf(err, "notice %s", notice.Digest)
+	}
+	return nil
 }
 
 // Run learns the notices in the table until the context ends and deletes those
--- a/pkg/refusal/refusal.go
+++ b/pkg/refusal/refusal.go
@@ -26,6 +26,8 @@
 	NotRun Run = "notRun"
 	// Unknown says that the call may have run.
 	Unknown Run = "unknown"
+	// Ran says that the call has run.
+	Ran Run = "ran"
 )
 
 // Reason says why a request was refused.
@@ -53,6 +55,8 @@
 	OutcomeUnknown      Reason = "outcomeUnknown"
 	DeadlinePassed      Reason = "deadlinePassed"
 	ServerFailed        Reason = "serverFailed"
+	CrashedServers      Reason = "crashedServers"
+	AnswerNotKept       Reason = "answerNotKept"
 )
 
 // statusCallerLeft is the customary status of a request whose caller closed
@@ -94,6 +98,8 @@
 	OutcomeUnknown:      {http.StatusBadGateway, Unknown, kindServer},
 	DeadlinePassed:      {http.StatusGatewayTimeout, Unknown, kindServer},
 	ServerFailed:        {http.StatusBadGateway, Unknown, kindServer},
+	CrashedServers:      {http.StatusUnprocessableEntity, Unknown, kindServer},
+	AnswerNotKept:       {http.StatusConflict, Ran, kindInvalid},
 }
 
 // Reasons returns every reason, in no particular order.
@@ -181,6 +187,8 @@
 		header.Set(retryAfterHeader, strconv.FormatInt(int64(seconds), 10))
 	}
 	w.WriteHeader(r.Reason.Status())
-	_, err = w.Write(body)
-	return errors.Wrap(err, "write refusal")
+	if _, err = w.Write(body); err != nil {
+		return errors.Wrap(err, "write refusal")
+	}
+	return nil
 }
