--- a/internal/caller/site_test.go
+++ b/internal/caller/site_test.go
@@ -170,7 +170,7 @@
 		report, err := client.Report(ctx)
 		if err == nil && len(report.Held) == 0 {
 			*loads++
-			_, _ = client.Load(ctx, engine.LoadOrder{
+			_ = client.Load(ctx, engine.LoadOrder{
 				Item: fleet.Item{Model: hop}, Size: fleet.GiB, Grant: fleet.GrantID(fmt.Sprint(*loads)), Fencing: 1,
 			})
 		}
