policy: learn gaps between requests, schedule by two prices, divide budgets

Cause: a fixed keep-alive suits neither busy nor rare items, and loads from the store have fleet-wide limits. Conclusion: pure decisions complete but for tuning.

--- a/internal/policy/controller.go
+++ b/internal/policy/controller.go
@@ -62,6 +62,11 @@
 	// Weights describes the weight store; the zero value uses defaults.
 	Weights Store
 	Store   table.Store
+	// Live returns the number of live nodes; nil means that there is one.
+	Live func() int
+	// Tell sends what this node saw of items that others decide for to their
+	// first homes, which pass it to [Controller.Heard]. Nil if nobody listens.
+	Tell    func(ctx context.Context, uses []Used)
 	Log     *slog.Logger
 	Metrics metrics.Registry
 
@@ -70,6 +75,19 @@
 	kick     chan struct{}
 	counters counters
 	working  sync.WaitGroup
+
+	// Only Run's goroutine uses these.
+	models, adapters shareHolder
+	pace             pacer
+	toldAt, savedAt  time.Time
+	probedAt         time.Time
+
+	// learning guards what is known of all items and of the store. It is taken
+	// after the lock of a shard.
+	learning   sync.Mutex
+	population Population
+	store      Store
+	started    map[fleet.GrantID]startedLoad
 }
 
 // shard holds the state of some of the items.
@@ -85,8 +103,20 @@
 	since    time.Time
 	deadline time.Time
 	// active counts requests between arrival and end.
-	active   int
-	lastBusy time.Time
+	active int
+	// lastBusy is the end of the last request or of the last load, lastEnd that
+	// of the last request alone.
+	lastBusy, lastEnd time.Time
+	// usedFrom is the first arrival since other nodes were told.
+	usedFrom time.Time
+	pattern  Pattern
+	// changed says that the pattern has not been saved.
+	changed  bool
+	schedule Schedule
+	costs    Costs
+	planned  bool // schedule is valid for costs and lastBusy
+	scale    Scale
+	want     int // replicas that scaling aims for
 	// loading says that a load is being recorded and ordered.
 	loading bool
 	// granted is the newest load, which the view of the servers may not show
@@ -108,6 +138,11 @@
 			c.Metrics = metrics.NewRegistry()
 		}
 		c.counters = newCounters(c.Metrics)
+		c.store = c.Weights
+		c.population = *NewPopulation()
+		c.started = make(map[fleet.GrantID]startedLoad)
+		c.models = shareHolder{Budget: modelBudget(c.Weights), key: table.Key{Partition: budgetPartition, Sort: "models"}}
+		c.adapters = shareHolder{Budget: AdapterBudget, key: table.Key{Partition: budgetPartition, Sort: "adapters"}}
 		for i := range c.shards {
 			c.shards[i].items = make(map[fleet.Item]*itemState)
 		}
@@ -117,7 +152,7 @@
 // with calls f with the state of an item under the lock of its shard.
 func (c *Controller) with(item fleet.Item, f func(*itemState)) {
 	c.init()
-	shard := &c.shards[xxhash.Sum64String(item.String())%shardCount]
+	shard := &c.shards[hashOf(item)%shardCount]
 	shard.Lock()
 	defer shard.Unlock()
 	state := shard.items[item]
@@ -145,7 +180,10 @@
 	}
 	c.counters.forwarded.Inc(1)
 	if estimate, err = c.Forward(ctx, item, deadline); err != nil {
-		return Estimate{}, errors.Wrapf(err, "wake %s at its first home", item)
+		// The first home may be gone. Deciding here as well is safe: the grants
+		// keep the number of replicas.
+		c.counters.forwardsFailed.Inc(1)
+		return c.WakeHere(item, deadline)
 	}
 	return estimate, nil
 }
@@ -160,7 +198,10 @@
 	}
 	now := time.Now()
 	if ready, _ := c.progress(item); ready {
-		c.with(item, func(s *itemState) { s.lastBusy = now })
+		c.with(item, func(s *itemState) {
+			s.lastBusy = now
+			s.planned = false
+		})
 		return Estimate{Progress: 1}, nil
 	}
 	c.with(item, func(s *itemState) { s.wait(now, deadline) })
@@ -207,7 +248,8 @@
 		return Estimate{Progress: 1}
 	}
 	size := c.Snapshot().Size(item)
-	span := c.Weights.LoadTime(item, size, &Server{})
+	store := c.weights()
+	span := store.LoadTime(item, size, &Server{Place: fleet.Place{Region: store.Region}})
 	estimate := Estimate{
 		ReadyIn:  time.Duration((1 - progress) * float64(span)),
 		Progress: progress,
@@ -222,26 +264,29 @@
 
 // Arrived notes that a request for the item has arrived at this node.
 func (c *Controller) Arrived(item fleet.Item, at time.Time) {
-	for _, used := range uses(item) {
+	for _, used := range usedBy(item) {
 		c.with(used, func(s *itemState) {
+			c.arrive(s, at)
 			s.active++
-			s.lastBusy = at
+			s.usedFrom = since(s.usedFrom, at)
 		})
 	}
 }
 
 // Finished notes that a request for the item has ended at this node.
 func (c *Controller) Finished(item fleet.Item, at time.Time) {
-	for _, used := range uses(item) {
+	for _, used := range usedBy(item) {
 		c.with(used, func(s *itemState) {
 			s.active = max(0, s.active-1)
-			s.lastBusy = at
+			s.lastBusy = later(s.lastBusy, at)
+			s.lastEnd = later(s.lastEnd, at)
+			s.planned = false
 		})
 	}
 }
 
-// uses returns what a request for the item keeps busy.
-func uses(item fleet.Item) []fleet.Item {
+// usedBy returns what a request for the item keeps busy.
+func usedBy(item fleet.Item) []fleet.Item {
 	if item.IsAdapter() {
 		return []fleet.Item{item, item.Base()}
 	}
@@ -253,6 +298,7 @@
 func (c *Controller) Run(ctx context.Context) error {
 	c.init()
 	defer c.working.Wait()
+	c.recall(ctx)
 	ticker := time.NewTicker(planEvery)
 	defer ticker.Stop()
 	for {
@@ -263,5 +309,8 @@
 		case <-c.kick:
 		}
 		c.step(ctx, time.Now())
+		c.share(ctx, time.Now())
 	}
 }
+
+func hashOf(item fleet.Item) uint64 { return xxhash.Sum64String(item.String()) }
--- a/internal/policy/placement.go
+++ b/internal/policy/placement.go
@@ -1,10 +1,11 @@
 package policy
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/guavatrack/guavatrack/internal/engine"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 	"github.com/guavatrack/guavatrack/pkg/ticket"
@@ -43,8 +44,9 @@
 	Remote bool
 }
 
-// Place returns the cheapest placement. Among equals the first server in order
-// of id wins, so that all nodes choose the same one from the same view.
+// Place returns the cheapest placement. Among equals a hash of item and server
+// decides, so that items spread over the caches of all servers, come back to the
+// same one, and all nodes choose alike from the same view.
 func Place(query *Query, store Store, servers []Server) (Placement, bool) {
 	domains := make(map[fleet.FailureDomain]bool)
 	for i := range servers {
@@ -62,13 +64,19 @@
 		if domains[servers[i].FailureDomain] {
 			placement.Cost += sharedDomainPenalty
 		}
-		if !found || cmp.Or(cmp.Compare(placement.Cost, best.Cost), cmp.Compare(placement.Server, best.Server)) < 0 {
+		if !found || placement.Cost < best.Cost ||
+			(placement.Cost == best.Cost && affinity(query.Item, placement.Server) > affinity(query.Item, best.Server)) {
 			best, found = placement, true
 		}
 	}
 	return best, found
 }
 
+// affinity orders the servers that are equally good for an item.
+func affinity(item fleet.Item, server fleet.ServerID) uint64 {
+	return xxhash.Sum64String(item.String() + "@" + string(server))
+}
+
 // placeOn returns the placement on one server, if the item may go there.
 func placeOn(query *Query, store Store, server *Server) (Placement, bool) {
 	if !eligible(query, server) {
--- a/internal/policy/plan.go
+++ b/internal/policy/plan.go
@@ -237,7 +237,7 @@
 			held := &p.Servers[i].Held[j]
 			if slices.Contains(grants, held.Grant) && !held.Draining {
 				held.Draining = true
-				p.actions.Unloads = append(p.actions.Unloads, Unload{held.Item, held.Grant, "evicted"})
+				p.actions.Unloads = append(p.actions.Unloads, Unload{held.Item, held.Grant, reasonEvicted})
 			}
 		}
 	}
--- a/internal/policy/store.go
+++ b/internal/policy/store.go
@@ -30,6 +30,8 @@
 	// BytesPerSecond is the speed of one load at full speed; 0 means the
 	// default.
 	BytesPerSecond fleet.Bytes
+	// Startup is what loading a base model takes besides moving its bytes.
+	Startup time.Duration
 	// Slowness is the factor by which loads take longer at present, at least 1.
 	Slowness float64
 	// Down says that loads from the store fail at present.
@@ -39,34 +41,57 @@
 // observedWeight is the share of the newest load in the average slowness.
 const observedWeight = 0.3
 
-// Observe returns the store with the slowness updated by one load of bytes
-// from the store which took a time.
+// downAfter is the slowness from which a load without any progress means that
+// the store is down.
+const downAfter = 10
+
+// Observe returns the store with its speed updated by one load from it which
+// took a time. A load that is faster than expected raises the full speed.
 func (s Store) Observe(size fleet.Bytes, took time.Duration) Store {
-	full := s.transfer(size, 1)
-	if full <= 0 || took <= 0 {
+	moving := max(took-s.Startup, time.Millisecond)
+	if size <= 0 || took <= 0 {
 		return s
 	}
-	slowness := max(1, took.Seconds()/full.Seconds())
+	slowness := moving.Seconds() / s.transfer(size, 1).Seconds()
+	if slowness < 1 {
+		s.BytesPerSecond = fleet.Bytes(float64(size) / moving.Seconds())
+		slowness = 1
+	}
 	s.Slowness = (1-observedWeight)*max(1, s.Slowness) + observedWeight*slowness
 	s.Down = false
 	return s
 }
 
+// overdue returns the store with what a load tells that has been going on for
+// a time: it is at least as slow as that, or down if nothing has come at all.
+func (s Store) overdue(held Held, going time.Duration) Store {
+	slowness := (going - s.Startup).Seconds() / max(s.transfer(held.Size, 1), minLoad).Seconds()
+	if slowness > max(1, s.Slowness) {
+		s.Slowness = slowness
+	}
+	s.Down = s.Down || (held.Progress == 0 && slowness > downAfter)
+	return s
+}
+
 // LoadTime returns how long a load takes on a server, from where the bytes are.
 // It is the time of the transfer; waiting for a slot comes on top.
 func (s Store) LoadTime(item fleet.Item, size fleet.Bytes, server *Server) time.Duration {
+	startup := minLoad
+	if !item.IsAdapter() {
+		startup = max(minLoad, s.Startup)
+	}
 	switch server.Checkpoints[item.String()] {
 	case engine.HostMemory:
-		return max(minLoad, bytesOver(size, hostMemoryBytesPerSecond))
+		return startup + bytesOver(size, hostMemoryBytesPerSecond)
 	case engine.LocalDisk:
-		return max(minLoad, bytesOver(size, diskBytesPerSecond))
+		return startup + bytesOver(size, diskBytesPerSecond)
 	default:
 	}
 	remote := s.transfer(size, max(1, s.Slowness))
 	if s.Region != "" && server.Region != s.Region {
 		remote = max(remote, bytesOver(size, linkBytesPerSecond))
 	}
-	return max(minLoad, remote)
+	return startup + remote
 }
 
 func (s Store) transfer(size fleet.Bytes, slowness float64) time.Duration {
