--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -246,6 +246,14 @@
 	l.PerSecond, l.Burst = linkPerSecond, linkBurst
 }
 
+// Running returns the number of requests in progress at this node.
+func (s *Server) Running() int {
+	s.once.Do(s.setUp)
+	s.active.mu.Lock()
+	defer s.active.mu.Unlock()
+	return len(s.active.calls)
+}
+
 // activeCalls counts the calls in progress.
 type activeCalls struct {
 	mu     sync.Mutex
--- /dev/null
+++ b/internal/node/operators.go
@@ -0,0 +1,31 @@
+package node
+
+import (
+	"github.com/go-faster/errors"
+
+	"github.com/guavatrack/guavatrack/internal/audit"
+	"github.com/guavatrack/guavatrack/internal/keys"
+	"github.com/guavatrack/guavatrack/internal/operator"
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+)
+
+// newOperators puts the operators' API together.
+func newOperators(n *Node, p parts) (*operator.Server, error) {
+	api := &operator.Server{
+		Node: n.ID, Place: n.Settings.Node.Place,
+		Config: p.Config, Audit: &audit.Log{Store: p.Store}, Members: p.Members.Members,
+		Servers: p.Grants.Views, Replicas: p.Grants.Replicas,
+		Explain: func(fleet.Item) any { return nil },
+		Ready:   n.Ready, Drain: n.Drain, Level: n.Level, Metrics: p.Metrics, Docs: Metrics(), Log: n.Log,
+	}
+	given := n.Settings.Operators
+	if given.Tokens != "" {
+		tokens, err := keys.NewSecrets(n.Log, given.Tokens)
+		if err != nil {
+			return nil, errors.Wrap(err, "operators.tokens")
+		}
+		api.Tokens = tokens
+	}
+	api.Open = n.Settings.AllowPlainText && given.Tokens == "" && given.ClientCA == ""
+	return api, nil
+}
--- /dev/null
+++ b/internal/operator/messages.go
@@ -0,0 +1,88 @@
+package operator
+
+import (
+	"github.com/guavatrack/guavatrack/internal/config"
+	"github.com/guavatrack/guavatrack/internal/engine"
+	"github.com/guavatrack/guavatrack/internal/member"
+	"github.com/guavatrack/guavatrack/internal/strictjson"
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+	"github.com/guavatrack/guavatrack/pkg/ticket"
+)
+
+// Error is the body of an error.
+type Error struct {
+	Message string `json:"message"`
+	// Fields lists the wrong values of a ticket.
+	Fields strictjson.FieldErrors `json:"fields,omitempty"`
+}
+
+// errorBody is what an error is sent as.
+type errorBody struct {
+	Error Error `json:"error"`
+}
+
+// Applied is the answer to a ticket.
+type Applied struct {
+	config.Accepted
+	// CheckedOnly says that the ticket is right but was not applied.
+	CheckedOnly bool `json:"checkedOnly,omitempty"`
+}
+
+// ConfigurationView is the configuration in force on a node.
+type ConfigurationView struct {
+	Node     fleet.NodeID     `json:"node"`
+	Revision config.Revision  `json:"revision"`
+	Digest   string           `json:"digest"`
+	Snapshot *ticket.Snapshot `json:"snapshot"`
+}
+
+// Status is what a node knows of the fleet.
+type Status struct {
+	Node fleet.NodeID `json:"node"`
+	fleet.Place
+	// NotReady says why the node is not named to callers; empty if it is.
+	NotReady string          `json:"notReady,omitempty"`
+	Revision config.Revision `json:"revision"`
+	Digest   string          `json:"digest"`
+	Members  []member.Info   `json:"members"`
+	Servers  []ServerStatus  `json:"servers"`
+}
+
+// ServerStatus is what a node knows of one engine.
+type ServerStatus struct {
+	Server fleet.ServerID `json:"server"`
+	Pool   fleet.PoolID   `json:"pool"`
+	fleet.Place
+	Memory   fleet.Bytes `json:"memory"`
+	Reserved fleet.Bytes `json:"reserved"`
+	// ReportAge is the age of the last report.
+	ReportAge fleet.Duration `json:"reportAge"`
+	Leaving   bool           `json:"leaving,omitempty"`
+	Held      []HeldStatus   `json:"held"`
+}
+
+// HeldStatus is one grant of a server.
+type HeldStatus struct {
+	Item        string           `json:"item"`
+	Grant       fleet.GrantID    `json:"grant"`
+	Size        fleet.Bytes      `json:"size"`
+	State       engine.ItemState `json:"state"`
+	Progress    float64          `json:"progress"`
+	Running     int              `json:"running"`
+	Queued      int              `json:"queued"`
+	Draining    bool             `json:"draining,omitempty"`
+	Quarantined bool             `json:"quarantined,omitempty"`
+}
+
+// ItemStatus is what a node knows of one item.
+type ItemStatus struct {
+	Item       string             `json:"item"`
+	Deployment *ticket.Deployment `json:"deployment"`
+	Replicas   []engine.Replica   `json:"replicas"`
+	Policy     any                `json:"policy,omitempty"`
+}
+
+// LogLevel is a level of the log: debug, info, warn or error.
+type LogLevel struct {
+	Level string `json:"level"`
+}
--- /dev/null
+++ b/internal/operator/server.go
@@ -0,0 +1,127 @@
+package operator
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+
+	"github.com/gorilla/mux"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/guavatrack/guavatrack/internal/audit"
+	"github.com/guavatrack/guavatrack/internal/config"
+	"github.com/guavatrack/guavatrack/internal/drain"
+	"github.com/guavatrack/guavatrack/internal/engine"
+	"github.com/guavatrack/guavatrack/internal/grant"
+	"github.com/guavatrack/guavatrack/internal/member"
+	"github.com/guavatrack/guavatrack/internal/metric"
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+	"github.com/guavatrack/guavatrack/pkg/ticket"
+)
+
+// Configuration accepts and shows tickets.
+type Configuration interface {
+	Apply(ctx context.Context, t ticket.Ticket, actor string) (config.Accepted, error)
+	Ticket(ctx context.Context, number fleet.TicketNumber) (config.Stored, error)
+	Tickets(ctx context.Context, after fleet.TicketNumber, limit int) ([]config.Stored, error)
+	Watch(ctx context.Context, revision config.Revision) []config.MemberState
+	Revision() config.Revision
+	Digest() ticket.Digest
+	Snapshot() *ticket.Snapshot
+}
+
+var _ Configuration = (*config.Controller)(nil)
+
+// Trail shows the audit trail.
+type Trail interface {
+	List(ctx context.Context, query audit.Query) ([]audit.Entry, error)
+	Append(ctx context.Context, entry audit.Entry) error
+}
+
+var _ Trail = (*audit.Log)(nil)
+
+// Tokens recognises operators.
+type Tokens interface {
+	Bearer(request *http.Request) (name string, found bool)
+}
+
+// Server is the operators' API of one node. Its fields are set before Handler.
+type Server struct {
+	Node    fleet.NodeID
+	Place   fleet.Place
+	Config  Configuration
+	Audit   Trail
+	Members func() []member.Info
+	// Servers and Replicas show what this node knows of engines.
+	Servers  func() []grant.ServerView
+	Replicas func(fleet.Item) []engine.Replica
+	// Explain says why an item is loaded, until when and at what expected
+	// cost. Its result is shown as JSON.
+	Explain func(fleet.Item) any
+	// Ready says why the node may not be named to callers.
+	Ready func() error
+	// Drain stops the node.
+	Drain func(ctx context.Context) (drain.Report, error)
+	// Level is the log level; nil if it can't be changed.
+	Level *slog.LevelVar
+	// Tokens authorises by bearer token; nil means that none is accepted.
+	Tokens Tokens
+	// Open accepts everyone. It is for plain text on loopback.
+	Open    bool
+	Metrics metrics.Registry
+	Docs    []metric.Doc
+	Log     *slog.Logger
+}
+
+// Handler returns the API.
+func (s *Server) Handler() http.Handler {
+	router := mux.NewRouter()
+	Health(muxRouter{router}, s.Ready)
+	router.Handle("/metrics", metric.Handler(s.Metrics, s.Docs)).Methods(http.MethodGet)
+	api := router.PathPrefix("/v1").Subrouter()
+	api.Use(s.authorise)
+	for _, route := range []struct {
+		method, path string
+		serve        func(*http.Request) (any, error)
+	}{
+		{http.MethodPost, "/tickets", s.applyTicket},
+		{http.MethodGet, "/tickets", s.listTickets},
+		{http.MethodGet, "/tickets/{number}", s.showTicket},
+		{http.MethodGet, "/inForce/{revision}", s.inForce},
+		{http.MethodGet, "/configuration", s.configuration},
+		{http.MethodGet, "/status", s.status},
+		{http.MethodGet, "/status/{item}", s.itemStatus},
+		{http.MethodGet, "/audit", s.listAudit},
+		{http.MethodPost, "/drain", s.drain},
+		{http.MethodGet, "/logLevel", s.logLevel},
+		{http.MethodPut, "/logLevel", s.setLogLevel},
+	} {
+		api.HandleFunc(route.path, respond(route.serve)).Methods(route.method)
+	}
+	return router
+}
+
+// router is what [Health] needs of a mux.
+type router interface {
+	Handle(path string, handler http.Handler)
+}
+
+// muxRouter is a [mux.Router] as a router.
+type muxRouter struct{ *mux.Router }
+
+func (r muxRouter) Handle(path string, handler http.Handler) { r.Router.Handle(path, handler) }
+
+// Health adds /healthz, which answers while the process runs, and /readyz,
+// which says whether the node may be named to callers.
+func Health(router router, ready func() error) {
+	router.Handle("/healthz", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	router.Handle("/readyz", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if err := ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	}))
+}
--- /dev/null
+++ b/internal/operator/status.go
@@ -0,0 +1,114 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/guavatrack/guavatrack/internal/audit"
+	"github.com/guavatrack/guavatrack/internal/grant"
+	"github.com/guavatrack/guavatrack/internal/table"
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+)
+
+func (s *Server) status(*http.Request) (any, error) {
+	status := Status{
+		Node: s.Node, Place: s.Place, Revision: s.Config.Revision(),
+		Digest: s.Config.Digest().String(), Members: s.Members(), Servers: []ServerStatus{},
+	}
+	if err := s.Ready(); err != nil {
+		status.NotReady = err.Error()
+	}
+	views := s.Servers()
+	for i := range views {
+		status.Servers = append(status.Servers, serverStatus(&views[i]))
+	}
+	return status, nil
+}
+
+func serverStatus(view *grant.ServerView) ServerStatus {
+	status := ServerStatus{
+		Server: view.VM.ID, Pool: view.VM.Pool, Place: view.VM.Place, Memory: view.VM.Memory,
+		Reserved: view.Reserved, Leaving: view.Leaving(), Held: []HeldStatus{},
+		ReportAge: fleet.Duration(time.Since(view.PolledAt).Round(time.Millisecond)),
+	}
+	for _, held := range view.Held {
+		status.Held = append(status.Held, HeldStatus{
+			Item: held.Item.String(), Grant: held.Grant, Size: held.Size, State: held.State,
+			Progress: held.Progress, Running: held.Running, Queued: held.Queued,
+			Draining: held.Draining, Quarantined: held.Quarantined,
+		})
+	}
+	return status
+}
+
+func (s *Server) itemStatus(r *http.Request) (any, error) {
+	item := fleet.ParseItem(mux.Vars(r)["item"])
+	snapshot := s.Config.Snapshot()
+	if !snapshot.Serves(item) {
+		return nil, table.ErrNotFound
+	}
+	return ItemStatus{
+		Item: item.String(), Deployment: snapshot.Deployments[item.Model],
+		Replicas: s.Replicas(item), Policy: s.Explain(item),
+	}, nil
+}
+
+func (s *Server) listAudit(r *http.Request) (any, error) {
+	query := audit.Query{}
+	limit, err := number("limit", r.URL.Query().Get("limit"), defaultLimit)
+	if err != nil {
+		return nil, err
+	}
+	query.Limit = int(min(limit, maxLimit))
+	if since := r.URL.Query().Get("since"); since != "" {
+		if query.From, err = time.Parse(time.RFC3339, since); err != nil {
+			return nil, badRequestError{"since: want a time such as 2026-12-04T06:00:00Z"}
+		}
+	}
+	entries, err := s.Audit.List(r.Context(), query)
+	if entries == nil {
+		entries = []audit.Entry{}
+	}
+	return entries, err
+}
+
+// drain answers before the node is gone, since the drain closes the endpoint
+// over which the answer goes.
+func (s *Server) drain(r *http.Request) (any, error) {
+	err := s.Audit.Append(r.Context(), audit.Entry{
+		Node: s.Node, Actor: actorOf(r), Action: audit.NodeDrained, Subject: "node " + string(s.Node),
+	})
+	if err != nil {
+		s.Log.Warn("drain is not in the audit trail", slog.Any("error", err))
+	}
+	go func() { _, _ = s.Drain(context.WithoutCancel(r.Context())) }()
+	return struct {
+		Node     fleet.NodeID `json:"node"`
+		Draining bool         `json:"draining"`
+	}{s.Node, true}, nil
+}
+
+func (s *Server) logLevel(*http.Request) (any, error) {
+	if s.Level == nil {
+		return LogLevel{}, nil
+	}
+	return LogLevel{Level: s.Level.Level().String()}, nil
+}
+
+func (s *Server) setLogLevel(r *http.Request) (any, error) {
+	var wanted LogLevel
+	if err := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxTicketBytes)).Decode(&wanted); err != nil {
+		return nil, badRequestError{"body: " + err.Error()}
+	}
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(wanted.Level)); err != nil || s.Level == nil {
+		return nil, badRequestError{"level: want debug, info, warn or error"}
+	}
+	s.Level.Set(level)
+	return LogLevel{Level: level.String()}, nil
+}
--- /dev/null
+++ b/internal/operator/tickets.go
@@ -0,0 +1,77 @@
+package operator
+
+import (
+	"io"
+	"net/http"
+
+	"github.com/go-faster/errors"
+	"github.com/gorilla/mux"
+
+	"github.com/guavatrack/guavatrack/internal/config"
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+	"github.com/guavatrack/guavatrack/pkg/ticket"
+)
+
+const (
+	maxTicketBytes = 8 << 20
+	defaultLimit   = 100
+	maxLimit       = 1000
+)
+
+func (s *Server) applyTicket(r *http.Request) (any, error) {
+	text, err := io.ReadAll(io.LimitReader(r.Body, maxTicketBytes+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "read ticket")
+	}
+	if len(text) > maxTicketBytes {
+		return nil, badRequestError{"ticket is larger than 8MiB"}
+	}
+	given, err := ticket.Parse(text)
+	if err != nil {
+		return nil, err
+	}
+	if r.URL.Query().Get("check") == "true" {
+		return Applied{Accepted: config.Accepted{Number: given.Number}, CheckedOnly: true}, nil
+	}
+	accepted, err := s.Config.Apply(r.Context(), given, actorOf(r))
+	if err != nil {
+		return nil, err
+	}
+	return Applied{Accepted: accepted}, nil
+}
+
+func (s *Server) listTickets(r *http.Request) (any, error) {
+	query := r.URL.Query()
+	after, err := number("after", query.Get("after"), 0)
+	if err != nil {
+		return nil, err
+	}
+	limit, err := number("limit", query.Get("limit"), defaultLimit)
+	if err != nil {
+		return nil, err
+	}
+	return s.Config.Tickets(r.Context(), fleet.TicketNumber(after), int(min(limit, maxLimit)))
+}
+
+func (s *Server) showTicket(r *http.Request) (any, error) {
+	wanted, err := number("number", mux.Vars(r)["number"], 0)
+	if err != nil {
+		return nil, err
+	}
+	return s.Config.Ticket(r.Context(), fleet.TicketNumber(wanted))
+}
+
+func (s *Server) inForce(r *http.Request) (any, error) {
+	revision, err := number("revision", mux.Vars(r)["revision"], 0)
+	if err != nil {
+		return nil, err
+	}
+	return s.Config.Watch(r.Context(), config.Revision(revision)), nil
+}
+
+func (s *Server) configuration(*http.Request) (any, error) {
+	return ConfigurationView{
+		Node: s.Node, Revision: s.Config.Revision(), Digest: s.Config.Digest().String(),
+		Snapshot: s.Config.Snapshot(),
+	}, nil
+}
--- a/internal/standin/presets.go
+++ b/internal/standin/presets.go
@@ -20,7 +20,7 @@
 		},
 		engines: "wreath-advisor", desk: "order-desk", model: "hop-advisor", adapters: 95, loadsPerSecond: 10,
 		class: ticket.Interactive, prices: ticket.Prices{ColdStartSecond: 0.05, AcceleratorHour: 2},
-		prefix: "/orders/", lookup: "stock", booking: "confirmations",
+		prefix: "/orders/", lookup: "/stock", booking: "/confirmations",
 	})
 }
 
@@ -30,7 +30,7 @@
 		places:  []fleet.Place{place("bizkaia", "a"), place("bizkaia", "b"), place("cantabria", "a")},
 		engines: "pedal-llm", desk: "taller-app", model: "pedal-helper", adapters: 115, loadsPerSecond: 4,
 		class: ticket.Diagnosis, prices: ticket.Prices{ColdStartSecond: 0.002, AcceleratorHour: 4},
-		prefix: "/repairs/", lookup: "status", booking: "bookings",
+		prefix: "/repairs/", lookup: "/status", booking: "/bookings",
 	})
 }
 
