--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -49,22 +49,31 @@
 	}
 }
 
-// start starts a node over the backend servers.
-func start(t *testing.T, adjust func(*caller.Server), backends ...http.Handler) *httptest.Server {
-	t.Helper()
+// bareNode returns a node over backend servers.
+func bareNode(backends ...*httptest.Server) *caller.Server {
 	replicas := make(directory, 0, len(backends))
 	vms := make([]vmlist.VM, 0, len(backends))
 	for _, backend := range backends {
-		server := httptest.NewServer(backend)
-		t.Cleanup(server.Close)
-		found := replica(server)
+		found := replica(backend)
 		replicas = append(replicas, found)
 		vms = append(vms, vmlist.VM{ID: found.Server, Address: found.Address, State: vmlist.Live})
 	}
-	node := &caller.Server{
+	return &caller.Server{
 		Snapshot: snapshot, Directory: replicas, Store: standin.NewTable(),
 		Services: func(fleet.PoolID) []vmlist.VM { return vms },
 	}
+}
+
+// start starts a node over the backend servers.
+func start(t *testing.T, adjust func(*caller.Server), backends ...http.Handler) *httptest.Server {
+	t.Helper()
+	servers := make([]*httptest.Server, 0, len(backends))
+	for _, backend := range backends {
+		server := httptest.NewServer(backend)
+		t.Cleanup(server.Close)
+		servers = append(servers, server)
+	}
+	node := bareNode(servers...)
 	if adjust != nil {
 		adjust(node)
 	}
