Keep completions that may wait in the table until they are answered

Cause: quotations may wait until morning but must not vanish, and nodes keep nothing. Change: package batch with a job record and a queue record, leases renewed by the node that runs a job; submit, poll and fetch under /v1/batch/.

--- a/internal/caller/decode.go
+++ b/internal/caller/decode.go
@@ -85,10 +85,11 @@
 	if err != nil {
 		return err
 	}
-	if call.Request.URL.Path == chatPath && request.Messages == nil {
+	path := completionOf(call.Request.URL.Path)
+	if path == chatPath && request.Messages == nil {
 		return refusal.New(refusal.Malformed, "messages: missing")
 	}
-	if call.Request.URL.Path == completionPath && request.Prompt == nil {
+	if path == completionPath && request.Prompt == nil {
 		return refusal.New(refusal.Malformed, "prompt: missing")
 	}
 	call.Body, call.Stream = body, request.Stream
@@ -143,7 +144,7 @@
 // setDeadline sets the deadline to the caller's or the configured one,
 // whichever the caller chose, and ends the call's context there.
 func (s *Server) setDeadline(call *Call, next Handler) error {
-	timeout, err := timeoutOf(call)
+	timeout, err := timeoutOf(call, configuredTimeout(call))
 	if err != nil {
 		return err
 	}
@@ -154,7 +155,8 @@
 	return next.Handle(call)
 }
 
-func timeoutOf(call *Call) (time.Duration, error) {
+// timeoutOf returns the time that the caller allows, or the usual one.
+func timeoutOf(call *Call, usual time.Duration) (time.Duration, error) {
 	if text := call.Request.Header.Get(engine.DeadlineHeader); text != "" {
 		ms, err := strconv.ParseInt(text, 10, 64)
 		if err != nil || ms <= 0 || ms > maxTimeout.Milliseconds() {
@@ -162,14 +164,18 @@
 		}
 		return time.Duration(ms) * time.Millisecond, nil
 	}
+	return usual, nil
+}
+
+func configuredTimeout(call *Call) time.Duration {
 	timeout := call.Target.Timeout
 	if call.Deployment != nil {
 		timeout = call.Deployment.Timeout.Std()
 	}
 	if timeout <= 0 {
-		timeout = defaultTimeout
+		return defaultTimeout
 	}
-	return timeout, nil
+	return timeout
 }
 
 // priority returns the engine's priority of a class; lower goes first.
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -14,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/guavatrack/guavatrack/internal/batch"
 	"github.com/guavatrack/guavatrack/internal/claim"
 	"github.com/guavatrack/guavatrack/internal/engine"
 	"github.com/guavatrack/guavatrack/internal/poison"
@@ -101,6 +102,8 @@
 	link       linkState
 	claims     *claim.Controller
 	poison     *poison.Controller
+	batch      *batch.Controller
+	jobChain   Handler
 	draining   atomic.Bool
 	active     activeCalls
 	background sync.WaitGroup
@@ -129,6 +132,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return s.claims.Run(ctx) })
 	group.Go(func() error { return s.poison.Run(ctx) })
+	group.Go(func() error { return s.batch.Run(ctx) })
 	group.Go(func() error { return s.housekeep(ctx) })
 	return group.Wait()
 }
@@ -158,6 +162,7 @@
 func (s *Server) Drain(ctx context.Context) (cutOff int) {
 	s.once.Do(s.setUp)
 	s.draining.Store(true)
+	s.batch.Stop(ctx)
 	cutOff = s.active.drain(ctx)
 	s.claims.Flush(ctx)
 	return cutOff
@@ -188,6 +193,12 @@
 	s.meters.register(s.Metrics)
 	s.servers.setUp()
 	s.active.setUp()
+	s.batch = &batch.Controller{
+		Store: s.Store, Node: s.Node, Execute: s.executeJob, Rand: s.Rand, Log: s.Log, Metrics: s.Metrics,
+	}
+	s.jobChain = chain(HandlerFunc(s.relayCompletion),
+		FilterFunc(s.decodeCompletion), FilterFunc(batchClass), FilterFunc(s.setDeadline),
+		FilterFunc(s.isolate), FilterFunc(s.admit))
 	s.router = s.routes()
 }
 
@@ -196,6 +207,9 @@
 	router := mux.NewRouter().SkipClean(true).UseEncodedPath()
 	models := chain(HandlerFunc(s.listModels), FilterFunc(s.authenticate))
 	model := chain(HandlerFunc(s.showModel), FilterFunc(s.authenticate))
+	submit := chain(HandlerFunc(s.submitJob), FilterFunc(s.authenticate), FilterFunc(s.decodeCompletion))
+	show := chain(HandlerFunc(s.showJob), FilterFunc(s.authenticate))
+	fetch := chain(HandlerFunc(s.answerJob), FilterFunc(s.authenticate))
 	completion := chain(HandlerFunc(s.relayCompletion),
 		FilterFunc(s.authenticate), FilterFunc(s.decodeCompletion), FilterFunc(s.setDeadline),
 		FilterFunc(s.isolate), FilterFunc(s.admit))
@@ -206,6 +220,10 @@
 	router.Handle("/v1/models/{model:.*}", s.serve(model)).Methods(http.MethodGet)
 	router.Handle(chatPath, s.serve(completion)).Methods(http.MethodPost)
 	router.Handle(completionPath, s.serve(completion)).Methods(http.MethodPost)
+	router.Handle(batchPrefix+"chat/completions", s.serve(submit)).Methods(http.MethodPost)
+	router.Handle(batchPrefix+"completions", s.serve(submit)).Methods(http.MethodPost)
+	router.Handle(batchPrefix+"{job:[0-9a-f]+}", s.serve(show)).Methods(http.MethodGet)
+	router.Handle(batchPrefix+"{job:[0-9a-f]+}/answer", s.serve(fetch)).Methods(http.MethodGet)
 	router.MethodNotAllowedHandler = s.serve(HandlerFunc(refuseMethod))
 	router.NotFoundHandler = s.serve(service)
 	return router
