Keep a region that is cut off listed while it may serve on

Cause: nodes cut off with their region lost the table too, and their records were taken as those of nodes that are gone.

--- a/internal/member/crossing.go
+++ b/internal/member/crossing.go
@@ -71,7 +71,7 @@
 
 // Cut reports whether no candidate reaches the region.
 func (v *View) Cut(now time.Time, region fleet.Region) bool {
-	if region == v.self.Region {
+	if _, known := v.across[region]; !known || region == v.self.Region {
 		return false
 	}
 	for _, node := range v.speakers(region) {
--- a/internal/member/registration.go
+++ b/internal/member/registration.go
@@ -27,6 +27,9 @@
 	// staleRefreshes without a refresh make a record one of a node that is
 	// gone.
 	staleRefreshes = 6
+	// cutMemory is how long the records of a region that is cut off are kept.
+	// Its nodes may only have lost the table and the others, and serve on.
+	cutMemory = 24 * time.Hour
 	// joins is the number of nodes that a node asks for the members.
 	joins = 2
 )
@@ -162,11 +165,11 @@
 			if json.Unmarshal(record.Body, &other) != nil || other.Node == c.Self.Node {
 				continue
 			}
-			if other.stale(time.Now()) {
-				c.remove(ctx, other, record)
+			if !other.stale(time.Now()) || c.mayServeOn(other) {
+				list = append(list, other)
 				continue
 			}
-			list = append(list, other)
+			c.remove(ctx, other, record)
 		}
 		if len(records) == 0 {
 			return list, nil
@@ -174,6 +177,15 @@
 	}
 }
 
+// mayServeOn reports whether a node that doesn't refresh its record may be cut
+// off with its region.
+func (c *Controller) mayServeOn(other registered) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	return c.view.Cut(now, other.Region) && now.Sub(other.RefreshedAt) < cutMemory
+}
+
 // remove deletes the record of a node that is gone. One member does it.
 func (c *Controller) remove(ctx context.Context, other registered, record table.Record) {
 	var live []fleet.NodeID
--- a/internal/member/view_test.go
+++ b/internal/member/view_test.go
@@ -124,6 +124,18 @@
 	c.Assert(s.wrong(), qt.Equals, "")
 }
 
+func TestOnlyNodeOfARegionIsReplaced(t *testing.T) {
+	c := qt.New(t)
+	s := newSimulation(12, regionsOf(5, 1)...)
+	s.steps(30)
+	s.stopped["n005"] = true
+	s.steps(30)
+	c.Assert(s.views["n000"].Live(s.now), qt.HasLen, 5)
+	s.add("r1")
+	s.steps(60)
+	c.Assert(s.wrong(), qt.Equals, "")
+}
+
 func TestOnlyOnePairSpeaksBetweenRegions(t *testing.T) {
 	c := qt.New(t)
 	s := newSimulation(9, regionsOf(30, 30)...)
