Drive the system from the command line and in a demonstration

Cause: a stranger must see models served within two commands. Change: guavatrack with node, ticket, where, status, audit, drain, settings, completion, version and demo; example tickets and settings of both users.

--- /dev/null
+++ b/examples/examples_test.go
@@ -0,0 +1,23 @@
+package examples_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/guavatrack/guavatrack/examples"
+	"github.com/guavatrack/guavatrack/internal/settings"
+	"github.com/guavatrack/guavatrack/pkg/ticket"
+)
+
+func TestExamplesAreRight(t *testing.T) {
+	c := qt.New(t)
+	for _, text := range [][]byte{examples.WreathsTicket, examples.PedalsTicket} {
+		_, err := ticket.Parse(text)
+		c.Assert(err, qt.IsNil)
+	}
+	for _, text := range [][]byte{examples.WreathsSettings, examples.PedalsSettings} {
+		_, err := settings.Parse(text)
+		c.Assert(err, qt.IsNil)
+	}
+}
--- /dev/null
+++ b/internal/cli/code.go
@@ -0,0 +1,92 @@
+package cli
+
+import (
+	"net/http"
+
+	"github.com/go-faster/errors"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/guavatrack/guavatrack/internal/operator"
+	"github.com/guavatrack/guavatrack/internal/strictjson"
+)
+
+// Code is an exit code.
+type Code int
+
+// Exit codes.
+const (
+	// OK says that the command did what was asked.
+	OK Code = 0
+	// Failed says that it failed for a reason that no other code names.
+	Failed Code = 1
+	// Wrong says that flags, settings or a ticket are wrong; nothing was
+	// changed.
+	Wrong Code = 2
+	// Refused says that a ticket was refused as stale or as a conflict;
+	// nothing was changed.
+	Refused Code = 3
+	// Unreachable says that no node or no table could be reached; nothing is
+	// known to have changed.
+	Unreachable Code = 4
+	// Unknown says that the outcome is unknown: repeat the command.
+	Unknown Code = 5
+	// NotInForce says that a ticket was accepted but is not in force on every
+	// live member yet.
+	NotInForce Code = 6
+)
+
+// errNotInForce is reported as [NotInForce].
+var errNotInForce = errors.New("accepted, but not in force on every live member yet")
+
+// usageError is a mistake in the arguments.
+type usageError struct{ message string }
+
+func (u usageError) Error() string { return u.message }
+
+// advice says what to do next, by exit code.
+var advice = map[Code]string{
+	Wrong:       "Nothing was changed. Mend what is named above and run the command again.",
+	Refused:     "Nothing was changed. Look at `guavatrack ticket list` and take a higher number.",
+	Unreachable: "Check the address given with --node, or ask another node.",
+	Unknown:     "Run the same command again: repeating a ticket is without effect if it was accepted.",
+	NotInForce:  "Members that are cut off take no new work. Watch with `guavatrack ticket show`.",
+}
+
+// codeOf returns the exit code of an error.
+func codeOf(err error) Code {
+	var status *operator.StatusError
+	var fields strictjson.FieldErrors
+	var usage usageError
+	var flagError *flags.Error
+	switch {
+	case err == nil:
+		return OK
+	case errors.As(err, &flagError) && flagError.Type == flags.ErrHelp:
+		return OK
+	case errors.Is(err, errNotInForce):
+		return NotInForce
+	case errors.Is(err, operator.ErrUnreachable):
+		return Unreachable
+	case errors.As(err, &fields), errors.As(err, &usage), errors.As(err, &flagError):
+		return Wrong
+	case errors.As(err, &status):
+		return codeOfStatus(status.Status)
+	default:
+		return Failed
+	}
+}
+
+func codeOfStatus(status int) Code {
+	switch status {
+	case http.StatusBadRequest, http.StatusUnauthorized:
+		return Wrong
+	case http.StatusConflict:
+		return Refused
+	case http.StatusServiceUnavailable:
+		return Unreachable
+	case http.StatusGatewayTimeout:
+		return Unknown
+	default:
+		return Failed
+	}
+}
--- a/internal/operator/messages.go
+++ b/internal/operator/messages.go
@@ -86,3 +86,9 @@
 type LogLevel struct {
 	Level string `json:"level"`
 }
+
+// DrainStarted is the answer to a drain, which goes on after it.
+type DrainStarted struct {
+	Node     fleet.NodeID `json:"node"`
+	Draining bool         `json:"draining"`
+}
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -87,10 +87,7 @@
 		s.Log.Warn("drain is not in the audit trail", slog.Any("error", err))
 	}
 	go func() { _, _ = s.Drain(context.WithoutCancel(r.Context())) }()
-	return struct {
-		Node     fleet.NodeID `json:"node"`
-		Draining bool         `json:"draining"`
-	}{s.Node, true}, nil
+	return DrainStarted{Node: s.Node, Draining: true}, nil
 }
 
 func (s *Server) logLevel(*http.Request) (any, error) {
