--- a/internal/bench/experiment.go
+++ b/internal/bench/experiment.go
@@ -59,5 +59,5 @@
 
 // Experiments returns all experiments in the order of the help text.
 func Experiments() []Experiment {
-	return []Experiment{Slopes()}
+	return []Experiment{Slopes(), idleExperiment()}
 }
--- a/internal/trace/generate.go
+++ b/internal/trace/generate.go
@@ -16,9 +16,8 @@
 	Adapters int
 	// Span is the length of the trace. It starts on a Monday at 00:00.
 	Span time.Duration
-	// MaxPerHour cuts the mean rate of a model. A model that is asked for more
-	// often than its load takes is loaded under any policy, so that the cut
-	// saves time and changes no decision.
+	// MaxPerHour is the greatest mean rate of a model. More frequent ones are
+	// left out: they are never idle for long, so every policy keeps them.
 	MaxPerHour float64
 	// Night is the load at night relative to the mean of the day, and Weekend
 	// that of a Saturday or Sunday relative to a working day.
@@ -141,20 +140,31 @@
 	return counts
 }
 
-// rate draws a mean rate in requests a second.
+// rate draws a mean rate in requests a second, of those up to the greatest.
 func (g *generator) rate() float64 {
-	u := g.rand.Float64()
+	u := g.rand.Float64() * shareUpTo(g.MaxPerHour*hoursPerDay)
 	for i := 1; i < len(rateQuantiles); i++ {
 		low, high := rateQuantiles[i-1], rateQuantiles[i]
 		if u <= high.share {
 			part := (u - low.share) / (high.share - low.share)
-			perDay := low.perDay * math.Pow(high.perDay/low.perDay, part)
-			return min(perDay/daySeconds, g.MaxPerHour/hourSeconds)
+			return low.perDay * math.Pow(high.perDay/low.perDay, part) / daySeconds
 		}
 	}
 	return g.MaxPerHour / hourSeconds
 }
 
+// shareUpTo returns the share of the items that have at most a rate.
+func shareUpTo(perDay float64) float64 {
+	for i := 1; i < len(rateQuantiles); i++ {
+		low, high := rateQuantiles[i-1], rateQuantiles[i]
+		if perDay <= high.perDay {
+			part := math.Log(perDay/low.perDay) / math.Log(high.perDay/low.perDay)
+			return low.share + max(0, part)*(high.share-low.share)
+		}
+	}
+	return 1
+}
+
 // model makes the requests for one model and its adapters.
 func (g *generator) model(index, adapters int) {
 	name := fleet.ModelID(fmt.Sprintf("model-%04d", index))
