node: decide adapters where their base model is decided

Cause: Decides was asked for the base and Forward went to the adapter's home, so two nodes could decide on one base model. Change: home takes the base model. Conclusion: one decider per base model.

--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -94,7 +94,7 @@
 }
 
 func (d *directory) home(item fleet.Item) (fleet.NodeID, bool) {
-	homes := lookup.Homes(item, "", d.members.Members())
+	homes := lookup.Homes(item.Base(), "", d.members.Members())
 	if len(homes) == 0 {
 		return "", false
 	}
