--- a/internal/bench/idle.go
+++ b/internal/bench/idle.go
@@ -78,7 +78,7 @@
 
 // Spans of the made traces and the greatest rate in them, in requests an hour.
 const (
-	idleSpan       = 14 * 24 * time.Hour
+	idleTraceSpan  = 14 * 24 * time.Hour
 	idleLargeSpan  = 7 * 24 * time.Hour
 	idleMaxPerHour = 60
 )
@@ -111,8 +111,8 @@
 		result.Pedals = replayAll(o, "pedals", pedalSite(), arrivals)
 		return result, nil
 	}
-	result.Wreaths = replayMade(o, "wreaths", wreathSite(), idleSpan)
-	result.Pedals = replayMade(o, "pedals", pedalSite(), idleSpan)
+	result.Wreaths = replayMade(o, "wreaths", wreathSite(), idleTraceSpan)
+	result.Pedals = replayMade(o, "pedals", pedalSite(), idleTraceSpan)
 	if flags.Large {
 		result.Large = &IdleLarge{
 			Wreaths: replayMade(o, "wreaths, large", wreathSite().enlarge(), idleLargeSpan),
@@ -250,7 +250,7 @@
 
 // quantile returns a quantile of the waits in seconds. A recorded millisecond
 // stands for no wait.
-func (r *replay) quantile(q float64) float64 {
+func (r *idleReplay) quantile(q float64) float64 {
 	millis := r.waits.ValueAtQuantile(q)
 	if millis <= 1 {
 		return 0
@@ -265,7 +265,7 @@
 }
 
 // streams returns the item of each arrival, one per node that acts for itself.
-func (r *replay) streams(arrivals []trace.Arrival, nodes int, seed uint64) []*replayItem {
+func (r *idleReplay) streams(arrivals []trace.Arrival, nodes int, seed uint64) []*replayItem {
 	snapshot := r.site.snapshot(arrivals)
 	random := rand.New(rand.NewPCG(seed, 2))
 	items := make(map[itemKey]*replayItem)
@@ -301,7 +301,7 @@
 
 // candidates returns the servers that may hold an item: all of a small fleet,
 // and of a large one a part by the hash of the name.
-func (r *replay) candidates(item fleet.Item) []int {
+func (r *idleReplay) candidates(item fleet.Item) []int {
 	count := min(maxCandidates, len(r.servers))
 	first := int(xxhash.Sum64String(item.String()) % uint64(len(r.servers)))
 	list := make([]int, count)
--- a/internal/bench/idle_replay.go
+++ b/internal/bench/idle_replay.go
@@ -27,9 +27,9 @@
 // strategy decides for how long items stay loaded.
 type strategy interface {
 	// schedule returns when the item is to be loaded after it became idle.
-	schedule(r *replay, item *replayItem) policy.Schedule
+	schedule(r *idleReplay, item *replayItem) policy.Schedule
 	// value orders evictions: the least value per byte goes first.
-	value(r *replay, item *replayItem) float64
+	value(r *idleReplay, item *replayItem) float64
 }
 
 // replayItem is the state of one item, and for nodes that act for themselves of
@@ -58,8 +58,8 @@
 	adapters []*replayItem
 }
 
-// replay runs one strategy over one trace.
-type replay struct {
+// idleReplay runs one strategy over one trace.
+type idleReplay struct {
 	site        idleSite
 	store       policy.Store
 	strategy    strategy
@@ -91,8 +91,8 @@
 	waitDigits    = 3
 )
 
-func newReplay(site idleSite, strategy strategy, measureFrom time.Duration) *replay {
-	r := &replay{
+func newReplay(site idleSite, strategy strategy, measureFrom time.Duration) *idleReplay {
+	r := &idleReplay{
 		site: site, store: site.store(), strategy: strategy, population: policy.NewPopulation(),
 		servers: site.servers(), caches: make([]checkpointCache, site.engines),
 		byGrant: make(map[fleet.GrantID]*replayItem), slots: make([]time.Duration, storeConcurrency),
@@ -103,7 +103,7 @@
 
 // run replays the arrivals, where stream[i] is the item of arrival i, until the
 // end of the span.
-func (r *replay) run(arrivals []trace.Arrival, stream []*replayItem, span time.Duration) {
+func (r *idleReplay) run(arrivals []trace.Arrival, stream []*replayItem, span time.Duration) {
 	for i, arrival := range arrivals {
 		r.advance(arrival.At)
 		r.arrive(stream[i])
@@ -115,7 +115,7 @@
 }
 
 // advance fires the timers up to a time.
-func (r *replay) advance(until time.Duration) {
+func (r *idleReplay) advance(until time.Duration) {
 	for len(r.timers) > 0 && r.timers[0].at <= until {
 		timer := heap.Pop(&r.timers).(idleTimer)
 		if timer.version == timer.item.version {
@@ -127,7 +127,7 @@
 }
 
 // arrive serves one request.
-func (r *replay) arrive(item *replayItem) {
+func (r *idleReplay) arrive(item *replayItem) {
 	if item.base != nil {
 		r.touch(item.base)
 	}
@@ -153,7 +153,7 @@
 
 // touch makes sure that the item is loaded or being loaded and returns when it
 // is ready.
-func (r *replay) touch(item *replayItem) time.Duration {
+func (r *idleReplay) touch(item *replayItem) time.Duration {
 	item.next++
 	if item.seen && r.now > item.lastEnd {
 		item.pattern.Observe(r.population, idleStart.Add(item.lastEnd), idleStart.Add(r.now))
@@ -165,7 +165,7 @@
 }
 
 // serve lets a request run from the time that the item is ready.
-func (r *replay) serve(item *replayItem, ready time.Duration) {
+func (r *idleReplay) serve(item *replayItem, ready time.Duration) {
 	if ready > item.idleFrom {
 		r.countIdle(item, ready)
 	}
@@ -179,7 +179,7 @@
 }
 
 // countIdle accounts for the time that the item was held without serving.
-func (r *replay) countIdle(item *replayItem, until time.Duration) {
+func (r *idleReplay) countIdle(item *replayItem, until time.Duration) {
 	from := max(item.idleFrom, r.measureFrom)
 	if until <= from {
 		return
@@ -192,7 +192,7 @@
 }
 
 // fire acts on the schedule of an idle item.
-func (r *replay) fire(item *replayItem) {
+func (r *idleReplay) fire(item *replayItem) {
 	if r.now == item.lastEnd {
 		r.becomeIdle(item)
 	}
@@ -222,7 +222,7 @@
 
 // becomeIdle learns from the load that ended, if there was one, and makes the
 // schedule.
-func (r *replay) becomeIdle(item *replayItem) {
+func (r *idleReplay) becomeIdle(item *replayItem) {
 	if item.waited > 0 && item.expected > 0 {
 		item.pattern.ObserveColdStart(item.waited, item.expected)
 	}
@@ -233,7 +233,7 @@
 
 // expectedLoad returns how long a load is expected to take where the item's
 // checkpoint is nearest.
-func (r *replay) expectedLoad(item *replayItem) time.Duration {
+func (r *idleReplay) expectedLoad(item *replayItem) time.Duration {
 	best := time.Duration(0)
 	for _, i := range item.candidates {
 		loadTime := r.store.LoadTime(item.Item, item.size, &r.servers[i])
@@ -245,12 +245,12 @@
 }
 
 // slowestLoad returns how long a load takes from the store.
-func (r *replay) slowestLoad(item *replayItem) time.Duration {
+func (r *idleReplay) slowestLoad(item *replayItem) time.Duration {
 	return r.store.LoadTime(item.Item, item.size, &policy.Server{Place: fleet.Place{Region: r.store.Region}})
 }
 
 // load places the item and starts its load; ahead says that nobody waits.
-func (r *replay) load(item *replayItem, ahead bool) {
+func (r *idleReplay) load(item *replayItem, ahead bool) {
 	index, found := r.place(item, ahead)
 	if !found {
 		return
@@ -282,7 +282,7 @@
 // place chooses a server and makes room on it. If every server is full of items
 // that serve, a waiting request gets the cheapest server all the same: the
 // replay counts that as forced, and the memory is over its limit meanwhile.
-func (r *replay) place(item *replayItem, ahead bool) (index int, found bool) {
+func (r *idleReplay) place(item *replayItem, ahead bool) (index int, found bool) {
 	if item.base != nil {
 		return item.base.server, item.base.server >= 0
 	}
@@ -313,7 +313,7 @@
 
 // choose places by the product's decision, or for the baselines on a near server
 // with room, the cheapest or a random one, and evicts only if there is none.
-func (r *replay) choose(query *policy.Query, item *replayItem) (placement policy.Placement, found bool) {
+func (r *idleReplay) choose(query *policy.Query, item *replayItem) (placement policy.Placement, found bool) {
 	if r.random == nil && !r.reluctant {
 		return policy.Place(query, r.store, r.view(item.candidates, false))
 	}
@@ -327,7 +327,7 @@
 	return r.chooseNear(query, near)
 }
 
-func (r *replay) chooseNear(query *policy.Query, near []policy.Server) (placement policy.Placement, found bool) {
+func (r *idleReplay) chooseNear(query *policy.Query, near []policy.Server) (placement policy.Placement, found bool) {
 	if r.random == nil {
 		return policy.Place(query, r.store, near)
 	}
@@ -341,7 +341,7 @@
 
 // view returns some servers; near leaves out those behind the link between
 // regions, over which a load takes an hour.
-func (r *replay) view(candidates []int, near bool) []policy.Server {
+func (r *idleReplay) view(candidates []int, near bool) []policy.Server {
 	r.scratch = r.scratch[:0]
 	for _, i := range candidates {
 		if !near || r.servers[i].Region == r.store.Region {
@@ -351,7 +351,7 @@
 	return r.scratch
 }
 
-func (r *replay) evictionValue(_ *policy.Server, held policy.Held) (float64, bool) {
+func (r *idleReplay) evictionValue(_ *policy.Server, held policy.Held) (float64, bool) {
 	item := r.byGrant[held.Grant]
 	if r.now < item.lastEnd || r.now < item.readyAt {
 		return 0, false // serves
@@ -360,7 +360,7 @@
 }
 
 // unload drops an item and the adapters on it.
-func (r *replay) unload(item *replayItem) {
+func (r *idleReplay) unload(item *replayItem) {
 	if item.server < 0 {
 		return
 	}
--- a/internal/bench/idle_strategy.go
+++ b/internal/bench/idle_strategy.go
@@ -12,23 +12,23 @@
 // learned is the product's policy.
 type learned struct{}
 
-func (learned) schedule(r *replay, item *replayItem) policy.Schedule {
+func (learned) schedule(r *idleReplay, item *replayItem) policy.Schedule {
 	return item.pattern.Schedule(r.population, idleStart.Add(r.now), r.costs(item))
 }
 
-func (learned) value(r *replay, item *replayItem) float64 {
+func (learned) value(r *idleReplay, item *replayItem) float64 {
 	return item.pattern.DropCost(r.population, idleStart.Add(item.lastEnd), idleStart.Add(r.now), r.costs(item))
 }
 
 // costs returns the costs of an item as a cold start is expected to take now.
-func (r *replay) costs(item *replayItem) policy.Costs {
+func (r *idleReplay) costs(item *replayItem) policy.Costs {
 	return policy.CostsOf(item.deployment, item.Item, r.expectedLoad(item))
 }
 
 // fixed keeps every item for the same time. It evicts the least recently used.
 type fixed time.Duration
 
-func (f fixed) schedule(*replay, *replayItem) policy.Schedule {
+func (f fixed) schedule(*idleReplay, *replayItem) policy.Schedule {
 	return policy.Schedule{Windows: []policy.Window{{From: 0, To: time.Duration(f)}}}
 }
 
@@ -36,7 +36,7 @@
 // small to count as a cost of placement.
 const recencyUnit = 1e-30
 
-func (fixed) value(_ *replay, item *replayItem) float64 {
+func (fixed) value(_ *idleReplay, item *replayItem) float64 {
 	return recencyUnit * item.lastEnd.Seconds() * float64(item.size)
 }
 
@@ -48,7 +48,7 @@
 	ahead bool
 }
 
-func (c clairvoyant) schedule(r *replay, item *replayItem) policy.Schedule {
+func (c clairvoyant) schedule(r *idleReplay, item *replayItem) policy.Schedule {
 	if item.next >= len(item.arrivals) {
 		return policy.Schedule{}
 	}
