Bind grants to the newest decision on their model

Cause: a node that has not heard of a lower replica count could still load up to the old one. Change: config.Controller.Decided returns a condition on the object's record for the granting transaction. Conclusion: TestOutdatedNodeCannotActOnAnOldDecision.

--- /dev/null
+++ b/internal/config/decided.go
@@ -0,0 +1,45 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/go-faster/errors"
+
+	"github.com/guavatrack/guavatrack/internal/table"
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+	"github.com/guavatrack/guavatrack/pkg/ticket"
+)
+
+// Decided returns a condition that holds while this node's deployment of the
+// item is the newest accepted one. In a transaction it keeps a node that has
+// not heard of a ticket yet from acting on what the ticket changed. It fails
+// with table.ErrConflict if the node is behind, which it then makes up for.
+func (c *Controller) Decided(ctx context.Context, item fleet.Item) (condition table.Write, err error) {
+	c.init()
+	defer func() {
+		if err != nil {
+			err = errors.Wrapf(err, "decision on %s", item.Model)
+		}
+	}()
+	key := ticket.Key{Kind: ticket.DeploymentObject, Name: string(item.Model)}
+	record, err := c.Store.Get(ctx, objectKey(key))
+	if errors.Is(err, table.ErrNotFound) {
+		return table.Write{}, errors.Wrap(table.ErrConflict, "no deployment in the table")
+	}
+	if err != nil {
+		return table.Write{}, err
+	}
+	var newest ticket.Entry
+	if err := json.Unmarshal(record.Body, &newest); err != nil {
+		return table.Write{}, err
+	}
+	c.mu.Lock()
+	held, _ := c.state.Entry(key)
+	c.mu.Unlock()
+	if held.Number != newest.Number {
+		c.spawn(func(ctx context.Context) { _ = c.poll(ctx) })
+		return table.Write{}, errors.Wrapf(table.ErrConflict, "number %d here, %d in the table", held.Number, newest.Number)
+	}
+	return table.Write{Key: record.Key, Expect: record.Version, CheckOnly: true}, nil
+}
--- a/internal/config/failure_test.go
+++ b/internal/config/failure_test.go
@@ -348,3 +348,25 @@
 		n.network.Lose(func(string, string) bool { return false })
 	}
 }
+
+func TestOutdatedNodeCannotActOnAnOldDecision(t *testing.T) {
+	within(t, east(3), func(c *qt.C, ctx context.Context, n *nodes) {
+		item := fleet.Item{Model: "a", Adapter: "spring"}
+		_, err := n.list[0].config.Decided(ctx, item)
+		c.Assert(err, qt.ErrorIs, table.ErrConflict)
+		_, err = n.list[0].config.Apply(ctx, model(1, "a", 3), "ada")
+		c.Assert(err, qt.IsNil)
+		time.Sleep(time.Second)
+		old, err := n.list[2].config.Decided(ctx, item)
+		c.Assert(err, qt.IsNil)
+		n.network.Lose(func(_, to string) bool { return to == n.list[2].address })
+		_, err = n.list[0].config.Apply(ctx, model(2, "a", 1), "ada")
+		c.Assert(err, qt.IsNil)
+		c.Assert(replicas(n.list[2], "a"), qt.Equals, 3)
+		c.Assert(n.table.Transact(ctx, "late", []table.Write{old}), qt.ErrorIs, table.ErrConflict)
+		_, err = n.list[2].config.Decided(ctx, item)
+		c.Assert(err, qt.ErrorIs, table.ErrConflict)
+		time.Sleep(100 * time.Millisecond)
+		c.Assert(replicas(n.list[2], "a"), qt.Equals, 1)
+	})
+}
