--- a/internal/grant/doc.go
+++ b/internal/grant/doc.go
@@ -11,7 +11,7 @@
 //
 // An order is closed when its sender knows that the engine refused it or that
 // it was never sent, when the engine reports the item held under the grant and
-// no other order under it is open, when an engine that checks fencing numbers
+// no other order was ever recorded under it, when an engine that checks fencing numbers
 // reports a higher number than the order's, or when the VM is gone. That an
 // engine accepted an order closes nothing, since orders are carried out later,
 // and neither does the time that has passed. An order to an engine that ignores
--- a/internal/grant/machine.go
+++ b/internal/grant/machine.go
@@ -213,21 +213,15 @@
 }
 
 // closeArrived closes the order that must have arrived because the grant was
-// held, if the record, read later than that, shows no other open order. An
-// order that was recorded meanwhile might be the one that arrived.
+// held, if the record, read later than that, shows no other order. With a
+// second order, even one that is closed, the held copy may be the other's.
 func (m *Machine) closeArrived(g *Grant, requestedAt time.Time) {
 	state := m.grant(g.ID)
 	if state.arrivedAt.IsZero() || !requestedAt.After(state.arrivedAt) {
 		return
 	}
-	var open []*orderState
-	for _, order := range g.Orders {
-		if known := m.order(order.ID); known.open() {
-			open = append(open, known)
-		}
-	}
-	if len(open) == 1 {
-		open[0].closed = state.arrivedAsOf
+	if only := m.order(g.Orders[0].ID); len(g.Orders) == 1 && only.open() {
+		only.closed = state.arrivedAsOf
 	}
 	state.arrivedAt = time.Time{}
 }
