Make keys, test the commands and the path under TLS

Cause: operators need certificates and secrets to start at all; the command line and TLS had no test.

--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -140,6 +140,11 @@
 			{name: "check", short: "Check a settings file and report every mistake", data: &checkCommand{app: a}},
 			{name: "defaults", short: "Write the settings that a file need not give", data: &defaultsCommand{app: a}},
 		}},
+		{name: "keys", short: "Make certificates and secrets", data: &group{}, children: []command{
+			{name: "authority", short: "Make an authority that signs certificates", data: &authorityCommand{app: a}},
+			{name: "issue", short: "Sign a certificate for a node or an operator", data: &issueCommand{app: a}},
+			{name: "secret", short: "Make a caller's key or an operator's token", data: &secretCommand{app: a}},
+		}},
 		{name: "completion", short: "Write the completion script for bash", data: &completionCommand{app: a}},
 		{name: "version", short: "Show the version", data: &versionCommand{app: a}},
 	}
--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -2,18 +2,10 @@
 
 import (
 	"bytes"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/hex"
-	"encoding/pem"
 	"errors"
 	"log/slog"
-	"math/big"
 	"os"
 	"path/filepath"
 	"testing"
@@ -25,55 +17,32 @@
 	"github.com/guavatrack/guavatrack/internal/keys"
 )
 
-// authority signs certificates for tests.
+// authority is an authority with its certificate's file.
 type authority struct {
-	certificate *x509.Certificate
-	key         *ecdsa.PrivateKey
+	*keys.Authority
+	file string
 }
 
-func newAuthority(c *qt.C) *authority {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+func newAuthority(c *qt.C) authority {
+	dir := c.TempDir()
+	made, err := keys.CreateAuthority(dir, "test", time.Now())
 	c.Assert(err, qt.IsNil)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), IsCA: true, BasicConstraintsValid: true,
-		NotBefore: time.Unix(0, 0), NotAfter: time.Now().AddDate(10, 0, 0), KeyUsage: x509.KeyUsageCertSign,
-	}
-	raw, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	c.Assert(err, qt.IsNil)
-	certificate, err := x509.ParseCertificate(raw)
-	c.Assert(err, qt.IsNil)
-	return &authority{certificate: certificate, key: key}
-}
-
-// write puts the authority and a certificate signed by it into three files.
-func (a *authority) write(c *qt.C, dir, name string) (certificate, key, ca string) {
-	own, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	c.Assert(err, qt.IsNil)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: name},
-		NotBefore: time.Unix(0, 0), NotAfter: time.Now().AddDate(10, 0, 0),
-	}
-	raw, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &own.PublicKey, a.key)
-	c.Assert(err, qt.IsNil)
-	rawKey, err := x509.MarshalPKCS8PrivateKey(own)
-	c.Assert(err, qt.IsNil)
-	certificate, key, ca = filepath.Join(dir, "cert"), filepath.Join(dir, "key"), filepath.Join(dir, "ca")
-	writePEM(c, certificate, "CERTIFICATE", raw)
-	writePEM(c, key, "PRIVATE KEY", rawKey)
-	writePEM(c, ca, "CERTIFICATE", a.certificate.Raw)
-	return certificate, key, ca
+	return authority{Authority: made, file: filepath.Join(dir, "ca.pem")}
 }
 
-func writePEM(c *qt.C, file, kind string, raw []byte) {
-	text := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: raw})
-	c.Assert(os.WriteFile(file, text, 0o600), qt.IsNil)
+// issue writes a new certificate into a directory, in place of an older one.
+func issue(c *qt.C, a authority, dir, name string) (certificate, key string) {
+	certificate, key = filepath.Join(dir, "cert"), filepath.Join(dir, "key")
+	_, _ = os.Remove(certificate), os.Remove(key)
+	c.Assert(a.Issue(name, nil, certificate, key, time.Now(), time.Hour), qt.IsNil)
+	return certificate, key
 }
 
-func peer(c *qt.C, a *authority, dir string) *tls.Config {
-	certificate, key, ca := a.write(c, dir, "node")
+func peer(c *qt.C, a authority, dir string) *tls.Config {
+	certificate, key := issue(c, a, dir, "node")
 	pair, err := keys.NewPair(slog.Default(), certificate, key)
 	c.Assert(err, qt.IsNil)
-	nodes, err := keys.NewAuthorities(slog.Default(), ca)
+	nodes, err := keys.NewAuthorities(slog.Default(), a.file)
 	c.Assert(err, qt.IsNil)
 	return keys.Peer(pair, nodes)
 }
@@ -116,12 +85,12 @@
 		c := qt.New(t)
 		dir := t.TempDir()
 		a := newAuthority(c)
-		certificate, key, _ := a.write(c, dir, "first")
+		certificate, key := issue(c, a, dir, "first")
 		pair, err := keys.NewPair(slog.New(slog.DiscardHandler), certificate, key)
 		c.Assert(err, qt.IsNil)
 		config := keys.Server(pair, nil, false)
 		c.Assert(commonName(c, config), qt.Equals, "first")
-		a.write(c, dir, "second")
+		issue(c, a, dir, "second")
 		touch(c, 1, certificate, key)
 		c.Assert(commonName(c, config), qt.Equals, "first")
 		time.Sleep(2 * time.Second)
@@ -155,19 +124,36 @@
 		c := qt.New(t)
 		var logged bytes.Buffer
 		file := filepath.Join(t.TempDir(), "secrets.json")
-		hash := sha256.Sum256([]byte("s3cret"))
-		c.Assert(os.WriteFile(file, []byte(`{"ana":"`+hex.EncodeToString(hash[:])+`"}`), 0o600), qt.IsNil)
+		_, err := keys.AddSecret(file, "jon")
+		c.Assert(err, qt.IsNil)
+		secret, err := keys.AddSecret(file, "ana")
+		c.Assert(err, qt.IsNil)
 		secrets, err := keys.NewSecrets(slog.New(slog.NewTextHandler(&logged, nil)), file)
 		c.Assert(err, qt.IsNil)
-		name, found := secrets.Name("s3cret")
+		name, found := secrets.Name(secret)
 		c.Assert([]any{name, found}, qt.DeepEquals, []any{"ana", true})
 		_, found = secrets.Name("other")
 		c.Assert(found, qt.IsFalse)
 
 		c.Assert(os.WriteFile(file, []byte(`{"ana":"12"}`), 0o600), qt.IsNil)
 		time.Sleep(2 * time.Second)
-		_, found = secrets.Name("s3cret")
+		_, found = secrets.Name(secret)
 		c.Assert(found, qt.IsTrue)
 		c.Assert(logged.String(), qt.Contains, "ana: want a sha256 in hex")
 	})
 }
+
+func TestAuthorityIsOpenedAgainAndNeverOverwritten(t *testing.T) {
+	c := qt.New(t)
+	dir := t.TempDir()
+	_, err := keys.CreateAuthority(dir, "test", time.Now())
+	c.Assert(err, qt.IsNil)
+	_, err = keys.CreateAuthority(dir, "test", time.Now())
+	c.Assert(err, qt.ErrorMatches, `create authority: .*ca.key: file exists`)
+	opened, err := keys.OpenAuthority(dir)
+	c.Assert(err, qt.IsNil)
+	made := authority{Authority: opened, file: filepath.Join(dir, "ca.pem")}
+	c.Assert(handshake(c, peer(c, made, t.TempDir()), peer(c, made, t.TempDir())), qt.IsNil)
+	_, err = keys.OpenAuthority(t.TempDir())
+	c.Assert(err, qt.ErrorMatches, `open authority: .*ca.pem: no such file.*`)
+}
