policy: let an adapter displace idle base models, tell homes of requests

Cause: an adapter found no room on a server that base models fill (replay test: memory over its limit); a home learned nothing of requests at other nodes. Change: eviction falls back to base models; nodes tell first homes of arrivals; replay takes sizes and prices from the stand-ins.

--- a/internal/bench/idle_replay.go
+++ b/internal/bench/idle_replay.go
@@ -10,6 +10,7 @@
 
 	"github.com/guavatrack/guavatrack/internal/engine"
 	"github.com/guavatrack/guavatrack/internal/policy"
+	"github.com/guavatrack/guavatrack/internal/standin"
 	"github.com/guavatrack/guavatrack/internal/trace"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 	"github.com/guavatrack/guavatrack/pkg/ticket"
@@ -95,7 +96,7 @@
 	r := &idleReplay{
 		site: site, store: site.store(), strategy: strategy, population: policy.NewPopulation(),
 		servers: site.servers(), caches: make([]checkpointCache, site.engines),
-		byGrant: make(map[fleet.GrantID]*replayItem), slots: make([]time.Duration, storeConcurrency),
+		byGrant: make(map[fleet.GrantID]*replayItem), slots: make([]time.Duration, site.store().Concurrency),
 		measureFrom: measureFrom, waits: hdrhistogram.New(1, maxWaitMillis, waitDigits),
 	}
 	return r
@@ -284,7 +285,7 @@
 // replay counts that as forced, and the memory is over its limit meanwhile.
 func (r *idleReplay) place(item *replayItem, ahead bool) (index int, found bool) {
 	if item.base != nil {
-		return item.base.server, item.base.server >= 0
+		return r.placeAdapter(item, ahead)
 	}
 	query := policy.Query{Item: item.Item, Size: item.size, Deployment: item.deployment}
 	if !ahead {
@@ -311,6 +312,31 @@
 	return 0, false
 }
 
+// placeAdapter makes room beside the base model.
+func (r *idleReplay) placeAdapter(item *replayItem, ahead bool) (index int, found bool) {
+	index = item.base.server
+	if index < 0 {
+		return 0, false
+	}
+	query := policy.Query{Item: item.Item, Size: item.size, Deployment: item.deployment}
+	if !ahead {
+		query.Value = r.evictionValue
+	}
+	placement, found := policy.Place(&query, r.store, r.servers[index:index+1])
+	if !found {
+		if !ahead {
+			r.forced++
+		}
+		return index, !ahead
+	}
+	for _, grant := range placement.Evict {
+		if victim := r.byGrant[grant]; victim != nil {
+			r.unload(victim)
+		}
+	}
+	return index, true
+}
+
 // choose places by the product's decision, or for the baselines on a near server
 // with room, the cheapest or a random one, and evicts only if there is none.
 func (r *idleReplay) choose(query *policy.Query, item *replayItem) (placement policy.Placement, found bool) {
@@ -393,14 +419,15 @@
 	name := item.String()
 	c.recent = slices.DeleteFunc(c.recent, func(e cachedCheckpoint) bool { return e.name == name })
 	c.recent = append(c.recent, cachedCheckpoint{name, size})
+	engines := standin.DefaultEngine()
 	sum := fleet.Bytes(0)
 	for i := len(c.recent) - 1; i >= 0; i-- {
 		entry := c.recent[i]
 		sum += entry.size
 		switch {
-		case sum <= hostMemoryPerServer:
+		case sum <= engines.HostMemory:
 			server.Checkpoints[entry.name] = engine.HostMemory
-		case sum <= diskPerServer:
+		case sum <= engines.Disk:
 			server.Checkpoints[entry.name] = engine.LocalDisk
 		default:
 			for _, gone := range c.recent[:i+1] {
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -20,6 +20,7 @@
 
 const (
 	methodWake  = "policy.wake"
+	methodHeard = "policy.heard"
 	wakeTimeout = 2 * time.Second
 	// learnedFor is how long replicas that a home told of are used without
 	// asking again.
@@ -126,6 +127,29 @@
 			Replicas: d.grants.Replicas(call.Item),
 		}, nil
 	}))
+	d.peers.Handle(methodHeard, peer.Typed(func(_ context.Context, uses []policy.Used) (struct{}, error) {
+		d.policy.Heard(uses)
+		return struct{}{}, nil
+	}))
+}
+
+// live returns the number of live nodes.
+func (d *directory) live() int { return max(1, len(d.members.Members())) }
+
+// tell sends what this node saw of requests to the first homes of the items.
+func (d *directory) tell(ctx context.Context, uses []policy.Used) {
+	byHome := make(map[fleet.NodeID][]policy.Used)
+	for _, use := range uses {
+		if home, found := d.home(use.Item); found {
+			byHome[home] = append(byHome[home], use)
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, wakeTimeout)
+	defer cancel()
+	for home, part := range byHome {
+		// A lost message makes a gap look longer, and the next one follows.
+		_ = d.peers.Call(ctx, home, methodHeard, part, &struct{}{})
+	}
 }
 
 // forward carries a wake to the first home and keeps the replicas it tells of.
--- a/internal/policy/evict.go
+++ b/internal/policy/evict.go
@@ -27,7 +27,10 @@
 	if query.Value == nil {
 		return nil, 0, false
 	}
-	chosen := chooseEvictions(missing, evictables(query, server))
+	chosen := chooseEvictions(missing, evictables(query, server, query.Item.IsAdapter()))
+	if chosen == nil && query.Item.IsAdapter() {
+		chosen = chooseEvictions(missing, evictables(query, server, false))
+	}
 	if chosen == nil {
 		return nil, 0, false
 	}
@@ -46,12 +49,13 @@
 // maxWorthSeconds bounds the worth of an eviction when prices differ widely.
 const maxWorthSeconds = 24 * 3600
 
-// evictables returns what may go for the item. An adapter displaces adapters of
-// any model, a base model displaces base models.
-func evictables(query *Query, server *Server) []evictable {
+// evictables returns what may go for the item: adapters, or base models with
+// their adapters. An adapter displaces base models only where too few adapters
+// can go; its own base model stays.
+func evictables(query *Query, server *Server, adapters bool) []evictable {
 	var list []evictable
 	for _, held := range server.Held {
-		if held.Draining || held.Item.IsAdapter() != query.Item.IsAdapter() || held.Item.Base() == query.Item {
+		if held.Draining || held.Item.IsAdapter() != adapters || held.Item == query.Item.Base() {
 			continue
 		}
 		if group, allowed := evictionGroup(query, server, held); allowed {
--- a/internal/policy/plan_test.go
+++ b/internal/policy/plan_test.go
@@ -209,3 +209,22 @@
 	c.Assert(place(policy.Store{Slowness: 5}).Evict, qt.DeepEquals, []fleet.GrantID{"g"})
 	c.Assert(place(policy.Store{Down: true}).Server, qt.Equals, fleet.ServerID("cached"))
 }
+
+// TestAdapterFindsRoomOnAFullServer has a server that base models fill to the
+// last byte, so that an adapter of one of them can only displace another.
+func TestAdapterFindsRoomOnAFullServer(t *testing.T) {
+	c := qt.New(t)
+	server := testServer("s1", 32*fleet.GiB)
+	server.Reserved = 32 * fleet.GiB
+	server.Held = []policy.Held{
+		{Grant: "own", Item: fleet.ParseItem("m0"), Size: 16 * fleet.GiB, State: engine.Ready},
+		{Grant: "other", Item: fleet.ParseItem("m1"), Size: 16 * fleet.GiB, State: engine.Ready},
+	}
+	view := policy.View{
+		Now: time.Unix(1e9, 0), Snapshot: testSnapshot(2), AdapterSlots: 1, Servers: []policy.Server{server},
+		Value: func(*policy.Server, policy.Held) (float64, bool) { return 1, true },
+	}
+	actions := policy.Plan(view, []policy.Demand{{Item: fleet.ParseItem("m0:a"), Want: 1}})
+	c.Assert(actions.Unloads, qt.HasLen, 1)
+	c.Assert(actions.Unloads[0].Grant, qt.Equals, fleet.GrantID("other"))
+}
--- a/internal/policy/store.go
+++ b/internal/policy/store.go
@@ -10,8 +10,8 @@
 // Default rates of the paths that a checkpoint takes into accelerator memory,
 // used until loads have been observed.
 const (
-	defaultStoreBytesPerSecond = 1 * fleet.GiB
-	diskBytesPerSecond         = 2 * fleet.GiB
+	defaultStoreBytesPerSecond = 2 * fleet.GiB
+	diskBytesPerSecond         = 4 * fleet.GiB
 	hostMemoryBytesPerSecond   = 16 * fleet.GiB
 	linkBytesPerSecond         = 4 * fleet.MiB // tens of Mbit/s between regions
 )
