Report the wrong meaning of a ticket along with its wrong form

Cause: ticket apply named the value with a wrong unit and kept quiet about a negative replica count in the same file, so that two tries were needed.

--- a/internal/operator/tickets.go
+++ b/internal/operator/tickets.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	maxTicketBytes = 8 << 20
+	maxTicketBytes = 1 << 20
 	defaultLimit   = 100
 	maxLimit       = 1000
 )
@@ -24,13 +24,16 @@
 		return nil, errors.Wrap(err, "read ticket")
 	}
 	if len(text) > maxTicketBytes {
-		return nil, badRequestError{"ticket is larger than 8MiB"}
+		return nil, badRequestError{"ticket is larger than 1MiB"}
 	}
 	given, err := ticket.Parse(text)
 	if err != nil {
 		return nil, err
 	}
 	if r.URL.Query().Get("check") == "true" {
+		if err := ticket.Validate(given, s.Config.Snapshot()); err != nil {
+			return nil, err
+		}
 		return Applied{Accepted: config.Accepted{Number: given.Number}, CheckedOnly: true}, nil
 	}
 	accepted, err := s.Config.Apply(r.Context(), given, actorOf(r))
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -53,15 +53,7 @@
 	if err := strictjson.Decode(text, &settings); err != nil && !errors.As(err, &problems) {
 		return Settings{}, err
 	}
-	wrong := make(map[string]bool, len(problems))
-	for _, problem := range problems {
-		wrong[problem.Path] = true
-	}
-	for _, problem := range settings.Check() {
-		if !wrong[problem.Path] {
-			problems = append(problems, problem)
-		}
-	}
+	problems = problems.Merge(settings.Check())
 	if err := problems.Err(); err != nil {
 		return Settings{}, err
 	}
--- a/internal/strictjson/fielderror.go
+++ b/internal/strictjson/fielderror.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -30,6 +31,26 @@
 	*p = append(*p, FieldError{Path: path, Message: fmt.Sprintf(format, values...)})
 }
 
+// Merge returns the mistakes with those of others appended whose paths are not
+// named yet: a value that could not be read is not complained of twice. Where
+// the document as a whole could not be read, the others say nothing.
+func (p FieldErrors) Merge(others FieldErrors) FieldErrors {
+	named := make(map[string]bool, len(p))
+	for _, problem := range p {
+		named[problem.Path] = true
+	}
+	merged := slices.Clone(p)
+	if named[""] {
+		return merged
+	}
+	for _, problem := range others {
+		if !named[problem.Path] {
+			merged = append(merged, problem)
+		}
+	}
+	return merged
+}
+
 // Error lists the mistakes, one a line.
 func (p FieldErrors) Error() string {
 	lines := make([]string, len(p))
--- a/pkg/ticket/parse.go
+++ b/pkg/ticket/parse.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 
+	"github.com/go-faster/errors"
+
 	"github.com/guavatrack/guavatrack/internal/strictjson"
 )
 
@@ -13,7 +15,8 @@
 
 // Parse reads a ticket from JSON. It refuses unknown and repeated fields,
 // values of the wrong type or unit, and anything behind the ticket. The error
-// is a [strictjson.FieldErrors] with every wrong value and its path. Field names match exactly.
+// is a [strictjson.FieldErrors] with every wrong value and its path. Field names
+// match exactly.
 //
 // A parsed ticket has the right form; [Validate] checks its meaning.
 func Parse(text []byte) (Ticket, error) {
@@ -23,10 +26,12 @@
 		return Ticket{}, problems
 	}
 	var parsed Ticket
-	if err := strictjson.Decode(text, &parsed); err != nil {
-		return Ticket{}, err
+	err := strictjson.Decode(text, &parsed)
+	if errors.As(err, &problems) {
+		// What could be read is checked as well, so that all is reported at once.
+		return Ticket{}, sorted(problems.Merge(meaning(parsed).FieldErrors))
 	}
-	return parsed, nil
+	return parsed, err
 }
 
 // sorted returns the problems ordered by path, or nil if there are none.
--- a/pkg/ticket/parse_test.go
+++ b/pkg/ticket/parse_test.go
@@ -18,8 +18,13 @@
 	_, err := ticket.Parse([]byte(`{"number": 7, "deployments": {"hop-advisor": {"size": "16", "replicas": {"max": "2"}}}}`))
 	fmt.Println(err)
 	// Output:
-	// deployments.hop-advisor.size: size "16": missing unit, use B, KiB, MiB, GiB or TiB
+	// deployments.hop-advisor.accelerators: is 0, must be 1 or more
+	// deployments.hop-advisor.class: is "", must be "interactive", "diagnosis" or "batch"
+	// deployments.hop-advisor.concurrency: is 0, must be 1 or more
 	// deployments.hop-advisor.replicas.max: want a number, found "2"
+	// deployments.hop-advisor.size: size "16": missing unit, use B, KiB, MiB, GiB or TiB
+	// deployments.hop-advisor.timeout: must be more than 0s
+	// deployments.hop-advisor.version: is missing
 }
 
 func TestEveryWrongValueIsReportedWithItsPath(t *testing.T) {
--- a/pkg/ticket/validate.go
+++ b/pkg/ticket/validate.go
@@ -24,7 +24,15 @@
 // configuration in force. It changes nothing. The error is a
 // [strictjson.FieldErrors] with every wrong value and its path.
 func Validate(t Ticket, current *Snapshot) error {
-	v := validation{ticket: t, current: current}
+	v := meaning(t)
+	v.current = current
+	v.references()
+	return sorted(v.FieldErrors)
+}
+
+// meaning checks what a ticket says by itself.
+func meaning(t Ticket) *validation {
+	v := &validation{ticket: t}
 	if t.Number == 0 {
 		v.Add("number", "must be 1 or more")
 	}
@@ -37,8 +45,7 @@
 	v.pools()
 	v.deployments()
 	v.services()
-	v.references()
-	return sorted(v.FieldErrors)
+	return v
 }
 
 // validation holds what the checks of one ticket share.
