Measure what a node adds to a call: guavabench relay

Cause: the latency and the processor time of relaying had no figures. Change: a rig of engines and one caller server on loopback; the same load goes straight and through the node in turns.

--- a/internal/bench/experiment.go
+++ b/internal/bench/experiment.go
@@ -59,5 +59,9 @@
 
 // Experiments returns all experiments in the order of the help text.
 func Experiments() []Experiment {
-	return []Experiment{Slopes(), idleExperiment()}
+	return []Experiment{
+		Relay,
+		idleExperiment(),
+		Slopes(),
+	}
 }
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/guavatrack/guavatrack/pkg/refusal"
 )
 
 // Outcome is how a call ended.
@@ -32,6 +34,11 @@
 	// First is the time from the call's start to its first token; 0 if none
 	// came.
 	First time.Duration
+	// Late says that the call ended after its deadline.
+	Late bool
+	// Reason and Run are those of a refusal.
+	Reason refusal.Reason
+	Run    refusal.Run
 }
 
 // Call runs the call with a number, counted from 0.
@@ -64,6 +71,11 @@
 	Sent     int
 	Outcomes map[Outcome]int
 	Tokens   int
+	// Late counts the calls, however they ended, that ended after their
+	// deadline.
+	Late int
+	// Reasons counts the refusals.
+	Reasons map[refusal.Reason]int
 	// Span is the time until the last call ended.
 	Span time.Duration
 	// Total holds the times of answered calls until their end, First those
@@ -82,7 +94,8 @@
 // NewSummary returns an empty summary.
 func NewSummary() Summary {
 	return Summary{
-		Outcomes: make(map[Outcome]int), Total: newHistogram(), First: newHistogram(), Refusal: newHistogram(),
+		Outcomes: make(map[Outcome]int), Reasons: make(map[refusal.Reason]int),
+		Total: newHistogram(), First: newHistogram(), Refusal: newHistogram(),
 	}
 }
 
@@ -126,6 +139,9 @@
 func (s *Summary) add(result Result, total, late time.Duration) {
 	s.Outcomes[result.Outcome]++
 	s.Tokens += result.Tokens
+	if result.Late {
+		s.Late++
+	}
 	switch result.Outcome {
 	case Answered:
 		record(s.Total, total)
@@ -133,6 +149,7 @@
 			record(s.First, result.First+late)
 		}
 	case Refused:
+		s.Reasons[result.Reason]++
 		record(s.Refusal, total)
 	case Dropped, Wrong:
 	}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -118,6 +118,7 @@
 	cache       []engine.CacheOrder
 	events      []engine.CacheEvent
 	crashes     int
+	started     int
 }
 
 // NewEngine returns an engine that holds nothing.
@@ -244,6 +245,13 @@
 	return e.crashes
 }
 
+// Started returns how many requests the engine has begun to run.
+func (e *Engine) Started() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.started
+}
+
 // Cache puts a checkpoint into one of the VM's caches.
 func (e *Engine) Cache(item fleet.Item, size fleet.Bytes, tier engine.CacheTier) {
 	e.mu.Lock()
--- a/internal/standin/generate.go
+++ b/internal/standin/generate.go
@@ -175,6 +175,7 @@
 		job.copied.Queued--
 		job.copied.Running++
 		e.running++
+		e.started++
 		close(job.started)
 	}
 }
