Measure overload and faults: guavabench overload, guavabench faults

Cause: goodput above capacity, the tail with bad engines and the promises under faults had no figures.

--- a/internal/bench/experiment.go
+++ b/internal/bench/experiment.go
@@ -61,6 +61,8 @@
 func Experiments() []Experiment {
 	return []Experiment{
 		Relay,
+		Faults,
+		Overload,
 		idleExperiment(),
 		Slopes(),
 	}
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -51,9 +51,10 @@
 type Load struct {
 	// Rate is the mean number of arrivals a second.
 	Rate float64
-	// Span is how long calls arrive.
-	Span time.Duration
-	Seed uint64
+	// Span is how long calls arrive, Warm the part of it that doesn't count
+	// for [Summary.InSpan].
+	Span, Warm time.Duration
+	Seed       uint64
 	// Even spaces arrivals evenly; otherwise they form a Poisson process.
 	Even bool
 	Call Call
@@ -71,9 +72,15 @@
 	Sent     int
 	Outcomes map[Outcome]int
 	Tokens   int
-	// Late counts the calls, however they ended, that ended after their
-	// deadline.
-	Late int
+	// Good counts the answers within the deadline, Late the calls that ended
+	// after it other than by a refusal.
+	Good, Late int
+	// InSpan counts those of Good that came after the load's warm-up and while
+	// it was offered, so that empty queues at its start and full ones at its
+	// end aren't credited to it.
+	InSpan int
+	// RefusedInTime counts the refusals within the deadline.
+	RefusedInTime int
 	// Reasons counts the refusals.
 	Reasons map[refusal.Reason]int
 	// Span is the time until the last call ended.
@@ -118,6 +125,10 @@
 			mu.Lock()
 			defer mu.Unlock()
 			summary.add(result, ended.Sub(due), started.Sub(due))
+			at := ended.Sub(begun)
+			if result.Outcome == Answered && !result.Late && at >= l.Warm && at <= l.Span {
+				summary.InSpan++
+			}
 		})
 	}
 	group.Wait()
@@ -139,7 +150,12 @@
 func (s *Summary) add(result Result, total, late time.Duration) {
 	s.Outcomes[result.Outcome]++
 	s.Tokens += result.Tokens
-	if result.Late {
+	switch {
+	case result.Outcome == Refused && !result.Late:
+		s.RefusedInTime++
+	case result.Outcome == Answered && !result.Late:
+		s.Good++
+	case result.Outcome != Refused && result.Late:
 		s.Late++
 	}
 	switch result.Outcome {
--- a/internal/bench/relay.go
+++ b/internal/bench/relay.go
@@ -103,6 +103,9 @@
 	s.Tokens += other.Tokens
 	s.Span += other.Span
 	s.Late += other.Late
+	s.Good += other.Good
+	s.InSpan += other.InSpan
+	s.RefusedInTime += other.RefusedInTime
 	for outcome, count := range other.Outcomes {
 		s.Outcomes[outcome] += count
 	}
--- a/internal/bench/rig.go
+++ b/internal/bench/rig.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"log"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httputil"
@@ -174,6 +176,7 @@
 	var next atomic.Uint64
 	proxy := &httputil.ReverseProxy{
 		FlushInterval: -1,
+		ErrorLog:      log.New(io.Discard, "", 0),
 		Transport:     &http.Transport{MaxIdleConnsPerHost: maxIdle},
 		Rewrite: func(request *httputil.ProxyRequest) {
 			request.SetURL(targets[next.Add(1)%uint64(len(targets))])
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -199,15 +199,17 @@
 }
 
 // Crash ends the engine's process: all connections are cut, everything that
-// was held is lost, and a new process answers after the restart time.
-func (e *Engine) Crash() {
+// was held is lost, and a new process answers after the restart time. It
+// reports whether the engine was up.
+func (e *Engine) Crash() bool {
 	if !e.Stop() {
-		return
+		return false
 	}
 	e.mu.Lock()
 	e.crashes++
 	e.mu.Unlock()
 	time.AfterFunc(e.config.RestartTime, e.Start)
+	return true
 }
 
 // Stop ends the engine's process without a restart, as when its VM is
--- a/internal/standin/generate.go
+++ b/internal/standin/generate.go
@@ -89,7 +89,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	if e.crashesOn(job.prompt) {
-		e.Crash()
+		if e.Crash() {
+			e.config.Ledger.addCrash(job.prompt)
+		}
 		panic(http.ErrAbortHandler)
 	}
 	if !sleep(job.ctx, e.prefill(job)) {
--- a/internal/standin/ledger.go
+++ b/internal/standin/ledger.go
@@ -34,11 +34,15 @@
 	violations []Violation
 	replicas   map[fleet.Item]int
 	decided    map[fleet.Item]int
+	// crashes counts the engines that each prompt has crashed.
+	crashes map[string]int
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{replicas: make(map[fleet.Item]int), decided: make(map[fleet.Item]int)}
+	return &Ledger{
+		replicas: make(map[fleet.Item]int), decided: make(map[fleet.Item]int), crashes: make(map[string]int),
+	}
 }
 
 // Decide sets the replicas that an item may have; items without a decision are
@@ -67,6 +71,23 @@
 	return count
 }
 
+// LostToOnePrompt returns the largest number of engines that one prompt has
+// crashed.
+func (l *Ledger) LostToOnePrompt() (most int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, crashes := range l.crashes {
+		most = max(most, crashes)
+	}
+	return most
+}
+
+func (l *Ledger) addCrash(prompt string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.crashes[prompt]++
+}
+
 func (l *Ledger) record(kind ViolationKind, server fleet.ServerID, format string, args ...any) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
