Write before, after and refusals into the audit trail, and show it

Cause: guavatrack audit showed nothing after an accepted ticket, since the API asked for the entries between two zero times; an entry named no values; a refused ticket left no trace. Ruled out: the write, the record was in the table. Change: the API asks for the last 7 days; entries carry the ticket number and the values before and after; refusals are entries; ticket.Diff serves both the trail and ticket diff.

--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -16,6 +16,7 @@
 
 	"github.com/guavatrack/guavatrack/internal/table"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
+	"github.com/guavatrack/guavatrack/pkg/ticket"
 )
 
 // Action names what was done, such as "ticket.accepted".
@@ -38,6 +39,22 @@
 	// Subject is what was acted on, such as "ticket 17".
 	Subject string `json:"subject"`
 	Detail  string `json:"detail,omitempty"`
+	// Ticket is the number of the ticket that made the change, if one did.
+	Ticket fleet.TicketNumber `json:"ticket,omitempty"`
+	// Changes are the values before and after, the first [MaxChanges] of them.
+	Changes []ticket.Change `json:"changes,omitempty"`
+	// Left is the number of further changes.
+	Left int `json:"left,omitempty"`
+}
+
+// MaxChanges bounds the changes that one entry lists, so that it fits into one
+// item of the table service.
+const MaxChanges = 200
+
+// List puts the changes of a ticket into the entry.
+func (e *Entry) List(changes []ticket.Change) {
+	listed := min(len(changes), MaxChanges)
+	e.Changes, e.Left = changes[:listed], len(changes)-listed
 }
 
 const (
--- a/internal/cli/ask.go
+++ b/internal/cli/ask.go
@@ -14,6 +14,7 @@
 	"github.com/guavatrack/guavatrack/internal/lookup"
 	"github.com/guavatrack/guavatrack/internal/operator"
 	"github.com/guavatrack/guavatrack/internal/settings"
+	"github.com/guavatrack/guavatrack/pkg/ticket"
 )
 
 // whereCommand asks the look-up, as a caller does.
@@ -135,7 +136,7 @@
 type auditCommand struct {
 	app *App
 	connection
-	Since string `long:"since" description:"only entries from this time, such as 2026-12-04T06:00:00Z"`
+	Since string `long:"since" description:"only entries from this time, such as 2026-12-04T06:00:00Z; at most 31 days back (default: the last 7 days)"`
 	Limit int    `long:"limit" default:"50" description:"how many at most"`
 }
 
@@ -154,10 +155,21 @@
 		for i := range entries {
 			entry := &entries[i]
 			t.Row(entry.At.Format(time.RFC3339), entry.Actor, entry.Action, entry.Subject, entry.Detail)
+			for _, change := range entry.Changes {
+				t.Row("", "", change.Action, change.Kind+" "+change.Name, describe(change))
+			}
 		}
 	})
 }
 
+// describe returns the values before and after a change.
+func describe(change ticket.Change) string {
+	if change.Path == "" {
+		return ""
+	}
+	return fmt.Sprintf("%s: %s -> %s", change.Path, change.Before, change.After)
+}
+
 // drainCommand starts a node's planned stop.
 type drainCommand struct {
 	app *App
--- a/internal/cli/ticket.go
+++ b/internal/cli/ticket.go
@@ -180,7 +180,7 @@
 		t.Row("applied by", stored.Actor)
 		t.Row("at", stored.At.Format(time.RFC3339))
 		t.Row("reason", stored.Ticket.Reason)
-		for _, change := range touched(&stored.Ticket) {
+		for _, change := range stored.Ticket.Touched() {
 			t.Row(change.Kind, change.Name, change.Action)
 		}
 		drawMembers(t, states)
@@ -210,7 +210,7 @@
 		for i := range found {
 			stored := &found[i]
 			t.Row(stored.Ticket.Number, stored.Revision, stored.At.Format(time.RFC3339),
-				stored.Ticket.Operator, len(touched(&stored.Ticket)), stored.Ticket.Reason)
+				stored.Ticket.Operator, len(stored.Ticket.Touched()), stored.Ticket.Reason)
 		}
 	})
 }
@@ -240,7 +240,7 @@
 	if err != nil {
 		return err
 	}
-	changes := diff(view.Snapshot, &given)
+	changes := given.Diff(view.Snapshot)
 	return c.app.Print(changes, func(t *Table) {
 		if len(changes) == 0 {
 			t.Row("no change")
--- a/internal/config/accept.go
+++ b/internal/config/accept.go
@@ -164,10 +164,13 @@
 	ctx context.Context, held head, stored Stored, entries []ticket.Entry,
 ) (writes []table.Write, err error) {
 	next := held.with(stored.Ticket.Number, c.digestWith(entries))
-	trail, err := audit.Write(audit.Entry{
+	entry := audit.Entry{
 		At: stored.At, Node: c.Node, Actor: stored.Actor, Action: audit.TicketAccepted,
 		Subject: fmt.Sprintf("ticket %d", stored.Ticket.Number), Detail: stored.Ticket.Reason,
-	})
+		Ticket: stored.Ticket.Number,
+	}
+	entry.List(stored.Ticket.Diff(c.snapshot.Load()))
+	trail, err := audit.Write(entry)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -58,8 +58,13 @@
 	}, nil
 }
 
+// auditSpan is how far back the trail is shown if no time is given.
+const auditSpan = 7 * 24 * time.Hour
+
 func (s *Server) listAudit(r *http.Request) (any, error) {
-	query := audit.Query{}
+	// The end lies ahead of this node's clock, since entries carry the clocks
+	// of the nodes that wrote them.
+	query := audit.Query{From: time.Now().Add(-auditSpan), To: time.Now().Add(time.Minute)}
 	limit, err := number("limit", r.URL.Query().Get("limit"), defaultLimit)
 	if err != nil {
 		return nil, err
--- a/internal/operator/tickets.go
+++ b/internal/operator/tickets.go
@@ -1,12 +1,15 @@
 package operator
 
 import (
+	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 
 	"github.com/go-faster/errors"
 	"github.com/gorilla/mux"
 
+	"github.com/guavatrack/guavatrack/internal/audit"
 	"github.com/guavatrack/guavatrack/internal/config"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 	"github.com/guavatrack/guavatrack/pkg/ticket"
@@ -38,11 +41,29 @@
 	}
 	accepted, err := s.Config.Apply(r.Context(), given, actorOf(r))
 	if err != nil {
+		s.noteRefusal(r, &given, err)
 		return nil, err
 	}
 	return Applied{Accepted: accepted}, nil
 }
 
+// noteRefusal writes a refused ticket into the trail. What failed because the
+// table did not answer is neither refused nor can it be written down.
+func (s *Server) noteRefusal(r *http.Request, given *ticket.Ticket, refusal error) {
+	switch statusOf(refusal) {
+	case http.StatusBadRequest, http.StatusConflict:
+	default:
+		return
+	}
+	err := s.Audit.Append(r.Context(), audit.Entry{
+		Node: s.Node, Actor: actorOf(r), Action: audit.TicketRefused, Ticket: given.Number,
+		Subject: fmt.Sprintf("ticket %d", given.Number), Detail: refusal.Error(),
+	})
+	if err != nil {
+		s.Log.WarnContext(r.Context(), "refused ticket is not in the audit trail", slog.Any("error", err))
+	}
+}
+
 func (s *Server) listTickets(r *http.Request) (any, error) {
 	query := r.URL.Query()
 	after, err := number("after", query.Get("after"), 0)
--- a/internal/cli/diff.go
+++ b/pkg/ticket/diff.go
@@ -1,4 +1,4 @@
-package cli
+package ticket
 
 import (
 	"encoding/json"
@@ -7,7 +7,6 @@
 	"slices"
 
 	"github.com/guavatrack/guavatrack/internal/strictjson"
-	"github.com/guavatrack/guavatrack/pkg/ticket"
 )
 
 // Change is one difference that a ticket makes.
@@ -28,13 +27,13 @@
 	actionSet    = "set"
 )
 
-// touched lists the objects of a ticket.
-func touched(t *ticket.Ticket) []Change {
+// Touched lists the objects of a ticket.
+func (t *Ticket) Touched() []Change {
 	return slices.Concat(
-		list("pool", t.Pools), list("deployment", t.Deployments), list("service", t.Services))
+		listObjects("pool", t.Pools), listObjects("deployment", t.Deployments), listObjects("service", t.Services))
 }
 
-func list[ID ~string, Object any](kind string, objects map[ID]*Object) []Change {
+func listObjects[ID ~string, Object any](kind string, objects map[ID]*Object) []Change {
 	changes := make([]Change, 0, len(objects))
 	for _, id := range slices.Sorted(maps.Keys(objects)) {
 		action := actionSet
@@ -46,8 +45,8 @@
 	return changes
 }
 
-// diff compares a ticket with the configuration in force.
-func diff(now *ticket.Snapshot, t *ticket.Ticket) []Change {
+// Diff returns what a ticket would change in a configuration.
+func (t *Ticket) Diff(now *Snapshot) []Change {
 	return slices.Concat(
 		compare("pool", now.Pools, t.Pools),
 		compare("deployment", now.Deployments, t.Deployments),
@@ -70,14 +69,14 @@
 			changes = append(changes, base)
 		default:
 			base.Action = actionChange
-			changes = append(changes, fields(base, old, after[id])...)
+			changes = append(changes, changedFields(base, old, after[id])...)
 		}
 	}
 	return changes
 }
 
 // fields compares two objects field by field in their JSON form.
-func fields(base Change, before, after any) []Change {
+func changedFields(base Change, before, after any) []Change {
 	old, wanted := flatten(before), flatten(after)
 	paths := slices.Collect(maps.Keys(old))
 	for path := range wanted {
