Ask the deciding node why an item is loaded

Cause: guavatrack status MODEL at a node that does not decide for the model said "no request seen" while the model was being loaded. Change: the node asks the first home and falls back on what it knows itself.

--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -19,9 +19,10 @@
 )
 
 const (
-	methodWake  = "policy.wake"
-	methodHeard = "policy.heard"
-	wakeTimeout = 2 * time.Second
+	methodWake    = "policy.wake"
+	methodExplain = "policy.explain"
+	methodHeard   = "policy.heard"
+	wakeTimeout   = 2 * time.Second
 	// learnedFor is how long replicas that a home told of are used without
 	// asking again.
 	learnedFor = 2 * time.Second
@@ -127,12 +128,31 @@
 			Replicas: d.grants.Replicas(call.Item),
 		}, nil
 	}))
+	d.peers.Handle(methodExplain, peer.Typed(func(_ context.Context, item fleet.Item) (policy.Explanation, error) {
+		return d.policy.Explain(item), nil
+	}))
 	d.peers.Handle(methodHeard, peer.Typed(func(_ context.Context, uses []policy.Used) (struct{}, error) {
 		d.policy.Heard(uses)
 		return struct{}{}, nil
 	}))
 }
 
+// explain asks the first home of an item why it is loaded or not, and answers
+// with what this node knows if that can't be reached.
+func (d *directory) explain(ctx context.Context, item fleet.Item) policy.Explanation {
+	home, found := d.home(item)
+	if !found || home == d.self.ID {
+		return d.policy.Explain(item)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wakeTimeout)
+	defer cancel()
+	var answer policy.Explanation
+	if err := d.peers.Call(ctx, home, methodExplain, item, &answer); err != nil {
+		return d.policy.Explain(item)
+	}
+	return answer
+}
+
 // live returns the number of live nodes.
 func (d *directory) live() int { return max(1, len(d.members.Members())) }
 
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"context"
+
 	"github.com/go-faster/errors"
 
 	"github.com/guavatrack/guavatrack/internal/audit"
@@ -15,7 +17,7 @@
 		Node: n.ID, Place: n.Settings.Node.Place,
 		Config: p.Config, Audit: &audit.Log{Store: p.Store}, Members: p.Members.Members,
 		Servers: p.Grants.Views, Replicas: p.Grants.Replicas,
-		Explain: func(item fleet.Item) any { return p.Policy.Explain(item) },
+		Explain: func(ctx context.Context, item fleet.Item) any { return p.Directory.explain(ctx, item) },
 		Ready:   n.Ready, Drain: n.Drain, Level: n.Level, Metrics: p.Metrics, Docs: Metrics(), Log: n.Log,
 	}
 	given := n.Settings.Operators
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -57,7 +57,7 @@
 	Replicas func(fleet.Item) []engine.Replica
 	// Explain says why an item is loaded, until when and at what expected
 	// cost. Its result is shown as JSON.
-	Explain func(fleet.Item) any
+	Explain func(context.Context, fleet.Item) any
 	// Ready says why the node may not be named to callers.
 	Ready func() error
 	// Drain stops the node.
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -54,7 +54,7 @@
 	}
 	return ItemStatus{
 		Item: item.String(), Deployment: snapshot.Deployments[item.Model],
-		Replicas: s.Replicas(item), Policy: s.Explain(item),
+		Replicas: s.Replicas(item), Policy: s.Explain(r.Context(), item),
 	}, nil
 }
 
