Check a ticket without accepting it

Cause: the operators' check only parsed. Change: config.Controller.Check, used by the operators' API. Conclusion: check and apply refuse for the same reasons.

--- a/internal/config/accept.go
+++ b/internal/config/accept.go
@@ -73,6 +73,29 @@
 	return Accepted{}, err
 }
 
+// Check says whether Apply would refuse the ticket now, with the same error,
+// and changes nothing.
+func (c *Controller) Check(ctx context.Context, t ticket.Ticket) (err error) {
+	c.init()
+	defer func() {
+		if err != nil {
+			err = errors.Wrapf(err, "ticket %d", t.Number)
+		}
+	}()
+	if _, done, err := c.alreadyAccepted(ctx, t); done || err != nil {
+		return err
+	}
+	held, err := c.readHead(ctx)
+	if err != nil {
+		return err
+	}
+	if err := c.catchUp(ctx, held); err != nil {
+		return err
+	}
+	_, err = c.check(t, held)
+	return err
+}
+
 // tryAccept checks the ticket against the newest configuration and records it.
 // It fails with table.ErrConflict if another ticket was accepted meanwhile.
 func (c *Controller) tryAccept(ctx context.Context, t ticket.Ticket, actor string) (Accepted, error) {
--- a/internal/config/failure_test.go
+++ b/internal/config/failure_test.go
@@ -78,6 +78,10 @@
 		c.Assert(apply(2, older), qt.IsNil)
 		wrong := model(6, "a", 1)
 		wrong.Deployments["a"].Pool = "nowhere"
+		c.Assert(n.list[0].config.Check(ctx, wrong), qt.ErrorMatches, ".*no pool.*")
+		c.Assert(n.list[0].config.Check(ctx, model(4, "a", 2)), qt.ErrorIs, config.ErrNumberTaken)
+		c.Assert(n.list[0].config.Check(ctx, model(3, "a", 2)), qt.ErrorIs, config.ErrStale)
+		c.Assert(n.list[0].config.Check(ctx, model(9, "a", 2)), qt.IsNil)
 		err := apply(1, wrong)
 		c.Assert(err, qt.ErrorMatches, `ticket 6: deployments.a.pool: there is no pool "nowhere"`)
 		var problems strictjson.FieldErrors
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -22,6 +22,7 @@
 // Configuration accepts and shows tickets.
 type Configuration interface {
 	Apply(ctx context.Context, t ticket.Ticket, actor string) (config.Accepted, error)
+	Check(ctx context.Context, t ticket.Ticket) error
 	Ticket(ctx context.Context, number fleet.TicketNumber) (config.Stored, error)
 	Tickets(ctx context.Context, after fleet.TicketNumber, limit int) ([]config.Stored, error)
 	Watch(ctx context.Context, revision config.Revision) []config.MemberState
--- a/internal/operator/tickets.go
+++ b/internal/operator/tickets.go
@@ -34,7 +34,7 @@
 		return nil, err
 	}
 	if r.URL.Query().Get("check") == "true" {
-		if err := ticket.Validate(given, s.Config.Snapshot()); err != nil {
+		if err := s.Config.Check(r.Context(), given); err != nil {
 			return nil, err
 		}
 		return Applied{Accepted: config.Accepted{Number: given.Number}, CheckedOnly: true}, nil
