--- a/internal/bench/slopesphase.go
+++ b/internal/bench/slopesphase.go
@@ -20,8 +20,12 @@
 	forceLimit = 30 * time.Second
 	// idleSpan is how long the fleet is measured without changes.
 	idleSpan = 10 * time.Second
-	// settleSpan lets the changes of a phase die down before the next.
-	settleSpan    = 5 * time.Second
+	// Between phases the fleet settles: settleWindows windows in a row have no
+	// less than settleShare of the traffic of the window before.
+	settleWindow  = 2 * time.Second
+	settleWindows = 3
+	settleShare   = 0.85
+	settleLimit   = time.Minute
 	phaseTickets  = 100
 	faultTickets  = 30
 	ticketSpacing = 60 * time.Millisecond
@@ -80,7 +84,8 @@
 		f.idlePhase, f.ticketPhase, f.faultPhase,
 	}
 	for i, phase := range phases {
-		time.Sleep(settleSpan)
+		f.settle()
+		o.Printf("slopes: %d nodes, phase %d", count, i+1)
 		if number, err = phase(ctx, &size, number); err != nil {
 			return size, err
 		}
@@ -92,6 +97,22 @@
 	return size, nil
 }
 
+// settle waits until the traffic no longer falls, at most for settleLimit.
+func (f *controlFleet) settle() {
+	last, steady := 0.0, 0
+	for began := time.Now(); steady < settleWindows && time.Since(began) < settleLimit; {
+		before := f.sum("peer.bytesSent")
+		time.Sleep(settleWindow)
+		sent := f.sum("peer.bytesSent") - before
+		if sent > settleShare*last {
+			steady++
+		} else {
+			steady = 0
+		}
+		last = sent
+	}
+}
+
 // liveBytes returns the live heap and the stacks.
 func liveBytes() float64 {
 	runtime.GC()
@@ -249,7 +270,7 @@
 	if _, err := f.await(ctx, joinLimit, func(node *controlNode) bool { return len(node.members.Members()) == want }); err != nil {
 		return err
 	}
-	time.Sleep(settleSpan)
+	f.settle()
 	after, err := f.usage()
 	if err != nil {
 		return err
