Prove the decisions on requests by properties, and close servers that are gone

Cause: decisions were covered by whole-site tests only; a server that refused connections or no longer held an item was asked again at once. Four nodes that share a replica of 32 settle between 20 and 40 requests at it.

--- /dev/null
+++ b/internal/admission/queue_test.go
@@ -0,0 +1,206 @@
+package admission_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/guavatrack/guavatrack/internal/admission"
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+	"github.com/guavatrack/guavatrack/pkg/ticket"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	// A fixed seed gives the same verdict on every run.
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
+var (
+	start   = time.Unix(0, 0)
+	classes = []ticket.Class{ticket.Interactive, ticket.Diagnosis, ticket.Batch}
+)
+
+// model checks a queue against the set of requests that must be in it.
+type model struct {
+	queue   admission.Queue
+	now     time.Time
+	last    admission.Ticket
+	waiting map[admission.Ticket]admission.Request
+	slots   int
+}
+
+func (m *model) offer(t *rapid.T) {
+	m.last++
+	request := admission.Request{
+		Ticket: m.last, Caller: fleet.CallerID(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "caller")),
+		Class:    rapid.SampledFrom(classes).Draw(t, "class"),
+		Deadline: m.now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "patience")) * time.Millisecond),
+	}
+	capacity := admission.Capacity{Slots: m.slots}
+	end := m.queue.Estimate(m.now, request, capacity)
+	decision := m.queue.Offer(m.now, request, capacity)
+	if decision.Displaced != 0 {
+		if _, waits := m.waiting[decision.Displaced]; !waits {
+			t.Fatalf("displaced %d does not wait", decision.Displaced)
+		}
+		delete(m.waiting, decision.Displaced)
+	}
+	switch decision.Outcome {
+	case admission.Queued:
+		if end.After(request.Deadline) {
+			t.Fatal("queued although late")
+		}
+		m.waiting[request.Ticket] = request
+	default:
+		if decision.RetryAfter <= 0 {
+			t.Fatal("refused without a time to come back")
+		}
+	}
+}
+
+func (m *model) run(t *rapid.T) {
+	request, found := m.queue.Next(func(admission.Request) bool { return true })
+	if found != (len(m.waiting) > 0) {
+		t.Fatalf("next found %v with %d waiting", found, len(m.waiting))
+	}
+	if !found {
+		return
+	}
+	if m.waiting[request.Ticket] != request {
+		t.Fatalf("next %v does not wait", request)
+	}
+	m.queue.Started(request)
+	delete(m.waiting, request.Ticket)
+	m.queue.Served(time.Duration(rapid.IntRange(1, 500).Draw(t, "service")) * time.Millisecond)
+}
+
+func (m *model) expire(t *rapid.T) {
+	for _, request := range m.queue.Expire(m.now, admission.Capacity{Slots: m.slots}) {
+		if _, waits := m.waiting[request.Ticket]; !waits {
+			t.Fatalf("expired %d does not wait", request.Ticket)
+		}
+		delete(m.waiting, request.Ticket)
+	}
+	for _, request := range m.waiting {
+		if request.Deadline.Before(m.now.Add(m.queue.Service())) {
+			t.Fatal("a request waits that cannot end in time")
+		}
+	}
+}
+
+// TestEveryRequestLeavesTheQueueOnce offers, starts, cancels and expires
+// requests at random and checks that none is lost, doubled or kept too long.
+func TestEveryRequestLeavesTheQueueOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{
+			now: start, waiting: make(map[admission.Ticket]admission.Request),
+			slots: rapid.IntRange(1, 8).Draw(t, "slots"),
+		}
+		m.queue.Bound = 12
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			m.now = m.now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "passes")) * time.Millisecond)
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0, 1, 2:
+				m.offer(t)
+			case 3:
+				m.run(t)
+			case 4:
+				m.expire(t)
+			default:
+				for ticket, request := range m.waiting {
+					if ticket%3 == 0 && m.queue.Remove(request) {
+						delete(m.waiting, ticket)
+					}
+				}
+			}
+			if m.queue.Len() != len(m.waiting) || m.queue.Len() > m.queue.Bound {
+				t.Fatalf("length %d, waiting %d", m.queue.Len(), len(m.waiting))
+			}
+		}
+	})
+}
+
+// fill puts requests of one caller and class into a queue.
+func fill(queue *admission.Queue, first, count int, caller string, class ticket.Class) {
+	for at := range count {
+		queue.Offer(start, admission.Request{
+			Ticket: admission.Ticket(first + at), Caller: fleet.CallerID(caller), Class: class,
+			Deadline: start.Add(time.Hour + time.Duration(at)*time.Second),
+		}, admission.Capacity{Slots: 1})
+	}
+}
+
+func order(queue *admission.Queue, count int) (callers string) {
+	for range count {
+		request, _ := queue.Next(func(admission.Request) bool { return true })
+		queue.Started(request)
+		callers += string(request.Caller)
+	}
+	return callers
+}
+
+func TestCallersShareFairly(t *testing.T) {
+	var queue admission.Queue
+	fill(&queue, 1, 20, "a", ticket.Interactive)
+	fill(&queue, 100, 3, "b", ticket.Interactive)
+	qt.Assert(t, order(&queue, 7), qt.Equals, "abababa")
+}
+
+func TestUrgentClassGoesFirstAndNoneStarves(t *testing.T) {
+	var queue admission.Queue
+	fill(&queue, 1, 20, "q", ticket.Batch)
+	fill(&queue, 100, 20, "i", ticket.Interactive)
+	qt.Assert(t, order(&queue, 16), qt.Equals, "iiiiiiiqiiiiiiiq")
+}
+
+func TestFullQueueDisplacesTheLeastUrgentOfTheHeaviestCaller(t *testing.T) {
+	c := qt.New(t)
+	queue := admission.Queue{Bound: 4}
+	fill(&queue, 1, 4, "q", ticket.Batch)
+	decision := queue.Offer(start, admission.Request{
+		Ticket: 9, Caller: "i", Class: ticket.Interactive, Deadline: start.Add(time.Hour),
+	}, admission.Capacity{Slots: 1})
+	c.Assert(decision.Displaced, qt.Equals, admission.Ticket(4))
+	decision = queue.Offer(start, admission.Request{
+		Ticket: 10, Caller: "q", Class: ticket.Batch, Deadline: start.Add(time.Hour),
+	}, admission.Capacity{Slots: 1})
+	c.Assert(decision.Outcome, qt.Equals, admission.Full)
+}
+
+func TestLimitSettlesWithinTheReplicaWhenNodesShareIt(t *testing.T) {
+	c := qt.New(t)
+	limits := []*admission.Limit{{Max: 32}, {Max: 32}, {Max: 32}, {Max: 32}}
+	now := start
+	total := 0
+	for range 300 {
+		now = now.Add(500 * time.Millisecond)
+		total = 0
+		for _, limit := range limits {
+			total += limit.Value()
+		}
+		for _, limit := range limits {
+			limit.Report(now, now.Add(-200*time.Millisecond), max(0, total-32), limit.Value())
+		}
+	}
+	c.Assert(total <= 40, qt.IsTrue, qt.Commentf("%d", total))
+	c.Assert(total >= 20, qt.IsTrue, qt.Commentf("%d", total))
+}
+
+func ExampleQueue_Offer() {
+	var queue admission.Queue
+	queue.Served(2 * time.Second)
+	decision := queue.Offer(start, admission.Request{
+		Ticket: 1, Caller: "taproom", Class: ticket.Interactive, Deadline: start.Add(time.Second),
+	}, admission.Capacity{Slots: 1, Free: 1})
+	fmt.Println(decision.Outcome == admission.Late, decision.RetryAfter)
+	// Output: true 2s
+}
--- a/internal/caller/decode.go
+++ b/internal/caller/decode.go
@@ -139,6 +139,8 @@
 const (
 	defaultTimeout = time.Minute
 	maxTimeout     = 24 * time.Hour
+	// writeGrace is left to write a refusal after the deadline.
+	writeGrace = time.Second
 )
 
 // setDeadline sets the deadline to the caller's or the configured one,
@@ -152,6 +154,8 @@
 	ctx, cancel := context.WithDeadline(call.Context, call.Deadline)
 	defer cancel()
 	call.Context = ctx
+	// A caller that no longer reads must not hold a slot for ever.
+	_ = http.NewResponseController(call.Response).SetWriteDeadline(call.Deadline.Add(writeGrace))
 	return next.Handle(call)
 }
 
--- a/internal/caller/entry.go
+++ b/internal/caller/entry.go
@@ -15,6 +15,9 @@
 	"github.com/guavatrack/guavatrack/pkg/refusal"
 )
 
+// answerTimeout bounds the writing of an answer to a request without a deadline.
+const answerTimeout = time.Minute
+
 // drainingRetryAfter gives a caller time to ask which other node to use.
 const drainingRetryAfter = time.Second
 
@@ -22,6 +25,7 @@
 func (s *Server) serve(handler Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.meters.requests.Inc(1)
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerTimeout))
 		ctx, cancel := context.WithCancel(r.Context())
 		defer cancel()
 		call := &Call{Request: r, Response: w, Context: ctx, Started: time.Now(), Snapshot: s.Snapshot()}
@@ -46,11 +50,12 @@
 		s.meters.answered.Inc(1)
 		return
 	}
-	if call.Request.Context().Err() != nil {
+	answer, decided := refusal.As(err)
+	if !decided && call.Request.Context().Err() != nil || decided && answer.Reason == refusal.CallerLeft {
 		s.meters.left.Inc(1)
 		return
 	}
-	answer := refusalOf(call, err)
+	answer = refusalOf(call, err)
 	if answer.Reason.Run() == refusal.NotRun {
 		s.meters.notRun.Inc(1)
 	} else {
--- a/internal/caller/exchange.go
+++ b/internal/caller/exchange.go
@@ -141,6 +141,9 @@
 	case errors.Is(e.err, errForeign):
 		return retry.Crossed
 	case errors.As(e.err, &status):
+		if status.status == http.StatusNotFound || status.status == http.StatusConflict {
+			return retry.Absent
+		}
 		if status.status < http.StatusInternalServerError || status.status == http.StatusServiceUnavailable {
 			return retry.Declined
 		}
--- a/internal/caller/failures_test.go
+++ b/internal/caller/failures_test.go
@@ -199,7 +199,9 @@
 
 func TestNoServerAtAllIsRefusedUnrunInTime(t *testing.T) {
 	bubble(t, siteConfig{engines: 1, services: 1, nodes: 1}, func(s *site) {
+		s.mu.Lock()
 		s.gone[s.engines[0].ID()] = true
+		s.mu.Unlock()
 		body, _ := prompt("x", 1)
 		got := s.send(0, http.MethodPost, chatPath, body)
 		s.c.Assert(got.status, qt.Equals, http.StatusServiceUnavailable)
--- a/internal/caller/lane.go
+++ b/internal/caller/lane.go
@@ -4,6 +4,7 @@
 	"context"
 	"hash/maphash"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/guavatrack/guavatrack/internal/admission"
@@ -72,6 +73,9 @@
 	wakes   map[fleet.Item]*wake
 	last    admission.Ticket
 	ticking bool
+	// waking says that the waker is being called for waiting requests, which
+	// may take longer than they can do without attention.
+	waking atomic.Bool
 	// Times to the first byte of streams and of whole answers.
 	streamed, whole retry.Quantiles
 }
@@ -95,6 +99,8 @@
 	// failing is since when no replica can be had.
 	failing time.Time
 	err     error
+	// asking says that the waker is being called.
+	asking bool
 }
 
 // acquire waits for a slot at a replica. It fails with a refusal as soon as the
@@ -252,8 +258,13 @@
 		l.pump(now)
 		if now.Sub(lastExpiry) >= expireInterval {
 			lastExpiry = now
-			l.wakeWaiting()
 			l.expire(now)
+			if l.waking.CompareAndSwap(false, true) {
+				go func() {
+					defer l.waking.Store(false)
+					l.wakeWaiting()
+				}()
+			}
 		}
 		l.mu.Lock()
 		if len(l.waiters) == 0 {
@@ -269,14 +280,20 @@
 // requests whose item will not be ready in time.
 func (l *lane) wakeWaiting() {
 	l.mu.Lock()
-	waiting := make([]*waiter, 0, len(l.waiters))
+	byItem := make(map[fleet.Item][]*waiter)
 	for _, found := range l.waiters {
-		waiting = append(waiting, found)
+		byItem[found.call.Item] = append(byItem[found.call.Item], found)
 	}
 	l.mu.Unlock()
-	for _, one := range waiting {
-		if _, err := l.readyIn(one.call, time.Now()); err != nil {
-			l.refuse(one, err)
+	for item, waiting := range byItem {
+		if l.server.Waker == nil || len(usable(l.server.Directory.Replicas(item))) > 0 {
+			continue
+		}
+		state := l.wake(waiting[0].call, time.Now())
+		for _, one := range waiting {
+			if _, err := state.readyIn(one.call, time.Now()); err != nil {
+				l.refuse(one, err)
+			}
 		}
 	}
 }
@@ -299,18 +316,23 @@
 	if l.server.Waker == nil {
 		return 0, refusal.New(refusal.NoServer, "no replica is loaded")
 	}
-	state := l.wake(call, now)
-	if state.err != nil {
+	return l.wake(call, now).readyIn(call, now)
+}
+
+// readyIn returns the time until a load is done, and a refusal if that is too
+// late for the call.
+func (w wake) readyIn(call *Call, now time.Time) (time.Duration, error) {
+	if w.err != nil {
 		patience := min(wakePatience, call.Deadline.Sub(call.Started)/3)
-		if now.Sub(state.failing) < patience {
+		if now.Sub(w.failing) < patience {
 			return 0, nil
 		}
 		return 0, &refusal.Refusal{
-			Reason: refusal.NoServer, Message: "no replica can be loaded: " + state.err.Error(),
+			Reason: refusal.NoServer, Message: "no replica can be loaded: " + w.err.Error(),
 			RetryAfter: wakePatience,
 		}
 	}
-	left := state.estimate.ReadyIn - now.Sub(state.at)
+	left := w.estimate.ReadyIn - now.Sub(w.at)
 	if now.Add(left).After(call.Deadline) {
 		return 0, &refusal.Refusal{
 			Reason: refusal.DeadlineUnreachable, Message: "the model will not be loaded before the deadline",
@@ -328,11 +350,11 @@
 		state = &wake{}
 		l.wakes[call.Item] = state
 	}
-	if now.Sub(state.at) < wakeInterval && !state.at.IsZero() {
+	if state.asking || now.Sub(state.at) < wakeInterval && !state.at.IsZero() {
 		defer l.mu.Unlock()
 		return *state
 	}
-	state.at = now
+	state.asking = true
 	l.mu.Unlock()
 	estimate, err := l.server.Waker.Wake(context.WithoutCancel(call.Context), call.Item, call.Deadline)
 	l.mu.Lock()
@@ -340,7 +362,7 @@
 	if err != nil && (state.err == nil || now.Sub(state.failing) > 2*wakePatience) {
 		state.failing = now
 	}
-	state.estimate, state.err = estimate, err
+	state.estimate, state.err, state.at, state.asking = estimate, err, now, false
 	return *state
 }
 
--- a/internal/caller/relay.go
+++ b/internal/caller/relay.go
@@ -188,6 +188,10 @@
 	now := time.Now()
 	state := e.slot.server
 	switch kind {
+	case retry.Absent:
+		state.lacked(now, e.slot)
+	case retry.Unreachable:
+		state.unreachable(now)
 	case retry.Declined:
 		state.declined(now, e.slot)
 	case retry.SilentConnection, retry.Crossed:
--- a/internal/caller/servers.go
+++ b/internal/caller/servers.go
@@ -41,6 +41,10 @@
 	firstByteAt time.Time
 	// exclusive is the call that must run alone, if there is one.
 	exclusive *Call
+	// closedUntil is when a server that could not be reached is tried again,
+	// closings how often in a row it was closed.
+	closedUntil time.Time
+	closings    int
 	// deadBoot is the newest run of the server's process known to have ended.
 	deadBoot fleet.BootID
 }
@@ -49,6 +53,9 @@
 type modelSlots struct {
 	limit    admission.Limit
 	inFlight int
+	// absent says until when an item is taken to be gone although the last
+	// report still shows it.
+	absent map[fleet.Item]time.Time
 }
 
 func (s *serverShards) setUp() {
@@ -123,7 +130,9 @@
 		fade := math.Exp(-float64(now.Sub(s.firstByteAt)) / float64(firstByteLife))
 		candidate.FirstByte = time.Duration(float64(s.firstByte) * fade)
 	}
-	if s.exclusive != nil && s.exclusive != call || replica.Boot != "" && replica.Boot == s.deadBoot {
+	switch {
+	case s.exclusive != nil && s.exclusive != call, now.Before(s.closedUntil),
+		replica.Boot != "" && replica.Boot == s.deadBoot, now.Before(slots.absent[replica.Item]):
 		candidate.Limit, candidate.InFlight = 0, math.MaxInt
 	}
 	return candidate
@@ -193,6 +202,40 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.health.Succeeded()
+	s.closings = 0
+}
+
+// Times for which a server that cannot be reached gets no work.
+const (
+	firstClosing   = 200 * time.Millisecond
+	closingDoubles = 4
+)
+
+// unreachable notes that no connection to the server could be made.
+func (s *server) unreachable(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.health.Failed(now)
+	if now.Before(s.closedUntil) {
+		return
+	}
+	s.closedUntil = now.Add(firstClosing << min(s.closings, closingDoubles))
+	s.closings++
+}
+
+// absentLife is how long an item that a server did not have is taken to be gone.
+const absentLife = time.Second
+
+// lacked notes that the server does not hold the item of a slot.
+func (s *server) lacked(now time.Time, taken *slot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.health.Abandoned()
+	slots := s.slots(taken.replica.Item.Model, taken.call.Deployment.Concurrency)
+	if slots.absent == nil {
+		slots.absent = make(map[fleet.Item]time.Time)
+	}
+	slots.absent[taken.replica.Item] = now.Add(absentLife)
 }
 
 func (s *server) failed(now time.Time) {
@@ -216,7 +259,7 @@
 	candidate := route.Candidate{
 		Server: s.id, Place: place, InFlight: len(s.running), Limit: serviceLimit, Ejected: s.health.Ejected(now),
 	}
-	if s.exclusive != nil {
+	if s.exclusive != nil || now.Before(s.closedUntil) {
 		candidate.Limit, candidate.InFlight = 0, math.MaxInt
 	}
 	return candidate
--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -161,7 +161,11 @@
 	if kind == retry.SilentServer {
 		s.transports.dropIdle(now)
 	}
-	if kind != retry.Declined {
+	switch kind {
+	case retry.Declined:
+	case retry.Unreachable:
+		e.slot.server.unreachable(now)
+	default:
 		e.slot.server.failed(now)
 	}
 	call.failed = append(call.failed, retry.Attempt{
--- a/internal/caller/site_test.go
+++ b/internal/caller/site_test.go
@@ -100,6 +100,8 @@
 	reports map[fleet.ServerID]engine.Report
 	// gone lists engines that the directory no longer shows.
 	gone map[fleet.ServerID]bool
+	// draining lists engines that are to get no new work.
+	draining map[fleet.ServerID]bool
 }
 
 // siteConfig describes a site.
@@ -118,6 +120,7 @@
 		t: t, c: qt.New(t), net: &memoryNet{listeners: make(map[string]*memoryListener)},
 		table: standin.NewTable(), ledger: standin.NewLedger(), runs: standin.NewRuns(),
 		gone: make(map[fleet.ServerID]bool), reports: make(map[fleet.ServerID]engine.Report),
+		draining: make(map[fleet.ServerID]bool),
 	}
 	t.Cleanup(s.close)
 	s.client = &http.Client{Transport: &http.Transport{DialContext: s.net.dial}}
@@ -253,9 +256,9 @@
 	for _, made := range d.site.engines {
 		id := made.ID()
 		d.site.mu.Lock()
-		report := d.site.reports[id]
+		report, gone, draining := d.site.reports[id], d.site.gone[id], d.site.draining[id]
 		d.site.mu.Unlock()
-		if d.site.gone[id] || len(report.Held) == 0 {
+		if gone || len(report.Held) == 0 {
 			continue
 		}
 		held := report.Held[0]
@@ -263,6 +266,7 @@
 			Item: item, Server: id, Address: string(id), State: held.State, Boot: report.Boot,
 			Place:   fleet.Place{FailureDomain: fleet.FailureDomain(id)},
 			Running: held.Running, Queued: held.Queued, AsOf: report.AsOf,
+			Draining: draining,
 		})
 	}
 	return replicas
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -17,6 +17,8 @@
 	// Declined says that the server answered that it does not take the
 	// request, for example because it is overloaded.
 	Declined
+	// Absent says that the server answered that it does not hold the item.
+	Absent
 	// Broken says that the connection broke.
 	Broken
 	// SilentConnection says that nothing came over the connection although the
--- /dev/null
+++ b/internal/retry/retry_test.go
@@ -0,0 +1,126 @@
+package retry_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/guavatrack/guavatrack/internal/engine"
+	"github.com/guavatrack/guavatrack/internal/retry"
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	// A fixed seed gives the same verdict on every run.
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
+var start = time.Unix(0, 0)
+
+// TestPolicyKeepsItsPromises checks that a call that may have run is never sent
+// again unless it is idempotent, that no attempt is planned past the deadline,
+// and that every call ends.
+func TestPolicyKeepsItsPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(1, rapid.Uint64().Draw(t, "seed")))
+		budget := &retry.Budget{Ratio: 0.2, Burst: float64(rapid.IntRange(0, 50).Draw(t, "burst"))}
+		state := retry.State{
+			Now: start, Deadline: start.Add(time.Duration(rapid.IntRange(1, 20_000).Draw(t, "ms")) * time.Millisecond),
+			Idempotent: rapid.Bool().Draw(t, "idempotent"), Resumable: rapid.Bool().Draw(t, "resumable"),
+		}
+		for attempts := 1; ; attempts++ {
+			failure := retry.Failure(rapid.IntRange(int(retry.Unreachable), int(retry.Faulty)).Draw(t, "failure"))
+			state.Sent = state.Sent || failure != retry.Unreachable
+			state.Failed = append(state.Failed, retry.Attempt{
+				Server: fleet.ServerID(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "server"))), Failure: failure,
+			})
+			decision := retry.Default.Next(state, budget, random)
+			if !decision.Again {
+				return
+			}
+			state.Now = state.Now.Add(decision.Pause)
+			switch {
+			case state.Sent && !state.Idempotent:
+				t.Fatal("a call that may have run is sent again")
+			case !state.Resumable:
+				t.Fatal("an answer that cannot go on is begun again")
+			case !state.Now.Before(state.Deadline):
+				t.Fatal("an attempt after the deadline")
+			case attempts >= retry.Default.MaxAttempts:
+				t.Fatal("too many attempts")
+			}
+		}
+	})
+}
+
+// TestBudgetBoundsTheLoadOfRetries checks that attempts stay within the share
+// of the requests when every attempt fails.
+func TestBudgetBoundsTheLoadOfRetries(t *testing.T) {
+	c := qt.New(t)
+	budget := retry.Budget{Ratio: 0.1, Burst: 10}
+	spent := 0
+	for range 10_000 {
+		budget.Earn(start)
+		for range 3 {
+			if budget.Spend(start) {
+				spent++
+			}
+		}
+	}
+	c.Assert(spent <= 1010, qt.IsTrue, qt.Commentf("%d", spent))
+	c.Assert(spent >= 990, qt.IsTrue, qt.Commentf("%d", spent))
+}
+
+// TestPositionForwardsEachEventOnce sends the pieces of two streams late,
+// crossed, repeated and with gaps, and checks that the caller sees the events of
+// its own stream in order and once.
+func TestPositionForwardsEachEventOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		position := retry.Position{Request: "own", Next: uint64(rapid.IntRange(0, 3).Draw(t, "first"))}
+		next := position.Next
+		for range 200 {
+			request := rapid.SampledFrom([]fleet.RequestID{"own", "own", "own", "other"}).Draw(t, "request")
+			offset := uint64(rapid.IntRange(0, 12).Draw(t, "offset"))
+			verdict := position.Accept(engine.Event{ID: []byte(engine.EventID(request, offset))})
+			want := retry.Forward
+			switch {
+			case request != "own":
+				want = retry.Foreign
+			case offset < next:
+				want = retry.Drop
+			case offset > next:
+				want = retry.Gap
+			}
+			if verdict != want {
+				t.Fatalf("%s/%d at %d: %v", request, offset, next, verdict)
+			}
+			if verdict == retry.Forward {
+				next++
+			}
+		}
+	})
+}
+
+func TestQuantiles(t *testing.T) {
+	c := qt.New(t)
+	var known retry.Quantiles
+	_, enough := known.At(0.5)
+	c.Assert(enough, qt.IsFalse)
+	for at := range 1000 {
+		known.Observe(time.Duration(at+1) * time.Millisecond)
+	}
+	median, _ := known.At(0.5)
+	c.Assert(median >= 500*time.Millisecond && median <= 600*time.Millisecond, qt.IsTrue, qt.Commentf("%s", median))
+	high, _ := known.At(0.99)
+	c.Assert(high >= 990*time.Millisecond && high <= 1200*time.Millisecond, qt.IsTrue, qt.Commentf("%s", high))
+}
--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,154 @@
+package route_test
+
+import (
+	"flag"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/guavatrack/guavatrack/internal/route"
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	// A fixed seed gives the same verdict on every run.
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
+var now = time.Unix(1000, 0)
+
+func candidate(t *rapid.T) route.Candidate {
+	return route.Candidate{
+		Server: fleet.ServerID(rapid.StringMatching("s[0-9]").Draw(t, "server")),
+		Place: fleet.Place{
+			Region:        rapid.SampledFrom([]fleet.Region{"west", "south"}).Draw(t, "region"),
+			FailureDomain: rapid.SampledFrom([]fleet.FailureDomain{"d1", "d2", "d3"}).Draw(t, "domain"),
+		},
+		InFlight: rapid.IntRange(0, 10).Draw(t, "inFlight"), Limit: rapid.IntRange(1, 8).Draw(t, "limit"),
+		Others: rapid.IntRange(0, 20).Draw(t, "others"), AsOf: now.Add(-time.Second),
+		Ejected: rapid.Bool().Draw(t, "ejected"), Prefix: rapid.Bool().Draw(t, "prefix"),
+	}
+}
+
+// TestPickKeepsLimitsAndRegions checks that a choice never exceeds a limit or
+// leaves the region without leave, prefers sound servers that did not fail the
+// request, and is made whenever there is room in the region.
+func TestPickKeepsLimitsAndRegions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		candidates := rapid.SliceOfN(rapid.Custom(candidate), 0, 12).Draw(t, "candidates")
+		query := route.Query{
+			Now: now, Place: fleet.Place{Region: "west", FailureDomain: "d1"},
+			Avoid: []fleet.ServerID{"s1", "s2"}, Cross: rapid.Bool().Draw(t, "cross"),
+		}
+		random := rand.New(rand.NewPCG(1, rapid.Uint64().Draw(t, "seed")))
+		index, found := route.Pick(query, candidates, random)
+		open := func(c route.Candidate) bool {
+			return c.InFlight < c.Limit && (query.Cross || c.Region == "west")
+		}
+		best := func(c route.Candidate) bool {
+			return open(c) && c.Region == "west" && !c.Ejected && !slices.Contains(query.Avoid, c.Server)
+		}
+		if found != slices.ContainsFunc(candidates, open) {
+			t.Fatalf("found %v", found)
+		}
+		if found && !open(candidates[index]) {
+			t.Fatalf("chose %+v", candidates[index])
+		}
+		if slices.ContainsFunc(candidates, best) && !best(candidates[index]) {
+			t.Fatalf("chose %+v although there is a better one", candidates[index])
+		}
+	})
+}
+
+// spread counts choices over servers that are otherwise alike.
+func spread(candidates []route.Candidate, rounds int) []int {
+	random := rand.New(rand.NewPCG(1, 2))
+	counts := make([]int, len(candidates))
+	for range rounds {
+		if index, found := route.Pick(route.Query{Now: now}, candidates, random); found {
+			counts[index]++
+		}
+	}
+	return counts
+}
+
+func TestPickSpreadsAndAvoidsTheSlow(t *testing.T) {
+	c := qt.New(t)
+	candidates := make([]route.Candidate, 10)
+	for at := range candidates {
+		candidates[at] = route.Candidate{Limit: 8, FirstByte: 20 * time.Millisecond}
+	}
+	candidates[7].FirstByte = time.Second
+	counts := spread(candidates, 9000)
+	c.Assert(counts[7], qt.Equals, 0)
+	c.Assert(slices.Min(slices.Delete(counts, 7, 8)) > 700, qt.IsTrue, qt.Commentf("%v", counts))
+}
+
+func TestFreshServerStartsSlowly(t *testing.T) {
+	fresh := route.Candidate{Limit: 10, InFlight: 2, ReadySince: now.Add(-time.Second)}
+	_, found := route.Pick(route.Query{Now: now}, []route.Candidate{fresh}, rand.New(rand.NewPCG(1, 2)))
+	qt.Assert(t, found, qt.IsFalse)
+	fresh.ReadySince = now.Add(-time.Minute)
+	_, found = route.Pick(route.Query{Now: now}, []route.Candidate{fresh}, rand.New(rand.NewPCG(1, 2)))
+	qt.Assert(t, found, qt.IsTrue)
+}
+
+func TestServerWithThePrefixIsPreferredUntilItIsBusy(t *testing.T) {
+	c := qt.New(t)
+	candidates := []route.Candidate{{Limit: 8}, {Limit: 8}, {Limit: 8}, {Limit: 8, Prefix: true}, {Limit: 8}}
+	c.Assert(spread(candidates, 100)[3], qt.Equals, 100)
+	candidates[3].InFlight = 4
+	c.Assert(spread(candidates, 100)[3], qt.Equals, 0)
+}
+
+func TestEjectionAndReturn(t *testing.T) {
+	c := qt.New(t)
+	var health route.Health
+	c.Assert(health.Failed(now), qt.IsFalse)
+	c.Assert(health.Failed(now), qt.IsFalse)
+	c.Assert(health.Failed(now), qt.IsTrue)
+	c.Assert(health.Ejected(now), qt.IsTrue)
+	later := now.Add(2 * time.Second)
+	c.Assert(health.Ejected(later), qt.IsFalse)
+	health.Started(later)
+	c.Assert(health.Ejected(later), qt.IsTrue, qt.Commentf("one request tries the server"))
+	c.Assert(health.Failed(later), qt.IsTrue)
+	c.Assert(health.Ejected(later.Add(time.Second)), qt.IsTrue, qt.Commentf("longer than before"))
+	health.Succeeded()
+	c.Assert(health.Ejected(later), qt.IsFalse)
+}
+
+func TestLinkIsCappedAndCounted(t *testing.T) {
+	c := qt.New(t)
+	link := route.Link{PerSecond: 1000, Burst: 1000}
+	c.Assert(link.Open(now), qt.IsTrue)
+	link.Use(now, route.CauseRetry, 3000)
+	c.Assert(link.Open(now.Add(time.Second)), qt.IsFalse)
+	c.Assert(link.Open(now.Add(2500*time.Millisecond)), qt.IsTrue)
+	c.Assert(link.Bytes(route.CauseRetry), qt.Equals, fleet.Bytes(3000))
+	c.Assert(link.Bytes(route.CauseNoLocal), qt.Equals, fleet.Bytes(0))
+}
+
+func TestPrefixesOutliveLateAndMissingEvents(t *testing.T) {
+	c := qt.New(t)
+	var known route.Prefixes
+	known.Sent(now, 7, "a")
+	known.Evicted(now.Add(-time.Second), 7, "a")
+	c.Assert(known.Holds(now, 7, "a"), qt.IsTrue, qt.Commentf("a late event does not undo what was sent after it"))
+	known.Evicted(now.Add(time.Second), 7, "a")
+	c.Assert(known.Holds(now, 7, "a"), qt.IsFalse)
+	known.Sent(now, 7, "b")
+	c.Assert(known.Holds(now.Add(time.Hour), 7, "b"), qt.IsFalse, qt.Commentf("a lost event is made up for by age"))
+	known.Sent(now, 8, "b")
+	known.Restarted("b")
+	c.Assert(known.Holds(now, 8, "b"), qt.IsFalse)
+}
