--- a/internal/caller/metrics.go
+++ b/internal/caller/metrics.go
@@ -1,22 +1,15 @@
 package caller
 
 import (
-	"slices"
-
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/guavatrack/guavatrack/internal/batch"
-	"github.com/guavatrack/guavatrack/internal/claim"
 	"github.com/guavatrack/guavatrack/internal/metric"
-	"github.com/guavatrack/guavatrack/internal/poison"
 	"github.com/guavatrack/guavatrack/internal/route"
 )
 
-// Metrics lists the metrics that a [Server] registers, with those of the
-// packages that it runs.
-var Metrics = slices.Concat(ownMetrics, batch.Metrics, claim.Metrics, poison.Metrics)
-
-var ownMetrics = []metric.Doc{
+// Metrics lists the metrics that a [Server] registers. Those of the packages
+// that it runs are listed there.
+var Metrics = []metric.Doc{
 	{Name: requestsName, Kind: metric.Counter, Help: "requests from callers"},
 	{Name: answeredName, Kind: metric.Counter, Help: "requests that got a whole answer"},
 	{Name: notRunName, Kind: metric.Counter, Help: "requests refused before anything of them was sent"},
