Hold a crash against its cause before anything that ran there is judged

Cause: of several requests that broke with a server only the first waited until the crash was noted; the others, and the poison among them, were judged before and ran again. Seen as 3 crashes in 1 of 48 runs of TestPoisonTakesAtMostTwoServersFromTheFleet under load. Change: all wait for the one that notes the crash.

--- a/internal/caller/isolate.go
+++ b/internal/caller/isolate.go
@@ -53,10 +53,11 @@
 	if !s.hasCrashed(ctx, taken) {
 		return false
 	}
-	aboard, first := taken.server.died(time.Now(), taken.replica.Boot)
-	if first && !s.leaving(taken) {
-		s.poison.Crashed(taken.replica.Server, taken.replica.Boot, aboard)
-	}
+	taken.server.died(time.Now(), taken.replica.Boot, func(aboard []poison.Digest) {
+		if !s.leaving(taken) {
+			s.poison.Crashed(taken.replica.Server, taken.replica.Boot, aboard)
+		}
+	})
 	return true
 }
 
--- a/internal/caller/servers.go
+++ b/internal/caller/servers.go
@@ -47,6 +47,8 @@
 	closings    int
 	// deadBoot is the newest run of the server's process known to have ended.
 	deadBoot fleet.BootID
+	// blamed is closed when the end of deadBoot has been held against what ran.
+	blamed chan struct{}
 }
 
 // modelSlots bounds the requests of one model and its adapters.
@@ -180,22 +182,30 @@
 	s.firstByte += time.Duration(firstByteWeight * float64(span-s.firstByte))
 }
 
-// died notes the end of a run of the server's process. It returns the digests
-// of what ran on it, and false if the end is known already.
-func (s *server) died(now time.Time, boot fleet.BootID) (aboard []poison.Digest, first bool) {
+// died notes the end of a run of the server's process and calls blame with the
+// digests of what ran on it, once for each run. It returns when blame has
+// returned, so that nothing that ran there is judged before.
+func (s *server) died(now time.Time, boot fleet.BootID, blame func(aboard []poison.Digest)) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	if boot != "" && s.deadBoot == boot {
-		return nil, false
+		blamed := s.blamed
+		s.mu.Unlock()
+		<-blamed
+		return
 	}
 	s.deadBoot = boot
+	blamed := make(chan struct{})
+	s.blamed = blamed
 	s.health.Lost(now)
+	var aboard []poison.Digest
 	for taken := range s.running {
 		if taken.replica.Boot == boot && taken.sent.Load() {
 			aboard = append(aboard, taken.call.digest)
 		}
 	}
-	return aboard, true
+	s.mu.Unlock()
+	defer close(blamed)
+	blame(aboard)
 }
 
 func (s *server) succeeded() {
--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -12,6 +12,7 @@
 
 	"github.com/guavatrack/guavatrack/internal/claim"
 	"github.com/guavatrack/guavatrack/internal/engine"
+	"github.com/guavatrack/guavatrack/internal/poison"
 	"github.com/guavatrack/guavatrack/internal/retry"
 	"github.com/guavatrack/guavatrack/internal/route"
 	"github.com/guavatrack/guavatrack/internal/vmlist"
@@ -154,9 +155,9 @@
 	now := time.Now()
 	if kind == retry.Broken && !s.accepts(call, e.slot.replica.Address) {
 		kind = retry.Crashed
-		if aboard, first := e.slot.server.died(now, ""); first {
+		e.slot.server.died(now, "", func(aboard []poison.Digest) {
 			s.poison.Crashed(e.slot.replica.Server, "", aboard)
-		}
+		})
 	}
 	if kind == retry.SilentServer {
 		s.transports.dropIdle(now)
