--- a/internal/grant/controller.go
+++ b/internal/grant/controller.go
@@ -56,8 +56,12 @@
 	// Dial returns the engine at an address. The engine must send each order at
 	// most once.
 	Dial func(address string) Engine
-	// Servers returns the newest VM list.
-	Servers  func() []vmlist.VM
+	// Servers returns the newest VM list, whole: a VM that it has ceased to
+	// name and that does not answer counts as ended.
+	Servers func() []vmlist.VM
+	// ListAsOf returns the time of that list by the list's own clock. With it
+	// a node that has never seen a VM can tell that the VM has ended.
+	ListAsOf func() time.Time
 	Snapshot func() *ticket.Snapshot
 	// Watches tells whether this node follows a server; nil means all.
 	Watches func(fleet.ServerID) bool
@@ -99,6 +103,8 @@
 	machine Machine
 	vm      vmlist.VM
 	listed  bool
+	// ended says that the list has ceased to name the VM.
+	ended bool
 	// unlistedPolls counts the failed polls since the VM left the list.
 	unlistedPolls int
 	polledAt      time.Time
--- a/internal/grant/evaluate.go
+++ b/internal/grant/evaluate.go
@@ -13,7 +13,7 @@
 	// adoptLiveAfter is for an order of a node that may live.
 	adoptLiveAfter = 20 * time.Second
 	// adoptDeadAfter is for an order of a node that is thought dead.
-	adoptDeadAfter = 200 * time.Millisecond
+	adoptDeadAfter = time.Second
 	// adoptAcceptedAfter and adoptLostAfter are for this node's own orders that
 	// the engine accepted or never answered and that have no effect yet.
 	adoptAcceptedAfter = 10 * time.Second
@@ -80,7 +80,7 @@
 			continue
 		}
 		m.scheduleAdoption(now, order, known)
-		if known.word == inFlight || now.Before(known.adoptAt) {
+		if !known.adoptable(now) {
 			return nil
 		}
 		newest = order.Fencing
@@ -112,13 +112,19 @@
 	if state.adoptAt.IsZero() {
 		state.adoptAt = now.Add(adoptLiveAfter + m.jitter())
 	}
-	if m.Alive != nil && !m.Alive(order.Sender) {
-		if early := now.Add(adoptDeadAfter + m.jitter()); early.Before(state.adoptAt) {
-			state.adoptAt = early
-		}
+	switch {
+	case m.Alive == nil || m.Alive(order.Sender):
+		state.deadAt = time.Time{}
+	case state.deadAt.IsZero():
+		state.deadAt = now.Add(adoptDeadAfter + m.jitter())
 	}
 }
 
+// adoptable tells whether this node may take over an order.
+func (o *orderState) adoptable(now time.Time) bool {
+	return o.word != inFlight && (!now.Before(o.adoptAt) || !o.deadAt.IsZero() && !now.Before(o.deadAt))
+}
+
 // turn tells whether this node may try a table write for the grant now. A node
 // that has no part in the grant waits for those that have.
 func (m *Machine) turn(now time.Time, state *grantState, first bool) bool {
--- a/internal/grant/follow.go
+++ b/internal/grant/follow.go
@@ -40,18 +40,20 @@
 // stops to follow those that are gone.
 func (c *Controller) superviseServers(ctx context.Context, tasks *sync.WaitGroup) {
 	vms := make(map[fleet.ServerID]vmlist.VM)
+	asOf := c.listAsOf() // before the list, which is then at least as new
 	for _, vm := range c.Servers() {
 		if c.isEngine(vm) {
 			vms[vm.ID] = vm
 		}
 	}
 	for id, vm := range vms {
-		c.with(id, func(s *server) { s.vm, s.listed, s.unlistedPolls = vm, true, 0 })
+		c.with(id, func(s *server) { s.vm, s.listed, s.ended, s.unlistedPolls = vm, true, false, 0 })
 	}
 	var quarantined, reserved, foreign int64
 	c.each(func(s *server) {
 		if _, found := vms[s.id]; !found {
 			s.listed = false
+			s.ended = s.vm.ID != "" || asOf.After(s.machine.record.ListedAsOf)
 		}
 		c.superviseServer(ctx, tasks, s)
 		for i := range s.machine.record.Grants {
@@ -131,12 +133,20 @@
 	c.step(id, Reported{Report: report, RequestedAt: requestedAt})
 }
 
-// missReport counts a failed poll. A VM that this node has seen listed, that is
-// listed no more and does not answer has ended.
+// listAsOf returns the time of the VM list; zero if it is not known.
+func (c *Controller) listAsOf() time.Time {
+	if c.ListAsOf == nil {
+		return time.Time{}
+	}
+	return c.ListAsOf()
+}
+
+// missReport counts a failed poll. A VM that the list has ceased to name and
+// that does not answer has ended.
 func (c *Controller) missReport(id fleet.ServerID) {
 	event := Event(Tick{})
 	c.with(id, func(s *server) {
-		if !s.listed && s.vm.ID != "" {
+		if s.ended {
 			s.unlistedPolls++
 		}
 		if s.unlistedPolls >= gonePolls {
--- a/internal/grant/harness_test.go
+++ b/internal/grant/harness_test.go
@@ -75,9 +75,13 @@
 
 // node returns a controller that runs until the test ends or stop is called.
 func (s *site) node(id fleet.NodeID) (controller *grant.Controller, stop func()) {
+	return s.newNode(id, func(*grant.Controller) {})
+}
+
+func (s *site) newNode(id fleet.NodeID, set func(*grant.Controller)) (controller *grant.Controller, stop func()) {
 	controller = &grant.Controller{
-		Node: id, Store: s.table, Snapshot: func() *ticket.Snapshot { return s.snapshot },
-		Servers: s.listed, Alive: s.alive,
+		Node: id, Store: s.table, Snapshot: s.configuration,
+		Servers: s.listed, ListAsOf: time.Now, Alive: s.alive,
 		Dial: func(address string) grant.Engine {
 			return &engine.Client{
 				Address: address,
@@ -86,6 +90,7 @@
 		},
 		Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry(), Seed: 1,
 	}
+	set(controller)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -100,6 +105,12 @@
 	return controller, stop
 }
 
+func (s *site) configuration() *ticket.Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.snapshot
+}
+
 func (s *site) listed() []vmlist.VM {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/grant/load.go
+++ b/internal/grant/load.go
@@ -95,6 +95,9 @@
 		return nil, err
 	}
 	record.Server, record.Pool, record.Address, record.Memory = id, vm.Pool, vm.Address, vm.Memory
+	if asOf := c.listAsOf(); asOf.After(record.ListedAsOf) {
+		record.ListedAsOf = asOf // after the list, which is then no newer
+	}
 	c.with(id, func(s *server) { r.Foreign = s.machine.foreignTo(&record) })
 	r.Order = newToken()
 	p := &plan{version: rawServer.Version, grant: fleet.GrantID(r.Order)}
--- a/internal/grant/machine.go
+++ b/internal/grant/machine.go
@@ -29,8 +29,10 @@
 	word     word
 	recorded bool
 	// closed is the engine's clock after which the order can't arrive.
-	closed  time.Time
-	adoptAt time.Time
+	closed time.Time
+	// adoptAt is when this node takes the order over, deadAt when it does so
+	// if the sender is thought dead until then.
+	adoptAt, deadAt time.Time
 }
 
 // open tells whether the order may still arrive.
--- a/internal/grant/record.go
+++ b/internal/grant/record.go
@@ -65,6 +65,9 @@
 	Pool    fleet.PoolID   `json:"pool"`
 	Address string         `json:"address"`
 	Memory  fleet.Bytes    `json:"memory"`
+	// ListedAsOf is the time of a VM list that named the server, by the list's
+	// own clock.
+	ListedAsOf time.Time `json:"listedAsOf,omitzero"`
 	// LastFencing is the highest fencing number given out.
 	LastFencing fleet.FencingNumber `json:"lastFencing"`
 	Grants      []Grant             `json:"grants"`
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -26,7 +26,6 @@
 	"github.com/guavatrack/guavatrack/internal/table"
 	"github.com/guavatrack/guavatrack/internal/vmlist"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
-	"github.com/guavatrack/guavatrack/pkg/ticket"
 )
 
 // providers makes the parts of a node. What needs each other in a circle is
@@ -135,22 +134,11 @@
 	return &grant.Controller{
 		Node: n.ID, Store: store,
 		Dial:    func(address string) grant.Engine { return &engine.Client{Address: address, HTTP: client} },
-		Servers: func() []vmlist.VM { return engines(vms, known.Snapshot()) }, Snapshot: known.Snapshot,
+		Servers: vms.VMs, ListAsOf: vms.AsOf, Snapshot: known.Snapshot,
 		WritesPerSecond: float64(n.Settings.Table.WritesPerSecond), Log: n.Log, Metrics: registry,
 	}
 }
 
-// engines returns the VMs of all pools of engines.
-func engines(vms *vmlist.Cache, snapshot *ticket.Snapshot) []vmlist.VM {
-	var found []vmlist.VM
-	for id, pool := range snapshot.Pools {
-		if pool.Kind == ticket.EnginePool {
-			found = append(found, vms.InPool(id)...)
-		}
-	}
-	return found
-}
-
 func newPolicy(
 	n *Node, grants *grant.Controller, known *config.Controller, store table.Store, registry metrics.Registry,
 ) *policy.Controller {
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -66,6 +66,20 @@
 	return t.counts
 }
 
+// Snapshot returns the records of a partition whose sort keys have a prefix, past
+// all faults and without being counted. It is for tests.
+func (t *Table) Snapshot(partition, prefix string) []table.Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var found []table.Record
+	for key, record := range t.records {
+		if key.Partition == partition && strings.HasPrefix(key.Sort, prefix) {
+			found = append(found, clone(record))
+		}
+	}
+	return found
+}
+
 // Get implements [table.Store].
 func (t *Table) Get(ctx context.Context, key table.Key) (table.Record, error) {
 	if err := t.enter(ctx); err != nil {
