bench: measure a burst of first requests live

Cause: a cold start must be decided once and come up at the speed of the store. Change: guavabench coldstart, with cached and with empty caches; a slot counts as free at a load's expected end instead of the lagging report; shares of model loads are given back at once; plans every 100 ms while requests wait.

--- a/internal/bench/experiment.go
+++ b/internal/bench/experiment.go
@@ -63,7 +63,7 @@
 		Relay,
 		Faults,
 		Overload,
-		idleExperiment(),
+		idleExperiment(), coldStartExperiment(),
 		Slopes(),
 	}
 }
--- a/internal/policy/budget.go
+++ b/internal/policy/budget.go
@@ -19,7 +19,10 @@
 // Periods of holding a share.
 const (
 	renewBefore = 8 * time.Second // the end of the term
-	releaseIdle = 3 * time.Second // without a load
+	// releaseAdapters is how long a share of adapter loads is kept unused, so
+	// that a load does not cost a write. A share of model loads is given back
+	// at once: others wait for it, and each such load costs a write anyway.
+	releaseAdapters = 3 * time.Second
 )
 
 // longestModelLoad is the time after which a base model's load by a dead node
@@ -45,9 +48,23 @@
 // only when the share must grow, be renewed or be given back.
 type shareHolder struct {
 	Budget
-	key    table.Key
-	share  Share
-	usedAt time.Time
+	key table.Key
+	// releaseIdle is how long an unused share is kept.
+	releaseIdle time.Duration
+	share       Share
+	usedAt      time.Time
+	askedAt     time.Time
+}
+
+// Time between two attempts of a node to change its share: all nodes together
+// make at most 100 a second.
+const (
+	askPauseFloor   = 100 * time.Millisecond
+	askPausePerNode = 10 * time.Millisecond
+)
+
+func askPause(liveNodes int) time.Duration {
+	return max(askPauseFloor, time.Duration(liveNodes)*askPausePerNode)
 }
 
 // slots returns how many further loads may start now. Without a table the node
@@ -59,7 +76,8 @@
 	if need.queued+need.inFlight > 0 {
 		h.usedAt = need.now
 	}
-	if want, due := h.due(need); due {
+	if want, due := h.due(need); due && need.now.Sub(h.askedAt) >= askPause(need.liveNodes) {
+		h.askedAt = need.now
 		h.ask(ctx, store, node, want, need) // on error the share stays as it is
 	}
 	if !need.now.Before(h.share.Until) {
@@ -77,7 +95,7 @@
 // due returns the share to ask for, if it is time to ask.
 func (h *shareHolder) due(need shareNeed) (want int, due bool) {
 	want = h.Want(need.inFlight, need.queued, need.liveNodes)
-	idle := need.now.Sub(h.usedAt) >= releaseIdle
+	idle := need.inFlight+need.queued == 0 && need.now.Sub(h.usedAt) >= h.releaseIdle
 	switch {
 	case want > h.share.Loads:
 		return want, true
--- a/internal/policy/carry.go
+++ b/internal/policy/carry.go
@@ -57,7 +57,8 @@
 )
 
 // step makes one plan and starts its actions.
-func (c *Controller) step(ctx context.Context, now time.Time) {
+// It returns whether requests wait.
+func (c *Controller) step(ctx context.Context, now time.Time) (busy bool) {
 	snapshot := c.Snapshot()
 	demands, underway := c.demands(snapshot, now) // before the servers, which show what has been granted since
 	view := View{Now: now, Servers: c.Grants.Servers(), Snapshot: snapshot}
@@ -80,6 +81,7 @@
 	for _, unload := range actions.Unloads {
 		c.startUnload(ctx, unload)
 	}
+	return slices.ContainsFunc(demands, func(d Demand) bool { return d.Urgency == Waiting })
 }
 
 // probePause is the time between loads that try whether a store that was down
@@ -88,7 +90,7 @@
 
 // addSlots sets how many loads from the store the plan may start.
 func (c *Controller) addSlots(ctx context.Context, view *View, demands []Demand) {
-	models, adapters := c.inFlight()
+	models, adapters := c.inFlight(view.Now)
 	need := shareNeed{inFlight: models, liveNodes: 1, now: view.Now}
 	if c.Live != nil {
 		need.liveNodes = c.Live()
--- a/internal/policy/controller.go
+++ b/internal/policy/controller.go
@@ -19,7 +19,8 @@
 // Periods of the controller.
 const (
 	planEvery    = 500 * time.Millisecond
-	waitingFor   = 5 * time.Second // a wake is forgotten unless it is repeated
+	planBusy     = 100 * time.Millisecond // while requests wait
+	waitingFor   = 5 * time.Second        // a wake is forgotten unless it is repeated
 	actionLimit  = 20 * time.Second
 	shardCount   = 16
 	retryPause   = time.Second     // after a load that failed
@@ -142,7 +143,10 @@
 		c.population = *NewPopulation()
 		c.started = make(map[fleet.GrantID]startedLoad)
 		c.models = shareHolder{Budget: modelBudget(c.Weights), key: table.Key{Partition: budgetPartition, Sort: "models"}}
-		c.adapters = shareHolder{Budget: AdapterBudget, key: table.Key{Partition: budgetPartition, Sort: "adapters"}}
+		c.adapters = shareHolder{
+			Budget: AdapterBudget, releaseIdle: releaseAdapters,
+			key: table.Key{Partition: budgetPartition, Sort: "adapters"},
+		}
 		for i := range c.shards {
 			c.shards[i].items = make(map[fleet.Item]*itemState)
 		}
@@ -204,18 +208,22 @@
 		})
 		return Estimate{Progress: 1}, nil
 	}
-	c.with(item, func(s *itemState) { s.wait(now, deadline) })
+	first := false
+	c.with(item, func(s *itemState) { first = s.wait(now, deadline) })
 	c.counters.wakes.Inc(1)
-	select {
-	case c.kick <- struct{}{}:
-	default:
+	if first {
+		select {
+		case c.kick <- struct{}{}:
+		default:
+		}
 	}
 	return c.estimate(item), nil
 }
 
-// wait notes a waiting request.
-func (s *itemState) wait(now, deadline time.Time) {
-	if now.Sub(s.wokenAt) > waitingFor {
+// wait notes a waiting request and returns whether it is the first.
+func (s *itemState) wait(now, deadline time.Time) (first bool) {
+	first = now.Sub(s.wokenAt) > waitingFor
+	if first {
 		s.since = now
 		s.deadline = deadline
 	}
@@ -223,6 +231,7 @@
 	if deadline.Before(s.deadline) {
 		s.deadline = deadline
 	}
+	return first
 }
 
 // progress reports whether a replica is ready and, if not, how far the most
@@ -299,16 +308,20 @@
 	c.init()
 	defer c.working.Wait()
 	c.recall(ctx)
-	ticker := time.NewTicker(planEvery)
-	defer ticker.Stop()
+	timer := time.NewTimer(planEvery)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case <-timer.C:
 		case <-c.kick:
 		}
-		c.step(ctx, time.Now())
+		if c.step(ctx, time.Now()) {
+			timer.Reset(planBusy)
+		} else {
+			timer.Reset(planEvery)
+		}
 		c.share(ctx, time.Now())
 	}
 }
--- a/internal/policy/learn.go
+++ b/internal/policy/learn.go
@@ -120,8 +120,12 @@
 			delete(c.started, grant)
 		case !found && now.Sub(started.at) > viewLag, current.Draining:
 			delete(c.started, grant)
-		case found && !started.Item.IsAdapter() && started.Remote:
-			c.store = c.store.overdue(current, now.Sub(started.at))
+		case found:
+			started.progress = current.Progress
+			c.started[grant] = started
+			if started.Remote && !started.Item.IsAdapter() {
+				c.store = c.store.overdue(current, now.Sub(started.at))
+			}
 		}
 	}
 }
@@ -129,16 +133,24 @@
 // startedLoad is a load that this node has ordered.
 type startedLoad struct {
 	Load
-	at time.Time
+	at       time.Time
+	progress float64 // of the last report
+}
+
+// reading reports whether the load still reads from the store. Reports are
+// behind, so a load that was well on its way counts until its expected end: a
+// slot that waits for the report would be idle for the report's lag.
+func (l *startedLoad) reading(now time.Time) bool {
+	return l.Remote && (l.progress < nearlyThere || now.Sub(l.at) < l.LoadTime)
 }
 
 // inFlight counts the loads from the store that this node has ordered.
-func (c *Controller) inFlight() (models, adapters int) {
+func (c *Controller) inFlight(now time.Time) (models, adapters int) {
 	c.learning.Lock()
 	defer c.learning.Unlock()
 	for _, started := range c.started {
 		switch {
-		case !started.Remote:
+		case !started.reading(now):
 		case started.Item.IsAdapter():
 			adapters++
 		default:
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -47,6 +47,8 @@
 	Models  []ModelConfig
 	Store   WeightStoreConfig
 	ListLag time.Duration
+	// EmptyCaches leaves the checkpoint caches of all VMs empty at the start.
+	EmptyCaches bool
 	// Speed divides the time of loads, so that a demonstration needn't wait;
 	// 0 means 1.
 	Speed float64
@@ -162,6 +164,9 @@
 		item := fleet.Item{Model: model}
 		s.Decide(item, deployment.Replicas.Max)
 		for _, server := range s.Engines {
+			if s.config.EmptyCaches {
+				continue
+			}
 			switch draw := source.Float64(); {
 			case draw < hostMemoryShare:
 				server.Cache(item, deployment.Size, engine.HostMemory)
