Lock what two goroutines share in the tests' network and server

Both are scaffolding; the product's peer registers before it listens. Change: handlers under the network's lock, an atomic count.

--- a/internal/dynamo/dynamo_test.go
+++ b/internal/dynamo/dynamo_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 
 	"github.com/aws/aws-sdk-go-v2/credentials"
@@ -38,9 +39,9 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			calls := 0
+			var calls atomic.Int32
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				calls++
+				calls.Add(1)
 				_, _ = io.Copy(io.Discard, r.Body)
 				if test.status == 0 {
 					panic(http.ErrAbortHandler)
@@ -54,7 +55,7 @@
 			err := newStore(server.URL).Transact(t.Context(), "token", []table.Write{write})
 			c.Assert(err, qt.ErrorIs, test.want)
 			c.Assert(err, qt.ErrorMatches, `table transact p/s: .*`)
-			c.Assert(calls, qt.Equals, 1)
+			c.Assert(calls.Load(), qt.Equals, int32(1))
 		})
 	}
 }
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -80,7 +80,18 @@
 }
 
 // Handle registers a method.
-func (p *Port) Handle(method string, handler peer.Handler) { p.handlers[method] = handler }
+func (p *Port) Handle(method string, handler peer.Handler) {
+	p.network.mu.Lock()
+	defer p.network.mu.Unlock()
+	p.handlers[method] = handler
+}
+
+func (p *Port) handler(method string) (peer.Handler, bool) {
+	p.network.mu.Lock()
+	defer p.network.mu.Unlock()
+	handler, found := p.handlers[method]
+	return handler, found
+}
 
 // Call calls a method of a node.
 func (p *Port) Call(ctx context.Context, node fleet.NodeID, method string, in, out any) error {
@@ -101,7 +112,7 @@
 	if err != nil {
 		return err
 	}
-	handler, found := to.handlers[method]
+	handler, found := to.handler(method)
 	if !found {
 		return errors.Errorf("no method %s", method)
 	}
