Tell changes together and settle a ticket by nodes out of service

Change: at most five hurried tellings an interval; a node out of service is settled; a node is current for 4 s without contact, below the 5 s after which it is declared dead.

--- a/internal/cli/code.go
+++ b/internal/cli/code.go
@@ -49,7 +49,7 @@
 	Refused:     "Nothing was changed. Look at `guavatrack ticket list` and take a higher number.",
 	Unreachable: "Check the address given with --node, or ask another node.",
 	Unknown:     "Run the same command again: repeating a ticket is without effect if it was accepted.",
-	NotInForce:  "Members that are cut off take no new work. Watch with `guavatrack ticket show`.",
+	NotInForce:  "Members that wait may confirm yet; those cut off serve what they had until their region is back. Watch with `guavatrack ticket show`.",
 }
 
 // codeOf returns the exit code of an error.
--- a/internal/cli/ticket.go
+++ b/internal/cli/ticket.go
@@ -104,7 +104,7 @@
 }
 
 func inForce(states []config.MemberState) bool {
-	return !slices.ContainsFunc(states, func(s config.MemberState) bool { return s.State != config.Confirmed })
+	return !slices.ContainsFunc(states, func(s config.MemberState) bool { return !s.Settled() })
 }
 
 func drawApplied(t *Table, result *applyResult) {
--- a/internal/config/controller.go
+++ b/internal/config/controller.go
@@ -45,8 +45,9 @@
 	pollPerMember = 25 * time.Millisecond
 	minPoll       = 2 * time.Second
 	// defaultLimit is how long a node stays current without contact. It is
-	// below the time in which a ticket has to be in force.
-	defaultLimit = 6 * time.Second
+	// below the shortest time after which members declare a node dead, so that
+	// a dead node has stopped serving.
+	defaultLimit = 4 * time.Second
 )
 
 // Controller keeps the node's configuration. Set the exported fields and call
@@ -58,7 +59,7 @@
 	// Peers and Group may be nil for a node that is alone.
 	Peers Peers
 	Group Group
-	// Limit is how long the node stays current without contact; 0 means 6 s.
+	// Limit is how long the node stays current without contact; 0 means 4 s.
 	Limit   time.Duration
 	Log     *slog.Logger
 	Metrics metrics.Registry
--- a/internal/config/inforce.go
+++ b/internal/config/inforce.go
@@ -40,6 +40,10 @@
 	Revision Revision     `json:"revision"`
 }
 
+// Settled reports whether the node has the ticket in force or takes no new
+// work.
+func (s MemberState) Settled() bool { return s.State == Confirmed || s.State == OutOfService }
+
 const (
 	// confirmGroup is the number of nodes that are asked directly. Beyond it
 	// nodes are asked in groups of that size through one of each group, so
@@ -50,8 +54,7 @@
 )
 
 // InForce returns what is known of each live member's confirmation. The
-// revision is in force everywhere once none waits or is cut off. Nodes that
-// are out of service take no new work once they had no contact for the limit.
+// revision is in force everywhere once each of them is settled.
 func (c *Controller) InForce(revision Revision) []MemberState {
 	c.init()
 	members := c.members()
--- a/internal/member/exchange.go
+++ b/internal/member/exchange.go
@@ -34,16 +34,22 @@
 	return Action{To: target, Message: message}
 }
 
-// hurryFanout is the number of neighbours that are told of a change at once.
-const hurryFanout = 3
+const (
+	// hurryFanout is the number of neighbours that are told of a change at
+	// once.
+	hurryFanout = 3
+	// hurryShare of an interval is the least time between two such tellings, so
+	// that many changes at once go together.
+	hurryShare = 5
+)
 
 // Hurry returns messages that are not to wait for the next tick, because a
 // node has come, is leaving or is gone.
 func (v *View) Hurry(now time.Time) []Action {
-	if !v.hurry {
+	if !v.hurry || now.Sub(v.hurriedAt) < v.interval/hurryShare {
 		return nil
 	}
-	v.hurry = false
+	v.hurry, v.hurriedAt = false, now
 	neighbors := v.Neighbors()
 	actions := make([]Action, 0, hurryFanout)
 	for _, target := range neighbors[:min(len(neighbors), hurryFanout)] {
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -71,6 +71,7 @@
 	urgent    []fleet.NodeID // suspects to probe next
 
 	hurry      bool // a change is to be told at once
+	hurriedAt  time.Time
 	quiet      bool // what is merged now is not to be spread
 	firstTick  time.Time
 	lastTick   time.Time
@@ -129,7 +130,7 @@
 
 // Leave announces that the node drains, or with gone that it is no more there.
 func (v *View) Leave(gone bool) {
-	v.self.Leaving, v.hurry = true, true
+	v.self.Leaving, v.hurry, v.hurriedAt = true, true, time.Time{}
 	if gone {
 		v.addSum(v.self, -1)
 		v.self.Status = Left
