Measure an idle node's memory; give the rig the engines' concurrency

Cause: relay lacked idleNodeMb; the overload rig's ticket allowed 64 requests a replica where its engines run 16, so nodes filled the engines' own queues. Change: relay starts itself as one idle node before a site of today's size; tickets of a site come in parts, since one with 103 objects is refused.

--- a/cmd/guavabench/main.go
+++ b/cmd/guavabench/main.go
@@ -74,6 +74,7 @@
 		if err != nil {
 			return nil, err
 		}
+		command.Hidden = experiment.Hidden
 		if experiment.Flags == nil {
 			continue
 		}
--- a/internal/bench/experiment.go
+++ b/internal/bench/experiment.go
@@ -49,6 +49,8 @@
 type Experiment struct {
 	Name string
 	Help string
+	// Hidden leaves it out of the help text.
+	Hidden bool
 	// Flags, when set, points to a struct with go-flags tags that is filled
 	// before Run.
 	Flags any
@@ -65,5 +67,6 @@
 		Overload,
 		idleExperiment(), coldStartExperiment(),
 		Slopes(),
+		idleNode,
 	}
 }
--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -109,7 +109,6 @@
 	cold      []fleet.Item
 	served    int
 	reclaimed int
-	number    fleet.TicketNumber
 }
 
 func faultSite(seed uint64) (standin.SiteConfig, []fleet.Place) {
@@ -134,7 +133,7 @@
 		return nil, err
 	}
 	run := &faultsRun{
-		system: started, o: o, random: rand.New(rand.NewPCG(o.Seed, 2)), number: 1,
+		system: started, o: o, random: rand.New(rand.NewPCG(o.Seed, 2)),
 		bookings: make(map[string]Result), recovery: newHistogram(),
 	}
 	defer run.close()
@@ -452,9 +451,11 @@
 	for ; ctx.Err() == nil; wait(ctx, configInterval) {
 		if time.Now().After(next) {
 			next = time.Now().Add(ticketEvery)
-			f.number++
-			if f.apply(ctx, f.number, time.Duration(f.number)*time.Millisecond) == nil {
-				f.result.Tickets++
+			before := f.number
+			if err := f.apply(ctx, time.Duration(f.number)*time.Millisecond); err != nil {
+				f.o.Printf("  %v", err)
+			} else {
+				f.result.Tickets += int(f.number - before)
 			}
 		}
 		for _, at := range f.running() {
--- a/internal/bench/relay.go
+++ b/internal/bench/relay.go
@@ -27,8 +27,9 @@
 	TokensPerCoreSecond      float64 `json:"tokensPerCoreSecond"`
 	BurstTokensPerCoreSecond float64 `json:"burstTokensPerCoreSecond"`
 	AllocationsPerToken      float64 `json:"allocationsPerToken"`
-	// IdleNodeMb is absent if no whole node was started.
-	IdleNodeMb float64 `json:"idleNodeMb,omitempty"`
+	// IdleNodeMb is the resident memory in MiB of an idle node in a process of
+	// its own, before a site of today's size.
+	IdleNodeMb float64 `json:"idleNodeMb"`
 	Requests   int     `json:"requests"`
 	// Failed counts calls without a right and whole answer.
 	Failed int `json:"failed"`
@@ -39,8 +40,8 @@
 // Text returns the result for a person.
 func (r RelayResult) Text() string {
 	return r.table + fmt.Sprintf(
-		"added p50 %.3f ms, p99 %.3f ms; %.0f tokens per core-second one by one, %.0f in bursts; %.2f allocations per token",
-		r.AddedP50Ms, r.AddedP99Ms, r.TokensPerCoreSecond, r.BurstTokensPerCoreSecond, r.AllocationsPerToken)
+		"added p50 %.3f ms, p99 %.3f ms; %.0f tokens per core-second one by one, %.0f in bursts; %.2f allocations per token; idle node %.1f MiB",
+		r.AddedP50Ms, r.AddedP99Ms, r.TokensPerCoreSecond, r.BurstTokensPerCoreSecond, r.AllocationsPerToken, r.IdleNodeMb)
 }
 
 // Loads of the experiment.
@@ -143,6 +144,12 @@
 		result.measure(ctx, o, started, name, span, loads)
 		started.close()
 	}
+	o.Printf("an idle node …")
+	idle, err := measureIdleNode(ctx)
+	if err != nil {
+		return nil, err
+	}
+	result.IdleNodeMb = idle
 	var table strings.Builder
 	WriteTable(&table, loads)
 	result.table = table.String()
--- a/internal/bench/rig.go
+++ b/internal/bench/rig.go
@@ -55,12 +55,13 @@
 	}()
 	ctx, r.stop = context.WithCancel(ctx)
 	r.snapshot = &ticket.Snapshot{Deployments: map[fleet.ModelID]*ticket.Deployment{
-		r.item.Model: {Class: ticket.Interactive, Replicas: ticket.Replicas{Max: engines}, Concurrency: 64},
+		r.item.Model: {Class: ticket.Interactive, Replicas: ticket.Replicas{Max: engines}, Concurrency: 1},
 	}}
 	for i := range engines {
 		config := standin.DefaultEngine()
 		config.ID, config.MemoryRate = fleet.ServerID(fmt.Sprintf("engine-%02d", i)), 64*fleet.TiB
 		edit(i, &config)
+		r.snapshot.Deployments[r.item.Model].Concurrency = config.Concurrency
 		started := standin.NewEngine(config)
 		started.Cache(r.item, fleet.GiB, engine.HostMemory)
 		server, err := standin.Serve("127.0.0.1:0", started)
--- a/internal/bench/system.go
+++ b/internal/bench/system.go
@@ -30,6 +30,8 @@
 	config standin.SiteConfig
 	client *client
 	places []fleet.Place
+	// number is that of the last ticket.
+	number fleet.TicketNumber
 
 	mu      sync.Mutex
 	nodes   []*node.Node
@@ -69,7 +71,18 @@
 			return s, err
 		}
 	}
-	return s, s.apply(ctx, 1, 0)
+	return s, s.apply(ctx, 0)
+}
+
+// nodeSettings returns the settings of a node on free loopback ports.
+func nodeSettings(place fleet.Place, table, vms string) settings.Settings {
+	const anyPort = "127.0.0.1:0"
+	given := settings.Defaults()
+	given.AllowPlainText, given.Node.Place = true, place
+	given.Callers.Listen, given.Operators.Listen, given.Peers.Listen = anyPort, anyPort, anyPort
+	given.Table.Endpoint, given.VMList.URL = table, vms+"/vms"
+	given.Drain.KeepFor = fleet.Duration(lookupKept)
+	return given
 }
 
 // addNode starts a node at the next place.
@@ -78,14 +91,9 @@
 	place := s.places[s.started%len(s.places)]
 	s.started++
 	s.mu.Unlock()
-	given := settings.Defaults()
-	given.AllowPlainText, given.Node.Place = true, place
-	const anyPort = "127.0.0.1:0"
-	given.Callers.Listen, given.Operators.Listen, given.Peers.Listen = anyPort, anyPort, anyPort
-	given.Table.Endpoint, given.VMList.URL = s.site.TableURL, s.site.VMListURL+"/vms"
+	given := nodeSettings(place, s.site.TableURL, s.site.VMListURL)
 	given.WeightStore.LoadsPerSecond = s.config.Store.LoadsPerSecond
 	given.WeightStore.Bandwidth = s.config.Store.Rate
-	given.Drain.KeepFor = fleet.Duration(lookupKept)
 	started := node.New(given, slog.New(slog.DiscardHandler))
 	if err := started.Start(ctx); err != nil {
 		return err
@@ -117,24 +125,30 @@
 	return slices.Clone(s.nodes)
 }
 
-// apply applies the site's ticket under a number. The timeout of deployments
-// is raised by as many milliseconds as given, so a reverted ticket is seen.
-func (s *system) apply(ctx context.Context, number fleet.TicketNumber, raise time.Duration) error {
-	change := s.site.Ticket(number, "bench")
-	for _, deployment := range change.Deployments {
-		deployment.Timeout += fleet.Duration(raise)
-	}
-	text, err := json.Marshal(change)
-	if err != nil {
-		return err
-	}
-	for _, at := range s.running() {
-		admin := operator.Client{URL: "http://" + at.Addresses().Operators, HTTP: s.client.http}
-		if _, err = admin.Apply(ctx, text, false); err == nil {
-			return nil
+// apply applies the site's tickets, numbered from the next free number on. The
+// timeout of deployments is raised by as much as given, so a reverted ticket is
+// seen.
+func (s *system) apply(ctx context.Context, raise time.Duration) error {
+	for _, change := range s.config.Tickets(s.number+1, "bench") {
+		s.number = change.Number
+		for _, deployment := range change.Deployments {
+			deployment.Timeout += fleet.Duration(raise)
+		}
+		text, err := json.Marshal(change)
+		if err != nil {
+			return err
+		}
+		for _, at := range s.running() {
+			admin := operator.Client{URL: "http://" + at.Addresses().Operators, HTTP: s.client.http}
+			if _, err = admin.Apply(ctx, text, false); err == nil {
+				break
+			}
+		}
+		if err != nil {
+			return errors.Wrapf(err, "apply ticket %d", change.Number)
 		}
 	}
-	return errors.Wrapf(err, "apply ticket %d", number)
+	return nil
 }
 
 // where asks the look-up for a model, or returns the kept answer, followed by
--- a/internal/standin/presets.go
+++ b/internal/standin/presets.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/guavatrack/guavatrack/pkg/fleet"
@@ -144,6 +146,28 @@
 	return s.config.Ticket(number, operator)
 }
 
+// ticketObjects is the largest number of deployments in one ticket.
+const ticketObjects = 80
+
+// Tickets returns [SiteConfig.Ticket] in parts that can each be recorded in one
+// transaction, numbered from the given number on.
+func (c SiteConfig) Tickets(first fleet.TicketNumber, operator string) []ticket.Ticket {
+	whole := c.Ticket(first, operator)
+	tickets := []ticket.Ticket{whole}
+	tickets[0].Deployments = nil
+	for names := range slices.Chunk(slices.Sorted(maps.Keys(whole.Deployments)), ticketObjects) {
+		part := ticket.Ticket{
+			Number: first + fleet.TicketNumber(len(tickets)), Operator: operator, Reason: whole.Reason,
+			Deployments: make(map[fleet.ModelID]*ticket.Deployment),
+		}
+		for _, name := range names {
+			part.Deployments[name] = whole.Deployments[name]
+		}
+		tickets = append(tickets, part)
+	}
+	return tickets
+}
+
 func (m ModelConfig) deployment(number int) *ticket.Deployment {
 	deployment := &ticket.Deployment{
 		Pool: m.Pool, Version: "1", Size: modelSizes[number%len(modelSizes)], Accelerators: 1,
--- a/internal/standin/site_test.go
+++ b/internal/standin/site_test.go
@@ -108,6 +108,9 @@
 	change := site.Ticket(1, "test")
 	c.Assert(change.Deployments, qt.HasLen, 200)
 	c.Assert(change.Services, qt.HasLen, 2)
+	tickets := config.Tickets(7, "test")
+	c.Assert(tickets, qt.HasLen, 4)
+	c.Assert(tickets[3].Number, qt.Equals, fleet.TicketNumber(10))
 	adapters := 0
 	for _, deployment := range change.Deployments {
 		adapters += len(deployment.Adapters)
