Use standing grants when the table is down

Cause: with the table down nothing can be granted, so a wake-up fails. Change: Reserve records a grant ahead of need; its sender holds the order back and Load uses it without the table. It is given back on Unload, a restart of the engine, another version, or its sender's death. Nothing calls Reserve yet. Conclusion: safe, since it is what a paused sender does; whom to reserve for is left to the policy.

--- a/internal/grant/evaluate.go
+++ b/internal/grant/evaluate.go
@@ -79,7 +79,11 @@
 		if !known.open() {
 			continue
 		}
-		m.scheduleAdoption(now, order, known)
+		if known.word == heldBack {
+			m.dropSpare(g, order, known)
+			return nil
+		}
+		m.scheduleAdoption(now, g, order, known)
 		if !known.adoptable(now) {
 			return nil
 		}
@@ -105,10 +109,14 @@
 
 // scheduleAdoption sets when this node takes over an order. The death of its
 // sender brings that forward; the jitter lets one of many nodes come first.
-func (m *Machine) scheduleAdoption(now time.Time, order Order, state *orderState) {
+func (m *Machine) scheduleAdoption(now time.Time, g *Grant, order Order, state *orderState) {
 	if state.word != notOurs {
 		return
 	}
+	if g.Standing && g.State == Granted && (m.Alive == nil || m.Alive(order.Sender)) {
+		state.adoptAt, state.deadAt = now.Add(adoptLiveAfter), time.Time{}
+		return
+	}
 	if state.adoptAt.IsZero() {
 		state.adoptAt = now.Add(adoptLiveAfter + m.jitter())
 	}
@@ -120,6 +128,14 @@
 	}
 }
 
+// dropSpare gives up an order that this node holds back if it is wanted no more
+// or the engine has been restarted since: it will never be sent.
+func (m *Machine) dropSpare(g *Grant, order Order, state *orderState) {
+	if g.State == Draining || m.report.Boot != "" && m.report.Boot != order.Boot {
+		state.word = refused
+	}
+}
+
 // adoptable tells whether this node may take over an order.
 func (o *orderState) adoptable(now time.Time) bool {
 	return o.word != inFlight && (!now.Before(o.adoptAt) || !o.deadAt.IsZero() && !now.Before(o.deadAt))
--- a/internal/grant/event.go
+++ b/internal/grant/event.go
@@ -26,6 +26,8 @@
 	}
 	// Sending says that this node records an order and may send it.
 	Sending struct{ Order table.Token }
+	// Reserved says that this node holds an order back under a standing grant.
+	Reserved struct{ Order table.Token }
 	// Accepted says that the engine accepted this node's order, which it will
 	// carry out at some time.
 	Accepted struct{ Order table.Token }
@@ -47,6 +49,7 @@
 func (Recorded) event()   {}
 func (Reported) event()   {}
 func (Sending) event()    {}
+func (Reserved) event()   {}
 func (Accepted) event()   {}
 func (Refused) event()    {}
 func (Lost) event()       {}
--- a/internal/grant/ledger.go
+++ b/internal/grant/ledger.go
@@ -45,6 +45,8 @@
 	// Max is the decided number of replicas, Surge how many more there may be
 	// while two versions are held.
 	Max, Surge int
+	// Standing asks for a standing grant.
+	Standing bool
 	// Foreign is the memory that the engine reports held without a grant.
 	Foreign fleet.Bytes
 	// SeenFencing is the highest fencing number that the engine reports.
@@ -66,7 +68,7 @@
 	server = server.Clone()
 	server.LastFencing = max(server.LastFencing, r.SeenFencing) + 1
 	server.Grants = append(server.Grants, Grant{
-		ID: fleet.GrantID(r.Order), Item: r.Item, Version: r.Version, Size: r.Size, State: Granted,
+		ID: fleet.GrantID(r.Order), Item: r.Item, Version: r.Version, Size: r.Size, State: Granted, Standing: r.Standing,
 		Orders: []Order{r.order(server.LastFencing)},
 	})
 	item.Item = r.Item
--- a/internal/grant/load.go
+++ b/internal/grant/load.go
@@ -24,44 +24,95 @@
 
 // Load records a grant and sends the order. It returns once the engine has
 // answered or its answer is lost; the replica then shows in [Controller.Replicas].
-// If the item has its decided replicas but one of them is quarantined, that one
-// is put to use again, on whichever server it stands.
+// A standing grant of the item is used before any other, without the table. If
+// the item has its decided replicas but one of them is quarantined, that one is
+// put to use again. So the replica may come up on another server.
 func (c *Controller) Load(ctx context.Context, item fleet.Item, id fleet.ServerID) (grant fleet.GrantID, err error) {
 	c.init()
-	defer func() {
-		if err != nil {
-			c.counters.refused.Inc(1)
-			err = errors.Wrapf(err, "load %s on %s", item, id)
-		}
-	}()
+	defer c.annotate(&err, "load", item, id)
+	request, err := c.request(item)
+	if err != nil {
+		return "", err
+	}
+	if spare, on := c.takeSpare(request); spare != nil {
+		c.counters.spares.Inc(1)
+		return spare.grant, c.order(ctx, on, request, spare)
+	}
+	planned, id, err := c.obtain(ctx, id, request)
+	if err != nil {
+		return "", err
+	}
+	return planned.grant, c.order(ctx, id, request, planned)
+}
+
+// Reserve records a standing grant, which a later Load of the item at this node
+// uses even if the table is down. It counts against both bounds from now on.
+// Unload gives it back.
+func (c *Controller) Reserve(ctx context.Context, item fleet.Item, id fleet.ServerID) (grant fleet.GrantID, err error) {
+	c.init()
+	defer c.annotate(&err, "reserve", item, id)
 	request, err := c.request(item)
 	if err != nil {
 		return "", err
 	}
+	request.Standing = true
+	planned, id, err := c.obtain(ctx, id, request)
+	if err != nil {
+		return "", err
+	}
+	c.step(id, Reserved{Order: request.Order})
+	return planned.grant, nil
+}
+
+func (c *Controller) annotate(err *error, what string, item fleet.Item, id fleet.ServerID) {
+	if *err != nil {
+		c.counters.refused.Inc(1)
+		*err = errors.Wrapf(*err, "%s %s on %s", what, item, id)
+	}
+}
+
+// takeSpare takes an order that this node holds back for the item, which is
+// then to be sent. It is taken at most once.
+func (c *Controller) takeSpare(r *Request) (taken *plan, on fleet.ServerID) {
+	c.each(func(s *server) {
+		g := s.machine.spare(r.Item, r.Version)
+		if taken != nil || g == nil || !s.listed || s.vm.State != vmlist.Live {
+			return
+		}
+		order := g.Newest()
+		s.machine.order(order.ID).word = inFlight
+		r.Order, r.Boot, r.Size = order.ID, order.Boot, g.Size
+		taken, on = &plan{server: s.machine.record.Clone(), grant: g.ID}, s.id
+	})
+	return taken, on
+}
+
+// obtain records a grant, again after each conflict.
+func (c *Controller) obtain(ctx context.Context, id fleet.ServerID, r *Request) (*plan, fleet.ServerID, error) {
 	for attempt := range maxCommitAttempts {
 		if attempt > 0 && !sleep(ctx, c.jitter(pauseAfter(attempt))) {
-			return "", ctx.Err()
+			return nil, id, ctx.Err()
 		}
-		planned, err := c.plan(ctx, id, request)
-		if errors.Is(err, ErrAtCap) {
-			if other, found := c.quarantinedOn(item); found && other != id {
+		planned, err := c.plan(ctx, id, r)
+		if errors.Is(err, ErrAtCap) && !r.Standing {
+			if other, found := c.quarantinedOn(r.Item); found && other != id {
 				id = other
-				planned, err = c.plan(ctx, id, request)
+				planned, err = c.plan(ctx, id, r)
 			}
 		}
 		if err != nil {
-			return "", err
+			return nil, id, err
 		}
-		end, err := c.record(ctx, id, request, planned)
+		end, err := c.record(ctx, id, r, planned)
 		if end == applied {
-			return planned.grant, c.order(ctx, id, request, planned)
+			return planned, id, nil
 		}
 		if errors.Is(err, ErrTableDown) {
-			return "", err
+			return nil, id, err
 		}
 		c.counters.conflicts.Inc(1)
 	}
-	return "", errors.Wrap(table.ErrConflict, "give up")
+	return nil, id, errors.Wrap(table.ErrConflict, "give up")
 }
 
 // request takes the decided numbers from the configuration.
@@ -101,7 +152,7 @@
 	c.with(id, func(s *server) { r.Foreign = s.machine.foreignTo(&record) })
 	r.Order = newToken()
 	p := &plan{version: rawServer.Version, grant: fleet.GrantID(r.Order)}
-	if g := record.FindItem(r.Item); g != nil && c.renewable(id, g) {
+	if g := record.FindItem(r.Item); g != nil && !r.Standing && c.renewable(id, g) {
 		p.grant, p.renewed = g.ID, true
 		p.server, item, err = Renew(record, item, g.ID, r)
 	} else {
--- a/internal/grant/machine.go
+++ b/internal/grant/machine.go
@@ -19,6 +19,7 @@
 const (
 	notOurs word = iota
 	inFlight
+	heldBack
 	accepted
 	refused
 	lost
@@ -86,6 +87,8 @@
 		m.takeReport(now, event)
 	case Sending:
 		m.order(event.Order).word = inFlight
+	case Reserved:
+		m.order(event.Order).word = heldBack
 	case Accepted:
 		state := m.order(event.Order)
 		state.word, state.adoptAt = accepted, now.Add(adoptAcceptedAfter)
@@ -228,6 +231,17 @@
 	state.arrivedAt = time.Time{}
 }
 
+// spare returns the standing grant of an item whose order this node holds back,
+// or nil. The order stays bound to the boot for which it was recorded.
+func (m *Machine) spare(item fleet.Item, version fleet.Version) *Grant {
+	g := m.record.FindItem(item)
+	if g == nil || !g.Standing || g.State != Granted || g.Version != version || m.gone ||
+		m.order(g.Newest().ID).word != heldBack || g.Newest().Boot != m.report.Boot {
+		return nil
+	}
+	return g
+}
+
 // closedAt returns when the last order of a grant was closed by the engine's
 // clock, and whether all are.
 func (m *Machine) closedAt(g *Grant) (last time.Time, all bool) {
--- a/internal/grant/metrics.go
+++ b/internal/grant/metrics.go
@@ -10,6 +10,7 @@
 var Metrics = []metric.Doc{
 	{Name: "grants.recorded", Kind: metric.Counter, Help: "grants recorded in the table"},
 	{Name: "grants.renewed", Kind: metric.Counter, Help: "quarantined grants put to use again"},
+	{Name: "grants.spares", Kind: metric.Counter, Help: "loads under a standing grant"},
 	{Name: "grants.refused", Kind: metric.Counter, Help: "loads for which no grant was to be had"},
 	{Name: "grants.conflicts", Kind: metric.Counter, Help: "grant transactions that met a concurrent one"},
 	{Name: "grants.settled", Kind: metric.Counter, Help: "lost answers of the table that were settled by reading back"},
@@ -25,9 +26,9 @@
 }
 
 type counters struct {
-	recorded, renewed, refused, conflicts, settled, released, adopted metrics.Counter
-	ordersLost, ordersRefused, tableErrors, pollErrors                metrics.Counter
-	quarantined, reserved, foreign                                    metrics.Gauge
+	recorded, renewed, spares, refused, conflicts, settled, released, adopted metrics.Counter
+	ordersLost, ordersRefused, tableErrors, pollErrors                        metrics.Counter
+	quarantined, reserved, foreign                                            metrics.Gauge
 }
 
 func newCounters(registry metrics.Registry) counters {
@@ -38,7 +39,7 @@
 		return metrics.GetOrRegisterGauge("grants."+name, registry)
 	}
 	return counters{
-		recorded: counter("recorded"), renewed: counter("renewed"), refused: counter("refused"),
+		recorded: counter("recorded"), renewed: counter("renewed"), spares: counter("spares"), refused: counter("refused"),
 		conflicts: counter("conflicts"), settled: counter("settled"), released: counter("released"),
 		adopted: counter("adopted"), ordersLost: counter("ordersLost"),
 		ordersRefused: counter("ordersRefused"), tableErrors: counter("tableErrors"),
--- a/internal/grant/rapid_test.go
+++ b/internal/grant/rapid_test.go
@@ -194,6 +194,19 @@
 	time.Sleep(time.Millisecond)
 }
 
+// reserve asks for a standing grant.
+func (r *fleetRun) reserve(*rapid.T) {
+	node, server := r.nodes[r.node("node")], r.server()
+	item := rapid.SampledFrom(r.items).Draw(r.rt, "item")
+	r.count("reserve")
+	r.loads.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		_, _ = node.Reserve(ctx, item, server)
+	})
+	time.Sleep(time.Millisecond)
+}
+
 func (r *fleetRun) unload(*rapid.T) {
 	node := r.nodes[r.node("node")]
 	var grants []fleet.GrantID
@@ -415,7 +428,7 @@
 			}()
 			rt.Repeat(map[string]func(*rapid.T){
 				"": r.promises, "load": r.load, "load2": r.load, "load3": r.load, "unload": r.unload, "unload2": r.unload,
-				"kill": r.kill, "suspect": r.suspect, "crash": r.crash, "replace": r.replace, "network": r.setNetwork, "network2": r.setNetwork,
+				"reserve": r.reserve, "kill": r.kill, "suspect": r.suspect, "crash": r.crash, "replace": r.replace, "network": r.setNetwork, "network2": r.setNetwork,
 				"deliver": r.deliver, "deliver2": r.deliver, "deliver3": r.deliver, "table": r.setTable, "lag": r.setLag,
 				"version": r.newVersion, "wait": r.wait, "wait2": r.wait, "wait3": r.wait,
 			})
--- a/internal/grant/record.go
+++ b/internal/grant/record.go
@@ -52,8 +52,11 @@
 	State State       `json:"state"`
 	// Fence, when set, is a fencing number that was set aside to shut out the
 	// orders under the grant.
-	Fence  fleet.FencingNumber `json:"fence,omitempty"`
-	Orders []Order             `json:"orders"`
+	Fence fleet.FencingNumber `json:"fence,omitempty"`
+	// Standing says that the grant was recorded ahead of need. Its sender gives
+	// the order when the item is wanted, even with the table down.
+	Standing bool    `json:"standing,omitempty"`
+	Orders   []Order `json:"orders"`
 }
 
 // Newest returns the newest order under the grant.
--- a/internal/grant/view.go
+++ b/internal/grant/view.go
@@ -24,6 +24,8 @@
 	Running, Queued int
 	// Draining says that the grant is wanted no more.
 	Draining bool
+	// Standing says that the grant was recorded ahead of need and is unused.
+	Standing bool
 	// Quarantined says that it stays reserved until it is renewed or the VM
 	// ends, because an order under it may still arrive.
 	Quarantined bool
@@ -78,7 +80,8 @@
 		g := &s.machine.record.Grants[i]
 		held := HeldView{
 			Grant: g.ID, Item: g.Item, Version: g.Version, Size: g.Size,
-			Draining: g.State == Draining, Quarantined: s.machine.Quarantined(g),
+			Draining: g.State == Draining, Standing: g.Standing && s.machine.grant(g.ID).held == nil,
+			Quarantined: s.machine.Quarantined(g),
 		}
 		if known := s.machine.grant(g.ID).held; known != nil {
 			held.State, held.Progress = known.State, known.Progress
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -220,6 +220,9 @@
 			Held:   make([]policy.Held, 0, len(view.Held)),
 		}
 		for _, held := range view.Held {
+			if held.Standing {
+				continue // reserved, though neither loaded nor on its way
+			}
 			server.Held = append(server.Held, policy.Held{
 				Grant: held.Grant, Item: held.Item, Size: held.Size, State: held.State,
 				Progress: held.Progress, Running: held.Running, Queued: held.Queued,
