--- a/internal/caller/decode.go
+++ b/internal/caller/decode.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -22,13 +23,14 @@
 )
 
 // readBody reads the body of a call within its limits.
-func readBody(call *Call) (body []byte, err error) {
-	if call.Request.ContentLength > MaxBody {
-		return nil, refusal.New(refusal.TooLarge, "the body is larger than 4 MiB")
+func (s *Server) readBody(call *Call) (body []byte, err error) {
+	limit := cmp.Or(s.MaxBody, MaxBody)
+	if call.Request.ContentLength > int64(limit) {
+		return nil, refusal.New(refusal.TooLarge, "the body is larger than "+limit.String())
 	}
 	controller := http.NewResponseController(call.Response)
 	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
-	reader := http.MaxBytesReader(call.Response, call.Request.Body, MaxBody)
+	reader := http.MaxBytesReader(call.Response, call.Request.Body, int64(limit))
 	var buffer bytes.Buffer
 	if size := call.Request.ContentLength; size > 0 {
 		buffer.Grow(int(size) + bytes.MinRead)
@@ -40,7 +42,7 @@
 	case err == nil:
 		return buffer.Bytes(), nil
 	case errors.As(err, &tooLarge):
-		return nil, refusal.New(refusal.TooLarge, "the body is larger than 4 MiB")
+		return nil, refusal.New(refusal.TooLarge, "the body is larger than "+limit.String())
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, refusal.New(refusal.SlowSender, "the body did not come within 10 s")
 	case errors.Is(err, io.ErrUnexpectedEOF):
@@ -77,7 +79,7 @@
 
 // decodeCompletion reads the body of a completion and finds the deployment.
 func (s *Server) decodeCompletion(call *Call, next Handler) error {
-	body, err := readBody(call)
+	body, err := s.readBody(call)
 	if err != nil {
 		return err
 	}
@@ -126,7 +128,7 @@
 	if !found {
 		return refusal.New(refusal.UnknownPath, "no service has the path "+strconv.Quote(call.Request.URL.Path))
 	}
-	body, err := readBody(call)
+	body, err := s.readBody(call)
 	if err != nil {
 		return err
 	}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -60,7 +60,7 @@
 
 // Limits of what callers may send.
 const (
-	MaxBody        = 4 << 20
+	MaxBody        = 4 * fleet.MiB // the default of Server.MaxBody
 	MaxHeaderBytes = 32 << 10
 	headerTimeout  = 5 * time.Second
 	idleTimeout    = 2 * time.Minute
@@ -84,6 +84,8 @@
 	Metrics metrics.Registry
 	// Rand is the source of random choices; nil means a random seed.
 	Rand *rand.Rand
+	// MaxBody is the largest body of a request; 0 means the constant MaxBody.
+	MaxBody fleet.Bytes
 	// Dial connects to backend servers; nil means TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// SpreadPoison, if set, tells the other nodes of a request that crashes
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -161,6 +161,7 @@
 		Snapshot: known.Snapshot, Directory: replicas, Waker: replicas,
 		Services: vms.InPool, Store: store, Place: n.Settings.Node.Place, Node: n.ID,
 		Log: n.Log, Metrics: registry, Dial: n.Dial,
+		MaxBody: n.Settings.Callers.MaxBody,
 	}
 	if file := n.Settings.Callers.Keys; file != "" {
 		secrets, err := keys.NewSecrets(n.Log, file)
