--- a/internal/lookup/homes_test.go
+++ b/internal/lookup/homes_test.go
@@ -111,3 +111,16 @@
 	current = false
 	c.Assert(get("model=hop").Code, qt.Equals, http.StatusServiceUnavailable)
 }
+
+// BenchmarkChoose is a look-up in a region of the size that is planned for.
+func BenchmarkChoose(b *testing.B) {
+	random := rand.New(rand.NewPCG(1, 1))
+	members := slices.Concat(group(137, "east"), group(137, "west"), group(136, "north"))
+	loads := make(lookup.Loads)
+	for i, info := range members {
+		loads[info.Node] = float64(i % 7)
+	}
+	for i := 0; b.Loop(); i++ {
+		lookup.Choose(item(i), "east", "east", members, loads, 1, random)
+	}
+}
--- a/internal/member/controller.go
+++ b/internal/member/controller.go
@@ -357,7 +357,7 @@
 const (
 	// factPerMember bounds the facts that the nodes of a region refresh to
 	// 1/factPerMember a second, however many nodes there are.
-	factPerMember   = 100 * time.Millisecond
+	factPerMember   = 150 * time.Millisecond
 	minFactInterval = time.Second
 )
 
