--- a/internal/bench/idle.go
+++ b/internal/bench/idle.go
@@ -19,6 +19,7 @@
 // IdleFlags are the flags of the idle experiment.
 type IdleFlags struct {
 	Trace string `long:"trace" value-name:"FILE.csv" description:"replay this trace (header atSeconds,model,adapter) instead of made ones"`
+	Sweep bool   `long:"sweep" description:"also replay the policy with other prices of a cold-start second"`
 	Large bool   `long:"large" description:"also replay 1,500 models with 4,400 adapters"`
 }
 
@@ -46,6 +47,14 @@
 	OverClairvoyantOnDemand float64       `json:"overClairvoyantOnDemand"`
 	Requests                int           `json:"requests"`
 	Strategies              []IdleOutcome `json:"strategies"`
+	// Frontier is what the policy gives at other prices of a cold-start second.
+	Frontier []IdlePoint `json:"frontier,omitempty"`
+}
+
+// IdlePoint is what the policy gives at one price of a cold-start second.
+type IdlePoint struct {
+	ColdStartSecond float64 `json:"coldStartSecond"`
+	IdleOutcome
 }
 
 // IdleOutcome is what one strategy gives.
@@ -113,6 +122,10 @@
 	}
 	result.Wreaths = replayMade(o, "wreaths", wreathSite(), idleTraceSpan)
 	result.Pedals = replayMade(o, "pedals", pedalSite(), idleTraceSpan)
+	if flags.Sweep {
+		result.Wreaths.Frontier = sweepPrices(o, "wreaths", wreathSite())
+		result.Pedals.Frontier = sweepPrices(o, "pedals", pedalSite())
+	}
 	if flags.Large {
 		result.Large = &IdleLarge{
 			Wreaths: replayMade(o, "wreaths, large", wreathSite().enlarge(), idleLargeSpan),
@@ -144,6 +157,26 @@
 	return replayAll(o, name, site, trace.Generate(config))
 }
 
+// sweepFactors multiply the site's price of a cold-start second.
+var sweepFactors = []float64{0.04, 0.2, 1, 5, 25, 125}
+
+// sweepPrices replays the policy at several prices.
+func sweepPrices(o Options, name string, site idleSite) (points []IdlePoint) {
+	config := site.trace
+	config.Seed, config.Span, config.MaxPerHour = o.Seed, idleTraceSpan, idleMaxPerHour
+	arrivals := trace.Generate(config)
+	base := site.prices.ColdStartSecond
+	for _, factor := range sweepFactors {
+		site.prices.ColdStartSecond = base * factor
+		outcome := replayOne(o, site, contenders()[0], arrivals, arrivals[len(arrivals)-1].At)
+		points = append(points, IdlePoint{site.prices.ColdStartSecond, outcome})
+		o.Printf("%s: cold-start second at %g: idle %.1f h, mean wait %.4f s, p99 %.3f s, p99.9 %.3f s", name,
+			site.prices.ColdStartSecond, outcome.IdleAcceleratorHours, outcome.ColdStartMeanS, outcome.ColdStartP99S,
+			outcome.ColdStartP999S)
+	}
+	return points
+}
+
 // fixedMinutes are the fixed keep-alives of the baselines.
 var fixedMinutes = []int{1, 5, 10, 30, 60}
 
--- a/internal/bench/idle_plot.go
+++ b/internal/bench/idle_plot.go
@@ -29,7 +29,7 @@
 		title string
 		costs IdleCosts
 	}{{"wreaths", result.Wreaths}, {"pedals", result.Pedals}} {
-		p, err := frontier(side.title, side.costs.Strategies)
+		p, err := frontier(side.title, side.costs)
 		if err != nil {
 			return errors.Wrapf(err, "plot %s", side.title)
 		}
@@ -55,7 +55,16 @@
 	leastWait  = 0.001
 )
 
-func frontier(title string, outcomes []IdleOutcome) (*plot.Plot, error) {
+// policyColour marks the product's policy.
+var policyColour = color.RGBA{R: 200, A: 255}
+
+func pointOf(outcome IdleOutcome) plotter.XY {
+	return plotter.XY{X: max(leastHours, outcome.IdleAcceleratorHours), Y: max(leastWait, outcome.ColdStartMeanS)}
+}
+
+// frontier draws one price setting. A line joins what the policy gives at other
+// prices.
+func frontier(title string, costs IdleCosts) (*plot.Plot, error) {
 	p := plot.New()
 	p.Title.Text = title
 	p.X.Label.Text = "idle accelerator hours"
@@ -63,8 +72,20 @@
 	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
 	p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{Prec: -1}, plot.LogTicks{Prec: -1}
 	p.Add(plotter.NewGrid())
-	for _, outcome := range outcomes {
-		points := plotter.XYs{{X: max(leastHours, outcome.IdleAcceleratorHours), Y: max(leastWait, outcome.ColdStartMeanS)}}
+	if len(costs.Frontier) > 0 {
+		line := make(plotter.XYs, 0, len(costs.Frontier))
+		for _, point := range costs.Frontier {
+			line = append(line, pointOf(point.IdleOutcome))
+		}
+		drawn, err := plotter.NewLine(line)
+		if err != nil {
+			return nil, errors.Wrap(err, "frontier")
+		}
+		drawn.Color = policyColour
+		p.Add(drawn)
+	}
+	for _, outcome := range costs.Strategies {
+		points := plotter.XYs{pointOf(outcome)}
 		scatter, err := plotter.NewScatter(points)
 		if err != nil {
 			return nil, errors.Wrap(err, outcome.Name)
@@ -72,7 +93,7 @@
 		scatter.Radius = vg.Points(idlePointSize)
 		scatter.Shape = draw.CircleGlyph{}
 		if outcome.Name == contenders()[0].name {
-			scatter.Color = color.RGBA{R: 200, A: 255}
+			scatter.Color = policyColour
 		}
 		labels, err := plotter.NewLabels(plotter.XYLabels{XYs: points, Labels: []string{" " + outcome.Name}})
 		if err != nil {
