policy: count a load against its slot while its grant is being recorded

Cause: TestNodesShareTheStoreThroughTheTable failed once, in the landing: more than 4 loads at once. A plan that followed at once did not count the load whose grant was still on its way to the table. Change: such loads hold their slot from the decision on.

--- a/internal/policy/carry.go
+++ b/internal/policy/carry.go
@@ -429,10 +429,14 @@
 	if load.Remote && !load.Item.IsAdapter() {
 		c.pace.take(1, c.startRate())
 	}
+	c.learning.Lock()
+	c.recording[load.Item] = startedLoad{Load: load, at: time.Now()}
+	c.learning.Unlock()
 	c.working.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, actionLimit)
 		defer cancel()
 		grant, err := c.Grants.Load(ctx, load.Item, load.Server)
+		c.recorded(load, grant, err)
 		c.with(load.Item, func(s *itemState) {
 			s.loading = false
 			s.lastBusy = time.Now()
@@ -443,9 +447,6 @@
 			}
 			s.granted, s.grantedAt = grant, time.Now()
 			s.planned = false
-			c.learning.Lock()
-			c.started[grant] = startedLoad{Load: load, at: time.Now()}
-			c.learning.Unlock()
 		})
 		if err != nil {
 			c.counters.loadsFailed.Inc(1)
@@ -461,6 +462,16 @@
 	})
 }
 
+// recorded moves a load from those being recorded to those started.
+func (c *Controller) recorded(load Load, grant fleet.GrantID, err error) {
+	c.learning.Lock()
+	defer c.learning.Unlock()
+	delete(c.recording, load.Item)
+	if err == nil {
+		c.started[grant] = startedLoad{Load: load, at: time.Now()}
+	}
+}
+
 // startUnload carries out an unload in the background.
 func (c *Controller) startUnload(ctx context.Context, unload Unload) {
 	started := false
--- a/internal/policy/controller.go
+++ b/internal/policy/controller.go
@@ -89,6 +89,8 @@
 	population Population
 	store      Store
 	started    map[fleet.GrantID]startedLoad
+	// recording holds loads whose grant is being recorded. They hold a slot.
+	recording map[fleet.Item]startedLoad
 }
 
 // shard holds the state of some of the items.
@@ -142,6 +144,7 @@
 		c.store = c.Weights
 		c.population = *NewPopulation()
 		c.started = make(map[fleet.GrantID]startedLoad)
+		c.recording = make(map[fleet.Item]startedLoad)
 		c.models = shareHolder{Budget: modelBudget(c.Weights), key: table.Key{Partition: budgetPartition, Sort: "models"}}
 		c.adapters = shareHolder{
 			Budget: AdapterBudget, releaseIdle: releaseAdapters,
--- a/internal/policy/learn.go
+++ b/internal/policy/learn.go
@@ -148,14 +148,20 @@
 func (c *Controller) inFlight(now time.Time) (models, adapters int) {
 	c.learning.Lock()
 	defer c.learning.Unlock()
-	for _, started := range c.started {
+	count := func(load startedLoad) {
 		switch {
-		case !started.reading(now):
-		case started.Item.IsAdapter():
+		case !load.reading(now):
+		case load.Item.IsAdapter():
 			adapters++
 		default:
 			models++
 		}
 	}
+	for _, load := range c.started {
+		count(load)
+	}
+	for _, load := range c.recording {
+		count(load)
+	}
 	return models, adapters
 }
