--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -4,22 +4,31 @@
 
 // Timing and steps of a [Limit].
 const (
-	// settle is the time in which a change of the limit shows in the reports.
+	// settle is the shortest time between two reductions for declined requests,
+	// in which the first one takes effect.
 	settle        = time.Second
 	declineFactor = 0.7
-	queuedFactor  = 0.85
 	raiseStep     = 1
+	// A first byte is late if it takes lateFactor times the fastest and
+	// lateAllowance more.
+	lateFactor    = 3
+	lateAllowance = 20 * time.Millisecond
+	// initialLimit is where a limit starts, unless Max is lower.
+	initialLimit = 16
 )
 
-// Limit adapts how many requests a node has under way at one replica. It grows
-// by steps while the replica queues nothing and shrinks by factors when it
-// queues or declines, so that the nodes that share the replica end up near equal
-// shares without talking to each other.
+// Limit adapts how many requests a node has under way at one replica. It starts
+// low and grows with each success until the replica is seen to queue requests.
+// Then it is cut to the node's share of what the replica runs at once, and grows
+// by a step with each report without a queue. So the nodes that share a replica
+// end up near equal shares without talking to each other.
 type Limit struct {
 	// Max is the number of requests that the replica runs at once.
 	Max int
 
 	value     float64
+	fastest   time.Duration
+	full      bool
 	changedAt time.Time
 	seen      time.Time
 }
@@ -27,31 +36,51 @@
 // Value returns the limit, which is at least 1.
 func (l *Limit) Value() int {
 	if l.value == 0 {
-		return max(1, l.Max)
+		return min(max(1, l.Max), initialLimit)
 	}
-	return max(1, int(l.value))
+	return min(max(1, l.Max), max(1, int(l.value)))
 }
 
-// Report notes a load report. Reports lag, so one that describes the time
-// before the last change is ignored.
-func (l *Limit) Report(now, asOf time.Time, queued, inFlight int) {
+// Report notes a load report: what the replica ran and queued for all nodes at
+// the time asOf, and what the node has under way. Reports lag, so one that
+// describes the time before the last change is ignored.
+func (l *Limit) Report(now, asOf time.Time, running, queued, inFlight int) {
 	if !asOf.After(l.seen) || asOf.Before(l.changedAt) {
 		return
 	}
 	l.seen = asOf
 	switch {
 	case queued > 0:
-		l.change(now, max(1, float64(l.Value())*queuedFactor))
+		share := float64(running) / float64(running+queued)
+		l.full = true
+		l.change(now, max(1, share*float64(max(inFlight, l.Value()))))
 	case inFlight >= l.Value():
-		l.change(now, min(float64(max(1, l.Max)), float64(l.Value()+raiseStep)))
+		l.change(now, float64(l.Value()+raiseStep))
 	}
 }
 
-// Declined notes that the replica did not take a request for lack of room.
+// Succeeded notes the whole answer to a request whose first byte took a while.
+// A first byte that is late compared with the fastest one says, long before a
+// report does, that the replica queues requests.
+func (l *Limit) Succeeded(inFlight int, firstByte time.Duration) {
+	if l.fastest == 0 || firstByte < l.fastest {
+		l.fastest = firstByte
+	}
+	if firstByte > lateFactor*l.fastest+lateAllowance {
+		l.full = true
+	}
+	if !l.full && inFlight >= l.Value() && l.Value() < l.Max {
+		l.value = float64(l.Value() + raiseStep)
+	}
+}
+
+// Declined notes that the replica did not take a request for lack of room, or
+// did not end it in time.
 func (l *Limit) Declined(now time.Time) {
-	if now.Before(l.changedAt.Add(settle)) && l.value != 0 {
+	if now.Before(l.changedAt.Add(settle)) {
 		return
 	}
+	l.full = true
 	l.change(now, max(1, float64(l.Value())*declineFactor))
 }
 
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -112,12 +112,19 @@
 	q.service += time.Duration(serviceWeight * float64(span-q.service))
 }
 
-// deviations is the number of deviations that are allowed for, so that few of
-// the requests that are let in miss their deadline.
-const deviations = 2
+// Allowances for requests that take longer than the average, so that few of
+// those that are let in miss their deadline. In overload every request starts
+// with little more than the time that it is taken to need.
+const (
+	deviations = 2
+	// margin is the part of the average that is added, as one over it.
+	margin = 4
+)
 
 // longest returns the time that nearly every request takes at most.
-func (q *Queue) longest() time.Duration { return q.service + deviations*q.deviation }
+func (q *Queue) longest() time.Duration {
+	return q.service + q.service/margin + deviations*q.deviation
+}
 
 // Service returns the average time that a request takes; 0 if not known.
 func (q *Queue) Service() time.Duration { return q.service }
--- a/internal/caller/budget.go
+++ b/internal/caller/budget.go
@@ -12,8 +12,8 @@
 	retryRatio     = 0.2
 	retryPerSecond = 20
 	retryBurst     = 200
-	hedgeRatio     = 0.04
-	hedgeBurst     = 10
+	hedgeRatio     = 0.03
+	hedgeBurst     = 5
 )
 
 // budgets guards the budgets of a node.
--- a/internal/caller/edges_test.go
+++ b/internal/caller/edges_test.go
@@ -226,3 +226,20 @@
 		s.chat(0, "another", 4)
 	})
 }
+
+func TestCallerResumesAStreamAtAnotherNode(t *testing.T) {
+	bubble(t, siteConfig{engines: 2, nodes: 2}, func(s *site) {
+		body, want := prompt("which wreath", 20)
+		whole := s.send(0, http.MethodPost, chatPath, body, engine.RequestIDHeader, "r1")
+		id := fleet.RequestID(whole.header.Get(engine.RequestIDHeader))
+		rest := s.send(1, http.MethodPost, chatPath, body,
+			engine.RequestIDHeader, "r1", engine.LastEventIDHeader, engine.EventID(id, 4))
+		text, done := textOf(rest.body)
+		s.c.Assert(done, qt.IsTrue)
+		s.c.Assert(strings.HasSuffix(want, text), qt.IsTrue, qt.Commentf("%q", text))
+		s.c.Assert(len(strings.Fields(text)), qt.Equals, 15)
+		foreign := s.send(1, http.MethodPost, chatPath, body,
+			engine.RequestIDHeader, "r2", engine.LastEventIDHeader, engine.EventID(id, 4))
+		s.c.Assert(foreign.status, qt.Equals, http.StatusBadRequest)
+	})
+}
--- a/internal/caller/race.go
+++ b/internal/caller/race.go
@@ -93,6 +93,7 @@
 func (r *relay) won(winner *exchange, running []*exchange) {
 	now := time.Now()
 	span := now.Sub(winner.slot.started)
+	winner.slot.firstByte = span
 	r.call.lane.firstByte(r.call.Stream, span)
 	winner.slot.server.observe(now, span)
 	for _, e := range running {
--- a/internal/caller/relay.go
+++ b/internal/caller/relay.go
@@ -109,7 +109,7 @@
 	defer r.release(winner.slot)
 	defer winner.close(nil)
 	if winner.decoder == nil {
-		winner.slot.server.succeeded()
+		winner.slot.server.succeeded(winner.slot)
 		return r.relayWhole(winner)
 	}
 	stop := r.watchStream(winner)
@@ -123,7 +123,7 @@
 		r.fail(winner)
 		return err
 	}
-	winner.slot.server.succeeded()
+	winner.slot.server.succeeded(winner.slot)
 	return nil
 }
 
@@ -175,6 +175,9 @@
 
 // fail notes a failed exchange in the call and in the state of its server.
 func (r *relay) fail(e *exchange) {
+	if errors.Is(r.call.Context.Err(), context.DeadlineExceeded) {
+		e.slot.server.declined(time.Now(), e.slot)
+	}
 	if _, final := refusal.As(e.err); final || r.call.Context.Err() != nil {
 		return
 	}
@@ -196,6 +199,7 @@
 		state.declined(now, e.slot)
 	case retry.SilentConnection, retry.Crossed:
 		r.silences++
+		state.failed(now)
 		r.transports.dropIdle(now)
 	case retry.Crashed:
 	default:
--- a/internal/caller/servers.go
+++ b/internal/caller/servers.go
@@ -122,7 +122,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	slots := s.slots(replica.Item.Model, call.Deployment.Concurrency)
-	slots.limit.Report(now, replica.AsOf, replica.Queued, slots.inFlight)
+	slots.limit.Report(now, replica.AsOf, replica.Running, replica.Queued, slots.inFlight)
 	candidate := route.Candidate{
 		Server: s.id, Place: replica.Place, InFlight: slots.inFlight, Limit: slots.limit.Value(),
 		Others: max(0, replica.Running+replica.Queued-slots.inFlight), AsOf: replica.AsOf,
@@ -208,11 +208,15 @@
 	blame(aboard)
 }
 
-func (s *server) succeeded() {
+func (s *server) succeeded(taken *slot) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.health.Succeeded()
 	s.closings = 0
+	if model := taken.replica.Item.Model; model != "" {
+		slots := s.slots(model, taken.call.Deployment.Concurrency)
+		slots.limit.Succeeded(slots.inFlight, taken.firstByte)
+	}
 }
 
 // Times for which a server that cannot be reached gets no work.
--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -108,7 +108,7 @@
 		s.failService(call, e)
 		return e.err
 	}
-	state.succeeded()
+	state.succeeded(taken)
 	state.observe(time.Now(), time.Since(taken.started))
 	call.answer = &claim.Answer{
 		Status: e.response.StatusCode, ContentType: e.response.Header.Get("Content-Type"), Body: e.body,
--- a/internal/caller/slot.go
+++ b/internal/caller/slot.go
@@ -16,6 +16,8 @@
 	replica engine.Replica
 	call    *Call
 	started time.Time
+	// firstByte is the time to the first byte of the answer.
+	firstByte time.Duration
 	// cause is set if the server stands in another region.
 	cause route.Cause
 	// fresh asks for a new connection.
--- a/internal/route/health.go
+++ b/internal/route/health.go
@@ -4,7 +4,10 @@
 
 // Timing and bounds of ejections.
 const (
-	failuresToEject = 3
+	// A failure counts as much as failureWeight successes, so that a server
+	// that fails now and then is ejected as well.
+	failureWeight   = 2
+	failuresToEject = 5
 	firstEjection   = time.Second
 	longestEjection = 30 * time.Second
 )
@@ -13,7 +16,7 @@
 // in a row it is ejected for a time that doubles with each ejection. Then one
 // request tries it: if that succeeds the server is back.
 type Health struct {
-	failures  int
+	failures  int // failureWeight for each failure less the successes since
 	ejections int
 	until     time.Time
 	trying    bool
@@ -21,23 +24,33 @@
 
 // Ejected reports whether the server gets no work.
 func (h *Health) Ejected(now time.Time) bool {
-	return h.ejections > 0 && (now.Before(h.until) || h.trying)
+	return now.Before(h.until) || h.trying
 }
 
 // Started notes that a request was sent to the server.
 func (h *Health) Started(now time.Time) {
-	if h.ejections > 0 && !now.Before(h.until) {
+	if !h.until.IsZero() && !now.Before(h.until) {
 		h.trying = true
 	}
 }
 
 // Succeeded notes that the server answered.
-func (h *Health) Succeeded() { *h = Health{} }
+func (h *Health) Succeeded() {
+	if h.trying {
+		h.trying = false
+		h.until = time.Time{}
+		return
+	}
+	h.failures = max(0, h.failures-1)
+	if h.failures == 0 && h.until.IsZero() {
+		h.ejections = max(0, h.ejections-1)
+	}
+}
 
 // Failed notes that the server did not answer and reports whether it was
 // ejected for that.
 func (h *Health) Failed(now time.Time) bool {
-	h.failures++
+	h.failures += failureWeight
 	if !h.trying && h.failures < failuresToEject {
 		return false
 	}
--- /dev/null
+++ b/pkg/guavatrack/client_test.go
@@ -0,0 +1,127 @@
+package guavatrack_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/guavatrack/guavatrack/pkg/guavatrack"
+	"github.com/guavatrack/guavatrack/pkg/refusal"
+)
+
+// node is a fake node; each call goes to serve.
+func node(t *testing.T, lookups *atomic.Int64, addresses func() []string, serve http.HandlerFunc) string {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/v1/where" {
+			serve(w, r)
+			return
+		}
+		lookups.Add(1)
+		_, _ = fmt.Fprintf(w, `{"addresses":["%s"],"keepFor":"10s"}`, strings.Join(addresses(), `","`))
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func booking() guavatrack.Request {
+	return guavatrack.Request{Method: http.MethodPost, Path: "/orders/book", Body: []byte(`{}`)}
+}
+
+func TestClientFailsOverUnderOneKey(t *testing.T) {
+	c := qt.New(t)
+	var lookups atomic.Int64
+	var addresses []string
+	keys := make(chan string, 10)
+	where := func() []string { return addresses }
+	dying := node(t, &lookups, where, func(_ http.ResponseWriter, r *http.Request) {
+		keys <- r.Header.Get("Idempotency-Key")
+		panic(http.ErrAbortHandler)
+	})
+	sound := node(t, &lookups, where, func(w http.ResponseWriter, r *http.Request) {
+		keys <- r.Header.Get("Idempotency-Key")
+		_, _ = io.WriteString(w, "booked")
+	})
+	addresses = []string{dying, sound}
+	client := &guavatrack.Client{Nodes: []string{sound}, Scheme: "http"}
+	response, err := client.Do(t.Context(), booking())
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(response.Body), qt.Equals, "booked")
+	first, second := <-keys, <-keys
+	c.Assert(first, qt.Not(qt.Equals), "")
+	c.Assert(second, qt.Equals, first)
+	lookups.Store(0)
+	_, err = client.Do(t.Context(), booking())
+	c.Assert(err, qt.IsNil)
+	c.Assert(lookups.Load() <= 1, qt.IsTrue, qt.Commentf("the answer is kept"))
+}
+
+func TestClientComesBackWhenItIsTold(t *testing.T) {
+	c := qt.New(t)
+	var lookups, calls atomic.Int64
+	var address string
+	address = node(t, &lookups, func() []string { return []string{address} }, func(w http.ResponseWriter, _ *http.Request) {
+		if calls.Add(1) == 1 {
+			refused := refusal.Refusal{Reason: refusal.Overloaded, RetryAfter: 50 * time.Millisecond}
+			_ = refused.Answer(w)
+			return
+		}
+		_, _ = io.WriteString(w, "booked")
+	})
+	client := &guavatrack.Client{Nodes: []string{address}, Scheme: "http"}
+	_, err := client.Do(t.Context(), booking())
+	c.Assert(err, qt.IsNil)
+	c.Assert(calls.Load(), qt.Equals, int64(2))
+}
+
+func TestClientReturnsRefusals(t *testing.T) {
+	c := qt.New(t)
+	var lookups atomic.Int64
+	var address string
+	address = node(t, &lookups, func() []string { return []string{address} }, func(w http.ResponseWriter, _ *http.Request) {
+		_ = refusal.New(refusal.OutcomeUnknown, "lost").Answer(w)
+	})
+	client := &guavatrack.Client{Nodes: []string{"127.0.0.1:1", address}, Scheme: "http"}
+	_, err := client.Do(t.Context(), booking())
+	refused, is := refusal.As(err)
+	c.Assert(is, qt.IsTrue)
+	c.Assert(refused.Reason, qt.Equals, refusal.OutcomeUnknown)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	nowhere := &guavatrack.Client{Nodes: []string{"127.0.0.1:1"}, Scheme: "http"}
+	_, err = nowhere.Do(ctx, booking())
+	c.Assert(err, qt.ErrorIs, guavatrack.ErrNoNode)
+}
+
+func TestClientResumesAStream(t *testing.T) {
+	c := qt.New(t)
+	var lookups, calls atomic.Int64
+	var address string
+	address = node(t, &lookups, func() []string { return []string{address} }, func(w http.ResponseWriter, r *http.Request) {
+		if calls.Add(1) == 1 {
+			_, _ = io.WriteString(w, "id: x/0\ndata: a\n\nid: x/1\ndata: b\n\nid: x/2\nda")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		c.Check(r.Header.Get("Last-Event-Id"), qt.Equals, "x/1")
+		_, _ = io.WriteString(w, "id: x/2\ndata: c\n\ndata: [DONE]\n\n")
+	})
+	client := &guavatrack.Client{Nodes: []string{address}, Scheme: "http"}
+	var text string
+	err := client.Stream(t.Context(), guavatrack.Request{
+		Method: http.MethodPost, Path: "/v1/chat/completions", Model: "hop", Body: []byte(`{"stream":true}`),
+	}, func(data string) error {
+		text += data
+		return nil
+	})
+	c.Assert(err, qt.IsNil)
+	c.Assert(text, qt.Equals, "abc")
+}
