--- a/internal/config/controller.go
+++ b/internal/config/controller.go
@@ -44,6 +44,9 @@
 	// second.
 	pollPerMember = 25 * time.Millisecond
 	minPoll       = 2 * time.Second
+	// maxForgotten is the number of confirmations of nodes that are gone that
+	// may be held besides those of members.
+	maxForgotten = 64
 	// defaultLimit is how long a node stays current without contact. It is
 	// below the shortest time after which members declare a node dead, so that
 	// a dead node has stopped serving.
@@ -193,9 +196,26 @@
 	c.headSeen = max(c.headSeen, held.Revision)
 	c.known = true
 	c.touch(began)
+	c.forgetGone()
 	return nil
 }
 
+// forgetGone drops the confirmations of nodes that are no longer members, once
+// they are the most. The caller holds the lock.
+func (c *Controller) forgetGone() {
+	members := c.members()
+	if len(c.confirmed) <= 2*len(members)+maxForgotten {
+		return
+	}
+	kept := make(map[fleet.NodeID]Revision, len(members))
+	for _, info := range members {
+		if revision, found := c.confirmed[info.Node]; found {
+			kept[info.Node] = revision
+		}
+	}
+	c.confirmed = kept
+}
+
 // touch notes contact at a time. The caller holds the lock.
 func (c *Controller) touch(at time.Time) {
 	if at.After(c.contact) {
--- a/internal/member/controller.go
+++ b/internal/member/controller.go
@@ -305,6 +305,19 @@
 	return record.PeerAddress, found
 }
 
+// Crosses reports whether the node at a peer address stands in another region.
+func (c *Controller) Crosses(address string) bool {
+	c.init()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, held := range c.view.entries {
+		if held.PeerAddress == address {
+			return held.Region != c.Self.Region
+		}
+	}
+	return false
+}
+
 // MayLive reports whether a node may be running: it is live, or cut off with its
 // region.
 func (c *Controller) MayLive(node fleet.NodeID) bool {
