--- a/internal/bench/client.go
+++ b/internal/bench/client.go
@@ -93,7 +93,7 @@
 	result := Result{Outcome: Dropped, Run: refusal.Run(answer.Header.Get(refusal.RunHeader))}
 	var body refusal.Body
 	if json.NewDecoder(answer.Body).Decode(&body) == nil && result.Run != "" {
-		result.Outcome, result.Reason = Refused, body.Error.Code
+		result.Outcome, result.Reason, result.Message = Refused, body.Error.Code, body.Error.Message
 	}
 	result.Late = time.Since(begun) > deadline+lateness
 	return result
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -39,6 +39,8 @@
 	// Reason and Run are those of a refusal.
 	Reason refusal.Reason
 	Run    refusal.Run
+	// Message is the refusal's text for a person.
+	Message string
 }
 
 // Call runs the call with a number, counted from 0.
