Spread the callers of plain services over the nodes in faults

Cause: calls without a model all met at one home, and lost answers of a service were left over for the rolling replacement: exactly 5, as many as were set. Change: such calls look up one of 16 names; the services' faults are taken back.

--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -270,6 +270,9 @@
 	f.background.Wait()
 	f.site.Table.SetFaults(standin.TableFaults{})
 	f.site.Store.SetSlowdown(1)
+	for _, service := range f.site.Services {
+		service.SetFaults(standin.Faults{})
+	}
 	wait(ctx, settleTime)
 }
 
--- a/internal/bench/system.go
+++ b/internal/bench/system.go
@@ -235,11 +235,15 @@
 	stockTarget   = "/stock/"
 )
 
+// anyName returns a name to look up for a call without a model, so that such
+// calls spread over the nodes.
+func anyName(reference string) string { return "service-" + reference[:1] }
+
 // book sends a call that must run at most once and checks the reference in the
 // answer, which is that of the call's own body.
 func (s *system) book(ctx context.Context, body, key string, deadline time.Duration) Result {
 	want := standin.Reference(bookingTarget, []byte(body), key)
-	return s.send(ctx, "", deadline, func(ctx context.Context, base string, left time.Duration) Result {
+	return s.send(ctx, anyName(want), deadline, func(ctx context.Context, base string, left time.Duration) Result {
 		return s.client.plain(ctx, left, want, func(ctx context.Context) (*http.Response, error) {
 			return s.client.post(ctx, base+bookingPath, []byte(body), left, key)
 		})
@@ -249,7 +253,7 @@
 // stock sends a look-up that may be repeated.
 func (s *system) stock(ctx context.Context, number int, deadline time.Duration) Result {
 	want := standin.Reference(fmt.Sprintf("%s%d", stockTarget, number), nil, "")
-	return s.send(ctx, "", deadline, func(ctx context.Context, base string, left time.Duration) Result {
+	return s.send(ctx, anyName(want), deadline, func(ctx context.Context, base string, left time.Duration) Result {
 		return s.client.plain(ctx, left, want, func(ctx context.Context) (*http.Response, error) {
 			return s.client.get(ctx, fmt.Sprintf("%s%s%d", base, stockPath, number))
 		})
