--- a/internal/config/accept.go
+++ b/internal/config/accept.go
@@ -132,7 +132,7 @@
 
 // alreadyAccepted looks for a ticket of the same number.
 func (c *Controller) alreadyAccepted(ctx context.Context, t ticket.Ticket) (accepted Accepted, done bool, err error) {
-	stored, err := c.Ticket(ctx, t.Number)
+	stored, err := c.readTicket(ctx, t.Number)
 	if errors.Is(err, table.ErrNotFound) {
 		return Accepted{}, false, nil
 	}
@@ -254,7 +254,7 @@
 
 // settle reads back whether a transaction whose answer was lost took effect.
 func (c *Controller) settle(ctx context.Context, stored Stored) error {
-	held, err := c.Ticket(ctx, stored.Ticket.Number)
+	held, err := c.readTicket(ctx, stored.Ticket.Number)
 	switch {
 	case err == nil && held.Token == stored.Token:
 		return nil
--- a/internal/config/record.go
+++ b/internal/config/record.go
@@ -125,6 +125,10 @@
 			err = errors.Wrapf(err, "ticket %d", number)
 		}
 	}()
+	return c.readTicket(ctx, number)
+}
+
+func (c *Controller) readTicket(ctx context.Context, number fleet.TicketNumber) (stored Stored, err error) {
 	record, err := c.Store.Get(ctx, ticketKey(number))
 	if err != nil {
 		return Stored{}, err
