--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -52,7 +52,7 @@
 }
 
 // Default is the policy of a node.
-var Default = Policy{MaxAttempts: 8, Base: 25 * time.Millisecond, Longest: time.Second}
+var Default = Policy{MaxAttempts: 12, Base: 25 * time.Millisecond, Longest: time.Second}
 
 // State is what the decision on one call depends on.
 type State struct {
