Grow limits gently and cut them at the first late first byte

Cause: TestOverloadOfEnginesThatRunLessThanIsConfigured failed in 1 of 5 runs: limits overshot by a fifth before they stopped, and requests begun then passed their deadlines (up to 74 in a second). Change: a quarter of a step for each success; a tenth less at the first late first byte.

--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -13,6 +13,9 @@
 	// lateAllowance more.
 	lateFactor    = 3
 	lateAllowance = 20 * time.Millisecond
+	lateCut       = 0.9
+	// successStep is what each success adds to a limit that is in use.
+	successStep = 0.25
 	// initialLimit is where a limit starts, unless Max is lower.
 	initialLimit = 16
 )
@@ -66,11 +69,12 @@
 	if l.fastest == 0 || firstByte < l.fastest {
 		l.fastest = firstByte
 	}
-	if firstByte > lateFactor*l.fastest+lateAllowance {
+	if !l.full && firstByte > lateFactor*l.fastest+lateAllowance {
 		l.full = true
+		l.value = max(1, lateCut*float64(l.Value()))
 	}
 	if !l.full && inFlight >= l.Value() && l.Value() < l.Max {
-		l.value = float64(l.Value() + raiseStep)
+		l.value = max(l.value, float64(l.Value())) + successStep
 	}
 }
 
