--- a/internal/policy/budget.go
+++ b/internal/policy/budget.go
@@ -92,13 +92,23 @@
 	now                         time.Time
 }
 
-// due returns the share to ask for, if it is time to ask.
+// greedyPause is how long a node leaves a slot to others before it takes more
+// than its fair part.
+const greedyPause = 300 * time.Millisecond
+
+// due returns the share to ask for, if it is time to ask. A node may take more
+// than its fair part of what is free, and gives that back load by load, so that
+// other nodes can have it in between.
 func (h *shareHolder) due(need shareNeed) (want int, due bool) {
 	want = h.Want(need.inFlight, need.queued, need.liveNodes)
 	idle := need.inFlight+need.queued == 0 && need.now.Sub(h.usedAt) >= h.releaseIdle
 	switch {
 	case want > h.share.Loads:
 		return want, true
+	case h.share.Loads > want && h.releaseIdle == 0 && want > 0:
+		return want, true
+	case need.queued > 0 && need.inFlight >= h.share.Loads && need.now.Sub(h.askedAt) >= greedyPause:
+		return need.inFlight + need.queued, true
 	case h.share.Loads == 0:
 		return 0, false
 	case idle:
