--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -112,6 +112,8 @@
 	cold      []fleet.Item
 	served    int
 	reclaimed int
+	// tableFaults numbers the faults of the table.
+	tableFaults int
 }
 
 // faultSite returns a site with two kinds of engine: the servers of the pool
@@ -297,10 +299,18 @@
 }
 
 func (f *faultsRun) tableFault(ctx context.Context, faults standin.TableFaults, length time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.tableFaults++
+	number := f.tableFaults
 	f.site.Table.SetFaults(faults)
 	f.background.Go(func() {
 		wait(ctx, length)
-		f.site.Table.SetFaults(standin.TableFaults{})
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if number == f.tableFaults { // a later fault isn't cut short
+			f.site.Table.SetFaults(standin.TableFaults{})
+		}
 	})
 }
 
