Bound releases, keep loads from waiting for them, measure a lost domain

Cause: a release waited for the write budget while it held the server's turn to write; a VM that the list named again stayed ended; a release could exceed the writes of one transaction. Change: each mended; a measurement of three of seven nodes dying at once.

--- a/internal/grant/commit.go
+++ b/internal/grant/commit.go
@@ -13,6 +13,10 @@
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
+// maxReleases is the number of grants that one transaction releases. Each takes
+// a write beside that of the server's record.
+const maxReleases = table.MaxWrites / 2
+
 // outcome is how a transaction ended.
 type outcome int
 
@@ -97,6 +101,9 @@
 // release removes grants that are proved over. The proof is looked at again
 // with the record that the transaction requires to be unchanged.
 func (c *Controller) release(ctx context.Context, id fleet.ServerID, action Release) (err error) {
+	if err := c.budget.WaitN(ctx, 1); err != nil {
+		return err
+	}
 	unlock, err := c.lockWrites(ctx, id)
 	if err != nil {
 		return err
@@ -120,9 +127,7 @@
 	if len(ids) == 0 {
 		return nil
 	}
-	if err := c.budget.WaitN(ctx, 1); err != nil {
-		return err
-	}
+	ids = ids[:min(len(ids), maxReleases)]
 	next := Remove(record, ids)
 	writes, err := c.releaseWrites(ctx, record, next, version, ids, gone)
 	if err != nil {
--- a/internal/grant/event.go
+++ b/internal/grant/event.go
@@ -42,6 +42,8 @@
 	Drained struct{ Grant fleet.GrantID }
 	// Gone says that the VM has ended.
 	Gone struct{}
+	// Listed says that the VM list names the VM.
+	Listed struct{}
 	// Tick lets time pass.
 	Tick struct{}
 )
@@ -55,6 +57,7 @@
 func (Lost) event()       {}
 func (Unrecorded) event() {}
 func (Drained) event()    {}
+func (Listed) event()     {}
 func (Gone) event()       {}
 func (Tick) event()       {}
 
--- a/internal/grant/follow.go
+++ b/internal/grant/follow.go
@@ -51,7 +51,14 @@
 		}
 	}
 	for id, vm := range vms {
-		c.with(id, func(s *server) { s.vm, s.listed, s.ended, s.unlistedPolls = vm, true, false, 0 })
+		relisted := false
+		c.with(id, func(s *server) {
+			relisted = s.ended
+			s.vm, s.listed, s.ended, s.unlistedPolls = vm, true, false, 0
+		})
+		if relisted {
+			c.step(id, Listed{})
+		}
 	}
 	var quarantined, reserved, foreign int64
 	c.each(func(s *server) {
--- a/internal/grant/machine.go
+++ b/internal/grant/machine.go
@@ -103,6 +103,8 @@
 		m.grant(event.Grant).drainedHere = true
 	case Gone:
 		m.gone = true
+	case Listed:
+		m.gone = false
 	case Tick:
 	}
 	return m.evaluate(now)
--- a/internal/grant/machine_test.go
+++ b/internal/grant/machine_test.go
@@ -125,6 +125,16 @@
 	c.Assert(s.released, qt.DeepEquals, map[fleet.GrantID]grant.Proof{"g": grant.ProofAbsent})
 }
 
+func TestServerThatIsListedAgainKeepsItsGrants(t *testing.T) {
+	c := qt.New(t)
+	s := newScript(false)
+	s.step(grant.Gone{})
+	s.step(grant.Listed{})
+	s.record(grant.Granted, orderA)
+	s.reportAbsentForAnHour(0)
+	c.Assert(s.released, qt.HasLen, 0)
+}
+
 func TestOvertakenReportIsIgnored(t *testing.T) {
 	c := qt.New(t)
 	s := newScript(true)
--- a/internal/grant/measure_test.go
+++ b/internal/grant/measure_test.go
@@ -196,3 +196,57 @@
 	s.check()
 	return took
 }
+
+// TestMeasureDomainLoss lets three of seven nodes die at once while each has ten
+// loads under way whose orders are lost, and counts what the other four do to
+// the table until everything is released.
+func TestMeasureDomainLoss(t *testing.T) {
+	if os.Getenv(measureVariable) == "" {
+		t.Skip("set " + measureVariable + " to measure")
+	}
+	virtual(t, func(t *testing.T) {
+		const nodes, dying, loads = 7, 3, 10
+		s := newSite(t, true, 20, 80*fleet.GiB)
+		for i := range dying * loads {
+			s.deploy(fleet.ModelID(fmt.Sprintf("m%d", i)), 10*fleet.GiB, 1)
+		}
+		controllers, stops := make([]*grant.Controller, nodes), make([]func(), nodes)
+		for i := range nodes {
+			controllers[i], stops[i] = s.newNode(fleet.NodeID(fmt.Sprintf("n%d", i)), func(*grant.Controller) {})
+		}
+		time.Sleep(5 * time.Second)
+		for _, e := range s.engines {
+			e.SetFaults(standin.EngineFaults{DelayOrders: fleet.Duration(time.Hour)})
+		}
+		for i := range dying * loads {
+			item := fleet.Item{Model: fleet.ModelID(fmt.Sprintf("m%d", i))}
+			if _, err := controllers[i%dying].Load(t.Context(), item, s.vms[i%len(s.vms)].ID); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(2 * time.Second) // until all nodes have read the records
+		for i := range dying {
+			stops[i]()
+		}
+		s.change(func() {
+			for i := range dying {
+				s.dead[fleet.NodeID(fmt.Sprintf("n%d", i))] = true
+			}
+		})
+		before, last, peak := s.table.Counts(), s.table.Counts(), 0
+		took := eventually(t, "released", func() bool {
+			if now := s.table.Counts(); time.Now().Nanosecond() < int(50*time.Millisecond) {
+				peak, last = max(peak, now.Writes-last.Writes), now
+			}
+			return reserved(controllers[nodes-1]) == 0
+		})
+		after := s.table.Counts()
+		t.Logf("%d orders of %d dead nodes: released after %s, %d transactions, %d writes, %d conflicts, %d writes in the busiest second",
+			dying*loads, dying, took, after.Transactions-before.Transactions, after.Writes-before.Writes,
+			after.Conflicts-before.Conflicts, peak)
+		s.check()
+		for _, stop := range stops[dying:] {
+			stop()
+		}
+	})
+}
