Join the members warm, and close connections gently on a drain

Cause: a node was named to callers from its first message on, before it had a report of any engine, and took loaded models for absent; a drained node cut its connections with Server.Close, which can hit a request that has just come. Change: a node joins once it has the configuration, the VM list and a report of every listed engine, or after 3 s; while it leaves, answers close their connection, and the endpoints are shut down before they are closed.

--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -25,6 +26,8 @@
 	callers, operators net.Listener
 	addresses          Addresses
 	servers            []*http.Server
+	// leaving says that answers to callers close their connection.
+	leaving atomic.Bool
 }
 
 func newEndpoints(n *Node, peers *peer.Peer) (open *endpoints, err error) {
@@ -78,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	e.start(e.callers, callerTLS, callerHandler(n, p))
+	e.start(e.callers, callerTLS, e.closing(callerHandler(n, p)))
 	e.start(e.operators, operatorTLS, api.Handler())
 	return nil
 }
@@ -112,6 +115,33 @@
 	go func() { _ = server.Serve(listener) }()
 }
 
+// leave has callers open new connections, which go to other nodes. Idle ones
+// stay open: a caller may be sending on them, and keeps them no longer than the
+// look-up's answer.
+func (e *endpoints) leave() { e.leaving.Store(true) }
+
+// closing wraps a handler so that answers close the connection once the node
+// leaves.
+func (e *endpoints) closing(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// shutdown takes no new connections and waits for those in use.
+func (e *endpoints) shutdown(ctx context.Context) error {
+	var failed error
+	for _, server := range e.servers {
+		if err := server.Shutdown(ctx); err != nil {
+			failed = errors.Join(failed, err)
+		}
+	}
+	return failed
+}
+
 // close cuts all connections.
 func (e *endpoints) close() {
 	for _, server := range e.servers {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
@@ -23,6 +24,7 @@
 	"github.com/guavatrack/guavatrack/internal/table"
 	"github.com/guavatrack/guavatrack/internal/vmlist"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
+	"github.com/guavatrack/guavatrack/pkg/ticket"
 )
 
 // Node is one node. Its exported fields are set before Start.
@@ -114,7 +116,7 @@
 	return []runner{
 		{"peers", n.parts.Peers.Run},
 		{"vmList", n.parts.VMs.Run},
-		{"members", n.parts.Members.Run},
+		{"members", n.join},
 		{"configuration", n.parts.Config.Run},
 		{"grants", n.parts.Grants.Run},
 		{"policy", n.parts.Policy.Run},
@@ -123,6 +125,48 @@
 	}
 }
 
+const (
+	warmUpLimit = 3 * time.Second
+	warmUpPoll  = 20 * time.Millisecond
+)
+
+// join makes the node a member once it knows what the others know, or after
+// warmUpLimit. Before, it would be named to callers and take models that are
+// loaded for absent.
+func (n *Node) join(ctx context.Context) error {
+	limited, cancel := context.WithTimeout(ctx, warmUpLimit)
+	defer cancel()
+	tick := time.NewTicker(warmUpPoll)
+	defer tick.Stop()
+	for !n.warm() && limited.Err() == nil {
+		select {
+		case <-limited.Done():
+		case <-tick.C:
+		}
+	}
+	return n.parts.Members.Run(ctx)
+}
+
+// warm reports whether the node has a configuration, the VM list and a report
+// of every engine that is listed.
+func (n *Node) warm() bool {
+	if !n.parts.Config.Current() || n.parts.VMs.AsOf().IsZero() {
+		return false
+	}
+	polled := make(map[fleet.ServerID]bool)
+	for _, view := range n.parts.Grants.Views() {
+		polled[view.VM.ID] = !view.PolledAt.IsZero()
+	}
+	pools := n.parts.Config.Snapshot().Pools
+	for _, vm := range n.parts.VMs.VMs() {
+		pool, found := pools[vm.Pool]
+		if found && pool.Kind == ticket.EnginePool && !polled[vm.ID] {
+			return false
+		}
+	}
+	return true
+}
+
 // Addresses are the addresses that a node advertises.
 type Addresses struct {
 	Callers   string `json:"callers"`
@@ -165,11 +209,17 @@
 
 func (n *Node) sequence() *drain.Sequence {
 	return &drain.Sequence{
-		Leave:   n.parts.Members.Leave,
+		Leave: func() {
+			n.parts.Members.Leave()
+			n.parts.Endpoints.leave()
+		},
 		KeepFor: n.Settings.Drain.KeepFor.Std(),
 		Finish:  n.parts.Callers.Drain,
-		Gone:    n.parts.Members.Gone,
-		Log:     n.Log,
+		HandOver: []drain.Step{
+			{Name: "connections", Run: n.parts.Endpoints.shutdown},
+		},
+		Gone: n.parts.Members.Gone,
+		Log:  n.Log,
 	}
 }
 
