--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -196,8 +196,9 @@
 	begun := time.Now()
 	load := Load{Rate: faultRate, Span: span, Seed: seed, Call: func(ctx context.Context, number int) Result {
 		result := call(ctx, number)
-		if result.Outcome == Refused && shown.Add(1) <= maxListed {
-			f.o.Printf("    at %s: %s: %s", time.Since(begun).Round(time.Millisecond), result.Reason, result.Message)
+		if result.Outcome == Dropped || result.Outcome == Refused && shown.Add(1) <= maxListed {
+			f.o.Printf("    at %s: call %d %s: %s: %s",
+				time.Since(begun).Round(time.Millisecond), number, result.Outcome, result.Reason, result.Message)
 		}
 		return result
 	}}
