Give the policy the store's region and the adapters in flight

Cause: weightStore.adaptersInFlight was checked and had no effect, and live placement did not know where the store stands. The bench's wait for a node wrapped a nil error, which go-faster/errors turns into one. Change: both settings reach the policy; the wait asks once a round; the page on drain.limit says what it bounds.

--- a/internal/bench/system.go
+++ b/internal/bench/system.go
@@ -102,12 +102,17 @@
 	s.nodes = append(s.nodes, started)
 	s.known = append(s.known, started.Addresses().Callers)
 	s.mu.Unlock()
-	for until := time.Now().Add(readyTimeout); started.Ready() != nil; wait(ctx, retryPause) {
-		if time.Now().After(until) {
-			return errors.Wrapf(started.Ready(), "node not ready within %s", readyTimeout)
+	until := time.Now().Add(readyTimeout)
+	for {
+		err := started.Ready()
+		switch {
+		case err == nil:
+			return nil
+		case time.Now().After(until):
+			return errors.Wrapf(err, "node not ready within %s", readyTimeout)
 		}
+		wait(ctx, retryPause)
 	}
-	return nil
 }
 
 // remove forgets a node that is killed or drained. Callers still have its
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -147,7 +147,8 @@
 		Node: n.ID, Grants: policyGrants{grants}, Snapshot: known.Snapshot,
 		Weights: policy.Store{
 			Concurrency: weights.Concurrent, LoadsPerSecond: weights.LoadsPerSecond,
-			BytesPerSecond: weights.Bandwidth,
+			BytesPerSecond: weights.Bandwidth, AdaptersInFlight: weights.AdaptersInFlight,
+			Region: weights.Region,
 		},
 		Store: store, Log: n.Log, Metrics: registry,
 	}
--- a/internal/policy/budget.go
+++ b/internal/policy/budget.go
@@ -164,3 +164,12 @@
 func (p *pacer) take(loads int, perSecond float64) {
 	p.next = p.next.Add(time.Duration(float64(loads) / perSecond * float64(time.Second)))
 }
+
+// adapterBudget returns the budget of adapter loads from a store.
+func adapterBudget(store Store) Budget {
+	budget := AdapterBudget
+	if store.AdaptersInFlight > 0 {
+		budget.Loads = store.AdaptersInFlight
+	}
+	return budget
+}
--- a/internal/policy/controller.go
+++ b/internal/policy/controller.go
@@ -147,7 +147,7 @@
 		c.recording = make(map[fleet.Item]startedLoad)
 		c.models = shareHolder{Budget: modelBudget(c.Weights), key: table.Key{Partition: budgetPartition, Sort: "models"}}
 		c.adapters = shareHolder{
-			Budget: AdapterBudget, releaseIdle: releaseAdapters,
+			Budget: adapterBudget(c.Weights), releaseIdle: releaseAdapters,
 			key: table.Key{Partition: budgetPartition, Sort: "adapters"},
 		}
 		for i := range c.shards {
--- a/internal/policy/store.go
+++ b/internal/policy/store.go
@@ -21,6 +21,9 @@
 
 // Store is what is known of the weight store.
 type Store struct {
+	// AdaptersInFlight is the number of adapter loads at once over all engines
+	// that run at full speed; 0 means that of [AdapterBudget].
+	AdaptersInFlight int
 	// Region is where the store stands. Empty means that it is near everywhere.
 	Region fleet.Region
 	// Concurrency is the number of loads at once that run at full speed.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -94,9 +94,11 @@
 
 // WeightStore is what the store of checkpoints gives the whole fleet.
 type WeightStore struct {
-	LoadsPerSecond   float64 `json:"loadsPerSecond"`
-	Concurrent       int     `json:"concurrent"`
-	AdaptersInFlight int     `json:"adaptersInFlight"`
+	// Region is where the store stands. Empty means near everywhere.
+	Region           fleet.Region `json:"region,omitempty"`
+	LoadsPerSecond   float64      `json:"loadsPerSecond"`
+	Concurrent       int          `json:"concurrent"`
+	AdaptersInFlight int          `json:"adaptersInFlight"`
 	// Bandwidth is what one load gets a second while no more than Concurrent
 	// are running.
 	Bandwidth fleet.Bytes `json:"bandwidth"`
@@ -114,6 +116,7 @@
 type Drain struct {
 	// KeepFor is how long callers keep an answer of the look-up.
 	KeepFor fleet.Duration `json:"keepFor"`
-	// Limit is the longest time that a drain waits for running requests.
+	// Limit is the longest time that a drain takes, the wait for kept answers
+	// included.
 	Limit fleet.Duration `json:"limit"`
 }
