--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -27,7 +28,7 @@
 		code := http.StatusOK
 		if failing, found := status[name]; found {
 			code = failing
-			name += "." + http.StatusText(failing)
+			name += "." + strconv.Itoa(failing)
 		}
 		text, err := os.ReadFile(filepath.Join("testdata", "node", name+".json"))
 		if err != nil {
