Do not take the lag of reports for a slow weight store

Cause: with loads of a fraction of a second, the second or two until a report shows the end counted as slowness of the store, up to tens of times. Waiting requests were then refused with "the model will not be loaded before the deadline" while their model was about to come up, and kept the estimate high. Change: what a load takes longer than expected counts only beyond the lag of reports; both estimates share it.

--- a/internal/policy/controller.go
+++ b/internal/policy/controller.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"sync"
@@ -18,14 +19,16 @@
 
 // Periods of the controller.
 const (
-	planEvery    = 500 * time.Millisecond
-	planBusy     = 100 * time.Millisecond // while requests wait
-	waitingFor   = 5 * time.Second        // a wake is forgotten unless it is repeated
-	actionLimit  = 20 * time.Second
-	shardCount   = 16
-	retryPause   = time.Second     // after a load that failed
-	viewLag      = 5 * time.Second // a recorded grant shows up within this
-	kickCapacity = 1
+	planEvery   = 500 * time.Millisecond
+	planBusy    = 100 * time.Millisecond // while requests wait
+	waitingFor  = 5 * time.Second        // a wake is forgotten unless it is repeated
+	actionLimit = 20 * time.Second
+	shardCount  = 16
+	retryPause  = time.Second // after a load that failed
+	// defaultReportLag is how late an engine's report may be.
+	defaultReportLag = 3 * time.Second
+	viewLag          = 5 * time.Second // a recorded grant shows up within this
+	kickCapacity     = 1
 )
 
 // ErrNotServed says that no deployment allows the item to be served.
@@ -142,6 +145,7 @@
 		}
 		c.counters = newCounters(c.Metrics)
 		c.store = c.Weights
+		c.store.ReportLag = cmp.Or(c.Weights.ReportLag, defaultReportLag)
 		c.population = *NewPopulation()
 		c.started = make(map[fleet.GrantID]startedLoad)
 		c.recording = make(map[fleet.Item]startedLoad)
--- a/internal/policy/store.go
+++ b/internal/policy/store.go
@@ -33,6 +33,8 @@
 	// BytesPerSecond is the speed of one load at full speed; 0 means the
 	// default.
 	BytesPerSecond fleet.Bytes
+	// ReportLag is how late the end of a load may be seen.
+	ReportLag time.Duration
 	// Startup is what loading a base model takes besides moving its bytes.
 	Startup time.Duration
 	// Slowness is the factor by which loads take longer at present, at least 1.
@@ -51,16 +53,14 @@
 // Observe returns the store with its speed updated by one load from it which
 // took a time. A load that is faster than expected raises the full speed.
 func (s Store) Observe(size fleet.Bytes, took time.Duration) Store {
-	moving := max(took-s.Startup, time.Millisecond)
 	if size <= 0 || took <= 0 {
 		return s
 	}
-	slowness := moving.Seconds() / s.transfer(size, 1).Seconds()
-	if slowness < 1 {
+	moving := max(took-s.Startup, time.Millisecond)
+	if moving < s.transfer(size, 1) {
 		s.BytesPerSecond = fleet.Bytes(float64(size) / moving.Seconds())
-		slowness = 1
 	}
-	s.Slowness = (1-observedWeight)*max(1, s.Slowness) + observedWeight*slowness
+	s.Slowness = (1-observedWeight)*max(1, s.Slowness) + observedWeight*s.slowness(size, took)
 	s.Down = false
 	return s
 }
@@ -68,7 +68,7 @@
 // overdue returns the store with what a load tells that has been going on for
 // a time: it is at least as slow as that, or down if nothing has come at all.
 func (s Store) overdue(held Held, going time.Duration) Store {
-	slowness := (going - s.Startup).Seconds() / max(s.transfer(held.Size, 1), minLoad).Seconds()
+	slowness := s.slowness(held.Size, going)
 	if slowness > max(1, s.Slowness) {
 		s.Slowness = slowness
 	}
@@ -76,6 +76,14 @@
 	return s
 }
 
+// slowness returns the factor by which a load takes longer than at full speed.
+// Of a load that is seen to end late, the lag of reports is not counted.
+func (s Store) slowness(size fleet.Bytes, took time.Duration) float64 {
+	expected := max(s.transfer(size, 1), minLoad)
+	late := took - s.Startup - expected - s.ReportLag
+	return 1 + max(0, late).Seconds()/expected.Seconds()
+}
+
 // LoadTime returns how long a load takes on a server, from where the bytes are.
 // It is the time of the transfer; waiting for a slot comes on top.
 func (s Store) LoadTime(item fleet.Item, size fleet.Bytes, server *Server) time.Duration {
--- a/internal/policy/store_test.go
+++ b/internal/policy/store_test.go
@@ -96,6 +96,24 @@
 	c.Assert(store.LoadTime(item, 10*fleet.GiB, &server) < full+time.Second, qt.IsTrue)
 }
 
+// The lag of reports was taken for a slow store where loads are short, so that
+// waiting requests were refused although their model was about to be loaded.
+func TestReportLagIsNotTakenForASlowStore(t *testing.T) {
+	c := qt.New(t)
+	server := testServer("s1", 80*fleet.GiB)
+	item := fleet.ParseItem("m0")
+	store := policy.Store{BytesPerSecond: 20 * fleet.GiB, ReportLag: 3 * time.Second}
+	full := store.LoadTime(item, 10*fleet.GiB, &server)
+	for range 20 {
+		store = store.Observe(10*fleet.GiB, 3*time.Second)
+	}
+	c.Assert(store.LoadTime(item, 10*fleet.GiB, &server), qt.Equals, full)
+	for range 20 {
+		store = store.Observe(10*fleet.GiB, 10*time.Second)
+	}
+	c.Assert(store.LoadTime(item, 10*fleet.GiB, &server) > 5*time.Second, qt.IsTrue)
+}
+
 // TestLearnedGapsOutlastTheNode stops a node that has learned and starts
 // another one before the same table.
 func TestLearnedGapsOutlastTheNode(t *testing.T) {
