--- a/internal/caller/directory.go
+++ b/internal/caller/directory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/guavatrack/guavatrack/internal/dispatch"
 	"github.com/guavatrack/guavatrack/internal/engine"
@@ -88,3 +89,42 @@
 	_ = connection.Close()
 	return true
 }
+
+// loader shows a [Waker] to the dispatcher.
+type loader struct {
+	waker    Waker
+	observer Observer
+}
+
+var (
+	_ dispatch.Waker    = loader{}
+	_ dispatch.Observer = loader{}
+)
+
+// waker returns the dispatcher's view of the waker; nil if there is none.
+func (s *Server) waker() dispatch.Waker {
+	if s.Waker == nil {
+		return nil
+	}
+	observer, _ := s.Waker.(Observer)
+	return loader{waker: s.Waker, observer: observer}
+}
+
+// Wake implements [dispatch.Waker].
+func (l loader) Wake(ctx context.Context, want dispatch.Want) (dispatch.Estimate, error) {
+	return l.waker.Wake(ctx, want.Item, want.Deadline)
+}
+
+// Arrived implements [dispatch.Observer].
+func (l loader) Arrived(item fleet.Item, _ fleet.PoolID, at time.Time) {
+	if l.observer != nil {
+		l.observer.Arrived(item, at)
+	}
+}
+
+// Finished implements [dispatch.Observer].
+func (l loader) Finished(item fleet.Item, _ fleet.PoolID, at time.Time) {
+	if l.observer != nil {
+		l.observer.Finished(item, at)
+	}
+}
--- a/internal/caller/entry.go
+++ b/internal/caller/entry.go
@@ -30,8 +30,7 @@
 		defer cancel()
 		call := &Call{Request: r, Response: w, Snapshot: s.Snapshot()}
 		call.Context, call.Started = ctx, time.Now()
-		s.active.add(call, cancel)
-		defer s.active.remove(call)
+		defer s.active.Begin(cancel)()
 		var err error
 		if s.draining.Load() {
 			w.Header().Set("Connection", "close")
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -17,6 +17,7 @@
 	"github.com/guavatrack/guavatrack/internal/batch"
 	"github.com/guavatrack/guavatrack/internal/claim"
 	"github.com/guavatrack/guavatrack/internal/dispatch"
+	"github.com/guavatrack/guavatrack/internal/drain"
 	"github.com/guavatrack/guavatrack/internal/engine"
 	"github.com/guavatrack/guavatrack/internal/poison"
 	"github.com/guavatrack/guavatrack/internal/table"
@@ -35,8 +36,18 @@
 // Estimate is what a [Waker] expects of a load.
 type Estimate = dispatch.Estimate
 
-// Waker has items loaded. It may be a [dispatch.Observer] as well.
-type Waker = dispatch.Waker
+// Waker has items loaded. It may be an [Observer] as well.
+type Waker interface {
+	// Wake asks for a replica of the item and returns at once. It is called
+	// again while requests wait. It fails if no replica can be had.
+	Wake(ctx context.Context, item fleet.Item, deadline time.Time) (Estimate, error)
+}
+
+// Observer learns when requests come and go. A [Waker] may be one.
+type Observer interface {
+	Arrived(item fleet.Item, at time.Time)
+	Finished(item fleet.Item, at time.Time)
+}
 
 // Authenticator finds out who sends a request.
 type Authenticator interface {
@@ -86,7 +97,7 @@
 	batch      *batch.Controller
 	jobChain   Handler
 	draining   atomic.Bool
-	active     activeCalls
+	active     drain.Calls
 }
 
 // Handler returns the HTTP handler for callers.
@@ -130,7 +141,7 @@
 	s.once.Do(s.setUp)
 	s.draining.Store(true)
 	s.batch.Stop(ctx)
-	cutOff = s.active.drain(ctx)
+	cutOff = s.active.Drain(ctx)
 	s.claims.Flush(ctx)
 	return cutOff
 }
@@ -147,12 +158,11 @@
 	}
 	s.transports.setUp(s.Dial)
 	s.dispatcher = &dispatch.Dispatcher{
-		Directory: backends{s}, Waker: s.Waker, Prober: backends{s}, Store: s.Store, Place: s.Place,
+		Directory: backends{s}, Waker: s.waker(), Prober: backends{s}, Store: s.Store, Place: s.Place,
 		Node: s.Node, SpreadPoison: s.SpreadPoison, Log: s.Log, Metrics: s.Metrics, Rand: s.Rand,
 	}
 	s.claims = &claim.Controller{Store: s.Store, Node: s.Node, Log: s.Log, Metrics: s.Metrics}
 	s.meters.register(s.Metrics)
-	s.active.setUp()
 	s.batch = &batch.Controller{
 		Store: s.Store, Node: s.Node, Execute: s.executeJob, Rand: s.Rand, Log: s.Log, Metrics: s.Metrics,
 	}
@@ -196,60 +206,5 @@
 // Running returns the number of requests in progress at this node.
 func (s *Server) Running() int {
 	s.once.Do(s.setUp)
-	s.active.mu.Lock()
-	defer s.active.mu.Unlock()
-	return len(s.active.calls)
-}
-
-// activeCalls counts the calls in progress.
-type activeCalls struct {
-	mu     sync.Mutex
-	calls  map[*Call]context.CancelFunc
-	change chan struct{}
-}
-
-func (a *activeCalls) setUp() {
-	a.calls = make(map[*Call]context.CancelFunc)
-	a.change = make(chan struct{})
-}
-
-func (a *activeCalls) add(call *Call, cancel context.CancelFunc) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.calls[call] = cancel
-}
-
-func (a *activeCalls) remove(call *Call) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	delete(a.calls, call)
-	if len(a.calls) == 0 {
-		close(a.change)
-		a.change = make(chan struct{})
-	}
-}
-
-func (a *activeCalls) drain(ctx context.Context) (cutOff int) {
-	for {
-		a.mu.Lock()
-		left, change := len(a.calls), a.change
-		a.mu.Unlock()
-		if left == 0 {
-			return 0
-		}
-		select {
-		case <-change:
-		case <-ctx.Done():
-			return a.cancelAll()
-		}
-	}
-}
-
-func (a *activeCalls) cancelAll() int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, cancel := range a.calls {
-		cancel()
-	}
-	return len(a.calls)
+	return s.active.Running()
 }
--- /dev/null
+++ b/internal/cli/hosted.go
@@ -0,0 +1,59 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/guavatrack/guavatrack/internal/hosted"
+	"github.com/guavatrack/guavatrack/internal/logs"
+	"github.com/guavatrack/guavatrack/internal/settings"
+)
+
+// logCloseTimeout bounds the writing of the last log lines.
+const logCloseTimeout = 300 * time.Millisecond
+
+// hosted runs a node on a platform until it has drained. SIGHUP has the settings
+// read again.
+func (c *nodeCommand) hosted(given settings.Settings) error {
+	level := new(slog.LevelVar)
+	if err := level.UnmarshalText([]byte(given.Log.Level)); err != nil {
+		return usageError{fmt.Sprintf("log.level: %v", err)}
+	}
+	sink := logs.New(c.app.Out)
+	log := slog.New(sink.Handler(&slog.HandlerOptions{Level: level}))
+	defer func() {
+		ctx, cancel := context.WithTimeout(context.Background(), logCloseTimeout)
+		defer cancel()
+		sink.Close(ctx)
+	}()
+	running := &hosted.Node{Settings: given, Log: log}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
+	if err := running.Start(c.app.ctx); err != nil {
+		log.Error("node not started", slog.Any("error", err))
+		return err
+	}
+	for received := range signals {
+		if received != syscall.SIGHUP {
+			break
+		}
+		c.reload(running, log)
+	}
+	running.Drain(c.app.ctx)
+	return nil
+}
+
+// reload reads the settings again. A file that is wrong changes nothing.
+func (c *nodeCommand) reload(running *hosted.Node, log *slog.Logger) {
+	changed, err := settings.Read(c.Settings)
+	if err != nil || changed.Platform == nil {
+		log.Error("settings not reloaded", slog.Any("error", err))
+		return
+	}
+	running.Reload(changed)
+}
--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -16,7 +16,7 @@
 // nodeCommand runs a node until it has drained.
 type nodeCommand struct {
 	app      *App
-	Settings string `long:"settings" required:"true" description:"settings file"`
+	Settings string `long:"settings" env:"GUAVATRACK_NODE_FILE" required:"true" description:"settings file"`
 }
 
 // Execute implements [flags.Commander]. The first SIGTERM or interrupt drains
@@ -26,6 +26,9 @@
 	if err != nil {
 		return err
 	}
+	if given.Platform != nil {
+		return c.hosted(given)
+	}
 	level := new(slog.LevelVar)
 	log, err := NewLog(c.app.Err, given.Log, level)
 	if err != nil {
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -18,7 +18,10 @@
 	ID       fleet.RequestID
 	Started  time.Time
 	Deadline time.Time
-	Caller   fleet.CallerID
+	// Objective is by when the answer should begin; zero if there is no such
+	// time.
+	Objective time.Time
+	Caller    fleet.CallerID
 	// Item is what a server must hold to run the call; empty for calls of plain
 	// services.
 	Item fleet.Item
--- a/internal/dispatch/directory.go
+++ b/internal/dispatch/directory.go
@@ -51,17 +51,39 @@
 	Progress float64
 }
 
+// Want is what waiting calls want of an item.
+type Want struct {
+	Item fleet.Item
+	Pool fleet.PoolID
+	// Waiting is the number of calls that wait, Since when the first of them
+	// came.
+	Waiting int
+	Since   time.Time
+	// Rank is that of the most urgent call.
+	Rank int
+	// Objective is the earliest time by which one of the calls should start;
+	// zero if they have none. Deadline is the earliest of their deadlines.
+	Objective, Deadline time.Time
+}
+
 // Waker has items loaded.
 type Waker interface {
-	// Wake asks for a replica of the item and returns at once. It is called
-	// again while calls wait. It fails if no replica can be had.
-	Wake(ctx context.Context, item fleet.Item, deadline time.Time) (Estimate, error)
+	// Wake asks for a replica of the item, or for more of them, and returns at
+	// once. It is called again while calls wait. It fails if no replica can be
+	// had.
+	Wake(ctx context.Context, want Want) (Estimate, error)
 }
 
 // Observer learns when calls come and go. A [Waker] may be one.
 type Observer interface {
-	Arrived(item fleet.Item, at time.Time)
-	Finished(item fleet.Item, at time.Time)
+	Arrived(item fleet.Item, pool fleet.PoolID, at time.Time)
+	Finished(item fleet.Item, pool fleet.PoolID, at time.Time)
+}
+
+// Occupancy learns when calls begin and end at servers. A [Waker] may be one.
+type Occupancy interface {
+	Entered(replica *Replica, at time.Time)
+	Left(replica *Replica, at time.Time)
 }
 
 // Prober finds out about servers that don't answer a call.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -20,9 +20,11 @@
 // before the first use and not changed after.
 type Dispatcher struct {
 	Directory Directory
-	// Waker is nil if nothing can be loaded.
-	Waker  Waker
-	Prober Prober
+	// Waker is nil if nothing can be loaded. With WakeFull it is also asked for
+	// more replicas while those that are there have no room.
+	Waker    Waker
+	WakeFull bool
+	Prober   Prober
 	// Store holds what nodes know of requests that crash servers.
 	Store table.Store
 	Place fleet.Place
@@ -40,6 +42,7 @@
 
 	once       sync.Once
 	observer   Observer
+	occupancy  Occupancy
 	meters     meters
 	servers    serverShards
 	lanes      laneShards
@@ -66,6 +69,9 @@
 	if observer, is := d.Waker.(Observer); is {
 		d.observer = observer
 	}
+	if occupancy, is := d.Waker.(Occupancy); is {
+		d.occupancy = occupancy
+	}
 	d.Rand = rand.New(&lockedSource{source: d.Rand})
 	d.lanes.setUp()
 	d.budgets.setUp()
@@ -113,8 +119,8 @@
 		return err
 	}
 	if d.observer != nil && call.Item.Model != "" {
-		d.observer.Arrived(call.Item, call.Started)
-		defer func() { d.observer.Finished(call.Item, time.Now()) }()
+		d.observer.Arrived(call.Item, call.Pool, call.Started)
+		defer func() { d.observer.Finished(call.Item, call.Pool, time.Now()) }()
 	}
 	call.lane = d.lane(call)
 	if call.slot, err = call.lane.acquire(call); err != nil {
--- a/internal/dispatch/lane.go
+++ b/internal/dispatch/lane.go
@@ -294,10 +294,17 @@
 	}
 	l.mu.Unlock()
 	for _, waiting := range byItem {
-		if !l.dispatcher.loads(waiting[0].call) || len(l.dispatcher.replicas(waiting[0].call)) > 0 {
+		if !l.dispatcher.loads(waiting[0].call) {
+			continue
+		}
+		full := len(l.dispatcher.replicas(waiting[0].call)) > 0
+		if full && !l.dispatcher.WakeFull {
 			continue
 		}
 		state := l.wake(waiting[0].call, time.Now())
+		if full {
+			continue
+		}
 		for _, one := range waiting {
 			if _, err := state.readyIn(one.call, time.Now()); err != nil {
 				l.refuse(one, err)
@@ -371,8 +378,9 @@
 		return *state
 	}
 	state.asking = true
+	want := l.want(call)
 	l.mu.Unlock()
-	estimate, err := l.dispatcher.Waker.Wake(context.WithoutCancel(call.Context), call.Item, call.Deadline)
+	estimate, err := l.dispatcher.Waker.Wake(context.WithoutCancel(call.Context), want)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil && (state.err == nil || now.Sub(state.failing) > 2*wakePatience) {
@@ -382,6 +390,41 @@
 	return *state
 }
 
+// want sums up the calls that wait for the item of a call, itself included. The
+// caller holds the lock.
+func (l *lane) want(call *Call) Want {
+	want := Want{
+		Item: call.Item, Pool: call.Pool, Since: call.Started, Rank: call.Rank,
+		Objective: call.Objective, Deadline: call.Deadline,
+	}
+	counted := false
+	for _, waiting := range l.waiters {
+		if waiting.call.Item == call.Item {
+			want.add(waiting.call)
+			counted = counted || waiting.call == call
+		}
+	}
+	if !counted {
+		want.Waiting++
+	}
+	return want
+}
+
+// add joins a waiting call.
+func (w *Want) add(call *Call) {
+	w.Waiting++
+	w.Rank = min(w.Rank, call.Rank)
+	if call.Started.Before(w.Since) {
+		w.Since = call.Started
+	}
+	if call.Deadline.Before(w.Deadline) {
+		w.Deadline = call.Deadline
+	}
+	if call.Objective.Before(w.Objective) {
+		w.Objective = call.Objective
+	}
+}
+
 // capacity returns what the requests of a call's item can run on.
 func (d *Dispatcher) capacity(call *Call, now time.Time, readyIn time.Duration) (capacity admission.Capacity) {
 	replicas := d.replicas(call)
--- a/internal/dispatch/slot.go
+++ b/internal/dispatch/slot.go
@@ -78,6 +78,9 @@
 		taken.cause = cause
 	}
 	taken.server.enter(now, taken)
+	if d.occupancy != nil {
+		d.occupancy.Entered(&taken.replica, now)
+	}
 	d.prefixes.sent(now, call, replica.Server)
 	return taken
 }
@@ -85,6 +88,9 @@
 // release gives a slot back and lets waiting requests of the model run.
 func (d *Dispatcher) release(taken *slot) {
 	taken.server.leave(taken)
+	if d.occupancy != nil {
+		d.occupancy.Left(&taken.replica, time.Now())
+	}
 	if taken.cause != "" {
 		d.crossed(taken)
 	}
--- /dev/null
+++ b/internal/hosted/node.go
@@ -0,0 +1,233 @@
+package hosted
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/guavatrack/guavatrack/internal/dispatch"
+	"github.com/guavatrack/guavatrack/internal/drain"
+	"github.com/guavatrack/guavatrack/internal/lease"
+	"github.com/guavatrack/guavatrack/internal/member"
+	"github.com/guavatrack/guavatrack/internal/peer"
+	"github.com/guavatrack/guavatrack/internal/placement"
+	"github.com/guavatrack/guavatrack/internal/poison"
+	"github.com/guavatrack/guavatrack/internal/roster"
+	"github.com/guavatrack/guavatrack/internal/settings"
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+	"github.com/guavatrack/guavatrack/platform"
+)
+
+// Node is one node. Its exported fields are set before Start.
+type Node struct {
+	Settings settings.Settings
+	Log      *slog.Logger
+	// ID names this run of the process. Empty takes a new random name.
+	ID fleet.NodeID
+
+	app    *fx.App
+	parts  parts
+	cancel context.CancelFunc
+	runs   sync.WaitGroup
+	active drain.Calls
+	// current are the settings in force; some change while the node runs.
+	current atomic.Pointer[settings.Platform]
+	// leaving says that the node is to stop, draining that it takes no more
+	// requests.
+	leaving, draining atomic.Bool
+}
+
+// parts are the parts of a node, filled in by fx.
+type parts struct {
+	fx.In
+
+	Metrics    metrics.Registry
+	Roster     *roster.Controller
+	Peers      *peer.Peer
+	Members    *member.Controller
+	Lease      *lease.Controller
+	Directory  *placement.Directory
+	Reporter   *placement.Reporter
+	Scheduler  *placement.Scheduler
+	Dispatcher *dispatch.Dispatcher
+	Exchange   *platform.Exchange
+	Poison     *poison.Gossip
+	Endpoints  *endpoints
+}
+
+// memoryShare of what the process may take is where the garbage collector works
+// harder.
+const memoryShare = 0.6
+
+// Start opens the endpoints and runs the parts. It returns once the node can be
+// asked; [Node.Ready] tells when it may be named to callers.
+func (n *Node) Start(ctx context.Context) (err error) {
+	defer func() {
+		if err != nil {
+			err = errors.Wrap(err, "start node")
+		}
+	}()
+	if n.ID == "" {
+		n.ID = fleet.NodeID(uuid.NewString())
+	}
+	n.current.Store(n.Settings.Platform)
+	debug.SetMemoryLimit(int64(memoryShare * float64(n.Settings.Platform.Memory)))
+	n.app = fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.Supply(n), providers, fx.Invoke(connect),
+		fx.Invoke(func(p parts) { n.parts = p }),
+	)
+	if err := n.app.Start(ctx); err != nil {
+		return err
+	}
+	running, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	for _, run := range n.runners() {
+		n.runs.Go(func() {
+			if err := run.run(running); err != nil && running.Err() == nil {
+				n.Log.Error("controller ended", slog.String("controller", run.name), slog.Any("error", err))
+			}
+		})
+	}
+	if err := n.parts.Endpoints.serve(n); err != nil {
+		return err
+	}
+	n.Log.Info("node started", slog.String("node", string(n.ID)), slog.String("vm", n.Settings.Node.Name),
+		slog.String("callers", n.Settings.Callers.Listen))
+	return nil
+}
+
+type runner struct {
+	name string
+	run  func(context.Context) error
+}
+
+func (n *Node) runners() []runner {
+	return []runner{
+		{"roster", n.parts.Roster.Run},
+		{"peers", n.parts.Peers.Run},
+		{"members", n.join},
+		{"lease", n.parts.Lease.Run},
+		{"reporter", n.parts.Reporter.Run},
+		{"scheduler", n.parts.Scheduler.Run},
+		{"dispatcher", n.parts.Dispatcher.Run},
+		{"poison", n.takePoison},
+	}
+}
+
+// Timing of the start.
+const (
+	warmUpLimit = 3 * time.Second
+	warmUpPoll  = 50 * time.Millisecond
+)
+
+// join makes the node a member once it can serve, or after warmUpLimit, so that
+// it is not named to callers before.
+func (n *Node) join(ctx context.Context) error {
+	for end := time.Now().Add(warmUpLimit); n.known() != nil && time.Now().Before(end) && ctx.Err() == nil; {
+		sleep(ctx, warmUpPoll)
+	}
+	return n.parts.Members.Run(ctx)
+}
+
+// poisonInterval is the time between two looks at what other nodes tell of
+// requests that crash servers.
+const poisonInterval = time.Second
+
+func (n *Node) takePoison(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, poisonInterval)
+		n.parts.Poison.Take()
+	}
+	return nil
+}
+
+// known says why the node can't serve yet; nil if it can.
+func (n *Node) known() error {
+	view := n.parts.Roster.View()
+	switch {
+	case view.Manifest == nil:
+		return errors.New("no manifest is known")
+	case !view.Listed:
+		return errors.New("the list of backend servers is not known")
+	default:
+		return nil
+	}
+}
+
+// Ready says why the node must not be named to callers; nil if it may.
+func (n *Node) Ready() error {
+	if n.leaving.Load() {
+		return errors.New("the node is stopping")
+	}
+	return n.known()
+}
+
+// Reload takes in changed settings. What is listened on stays as it is.
+func (n *Node) Reload(changed settings.Settings) {
+	n.current.Store(changed.Platform)
+	n.Log.Info("settings reloaded", slog.Float64("retryRatio", changed.Platform.Retries.Ratio),
+		slog.Float64("retrySlack", changed.Platform.Retries.Slack))
+}
+
+// Shares of the grace time at which a stopping node takes no more requests, and
+// at which it cuts off what still runs.
+const (
+	acceptShare = 0.3
+	cutShare    = 0.93
+)
+
+// Drain stops the node without cutting off a request that ends in time.
+func (n *Node) Drain(ctx context.Context) (cutOff int) {
+	grace := n.current.Load().Grace.Std()
+	began := time.Now()
+	n.Log.Info("drain begins", slog.Duration("grace", grace), slog.Int("running", n.active.Running()))
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(cutShare*float64(grace)))
+	defer cancel()
+	n.leaving.Store(true)
+	n.parts.Members.Leave()
+	n.runs.Go(func() { n.parts.Lease.GiveUp(ctx) })
+	sleep(ctx, time.Duration(acceptShare*float64(grace)))
+	n.draining.Store(true)
+	n.parts.Endpoints.closeCallers()
+	cutOff = n.active.Drain(ctx)
+	n.parts.Members.Gone(ctx)
+	n.Log.Info("drain ends", slog.Int("cutOff", cutOff), slog.Duration("took", time.Since(began)))
+	n.Stop()
+	return cutOff
+}
+
+// Stop ends the node at once.
+func (n *Node) Stop() {
+	n.parts.Endpoints.close()
+	n.cancel()
+	n.runs.Wait()
+	_ = n.app.Stop(context.Background())
+}
+
+func sleep(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// callers returns the handler of callers' requests.
+func (n *Node) callers() http.Handler {
+	return &platform.Callers{
+		View: n.parts.Roster.View, Dispatcher: n.parts.Dispatcher, Servers: n.parts.Exchange,
+		Draining: n.draining.Load, Closing: n.leaving.Load, Active: &n.active, Log: n.Log,
+	}
+}
--- /dev/null
+++ b/internal/hosted/provide.go
@@ -0,0 +1,156 @@
+package hosted
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+
+	"github.com/guavatrack/guavatrack/internal/dispatch"
+	"github.com/guavatrack/guavatrack/internal/lease"
+	"github.com/guavatrack/guavatrack/internal/member"
+	"github.com/guavatrack/guavatrack/internal/peer"
+	"github.com/guavatrack/guavatrack/internal/placement"
+	"github.com/guavatrack/guavatrack/internal/poison"
+	"github.com/guavatrack/guavatrack/internal/retry"
+	"github.com/guavatrack/guavatrack/internal/roster"
+	"github.com/guavatrack/guavatrack/internal/table"
+	"github.com/guavatrack/guavatrack/platform"
+)
+
+// providers makes the parts of a node. What needs each other in a circle is put
+// together by connect.
+var providers = fx.Provide(
+	metrics.NewRegistry, newStore, newTable, newRoster, newPeers, newMembers, newLease, newDirectory, newReporter,
+	newScheduler, newExchange, newDispatcher, newGossip, newEndpoints,
+)
+
+const (
+	// storeDialTimeout bounds the making of a connection to the store.
+	storeDialTimeout = 400 * time.Millisecond
+	storeIdleTimeout = 30 * time.Second
+	// leaseTime is how long the right to give orders lasts without a renewal:
+	// longer than most outages of the store, since orders go on in them.
+	leaseTime = 8 * time.Second
+)
+
+// leaseKey is the record of the right to give orders.
+var leaseKey = table.Key{Partition: "orders", Sort: "lease"}
+
+func newStore(n *Node) *platform.Store {
+	return &platform.Store{Address: n.Settings.Platform.Store, HTTP: &http.Client{Transport: &http.Transport{
+		DialContext: (&net.Dialer{Timeout: storeDialTimeout}).DialContext, IdleConnTimeout: storeIdleTimeout,
+		MaxIdleConnsPerHost: 4, DisableCompression: true,
+	}}}
+}
+
+func newTable(store *platform.Store) table.Store { return &platform.Table{Store: store} }
+
+func newRoster(n *Node, store *platform.Store, directory *placement.Directory, registry metrics.Registry) *roster.Controller {
+	return &roster.Controller{
+		Servers: &platform.Servers{
+			Store: store, Regions: n.Settings.Platform.Regions, Log: n.Log, Metrics: registry,
+		},
+		Manifests: &platform.Manifests{Store: store, Log: n.Log, Metrics: registry},
+		Changed:   directory.Changed, Log: n.Log, Metrics: registry,
+	}
+}
+
+func newPeers(n *Node, registry metrics.Registry) *peer.Peer {
+	return &peer.Peer{Address: n.Settings.Peers.Listen, Log: n.Log, Metrics: registry}
+}
+
+func newMembers(n *Node, peers *peer.Peer, store table.Store, registry metrics.Registry) *member.Controller {
+	return &member.Controller{
+		Self: member.Info{
+			Node: n.ID, Place: n.Settings.Node.Place, CallerAddress: n.Settings.Callers.Listen,
+			PeerAddress: n.Settings.Peers.Listen, StartedAt: time.Now().UTC(),
+		},
+		Peers: peers, Store: store, Log: n.Log, Metrics: registry,
+	}
+}
+
+// vm names the VM to engines and in the lease: a VM that takes another's place
+// under the same name is another one.
+func (n *Node) vm() string { return n.Settings.Node.Name + "@" + n.Settings.Peers.Listen }
+
+func newLease(n *Node, store table.Store) *lease.Controller {
+	return &lease.Controller{
+		Term: lease.Term{
+			Self: n.vm(), Node: n.ID, Length: leaseTime, HandOver: n.Settings.Platform.HandOver.Std(),
+		},
+		Store: store, Key: leaseKey, Log: n.Log,
+	}
+}
+
+func newDirectory() *placement.Directory { return &placement.Directory{} }
+
+func newReporter(
+	n *Node, directory *placement.Directory, view *roster.Controller, right *lease.Controller, peers *peer.Peer,
+) *placement.Reporter {
+	return &placement.Reporter{
+		Node: n.ID, Region: n.Settings.Node.Region, Directory: directory, View: view.View, Lease: right, Peers: peers,
+		Log: n.Log,
+	}
+}
+
+func newScheduler(
+	n *Node, view *roster.Controller, right *lease.Controller, peers *peer.Peer, registry metrics.Registry,
+) *placement.Scheduler {
+	return &placement.Scheduler{
+		Holder: n.vm(), View: view.View, Lease: right, Engines: platform.NewEngines(), Peers: peers, Node: n.ID,
+		StoreLoads: n.Settings.WeightStore.Concurrent, AdapterLoads: n.Settings.WeightStore.AdaptersInFlight,
+		Log: n.Log, Metrics: registry,
+	}
+}
+
+func newExchange(view *roster.Controller, directory *placement.Directory) *platform.Exchange {
+	return platform.NewExchange(view.View, func(load platform.Load) {
+		directory.Observe(load.Server, load.Running, load.Waiting)
+	})
+}
+
+func newDispatcher(
+	n *Node, directory *placement.Directory, reporter *placement.Reporter, exchange *platform.Exchange,
+	members *member.Controller, store table.Store, gossip *poison.Gossip, registry metrics.Registry,
+) *dispatch.Dispatcher {
+	return &dispatch.Dispatcher{
+		Directory: directory, Waker: reporter, WakeFull: true, Prober: exchange, Store: store,
+		Place: n.Settings.Node.Place, Node: n.ID, Allowance: func() retry.Allowance { return n.allowance(members) },
+		SpreadPoison: gossip.Spread, Log: n.Log, Metrics: registry,
+	}
+}
+
+func newGossip(n *Node, members *member.Controller) *poison.Gossip {
+	return &poison.Gossip{Node: n.ID, Facts: members, Log: n.Log}
+}
+
+func newEndpoints() *endpoints { return &endpoints{} }
+
+// Shares of the fleet's allowance of further attempts that the nodes use, and
+// the number of nodes that they take to be there at least: some may not be known
+// yet, and one that starts again has a new budget.
+const (
+	retryShare = 0.8
+	leastNodes = 8
+)
+
+// allowance returns the node's part of the fleet's allowance of further
+// attempts.
+func (n *Node) allowance(members *member.Controller) retry.Allowance {
+	given := n.current.Load().Retries
+	nodes := max(leastNodes, len(members.Records()))
+	return retry.Allowance{Ratio: retryShare * given.Ratio, Burst: retryShare * given.Slack / float64(nodes)}
+}
+
+// connect closes the circles between the parts and registers the methods that
+// nodes call on each other, before anything runs.
+func connect(p parts) {
+	p.Directory.View = p.Roster.View
+	p.Peers.Resolve, p.Peers.Crosses = p.Members.Resolve, p.Members.Crosses
+	p.Members.Register()
+	placement.Register(p.Peers, p.Scheduler, p.Reporter)
+	p.Poison.Learn = p.Dispatcher.LearnPoison
+}
--- /dev/null
+++ b/internal/lease/controller.go
@@ -0,0 +1,291 @@
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+
+	"github.com/guavatrack/guavatrack/internal/table"
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+)
+
+// Timing of a controller.
+const (
+	// renewShare of the length is the time between two renewals.
+	renewShare = 8
+	// lookInterval is the time between two looks at a lease that another VM
+	// seems to hold no more.
+	lookInterval = 500 * time.Millisecond
+	callTimeout  = 700 * time.Millisecond
+)
+
+// Controller holds a lease or watches who does. Its exported fields are set
+// before Run.
+type Controller struct {
+	Term  Term
+	Store table.Store
+	Key   table.Key
+	// Clock counts suspension; nil means [BootTime].
+	Clock func() time.Duration
+	// Changed is called when the right is gained or lost. It may be nil.
+	Changed func()
+	Log     *slog.Logger
+
+	once    sync.Once
+	mu      sync.Mutex
+	suspect bool
+	wake    chan struct{}
+	gaveUp  bool
+}
+
+func (c *Controller) init() {
+	c.once.Do(func() {
+		c.wake = make(chan struct{}, 1)
+		c.suspect = true
+		if c.Clock == nil {
+			c.Clock = BootTime
+		}
+		if c.Log == nil {
+			c.Log = slog.New(slog.DiscardHandler)
+		}
+	})
+}
+
+// Holds reports whether this process may act now, and under which number.
+func (c *Controller) Holds() (fleet.FencingNumber, bool) {
+	c.init()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.Term.Holds(c.Clock())
+}
+
+// Mine reports whether this process has the lease, although it may have to wait
+// before it acts.
+func (c *Controller) Mine() bool {
+	c.init()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.Term.mine && c.Clock() < c.Term.until
+}
+
+// Holder returns the process that held the lease when the record was last
+// read; empty if unknown.
+func (c *Controller) Holder() fleet.NodeID {
+	c.init()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.Term.record.Released {
+		return ""
+	}
+	return c.Term.record.Node
+}
+
+// Suspect has the record read, since its holder does not answer or says that it
+// is not the holder.
+func (c *Controller) Suspect() {
+	c.init()
+	c.mu.Lock()
+	already := c.suspect
+	c.suspect = true
+	c.mu.Unlock()
+	if !already {
+		c.stir()
+	}
+}
+
+// Trust ends a suspicion.
+func (c *Controller) Trust() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.suspect = false
+}
+
+func (c *Controller) stir() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run holds or watches the lease until the context ends.
+func (c *Controller) Run(ctx context.Context) error {
+	c.init()
+	for ctx.Err() == nil {
+		pause := c.step(ctx)
+		timer := time.NewTimer(pause)
+		select {
+		case <-timer.C:
+		case <-c.wake:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+	return nil
+}
+
+// step does what is due and returns when to look again.
+func (c *Controller) step(ctx context.Context) time.Duration {
+	c.mu.Lock()
+	mine, suspect, gaveUp := c.Term.mine, c.suspect, c.gaveUp
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	switch {
+	case gaveUp:
+		return time.Second
+	case mine:
+		if c.renew(ctx) {
+			return c.Term.Length / renewShare
+		}
+	case suspect:
+		c.look(ctx)
+	default:
+		return time.Second
+	}
+	return lookInterval
+}
+
+// look reads the record and claims the lease if it is to be had.
+func (c *Controller) look(ctx context.Context) {
+	if !c.read(ctx) {
+		return
+	}
+	c.mu.Lock()
+	record, expect, wanted := c.Term.Claim(c.Clock())
+	c.mu.Unlock()
+	if !wanted {
+		return
+	}
+	sent := c.Clock()
+	err := c.write(ctx, record, expect)
+	if errors.Is(err, table.ErrUnknown) {
+		err = c.settle(ctx, record, expect)
+	}
+	if err != nil {
+		c.Log.Info("lease not gained", slog.Any("error", err))
+		return
+	}
+	c.mu.Lock()
+	c.Term.Claimed(sent, c.Clock(), record, expect+1)
+	from := c.Term.from - c.Clock()
+	c.mu.Unlock()
+	c.Log.Info("lease gained", slog.Uint64("fencing", uint64(record.Fencing)), slog.Duration("actsIn", max(0, from)))
+	c.changed()
+}
+
+// settle finds out whether a write whose answer was lost took effect.
+func (c *Controller) settle(ctx context.Context, record Record, expect table.Version) error {
+	held, version, err := c.fetch(ctx)
+	switch {
+	case err != nil:
+		return err
+	case version == expect+1 && held == record:
+		return nil
+	default:
+		return table.ErrConflict
+	}
+}
+
+// renew reports whether the lease was renewed.
+func (c *Controller) renew(ctx context.Context) bool {
+	c.mu.Lock()
+	record, expect := c.Term.record, c.Term.version
+	c.mu.Unlock()
+	sent := c.Clock()
+	err := c.write(ctx, record, expect)
+	if errors.Is(err, table.ErrUnknown) || errors.Is(err, table.ErrConflict) {
+		// This renewal or an earlier one may have taken effect, it is not known
+		// when. The right is not extended for it.
+		held, version, readErr := c.fetch(ctx)
+		if readErr != nil {
+			return false
+		}
+		c.seen(held, version)
+		return false
+	}
+	if err != nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.Term.Renewed(sent, expect+1)
+	return true
+}
+
+// read takes in the record and reports whether it could be read.
+func (c *Controller) read(ctx context.Context) bool {
+	record, version, err := c.fetch(ctx)
+	if err != nil {
+		return false
+	}
+	c.seen(record, version)
+	return true
+}
+
+func (c *Controller) seen(record Record, version table.Version) {
+	c.mu.Lock()
+	before, was := c.Term.mine, c.Term.record.Node
+	c.Term.Seen(c.Clock(), record, version)
+	lost := before && !c.Term.mine
+	c.mu.Unlock()
+	if record.Node != was {
+		c.Log.Info("lease seen", slog.String("holder", record.Holder), slog.String("node", string(record.Node)),
+			slog.Uint64("fencing", uint64(record.Fencing)), slog.Bool("released", record.Released))
+	}
+	if lost {
+		c.Log.Warn("lease lost", slog.String("holder", record.Holder))
+		c.changed()
+	}
+}
+
+func (c *Controller) changed() {
+	if c.Changed != nil {
+		c.Changed()
+	}
+}
+
+func (c *Controller) fetch(ctx context.Context) (record Record, version table.Version, err error) {
+	found, err := c.Store.Get(ctx, c.Key)
+	switch {
+	case errors.Is(err, table.ErrNotFound):
+		return Record{}, table.Absent, nil
+	case err != nil:
+		return Record{}, 0, err
+	}
+	if err := json.Unmarshal(found.Body, &record); err != nil {
+		return Record{}, 0, errors.Wrap(err, "lease record")
+	}
+	return record, found.Version, nil
+}
+
+func (c *Controller) write(ctx context.Context, record Record, expect table.Version) error {
+	body, err := json.Marshal(record)
+	if err != nil {
+		return errors.Wrap(err, "lease record")
+	}
+	return c.Store.Transact(ctx, table.Token(uuid.NewString()), []table.Write{{Key: c.Key, Expect: expect, Body: body}})
+}
+
+// GiveUp ends the right of this process for good and tells the others. The
+// caller must have ended all acts before.
+func (c *Controller) GiveUp(ctx context.Context) {
+	c.init()
+	c.mu.Lock()
+	mine, record, expect := c.Term.mine, c.Term.record, c.Term.version
+	c.Term.mine, c.gaveUp = false, true
+	c.mu.Unlock()
+	if !mine {
+		return
+	}
+	record.Released = true
+	if err := c.write(ctx, record, expect); err != nil {
+		c.Log.Warn("lease not released", slog.Any("error", err))
+		return
+	}
+	c.Log.Info("lease released")
+}
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -9,7 +9,6 @@
 
 	"github.com/guavatrack/guavatrack/internal/caller"
 	"github.com/guavatrack/guavatrack/internal/config"
-	"github.com/guavatrack/guavatrack/internal/dispatch"
 	"github.com/guavatrack/guavatrack/internal/engine"
 	"github.com/guavatrack/guavatrack/internal/grant"
 	"github.com/guavatrack/guavatrack/internal/lookup"
@@ -50,9 +49,9 @@
 }
 
 var (
-	_ caller.Directory  = (*directory)(nil)
-	_ caller.Waker      = (*directory)(nil)
-	_ dispatch.Observer = (*directory)(nil)
+	_ caller.Directory = (*directory)(nil)
+	_ caller.Waker     = (*directory)(nil)
+	_ caller.Observer  = (*directory)(nil)
 )
 
 func newDirectory(
@@ -84,10 +83,10 @@
 	return caller.Estimate(estimate), err
 }
 
-// Arrived implements [dispatch.Observer].
+// Arrived implements [caller.Observer].
 func (d *directory) Arrived(item fleet.Item, at time.Time) { d.policy.Arrived(item, at) }
 
-// Finished implements [dispatch.Observer].
+// Finished implements [caller.Observer].
 func (d *directory) Finished(item fleet.Item, at time.Time) { d.policy.Finished(item, at) }
 
 // decides reports whether this node is the first home of an item.
--- a/internal/node/facts.go
+++ b/internal/node/facts.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"log/slog"
 	"time"
 
 	"github.com/guavatrack/guavatrack/internal/caller"
@@ -12,11 +11,8 @@
 	"github.com/guavatrack/guavatrack/internal/poison"
 )
 
-// Kinds of facts that nodes tell each other.
-const (
-	factPoison = "poison"
-	factLoad   = "load"
-)
+// factLoad is the kind of the facts that tell a node's load.
+const factLoad = "load"
 
 const (
 	factInterval = time.Second
@@ -28,27 +24,17 @@
 // facts carries soft state between the members' gossip and the parts that
 // produce and use it.
 type facts struct {
-	self    *Node
 	members *member.Controller
 	callers *caller.Server
+	poison  poison.Gossip
 	// loadTold is when the load was last told.
 	loadTold time.Time
 }
 
-// spreadPoison tells the fleet of a request that crashes backend servers.
-func (f *facts) spreadPoison(notice poison.Notice) {
-	value, err := json.Marshal(notice)
-	if err != nil {
-		f.self.Log.Error("poison notice not told", slog.Any("error", err))
-		return
-	}
-	f.members.Publish(member.Fact{
-		Kind: factPoison, Key: string(notice.Digest), Wide: true, Value: value,
-	}, time.Until(notice.Until))
-}
-
 func newFacts(n *Node, members *member.Controller, callers *caller.Server) *facts {
-	return &facts{self: n, members: members, callers: callers}
+	return &facts{members: members, callers: callers, poison: poison.Gossip{
+		Node: n.ID, Facts: members, Learn: callers.LearnPoison, Log: n.Log,
+	}}
 }
 
 // run publishes this node's load and takes in what others told.
@@ -62,7 +48,7 @@
 		case <-tick.C:
 		}
 		f.publishLoad()
-		f.learnPoison()
+		f.poison.Take()
 	}
 }
 
@@ -81,16 +67,6 @@
 	f.members.Publish(member.Fact{Kind: factLoad, Value: value}, max(loadLifetime, loadIntervals*interval))
 }
 
-func (f *facts) learnPoison() {
-	for _, fact := range f.members.Facts(factPoison) {
-		var notice poison.Notice
-		if fact.Owner == f.self.ID || json.Unmarshal(fact.Value, &notice) != nil {
-			continue
-		}
-		f.callers.LearnPoison(notice)
-	}
-}
-
 // loads returns the running requests of the nodes that tell them.
 func (f *facts) loads() lookup.Loads {
 	loads := make(lookup.Loads)
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -13,15 +13,19 @@
 	"github.com/guavatrack/guavatrack/internal/member"
 	"github.com/guavatrack/guavatrack/internal/metric"
 	"github.com/guavatrack/guavatrack/internal/peer"
+	"github.com/guavatrack/guavatrack/internal/placement"
 	"github.com/guavatrack/guavatrack/internal/poison"
 	"github.com/guavatrack/guavatrack/internal/policy"
+	"github.com/guavatrack/guavatrack/internal/roster"
 	"github.com/guavatrack/guavatrack/internal/vmlist"
+	"github.com/guavatrack/guavatrack/platform"
 )
 
 // Metrics returns the documentation of every metric that a node registers.
 func Metrics() []metric.Doc {
 	return slices.Concat(
 		batch.Metrics, caller.Metrics, claim.Metrics, config.Metrics, dispatch.Metrics, grant.Metrics, lookup.Metrics,
-		member.Metrics, peer.Metrics, poison.Metrics, policy.Metrics, vmlist.Metrics,
+		member.Metrics, peer.Metrics, placement.Metrics, platform.Metrics, poison.Metrics, policy.Metrics, roster.Metrics,
+		vmlist.Metrics,
 	)
 }
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -198,7 +198,7 @@
 	p.Members.Register()
 	p.Config.Register()
 	p.Directory.register()
-	p.Callers.SpreadPoison = p.Facts.spreadPoison
+	p.Callers.SpreadPoison = p.Facts.poison.Spread
 	p.Policy.Decides = p.Directory.decides
 	p.Policy.Forward = p.Directory.forward
 	p.Grants.Alive = p.Members.MayLive
--- /dev/null
+++ b/internal/residence/adapters.go
@@ -0,0 +1,107 @@
+package residence
+
+import (
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+)
+
+// maxAdaptersComing is the number of adapters that are on their way to one
+// engine at once.
+const maxAdaptersComing = 4
+
+// adapters orders adapters that calls wait for, on engines that hold their
+// model.
+func (p *planner) adapters() {
+	for at := range p.Demands {
+		demand := &p.Demands[at]
+		if demand.Item.Adapter == "" || demand.Waiting == 0 || p.AdapterLoads <= 0 {
+			continue
+		}
+		p.adapter(demand)
+	}
+}
+
+// adapter orders one adapter where it takes the least used place.
+func (p *planner) adapter(demand *Demand) {
+	var best *Engine
+	var victim *HeldAdapter
+	var victimModel fleet.ModelID
+	for at := range p.Engines {
+		engine := &p.Engines[at]
+		held := engine.held(demand.Item.Model)
+		if engine.Closed || held == nil || held.Leaving || p.used[engine.ID] {
+			continue
+		}
+		if held.adapter(demand.Item.Adapter) != nil {
+			return
+		}
+		if engine.AdaptersComing >= maxAdaptersComing || engine.Busy {
+			continue
+		}
+		if engine.adapterCount() < engine.AdapterSlots {
+			if best == nil || victim != nil || engine.load() < best.load() {
+				best, victim = engine, nil
+			}
+			continue
+		}
+		if best != nil && victim == nil {
+			continue
+		}
+		model, idle := engine.idleAdapter()
+		if idle != nil && (victim == nil || idle.Used.Before(victim.Used)) {
+			best, victim, victimModel = engine, idle, model
+		}
+	}
+	if best == nil {
+		return
+	}
+	p.used[best.ID] = true
+	if victim != nil {
+		p.orders = append(p.orders, Order{
+			Server: best.ID, Item: fleet.Item{Model: victimModel, Adapter: victim.Adapter}, Why: WhyRoom,
+		})
+		return
+	}
+	p.AdapterLoads--
+	p.orders = append(p.orders, Order{Server: best.ID, Load: true, Item: demand.Item, Why: WhyWaiting})
+}
+
+// adapter returns an adapter of the model; nil if it is not there.
+func (h *Held) adapter(adapter fleet.AdapterID) *HeldAdapter {
+	for at := range h.Adapters {
+		if h.Adapters[at].Adapter == adapter {
+			return &h.Adapters[at]
+		}
+	}
+	return nil
+}
+
+func (e *Engine) adapterCount() (count int) {
+	for at := range e.Held {
+		count += len(e.Held[at].Adapters)
+	}
+	return count
+}
+
+func (e *Engine) load() (running int) {
+	for at := range e.Held {
+		running += e.Held[at].Running
+	}
+	return running
+}
+
+// idleAdapter returns the adapter that has been unused longest; nil if all are
+// in use.
+func (e *Engine) idleAdapter() (model fleet.ModelID, idle *HeldAdapter) {
+	for at := range e.Held {
+		for n := range e.Held[at].Adapters {
+			adapter := &e.Held[at].Adapters[n]
+			if adapter.Running > 0 || adapter.Coming {
+				continue
+			}
+			if idle == nil || adapter.Used.Before(idle.Used) {
+				model, idle = e.Held[at].Model, adapter
+			}
+		}
+	}
+	return model, idle
+}
--- /dev/null
+++ b/internal/residence/plan.go
@@ -0,0 +1,359 @@
+package residence
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+)
+
+// Weights of the plan.
+const (
+	// unloadTime is about how long an unload of an unused model takes.
+	unloadTime = 200 * time.Millisecond
+	// fillShare is the share of an engine's slots that calls of one model take
+	// before another replica is wanted.
+	fillShare = 0.5
+	// usedAfter is the idle time from which on a model that calls ran on lately
+	// is taken to be unused: until then a call may be under way that is not
+	// known here yet.
+	usedAfter = 150 * time.Millisecond
+	// crossCost is the cost of a replica in another region than its callers, as
+	// a time.
+	crossCost = 100 * time.Millisecond
+	// keepCost is the cost of unloading a model with one call a second, as a
+	// time.
+	keepCost = time.Second
+	// pressAfter is how long a call waits before a model in use makes room.
+	pressAfter = 600 * time.Millisecond
+	// spareStoreLoads is the number of loads from the weight store that are left
+	// to waiting calls.
+	spareStoreLoads = 2
+)
+
+// planner is a plan in the making.
+type planner struct {
+	*State
+	orders []Order
+	demand map[fleet.ModelID]*Demand
+	// ready and coming count the replicas of each model.
+	ready, coming map[fleet.ModelID]int
+	// load is the number of calls that run on or wait for each model.
+	load map[fleet.ModelID]int
+	// used lists the engines that have got an order.
+	used map[fleet.ServerID]bool
+	// largestAdapter is the size of the largest adapter of all models.
+	largestAdapter fleet.Bytes
+}
+
+// Plan returns the orders to give now, at most one about a model to each
+// engine.
+func Plan(state State) []Order {
+	p := &planner{
+		State: &state, demand: make(map[fleet.ModelID]*Demand),
+		ready: make(map[fleet.ModelID]int), coming: make(map[fleet.ModelID]int), load: make(map[fleet.ModelID]int),
+		used: make(map[fleet.ServerID]bool),
+	}
+	for _, model := range state.Models {
+		p.largestAdapter = max(p.largestAdapter, model.AdapterSize)
+	}
+	p.count()
+	p.adapters()
+	p.wanted()
+	p.spare()
+	return p.orders
+}
+
+// count sums up replicas and calls by model.
+func (p *planner) count() {
+	for at := range p.Engines {
+		engine := &p.Engines[at]
+		for _, held := range engine.Held {
+			p.load[held.Model] += held.Running
+			if !held.Leaving && !engine.Closed {
+				p.ready[held.Model]++
+			}
+		}
+		if engine.Loading != "" {
+			p.coming[engine.Loading]++
+		}
+		if engine.Next != "" && engine.Next != engine.Loading {
+			p.coming[engine.Next]++
+		}
+	}
+	for at := range p.Demands {
+		demand := &p.Demands[at]
+		model := demand.Item.Model
+		p.load[model] += demand.Waiting
+		sum := p.demand[model]
+		if sum == nil {
+			copied := *demand
+			copied.Item = fleet.Item{Model: model}
+			p.demand[model] = &copied
+			continue
+		}
+		sum.add(demand)
+	}
+}
+
+// add joins the demand for another item of the model.
+func (d *Demand) add(other *Demand) {
+	d.Rate += other.Rate
+	if other.Waiting == 0 {
+		return
+	}
+	if d.Waiting == 0 {
+		rate := d.Rate
+		item := d.Item
+		*d = *other
+		d.Rate, d.Item = rate, item
+		return
+	}
+	d.Waiting += other.Waiting
+	d.Rank = min(d.Rank, other.Rank)
+	if other.Since.Before(d.Since) {
+		d.Since = other.Since
+	}
+	if other.Objective.Before(d.Objective) {
+		d.Objective = other.Objective
+	}
+}
+
+// free returns the memory that is left beside the models and all adapters that
+// the engine may hold.
+func (p *planner) free(e *Engine) fleet.Bytes {
+	left := e.Memory - p.largestAdapter*fleet.Bytes(e.AdapterSlots)
+	for at := range e.Held {
+		left -= p.Models[e.Held[at].Model].Size
+	}
+	if e.Loading != "" && e.held(e.Loading) == nil {
+		left -= p.Models[e.Loading].Size
+	}
+	return left
+}
+
+// target returns how many replicas the calls of a model fill.
+func (p *planner) target(model fleet.ModelID) int {
+	slots := 0
+	for at := range p.Engines {
+		slots = max(slots, p.Engines[at].Slots)
+	}
+	if slots == 0 {
+		return 1
+	}
+	return max(1, int(math.Ceil(float64(p.load[model])/(fillShare*float64(slots)))))
+}
+
+// wanted orders what calls wait for: first models without a replica, those that
+// can be in time before the others, then further replicas of models whose
+// replicas are full.
+func (p *planner) wanted() {
+	var missing, fuller []*Demand
+	for model, demand := range p.demand {
+		switch have := p.ready[model] + p.coming[model]; {
+		case have == 0 && demand.Waiting > 0:
+			missing = append(missing, demand)
+		case have > 0 && have < p.target(model):
+			fuller = append(fuller, demand)
+		}
+	}
+	slices.SortFunc(missing, func(a, b *Demand) int {
+		return cmp.Or(cmp.Compare(p.late(a), p.late(b)), a.Objective.Compare(b.Objective),
+			cmp.Compare(a.Item.Model, b.Item.Model))
+	})
+	slices.SortFunc(fuller, func(a, b *Demand) int {
+		return cmp.Or(cmp.Compare(p.load[b.Item.Model], p.load[a.Item.Model]), cmp.Compare(a.Item.Model, b.Item.Model))
+	})
+	for _, demand := range missing {
+		p.place(demand, WhyWaiting)
+	}
+	for _, demand := range fuller {
+		p.place(demand, WhySpread)
+	}
+}
+
+// late returns 1 if the calls cannot be in time any more, so that those that
+// can go first.
+func (p *planner) late(demand *Demand) int {
+	if p.Now.Add(p.Models[demand.Item.Model].FromDisk).After(demand.Objective) {
+		return 1
+	}
+	return 0
+}
+
+// choice is one way to load a model.
+type choice struct {
+	engine *Engine
+	tier   Tier
+	// victim is the model to unload first; nil if there is room.
+	victim *Held
+	cost   time.Duration
+}
+
+// place orders a load of a model, or the unload that makes room for it, on the
+// engine where that costs least.
+func (p *planner) place(demand *Demand, why string) {
+	model := demand.Item.Model
+	best, found := choice{}, false
+	hasCopy := p.hasCopy(model)
+	for at := range p.Engines {
+		engine := &p.Engines[at]
+		if engine.Closed || engine.Busy || engine.Next != "" && engine.Next != model || p.used[engine.ID] ||
+			engine.held(model) != nil {
+			continue
+		}
+		tier := engine.tier(model)
+		if tier == WeightStore && (hasCopy || p.StoreLoads <= 0 || why != WhyWaiting) {
+			continue
+		}
+		candidate, fits := p.fit(engine, demand, tier)
+		if fits && (!found || candidate.cost < best.cost) {
+			best, found = candidate, true
+		}
+	}
+	if found {
+		p.give(best, model, why)
+	}
+}
+
+// hasCopy reports whether the VM of any engine that may be used has the
+// weights of a model.
+func (p *planner) hasCopy(model fleet.ModelID) bool {
+	return slices.ContainsFunc(p.Engines, func(e Engine) bool {
+		return !e.Closed && e.tier(model) != WeightStore
+	})
+}
+
+// fit returns the cheapest way to load a model on an engine.
+func (p *planner) fit(engine *Engine, demand *Demand, tier Tier) (best choice, found bool) {
+	model := p.Models[demand.Item.Model]
+	if model.Size <= 0 {
+		return choice{}, false
+	}
+	cost := model.loadTime(tier)
+	if demand.Region != "" && engine.Region != demand.Region {
+		cost += crossCost
+	}
+	left := p.free(engine)
+	if left >= model.Size {
+		return choice{engine: engine, tier: tier, cost: cost}, true
+	}
+	for at := range engine.Held {
+		victim := &engine.Held[at]
+		if left+p.Models[victim.Model].Size < model.Size {
+			continue
+		}
+		price, allowed := p.price(victim, demand)
+		if !allowed {
+			continue
+		}
+		total := cost + unloadTime + price
+		if !found || total < best.cost {
+			best, found = choice{engine: engine, tier: tier, victim: victim, cost: total}, true
+		}
+	}
+	return best, found
+}
+
+// price returns what it costs to unload a model for the sake of a demand, and
+// false if it must stay.
+func (p *planner) price(victim *Held, demand *Demand) (price time.Duration, allowed bool) {
+	if victim.Leaving || p.Models[victim.Model].Size <= 0 {
+		return 0, false
+	}
+	surplus := p.ready[victim.Model] > p.target(victim.Model)
+	known := p.demand[victim.Model]
+	if !surplus && known != nil && known.Waiting > 0 {
+		return 0, false
+	}
+	pressed := p.Now.Sub(demand.Since) > pressAfter && demand.Waiting > 0
+	if victim.Running > 0 && !(pressed && victim.Running == 1 && p.ready[victim.Model] <= 1 || surplus && pressed) {
+		return 0, false
+	}
+	idle := p.Now.Sub(victim.Used)
+	if victim.Running == 0 && idle < usedAfter && !pressed {
+		return 0, false
+	}
+	rate := 0.0
+	if known != nil {
+		rate = known.Rate / float64(max(1, p.ready[victim.Model]))
+	}
+	price = time.Duration(rate * float64(keepCost))
+	if surplus {
+		price /= 2
+	}
+	if victim.Running > 0 {
+		price += time.Second
+	}
+	// Among models that are asked for equally often the one that was used last
+	// stays.
+	return price + time.Duration(float64(time.Millisecond)*100/(1+idle.Seconds())), true
+}
+
+// give orders what a choice needs next.
+func (p *planner) give(best choice, model fleet.ModelID, why string) {
+	p.used[best.engine.ID] = true
+	p.coming[model]++
+	if best.victim != nil {
+		p.ready[best.victim.Model]--
+		p.orders = append(p.orders, Order{
+			Server: best.engine.ID, Item: fleet.Item{Model: best.victim.Model}, For: model, Why: WhyRoom,
+		})
+		return
+	}
+	if best.tier == WeightStore {
+		p.StoreLoads--
+	}
+	p.orders = append(p.orders, Order{
+		Server: best.engine.ID, Load: true, Item: fleet.Item{Model: model}, Tier: best.tier, Why: why,
+	})
+}
+
+// spare fills room that nobody waits for: with models of the VM's own copies
+// that no engine holds, the most asked for first, or, on an engine without such
+// copies, from the weight store.
+func (p *planner) spare() {
+	for at := range p.Engines {
+		engine := &p.Engines[at]
+		if engine.Closed || engine.Busy || engine.Next != "" || p.used[engine.ID] {
+			continue
+		}
+		if best, found := p.spareModel(engine); found {
+			p.give(best.choice, best.model, WhySpare)
+		}
+	}
+}
+
+// spareChoice is a model to fill room with.
+type spareChoice struct {
+	choice
+	model fleet.ModelID
+	value float64
+}
+
+func (p *planner) spareModel(engine *Engine) (best spareChoice, found bool) {
+	left := p.free(engine)
+	for model, described := range p.Models {
+		if described.Size <= 0 || described.Size > left || p.ready[model]+p.coming[model] > 0 {
+			continue
+		}
+		tier := engine.tier(model)
+		if tier == WeightStore && p.StoreLoads <= spareStoreLoads {
+			continue
+		}
+		value := p.Random()
+		if known := p.demand[model]; known != nil {
+			value += known.Rate
+		}
+		if tier == WeightStore {
+			value -= 1
+		}
+		if !found || value > best.value {
+			best = spareChoice{choice: choice{engine: engine, tier: tier}, model: model, value: value}
+			found = true
+		}
+	}
+	return best, found
+}
--- /dev/null
+++ b/internal/roster/manifest.go
@@ -0,0 +1,133 @@
+package roster
+
+import (
+	"strings"
+	"time"
+
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+)
+
+// Manifest is what the operator has deployed. A newer version replaces an older
+// one whole. It is not changed after it was read.
+type Manifest struct {
+	Version uint64
+	// Hosts lists the routes of each host name.
+	Hosts  map[string][]*Route
+	Pools  map[fleet.PoolID]*Pool
+	Limits Limits
+}
+
+// Kind says how requests of a route are answered and what may be repeated.
+type Kind int
+
+// Kinds of requests.
+const (
+	// Once is a request that may run at most once.
+	Once Kind = iota
+	// Repeatable is a request that may run more than once.
+	Repeatable
+	// Stream is a request whose answer is a stream of events.
+	Stream
+)
+
+// Route says how requests under a path prefix of a host are served.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Timeout is the longest time to an answer.
+	Timeout time.Duration
+	// Objective is the time to the first byte within which an answer is worth
+	// most.
+	Objective time.Duration
+	// Rank is the urgency, the most urgent being 0.
+	Rank int
+	// Targets are the pools that serve the route, by weight.
+	Targets []Target
+	// MaxAttempts is the largest number of servers for one request.
+	MaxAttempts int
+	// Resumable says that a stream that broke off may go on at another server.
+	Resumable bool
+}
+
+// Target is one pool of a route.
+type Target struct {
+	Pool   fleet.PoolID
+	Weight float64
+}
+
+// Pool is a set of backend servers of one kind.
+type Pool struct {
+	ID fleet.PoolID
+	// HealthPath answers whether a server is well.
+	HealthPath string
+	// MaxConnections is the number of connections that a server accepts from
+	// all nodes together; 0 if unknown.
+	MaxConnections int
+	// Engine describes the engines of the pool; nil for plain services.
+	Engine *EngineSpec
+}
+
+// EngineSpec describes the engines of a pool.
+type EngineSpec struct {
+	Slots int
+	// CacheTokens is the size of the key-value cache.
+	CacheTokens int
+	// Memory is what weights and adapters may take together.
+	Memory       fleet.Bytes
+	AdapterSlots int
+	// LoadsPerSecond is the rate at which loads from the weight store may begin
+	// over all engines.
+	LoadsPerSecond float64
+	Models         map[fleet.ModelID]*Model
+}
+
+// Model is a model that the engines of a pool may hold.
+type Model struct {
+	Size fleet.Bytes
+	// Adapters is the number of adapters, AdapterSize the size of each.
+	Adapters    int
+	AdapterSize fleet.Bytes
+	// FromStore, FromDisk and FromMemory are the times of a load by where its
+	// weights are: in the weight store, on the VM's disk or in its memory.
+	FromStore, FromDisk, FromMemory time.Duration
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Match returns the route with the longest prefix of the path; nil if the host
+// has none.
+func (m *Manifest) Match(host, path string) *Route {
+	var longest *Route
+	for _, route := range m.Hosts[host] {
+		if strings.HasPrefix(path, route.Prefix) && (longest == nil || len(route.Prefix) > len(longest.Prefix)) {
+			longest = route
+		}
+	}
+	return longest
+}
+
+// Target returns the pool for a request, by a random number from 0 up to 1.
+func (r *Route) Target(random float64) fleet.PoolID {
+	total := 0.0
+	for _, target := range r.Targets {
+		total += target.Weight
+	}
+	left := random * total
+	for _, target := range r.Targets {
+		if left -= target.Weight; left < 0 {
+			return target.Pool
+		}
+	}
+	if len(r.Targets) == 0 {
+		return ""
+	}
+	return r.Targets[len(r.Targets)-1].Pool
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -12,6 +12,9 @@
 
 // Check returns every mistake in the settings, in the order of the file.
 func (s *Settings) Check() strictjson.FieldErrors {
+	if s.Platform != nil {
+		return s.checkOnPlatform()
+	}
 	c := checker{plainText: s.AllowPlainText}
 	c.given("node.region", string(s.Node.Region))
 	c.given("node.failureDomain", string(s.Node.FailureDomain))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,10 +23,50 @@
 	WeightStore    WeightStore `json:"weightStore"`
 	Log            Log         `json:"log"`
 	Drain          Drain       `json:"drain"`
+	// Platform is set where a platform lists the backend servers and keeps the
+	// manifest. Table, VMList and Operators are not used there, and all
+	// endpoints are plain text.
+	Platform *Platform `json:"platform,omitempty"`
+}
+
+// Platform says how a node speaks to the platform that it runs on.
+type Platform struct {
+	// Store is the host and port of the platform's store.
+	Store string `json:"store"`
+	// Readiness, Lookup and Metrics are the addresses to listen on for the
+	// platform's readiness check, for callers that ask where to connect and for
+	// metrics.
+	Readiness string `json:"readiness"`
+	Lookup    string `json:"lookup"`
+	Metrics   string `json:"metrics"`
+	// Regions maps the failure domains to regions.
+	Regions map[fleet.FailureDomain]fleet.Region `json:"regions"`
+	// KeepFor is how long callers may keep an answer of the look-up.
+	KeepFor fleet.Duration `json:"keepFor"`
+	// Grace is the time from the order to stop until the process is killed.
+	Grace fleet.Duration `json:"grace"`
+	// Retries bounds further attempts over all nodes.
+	Retries Retries `json:"retries"`
+	// HandOver is the time in which two nodes must not give orders to an engine
+	// one after the other.
+	HandOver fleet.Duration `json:"handOver"`
+	// Memory is what the process may take.
+	Memory fleet.Bytes `json:"memory"`
+}
+
+// Retries bounds the attempts beyond the first of each request, for each pool
+// and over all nodes.
+type Retries struct {
+	// Ratio is the share of the requests, Slack what may come beyond in any
+	// window.
+	Ratio float64 `json:"ratio"`
+	Slack float64 `json:"slack"`
 }
 
 // Node says where the process stands.
 type Node struct {
+	// Name is the VM's name on a platform.
+	Name string `json:"name,omitempty"`
 	fleet.Place
 	// RegionLink is what the region's link to the others carries a second.
 	RegionLink fleet.Bytes `json:"regionLink"`
