Fill the room that was made for a model at once

Cause: an engine with room set aside for a model counted as a replica that is coming, so the load was ordered only when the reservation ran out 3 s later.

Change: the plan first finishes swaps: it loads the model that room was made for, or frees the room if nobody wants it any more.

--- a/internal/residence/plan.go
+++ b/internal/residence/plan.go
@@ -60,6 +60,7 @@
 		p.largestAdapter = max(p.largestAdapter, model.AdapterSize)
 	}
 	p.count()
+	p.finish()
 	p.adapters()
 	p.wanted()
 	p.spare()
@@ -79,9 +80,6 @@
 		if engine.Loading != "" {
 			p.coming[engine.Loading]++
 		}
-		if engine.Next != "" && engine.Next != engine.Loading {
-			p.coming[engine.Next]++
-		}
 	}
 	for at := range p.Demands {
 		demand := &p.Demands[at]
@@ -146,6 +144,28 @@
 	return max(1, int(math.Ceil(float64(p.load[model])/(fillShare*float64(slots)))))
 }
 
+// finish has the models loaded that room was made for. Room that is still being
+// made counts as a replica that is coming, and room that nobody wants any more
+// is free for others.
+func (p *planner) finish() {
+	for at := range p.Engines {
+		engine := &p.Engines[at]
+		model := engine.Next
+		demand := p.demand[model]
+		switch {
+		case model == "":
+		case demand == nil || demand.Waiting == 0 || engine.Closed:
+			engine.Next = ""
+		case engine.Busy:
+			p.coming[model]++
+		case p.free(engine) >= p.Models[model].Size && engine.held(model) == nil:
+			p.give(choice{engine: engine, tier: engine.tier(model)}, model, WhyWaiting)
+		default:
+			engine.Next = ""
+		}
+	}
+}
+
 // wanted orders what calls wait for: first models without a replica, those that
 // can be in time before the others, then further replicas of models whose
 // replicas are full.
--- /dev/null
+++ b/internal/residence/plan_test.go
@@ -0,0 +1,100 @@
+package residence_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/guavatrack/guavatrack/internal/residence"
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+)
+
+var noon = time.Date(2026, 6, 1, 12, 0, 0, 0, time.UTC)
+
+const gigabyte = fleet.Bytes(1e9)
+
+// site is a state with engines of room for three of the models m0, m1, ….
+func site(engines, models int) residence.State {
+	state := residence.State{
+		Now: noon, Models: make(map[fleet.ModelID]residence.Model), StoreLoads: 4, AdapterLoads: 30,
+		Random: func() float64 { return 0 },
+	}
+	for at := range models {
+		state.Models[model(at)] = residence.Model{
+			Size: 70 * gigabyte, AdapterSize: gigabyte / 10,
+			FromStore: 6 * time.Second, FromDisk: 800 * time.Millisecond, FromMemory: 600 * time.Millisecond,
+		}
+	}
+	for at := range engines {
+		state.Engines = append(state.Engines, residence.Engine{
+			ID: server(at), Memory: 230 * gigabyte, AdapterSlots: 8, Slots: 32,
+			InMemory: make(map[fleet.ModelID]bool), OnDisk: make(map[fleet.ModelID]bool),
+		})
+	}
+	return state
+}
+
+func model(at int) fleet.ModelID { return fleet.ModelID(fmt.Sprint("m", at)) }
+
+func server(at int) fleet.ServerID { return fleet.ServerID(fmt.Sprint("e", at)) }
+
+// holds puts models that were used long ago on an engine.
+func holds(engine *residence.Engine, models ...int) {
+	for _, at := range models {
+		engine.Held = append(engine.Held, residence.Held{Model: model(at), Used: noon.Add(-time.Minute)})
+	}
+}
+
+// waits adds calls that have just begun to wait.
+func waits(state *residence.State, at, count int) {
+	state.Demands = append(state.Demands, residence.Demand{
+		Item: fleet.Item{Model: model(at)}, Waiting: count, Since: noon, Objective: noon.Add(2500 * time.Millisecond),
+	})
+}
+
+// TestUnusedModelMakesRoom answers the pattern of a rarely used model that is on
+// the disk of an engine full of unused ones.
+func TestUnusedModelMakesRoom(t *testing.T) {
+	c := qt.New(t)
+	state := site(2, 8)
+	holds(&state.Engines[0], 0, 1, 2)
+	holds(&state.Engines[1], 3, 4, 5)
+	state.Engines[1].OnDisk[model(6)] = true
+	state.Engines[1].Held[1].Used = noon.Add(-time.Hour)
+	waits(&state, 6, 1)
+	c.Assert(residence.Plan(state), qt.DeepEquals, []residence.Order{{
+		Server: server(1), Item: fleet.Item{Model: model(4)}, For: model(6), Why: residence.WhyRoom,
+	}})
+}
+
+// TestRoomThatWasMadeIsFilledAtOnce answers the pattern of swaps that follow
+// each other: the load must not wait until the reservation has run out.
+func TestRoomThatWasMadeIsFilledAtOnce(t *testing.T) {
+	c := qt.New(t)
+	state := site(1, 8)
+	holds(&state.Engines[0], 3, 5)
+	state.Engines[0].Next = model(6)
+	state.Engines[0].OnDisk[model(6)] = true
+	state.Engines[0].OnDisk[model(7)] = true
+	waits(&state, 7, 5)
+	waits(&state, 6, 1)
+	c.Assert(residence.Plan(state), qt.DeepEquals, []residence.Order{{
+		Server: server(0), Load: true, Item: fleet.Item{Model: model(6)}, Tier: residence.LocalDisk,
+		Why: residence.WhyWaiting,
+	}})
+}
+
+func TestRoomThatNobodyWantsAnyMoreGoesToAnother(t *testing.T) {
+	c := qt.New(t)
+	state := site(1, 8)
+	holds(&state.Engines[0], 3, 5)
+	state.Engines[0].Next = model(6)
+	state.Engines[0].OnDisk[model(6)] = true
+	state.Engines[0].OnDisk[model(7)] = true
+	waits(&state, 7, 5)
+	orders := residence.Plan(state)
+	c.Assert(orders, qt.HasLen, 1)
+	c.Assert(orders[0].Item.Model, qt.Equals, model(7))
+}
