Keep the place of an adapter until it is gone; name no suspects

Change: the number of orders is read from reports alone; an adapter's place is free when the engine said so (200) or a report shows it, and adapters used in the last 0.5 s make no room; the look-up leaves out suspects unless there is nobody else, and members exchange messages every 0.5 s.

--- a/internal/hosted/endpoints.go
+++ b/internal/hosted/endpoints.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/guavatrack/guavatrack/internal/lookup"
+	"github.com/guavatrack/guavatrack/internal/member"
 	"github.com/guavatrack/guavatrack/internal/metric"
 	"github.com/guavatrack/guavatrack/internal/node"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
@@ -67,9 +68,20 @@
 	return server, nil
 }
 
-// near returns the nodes to name to a caller at a place.
+// near returns the nodes to name to a caller at a place. Suspects are named only
+// if there is nobody else.
 func (n *Node) near(place fleet.Place) []string {
-	return lookup.Near(place, n.parts.Members.Members(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	var sound []member.Info
+	for _, record := range n.parts.Members.Records() {
+		if record.Status == member.Alive {
+			sound = append(sound, record.Info)
+		}
+	}
+	if near := lookup.Near(place, sound, random); len(near) > 0 {
+		return near
+	}
+	return lookup.Near(place, n.parts.Members.Members(), random)
 }
 
 // closeCallers takes no more connections of callers and closes idle ones.
--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -31,6 +31,9 @@
 	// storeDialTimeout bounds the making of a connection to the store.
 	storeDialTimeout = 400 * time.Millisecond
 	storeIdleTimeout = 30 * time.Second
+	// memberInterval is the time between two messages to other nodes. One that
+	// is gone is suspected within a few of them.
+	memberInterval = 500 * time.Millisecond
 	// leaseTime is how long the right to give orders lasts without a renewal:
 	// longer than most outages of the store, since orders go on in them.
 	leaseTime = 8 * time.Second
@@ -68,7 +71,7 @@
 			Node: n.ID, Place: n.Settings.Node.Place, CallerAddress: n.Settings.Callers.Listen,
 			PeerAddress: n.Settings.Peers.Listen, StartedAt: time.Now().UTC(),
 		},
-		Peers: peers, Store: store, Log: n.Log, Metrics: registry,
+		Peers: peers, Store: store, Interval: memberInterval, Log: n.Log, Metrics: registry,
 	}
 }
 
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -57,7 +57,6 @@
 	e.copies(server.Engine)
 	if server.Engine != nil {
 		e.holds(server.Engine, time.Time{})
-		e.sequence = server.Engine.Sequence
 	}
 	return e
 }
--- a/internal/placement/give.go
+++ b/internal/placement/give.go
@@ -108,10 +108,18 @@
 	t.mu.Lock()
 	t.engine.sending = false
 	switch {
-	case (outcome == Accepted || outcome == Held) && t.order.Item.Adapter != "":
-		t.adapterDone()
+	case outcome == Accepted && t.order.Load && t.order.Item.Adapter != "":
+		t.adapterComes()
 		t.mu.Unlock()
 		t.announceAdapter(ctx)
+	case outcome == Held && !t.order.Load && t.order.Item.Adapter != "":
+		t.adapterGone()
+		t.mu.Unlock()
+	case t.order.Item.Adapter != "":
+		// An adapter in use goes only when its calls have ended. Until a report
+		// shows that it is gone its place is taken.
+		t.doubt(time.Now())
+		t.mu.Unlock()
 	case outcome == Accepted:
 		t.engine.sequence++
 		t.mu.Unlock()
@@ -156,17 +164,21 @@
 	t.engine.readAt = now.Add(reportLag)
 }
 
-// adapterDone takes in that an adapter comes or goes. The caller holds the
+// adapterComes takes in that an adapter is being loaded. The caller holds the
 // lock.
-func (t *task) adapterDone() {
+func (t *task) adapterComes() {
 	t.engine.sequence++
-	held := t.engine.held[t.order.Item.Model]
-	if held == nil {
-		return
-	}
-	if t.order.Load {
+	if held := t.engine.held[t.order.Item.Model]; held != nil {
 		held.adapters[t.order.Item.Adapter] = &heldAdapter{readyAt: time.Now().Add(adapterTime)}
-	} else {
+	}
+	t.note(t.engine)
+}
+
+// adapterGone takes in that an adapter has been unloaded. The caller holds the
+// lock.
+func (t *task) adapterGone() {
+	t.engine.sequence++
+	if held := t.engine.held[t.order.Item.Model]; held != nil {
 		delete(held.adapters, t.order.Item.Adapter)
 	}
 	t.note(t.engine)
@@ -174,9 +186,6 @@
 
 // announceAdapter tells the nodes that wait once an adapter is ready.
 func (t *task) announceAdapter(ctx context.Context) {
-	if !t.order.Load {
-		return
-	}
 	sleep(ctx, adapterTime)
 	t.mu.Lock()
 	t.note(t.engine)
@@ -216,15 +225,15 @@
 		t.engine.closedUntil = time.Now().Add(closedTime)
 		return false
 	}
-	if report.Engine.Sequence < t.engine.sequence || report.Engine.Busy {
+	if report.Sequence < t.engine.sequence || report.Engine.Busy {
 		return false
 	}
 	now := time.Now()
 	t.engine.open = nil
 	t.engine.holds(&report.Engine, now)
 	t.engine.copies(&report.Engine)
-	if report.Engine.Sequence > t.engine.sequence && !t.engine.sending {
-		t.engine.sequence = report.Engine.Sequence
+	if report.Sequence > t.engine.sequence && !t.engine.sending {
+		t.engine.sequence = report.Sequence
 	}
 	t.note(t.engine)
 	t.Log.Info("order done", slog.String("server", string(t.engine.server.ID)), slog.Bool("load", t.order.Load),
--- a/internal/placement/orders.go
+++ b/internal/placement/orders.go
@@ -55,7 +55,9 @@
 // Report is what an engine says of itself when it is asked. It describes the
 // engine a moment ago.
 type Report struct {
-	Engine          roster.Engine
+	Engine roster.Engine
+	// Sequence is the number of orders that this run of the engine has accepted.
+	Sequence        uint64
 	Running, Queued int
 	// Coming lists the adapters that are being loaded.
 	Coming []fleet.Item
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -191,7 +191,9 @@
 		}
 		if e.server != server {
 			e.server = server
-			s.compare(now, e)
+			if e.open == nil {
+				e.copies(server.Engine)
+			}
 		}
 		if !e.known && !e.reading && now.After(e.readAt) && now.After(e.closedUntil) {
 			e.reading = true
@@ -200,23 +202,6 @@
 	}
 }
 
-// compare takes in a new entry of an engine. An engine that has accepted more
-// orders than this node gave has carried out a late one.
-func (s *Scheduler) compare(now time.Time, e *engine) {
-	entry := e.server.Engine
-	if entry == nil {
-		return
-	}
-	if e.open == nil {
-		e.copies(entry)
-	}
-	if e.known && e.open == nil && !e.sending && entry.Sequence > e.sequence {
-		s.Log.Info("engine has accepted an order that was not settled", slog.String("server", string(e.server.ID)),
-			slog.Uint64("sequence", entry.Sequence), slog.Uint64("known", e.sequence))
-		e.known, e.readAt = false, now
-	}
-}
-
 // read reads the report of an engine whose state is not known.
 func (s *Scheduler) read(ctx context.Context, e *engine) {
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
@@ -240,7 +225,7 @@
 		return
 	}
 	e.known, e.open, e.sending = true, nil, false
-	e.sequence = report.Engine.Sequence
+	e.sequence = report.Sequence
 	e.holds(&report.Engine, now)
 	e.copies(&report.Engine)
 	s.note(e)
--- a/internal/residence/adapters.go
+++ b/internal/residence/adapters.go
@@ -1,6 +1,8 @@
 package residence
 
 import (
+	"time"
+
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
@@ -8,6 +10,10 @@
 // engine at once.
 const maxAdaptersComing = 4
 
+// adapterIdle is how long an adapter has to be unused before it makes room: what
+// runs on it is known with a delay.
+const adapterIdle = 500 * time.Millisecond
+
 // adapters orders adapters that calls wait for, on engines that hold their
 // model.
 func (p *planner) adapters() {
@@ -46,7 +52,7 @@
 		if best != nil && victim == nil {
 			continue
 		}
-		model, idle := engine.idleAdapter()
+		model, idle := engine.idleAdapter(p.Now)
 		if idle != nil && (victim == nil || idle.Used.Before(victim.Used)) {
 			best, victim, victimModel = engine, idle, model
 		}
@@ -90,12 +96,12 @@
 }
 
 // idleAdapter returns the adapter that has been unused longest; nil if all are
-// in use.
-func (e *Engine) idleAdapter() (model fleet.ModelID, idle *HeldAdapter) {
+// in use or were a moment ago.
+func (e *Engine) idleAdapter(now time.Time) (model fleet.ModelID, idle *HeldAdapter) {
 	for at := range e.Held {
 		for n := range e.Held[at].Adapters {
 			adapter := &e.Held[at].Adapters[n]
-			if adapter.Running > 0 || adapter.Coming {
+			if adapter.Running > 0 || adapter.Coming || now.Sub(adapter.Used) < adapterIdle {
 				continue
 			}
 			if idle == nil || adapter.Used.Before(idle.Used) {
--- a/internal/roster/server.go
+++ b/internal/roster/server.go
@@ -27,8 +27,6 @@
 
 // Engine is what an engine holds and where it has copies of weights.
 type Engine struct {
-	// Sequence is the number of orders accepted in this run.
-	Sequence uint64
 	// Busy says that an order is being carried out.
 	Busy bool
 	Held []Held
