--- a/internal/caller/completion.go
+++ b/internal/caller/completion.go
@@ -122,7 +122,7 @@
 		switch verdict {
 		case retry.Foreign:
 			a.transports.dropIdle()
-			return &dispatch.Failure{Kind: retry.Crossed, Err: errForeign}
+			return &dispatch.FailureError{Kind: retry.Crossed, Err: errForeign}
 		case retry.Gap:
 			return errGap
 		case retry.Forward:
--- a/internal/caller/exchange.go
+++ b/internal/caller/exchange.go
@@ -47,7 +47,7 @@
 	e.attempt.Received(0)
 	id := response.Header.Get(engine.RequestIDHeader)
 	if id != "" && id != string(e.call.ID) {
-		return &dispatch.Failure{Kind: retry.Crossed, Err: errForeign}
+		return &dispatch.FailureError{Kind: retry.Crossed, Err: errForeign}
 	}
 	return failureOf(response.StatusCode)
 }
@@ -85,7 +85,7 @@
 	case status < http.StatusInternalServerError:
 		return nil
 	}
-	return &dispatch.Failure{Kind: kind, Err: errors.New("backend server answered " + strconv.Itoa(status))}
+	return &dispatch.FailureError{Kind: kind, Err: errors.New("backend server answered " + strconv.Itoa(status))}
 }
 
 // maxAnswer bounds an answer that is not streamed, in bytes.
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -100,9 +100,9 @@
 	Close()
 }
 
-// Failure is the error of an attempt whose kind the edge knows. Any other error
+// FailureError is the error of an attempt whose kind the edge knows. Any other error
 // of an attempt that was sent is a broken connection.
-type Failure struct {
+type FailureError struct {
 	Kind retry.Failure
 	// NotRun says that the server has proved not to have run the call and that
 	// it never will.
@@ -111,10 +111,10 @@
 }
 
 // Error implements error.
-func (f *Failure) Error() string { return f.Err.Error() }
+func (f *FailureError) Error() string { return f.Err.Error() }
 
 // Unwrap returns the cause.
-func (f *Failure) Unwrap() error { return f.Err }
+func (f *FailureError) Unwrap() error { return f.Err }
 
 // Attempt is one exchange with one backend server.
 type Attempt struct {
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -139,7 +139,7 @@
 // kind classifies the error of an attempt. A broken connection is classified
 // as such; whether the server crashed is found out by probing it.
 func (a *Attempt) kind() retry.Failure {
-	var failure *Failure
+	var failure *FailureError
 	switch cause := context.Cause(a.ctx); {
 	case errors.Is(cause, ErrSilentConnection):
 		return retry.SilentConnection
@@ -157,7 +157,7 @@
 // settle takes back that the call may have run if the server has proved that
 // it has not.
 func (a *Attempt) settle() {
-	var failure *Failure
+	var failure *FailureError
 	if errors.As(a.err, &failure) && failure.NotRun && a.slot.sent.Load() {
 		a.slot.call.sent.Add(-1)
 	}
--- /dev/null
+++ b/internal/hosted/hosted_test.go
@@ -0,0 +1,409 @@
+package hosted_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/guavatrack/guavatrack/internal/hosted"
+	"github.com/guavatrack/guavatrack/internal/settings"
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+	"github.com/guavatrack/guavatrack/platform/standin"
+)
+
+// rig is a platform of stand-ins with nodes on it.
+type rig struct {
+	*qt.C
+	site  *standin.Site
+	nodes []*hosted.Node
+	next  atomic.Int64
+}
+
+// newRig starts a platform and nodes, and waits until all can serve.
+func newRig(t *testing.T, site *standin.Site, nodes int) *rig {
+	t.Helper()
+	t.Parallel()
+	r := &rig{C: qt.New(t), site: site}
+	if site.EventTime == 0 {
+		site.EventTime = 2 * time.Millisecond
+	}
+	r.Assert(site.Start(), qt.IsNil)
+	t.Cleanup(site.Close)
+	for at := range nodes {
+		node := &hosted.Node{Settings: r.settings(at), Log: slog.New(slog.DiscardHandler)}
+		r.Assert(node.Start(context.Background()), qt.IsNil)
+		t.Cleanup(node.Stop)
+		r.nodes = append(r.nodes, node)
+	}
+	for _, node := range r.nodes {
+		r.until(func() bool { return node.Ready() == nil })
+	}
+	t.Cleanup(func() { r.Check(site.Ledger.Breaches(), qt.HasLen, 0) })
+	return r
+}
+
+// settings returns the settings of a node on free ports.
+func (r *rig) settings(at int) settings.Settings {
+	given := settings.Defaults()
+	given.Node = settings.Node{
+		Name: fmt.Sprint("vm", at), Place: fleet.Place{Region: "east", FailureDomain: "east-a"}, RegionLink: fleet.MiB,
+	}
+	given.Callers.Listen, given.Peers.Listen = freePort(r.C), freePort(r.C)
+	given.Platform = &settings.Platform{
+		Store: r.site.StoreAddress, Readiness: freePort(r.C), Lookup: freePort(r.C), Metrics: freePort(r.C),
+		Regions: map[fleet.FailureDomain]fleet.Region{"east-a": "east"}, KeepFor: fleet.Duration(time.Second),
+		Grace: fleet.Duration(4 * time.Second), HandOver: fleet.Duration(100 * time.Millisecond),
+		Retries: settings.Retries{Ratio: 0.2, Slack: 400}, Memory: 200 * fleet.MiB,
+	}
+	r.Assert(given.Check().Err(), qt.IsNil)
+	return given
+}
+
+func freePort(c *qt.C) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// until waits for a condition that must come about.
+func (r *rig) until(holds func() bool) {
+	r.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	r.Fatal("did not come about")
+}
+
+// got is the answer to a request.
+type got struct {
+	id     string
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// send sends a request to a node.
+func (r *rig) send(node int, method, path, model, body string) got {
+	id := fmt.Sprint("request-", r.next.Add(1))
+	request, err := http.NewRequest(method, "http://"+r.nodes[node].Settings.Callers.Listen+path, strings.NewReader(body))
+	r.Assert(err, qt.IsNil)
+	request.Host = standin.Host
+	request.Header.Set("Guavatrack-Attempt-Id", id)
+	request.Header.Set("Guavatrack-Deadline-Ms", "4000")
+	if model != "" {
+		request.Header.Set("Guavatrack-Model", model)
+		request.Header.Set("Guavatrack-Token-Usage", "100,50")
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return got{id: id, err: err}
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return got{id: id, status: response.StatusCode, header: response.Header, body: string(text), err: err}
+}
+
+// pieces returns the numbers of the events of a stream.
+func pieces(body string) (numbers []string) {
+	scanner := bufio.NewScanner(strings.NewReader(body))
+	for scanner.Scan() {
+		if number, found := strings.CutPrefix(scanner.Text(), "data: piece "); found {
+			numbers = append(numbers, number)
+		}
+	}
+	return numbers
+}
+
+var allPieces = []string{"1", "2", "3", "4", "5", "6", "7", "8"}
+
+func (r *rig) wholeStream(answer got) {
+	r.Helper()
+	r.Check(answer.err, qt.IsNil)
+	r.Check(answer.status, qt.Equals, http.StatusOK, qt.Commentf("%s", answer.body))
+	r.Check(pieces(answer.body), qt.DeepEquals, allPieces)
+	r.Check(answer.header.Get("Guavatrack-Response-Seal"), qt.Contains, "seal-")
+	r.Check(answer.header.Get("Guavatrack-Attempt-Id"), qt.Equals, answer.id)
+}
+
+func TestLoadedModelAnswersAtOnce(t *testing.T) {
+	r := newRig(t, &standin.Site{Engines: 2, Services: 1, Models: 6}, 1)
+	for at := range 6 {
+		r.wholeStream(r.send(0, http.MethodPost, standin.Streaming+"chat", fmt.Sprint("m", at), "hello"))
+	}
+}
+
+func TestModelThatNoEngineHoldsIsLoaded(t *testing.T) {
+	r := newRig(t, &standin.Site{Engines: 2, Services: 1, Models: 12}, 2)
+	var group sync.WaitGroup
+	for at := range 12 {
+		group.Go(func() {
+			r.wholeStream(r.send(at%2, http.MethodPost, standin.Resumable+"chat", fmt.Sprint("m", at), "hello"))
+		})
+	}
+	group.Wait()
+}
+
+func TestAdapterIsLoadedOnItsModel(t *testing.T) {
+	r := newRig(t, &standin.Site{Engines: 2, Services: 1, Models: 6}, 2)
+	for round := range 2 {
+		for adapter := range 4 {
+			name := fmt.Sprintf("m%d/a%d", round, adapter)
+			r.wholeStream(r.send(adapter%2, http.MethodPost, standin.Resumable+"chat", name, "hello"))
+		}
+		time.Sleep(600 * time.Millisecond)
+	}
+}
+
+func TestLostOrdersAreCarriedOutOnce(t *testing.T) {
+	r := newRig(t, &standin.Site{Engines: 2, Services: 1, Models: 12}, 1)
+	for _, engine := range r.site.EngineList {
+		engine.LoseOrders, engine.DelayOrders, engine.OrderDelay = 1, 1, 700*time.Millisecond
+	}
+	for at := range 12 {
+		r.wholeStream(r.send(0, http.MethodPost, standin.Resumable+"chat", fmt.Sprint("m", at), "hello"))
+	}
+}
+
+func TestCallsPassUnchanged(t *testing.T) {
+	r := newRig(t, &standin.Site{Engines: 1, Services: 2, Models: 3}, 1)
+	for _, prefix := range []string{standin.Once, standin.Repeatable} {
+		answer := r.send(0, http.MethodPost, prefix+"a%2Fb//c?x=1&y=%20", "", `{"courier":"monday"}`)
+		r.Check(answer.status, qt.Equals, http.StatusOK)
+		r.Check(answer.body, qt.Matches, `POST /\w+/a%2Fb//c\?x=1&y=%20 by service\d: \{"courier":"monday"\}`)
+		r.Check(r.site.Ledger.Runs(answer.id), qt.Equals, 1)
+	}
+}
+
+func TestUnknownPathsAndModels(t *testing.T) {
+	r := newRig(t, &standin.Site{Engines: 1, Services: 1, Models: 3}, 1)
+	r.Check(r.send(0, http.MethodGet, "/nowhere/", "", "").status, qt.Equals, http.StatusNotFound)
+	r.Check(r.send(0, http.MethodPost, standin.Streaming, "m99", "").status, qt.Equals, http.StatusNotFound)
+	r.Check(r.send(0, http.MethodPost, standin.Once, "", strings.Repeat("x", 70000)).status,
+		qt.Equals, http.StatusRequestEntityTooLarge)
+}
+
+// faultOnce has the first request at any of the servers meet a fault.
+func faultOnce(fault standin.Fault) func(*http.Request) standin.Fault {
+	var used atomic.Bool
+	return func(*http.Request) standin.Fault {
+		if used.CompareAndSwap(false, true) {
+			return fault
+		}
+		return standin.None
+	}
+}
+
+func (r *rig) faultServices(fault standin.Fault) {
+	shared := faultOnce(fault)
+	for _, service := range r.site.ServiceList {
+		service.SetFault(shared)
+	}
+}
+
+func (r *rig) faultEngines(fault standin.Fault) {
+	shared := faultOnce(fault)
+	for _, engine := range r.site.EngineList {
+		engine.SetFault(shared)
+	}
+}
+
+// TestCallThatMayRunOnce checks what a call that must not run twice ends with
+// after each fault of its first server.
+func TestCallThatMayRunOnce(t *testing.T) {
+	r := newRig(t, &standin.Site{Engines: 1, Services: 3, Models: 3}, 1)
+	for _, test := range []struct {
+		name         string
+		fault        standin.Fault
+		status, runs int
+	}{
+		{"no room", standin.Full, http.StatusServiceUnavailable, 0},
+		{"answer lost", standin.Reset, http.StatusBadGateway, 1},
+		{"answer cut", standin.Break, http.StatusBadGateway, 1},
+		{"no signature", standin.Unsigned, http.StatusBadGateway, 1},
+		{"answer of another", standin.Foreign, http.StatusBadGateway, 1},
+		{"server's failure", standin.Failing, http.StatusInternalServerError, 1},
+	} {
+		r.faultServices(test.fault)
+		answer := r.send(0, http.MethodPost, standin.Once+"book", "", "{}")
+		r.Check(answer.status, qt.Equals, test.status, qt.Commentf("%s: %s", test.name, answer.body))
+		r.Check(r.site.Ledger.Runs(answer.id), qt.Equals, test.runs, qt.Commentf("%s", test.name))
+		if test.status == http.StatusServiceUnavailable {
+			r.Check(answer.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+		}
+	}
+}
+
+func TestCallThatMayBeRepeatedIsAnsweredElsewhere(t *testing.T) {
+	r := newRig(t, &standin.Site{Engines: 1, Services: 3, Models: 3}, 1)
+	for _, fault := range []standin.Fault{
+		standin.Full, standin.Reset, standin.Break, standin.Unsigned, standin.Foreign, standin.Failing,
+	} {
+		r.faultServices(fault)
+		answer := r.send(0, http.MethodGet, standin.Repeatable+"stock", "", "")
+		r.Check(answer.status, qt.Equals, http.StatusOK, qt.Commentf("fault %d: %s", fault, answer.body))
+		r.Check(answer.body, qt.Contains, "GET /repeatable/stock")
+	}
+}
+
+func TestServersFailureIsPassedOnIfNobodyDoesBetter(t *testing.T) {
+	r := newRig(t, &standin.Site{Engines: 1, Services: 2, Models: 3}, 1)
+	for _, service := range r.site.ServiceList {
+		service.SetFault(func(*http.Request) standin.Fault { return standin.Failing })
+	}
+	answer := r.send(0, http.MethodGet, standin.Repeatable+"stock", "", "")
+	r.Check(answer.status, qt.Equals, http.StatusInternalServerError)
+	r.Check(answer.header.Get("Guavatrack-Response-Seal"), qt.Contains, "seal-service")
+	r.Check(answer.body, qt.Equals, "failed")
+}
+
+func TestBrokenStreamGoesOnElsewhere(t *testing.T) {
+	r := newRig(t, &standin.Site{Engines: 3, Services: 1, Models: 3}, 1)
+	for _, fault := range []standin.Fault{standin.Break, standin.Reset, standin.Full, standin.Unsigned} {
+		r.faultEngines(fault)
+		r.wholeStream(r.send(0, http.MethodPost, standin.Resumable+"chat", "m1", "hello"))
+	}
+}
+
+// TestStreamThatMayNotGoOnIsCut checks that the caller can tell an answer that
+// broke off from a whole one.
+func TestStreamThatMayNotGoOnIsCut(t *testing.T) {
+	r := newRig(t, &standin.Site{Engines: 3, Services: 1, Models: 3}, 1)
+	r.faultEngines(standin.Break)
+	answer := r.send(0, http.MethodPost, standin.Streaming+"chat", "m1", "hello")
+	r.Check(answer.status, qt.Equals, http.StatusOK)
+	r.Check(answer.err, qt.ErrorMatches, ".*unexpected EOF")
+	r.Check(pieces(answer.body), qt.DeepEquals, allPieces[:4])
+	r.Check(r.site.Ledger.Runs(answer.id), qt.Equals, 1)
+}
+
+func TestRequestEndsAtItsRoutesTime(t *testing.T) {
+	r := newRig(t, &standin.Site{Engines: 1, Services: 1, Models: 3}, 1)
+	r.site.ServiceList[0].SetFault(func(*http.Request) standin.Fault { return standin.Hang })
+	answer := r.send(0, http.MethodPost, standin.Once+"book", "", "{}")
+	r.Check(answer.status, qt.Equals, http.StatusGatewayTimeout)
+	r.Check(r.site.Ledger.Runs(answer.id), qt.Equals, 1)
+}
+
+func TestManifestComesIntoForce(t *testing.T) {
+	r := newRig(t, &standin.Site{Engines: 1, Services: 1, Models: 3}, 2)
+	r.Check(r.send(0, http.MethodPost, "/extra1/chat", "m0", "").status, qt.Equals, http.StatusNotFound)
+	r.site.Publish(2)
+	for node := range r.nodes {
+		r.until(func() bool {
+			return r.send(node, http.MethodPost, "/extra1/chat", "m0", "").status == http.StatusOK
+		})
+	}
+}
+
+// TestUnreadableRowsChangeNothing writes entries of another writer and a
+// manifest that can't be read.
+func TestUnreadableRowsChangeNothing(t *testing.T) {
+	r := newRig(t, &standin.Site{Engines: 1, Services: 1, Models: 3}, 1)
+	r.site.Store.PutText("servers", "ghost", []byte("\xff\x00 not JSON"))
+	r.site.Store.Put("servers", "ghost2", map[string]any{"service": 7, "address": []int{1}})
+	r.site.Store.Put("servers", "ghost3", map[string]any{"service": "advisor", "address": "nowhere", "state": "ready"})
+	r.site.Store.PutText("op", "config", []byte(`{"version":99,"routes":[{"kind":"unheard of"}]}`))
+	time.Sleep(1500 * time.Millisecond)
+	r.wholeStream(r.send(0, http.MethodPost, standin.Streaming+"chat", "m0", "hello"))
+}
+
+func TestStoreOutageStopsNoRequest(t *testing.T) {
+	r := newRig(t, &standin.Site{Engines: 2, Services: 1, Models: 12}, 2)
+	r.wholeStream(r.send(0, http.MethodPost, standin.Resumable+"chat", "m7", "hello"))
+	r.site.Store.SetFaults(standin.StoreFaults{Down: true})
+	time.Sleep(300 * time.Millisecond)
+	for at := range 12 {
+		r.wholeStream(r.send(at%2, http.MethodPost, standin.Resumable+"chat", fmt.Sprint("m", at), "hello"))
+	}
+	r.site.Store.Forget()
+	r.site.Store.SetFaults(standin.StoreFaults{})
+	r.site.Publish(1)
+	r.until(func() bool { return r.send(0, http.MethodPost, "/extra0/chat", "m0", "").status == http.StatusOK })
+}
+
+func TestLeavingServerGetsNoNewRequests(t *testing.T) {
+	r := newRig(t, &standin.Site{Engines: 2, Services: 2, Models: 3}, 1)
+	r.site.ServiceList[0].Drain()
+	r.site.ServiceList[0].Register()
+	time.Sleep(1500 * time.Millisecond)
+	for range 20 {
+		answer := r.send(0, http.MethodPost, standin.Once+"book", "", "{}")
+		r.Check(answer.body, qt.Contains, "by service1")
+	}
+}
+
+func TestPlannedStopCutsNothing(t *testing.T) {
+	r := newRig(t, &standin.Site{Engines: 2, Services: 1, Models: 6, EventTime: 60 * time.Millisecond}, 2)
+	var group sync.WaitGroup
+	for at := range 12 {
+		group.Go(func() {
+			r.wholeStream(r.send(0, http.MethodPost, standin.Streaming+"chat", fmt.Sprint("m", at%6), "hello"))
+		})
+	}
+	time.Sleep(150 * time.Millisecond)
+	var cutOff int
+	group.Go(func() { cutOff = r.nodes[0].Drain(context.Background()) })
+	r.until(func() bool { return r.nodes[0].Ready() != nil })
+	// Callers keep an answer of the look-up for a while.
+	r.wholeStream(r.send(0, http.MethodPost, standin.Streaming+"chat", "m0", "hello"))
+	group.Wait()
+	r.Check(cutOff, qt.Equals, 0)
+	r.until(func() bool { return len(r.lookUp(1)) == 1 })
+}
+
+// lookUp asks a node where to connect.
+func (r *rig) lookUp(node int) []string {
+	address := r.nodes[node].Settings.Platform.Lookup
+	response, err := http.Get("http://" + address + "/resolve?name=" + standin.Host + "&region=east&zone=east-a")
+	r.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	var answer struct {
+		Addresses []string `json:"addresses"`
+		TTLS      float64  `json:"ttlS"`
+	}
+	r.Assert(json.NewDecoder(response.Body).Decode(&answer), qt.IsNil)
+	r.Check(answer.TTLS, qt.Equals, 1.0)
+	return answer.Addresses
+}
+
+func TestNodesFindEachOtherThroughTheStore(t *testing.T) {
+	r := newRig(t, &standin.Site{Engines: 1, Services: 1, Models: 3}, 3)
+	for node := range r.nodes {
+		r.until(func() bool { return len(r.lookUp(node)) == 3 })
+	}
+	response, err := http.Get("http://" + r.nodes[0].Settings.Platform.Readiness + "/readiness")
+	r.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	r.Check(response.StatusCode, qt.Equals, http.StatusOK)
+}
+
+// TestOrdersGoOnAtAnotherNode stops the node that gives the orders.
+func TestOrdersGoOnAtAnotherNode(t *testing.T) {
+	r := newRig(t, &standin.Site{Engines: 2, Services: 1, Models: 12}, 2)
+	r.until(func() bool { return len(r.lookUp(0)) == 2 && len(r.lookUp(1)) == 2 })
+	r.wholeStream(r.send(1, http.MethodPost, standin.Resumable+"chat", "m7", "hello"))
+	r.Check(r.nodes[0].Drain(context.Background()), qt.Equals, 0)
+	for at := range 12 {
+		r.until(func() bool {
+			answer := r.send(1, http.MethodPost, standin.Resumable+"chat", fmt.Sprint("m", at), "hello")
+			return answer.status == http.StatusOK
+		})
+	}
+}
--- a/internal/lease/controller.go
+++ b/internal/lease/controller.go
@@ -194,7 +194,7 @@
 // renew reports whether the lease was renewed.
 func (c *Controller) renew(ctx context.Context) bool {
 	c.mu.Lock()
-	record, expect := c.Term.record, c.Term.version
+	record, expect := c.Term.Renewal(c.Clock())
 	c.mu.Unlock()
 	sent := c.Clock()
 	err := c.write(ctx, record, expect)
@@ -213,7 +213,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.Term.Renewed(sent, expect+1)
+	c.Term.Renewed(sent, record, expect+1)
 	return true
 }
 
--- a/internal/lease/term.go
+++ b/internal/lease/term.go
@@ -14,6 +14,9 @@
 	Node   fleet.NodeID `json:"node"`
 	// Fencing is the number of this hold. It grows with each change of holder.
 	Fencing fleet.FencingNumber `json:"fencing"`
+	// Acting says that the holder's wait after the former holder is over. Only
+	// then may a process that starts again on its VM go on at once.
+	Acting bool `json:"acting,omitempty"`
 	// Released says that the holder has given the lease up and acts no more.
 	Released bool `json:"released,omitempty"`
 }
@@ -67,15 +70,29 @@
 	if !free {
 		return Record{}, 0, false
 	}
-	return Record{Holder: t.Self, Node: t.Node, Fencing: fleet.FencingNumber(t.version) + 1}, t.version, true
+	record = Record{Holder: t.Self, Node: t.Node, Fencing: fleet.FencingNumber(t.version) + 1, Acting: t.goesOn()}
+	return record, t.version, true
+}
+
+// goesOn reports whether a claim would need no wait, since no other VM can have
+// acted lately.
+func (t *Term) goesOn() bool {
+	return t.version == table.Absent || t.record.Holder == t.Self && t.record.Acting
+}
+
+// Renewal returns the record that renews the lease and the version that it
+// needs.
+func (t *Term) Renewal(now time.Duration) (record Record, expect table.Version) {
+	record = t.record
+	record.Acting = record.Acting || now >= t.from
+	return record, t.version
 }
 
 // Claimed notes that the claim sent at the given time took effect at the
 // latest at now.
 func (t *Term) Claimed(sent, now time.Duration, record Record, version table.Version) {
-	own := t.version == table.Absent || t.record.Holder == t.Self
 	t.from = now
-	if !own {
+	if !record.Acting {
 		t.from = now + t.HandOver + margin
 	}
 	t.record, t.version, t.changedAt = record, version, now
@@ -83,8 +100,8 @@
 }
 
 // Renewed notes that the renewal sent at the given time took effect.
-func (t *Term) Renewed(sent time.Duration, version table.Version) {
-	t.version = version
+func (t *Term) Renewed(sent time.Duration, record Record, version table.Version) {
+	t.record, t.version = record, version
 	t.until = max(t.until, sent+t.Length)
 }
 
--- /dev/null
+++ b/internal/lease/term_test.go
@@ -0,0 +1,160 @@
+package lease_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/guavatrack/guavatrack/internal/lease"
+	"github.com/guavatrack/guavatrack/internal/table"
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+)
+
+const (
+	length   = 8 * time.Second
+	handOver = 3 * time.Second
+)
+
+// world is a record in a store with several VMs that want the lease. Writes may
+// take effect late or lose their answers, and VMs may be suspended between any
+// two steps.
+type world struct {
+	now     time.Duration
+	record  lease.Record
+	version table.Version
+	vms     []*vm
+	// writes are under way.
+	writes []write
+	// acted is the last act of all.
+	acted act
+}
+
+type vm struct {
+	name  string
+	term  lease.Term
+	boots int
+}
+
+type write struct {
+	by     *vm
+	node   fleet.NodeID
+	sent   time.Duration
+	record lease.Record
+	expect table.Version
+	claim  bool
+	// released says that the writer acts no more, whatever the answer.
+	released bool
+	// lost says that the answer never comes.
+	lost bool
+}
+
+type act struct {
+	at      time.Duration
+	holder  string
+	fencing fleet.FencingNumber
+}
+
+func (w *world) start(v *vm) {
+	v.boots++
+	v.term = lease.Term{
+		Self: v.name, Node: fleet.NodeID(fmt.Sprint(v.name, "-", v.boots)), Length: length, HandOver: handOver,
+	}
+}
+
+// deliver lets a write take effect.
+func (w *world) deliver(at int) {
+	sent := w.writes[at]
+	w.writes = append(w.writes[:at], w.writes[at+1:]...)
+	if sent.expect != w.version {
+		return
+	}
+	w.record, w.version = sent.record, w.version+1
+	if sent.lost || sent.released || sent.by.term.Node != sent.node {
+		return
+	}
+	if sent.claim {
+		sent.by.term.Claimed(sent.sent, w.now, sent.record, w.version)
+	} else {
+		sent.by.term.Renewed(sent.sent, sent.record, w.version)
+	}
+}
+
+// act has a VM act if it may, and checks it against the last act of all.
+func (w *world) act(t *rapid.T, v *vm) {
+	fencing, holds := v.term.Holds(w.now)
+	if !holds {
+		return
+	}
+	last := w.acted
+	if last.holder != "" && last.holder != v.name {
+		if w.now-last.at < handOver {
+			t.Fatalf("%s acted %s after %s", v.name, w.now-last.at, last.holder)
+		}
+		if fencing <= last.fencing {
+			t.Fatalf("%s acted under %d after %s under %d", v.name, fencing, last.holder, last.fencing)
+		}
+	}
+	if fencing < last.fencing {
+		t.Fatalf("%s acted under %d after %d", v.name, fencing, last.fencing)
+	}
+	w.acted = act{at: w.now, holder: v.name, fencing: fencing}
+}
+
+// TestNoTwoHoldersActWithinTheHandOver lets VMs look, claim, renew, release,
+// act, be suspended and start again in any order.
+func TestNoTwoHoldersActWithinTheHandOver(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{}
+		for at := range 3 {
+			v := &vm{name: fmt.Sprint("vm", at)}
+			w.start(v)
+			w.vms = append(w.vms, v)
+		}
+		pick := func(t *rapid.T) *vm { return w.vms[rapid.IntRange(0, len(w.vms)-1).Draw(t, "vm")] }
+		send := func(t *rapid.T, v *vm, record lease.Record, expect table.Version, claim bool) {
+			w.writes = append(w.writes, write{
+				by: v, node: v.term.Node, sent: w.now, record: record, expect: expect, claim: claim,
+				lost: rapid.IntRange(0, 4).Draw(t, "lost") == 0,
+			})
+			if rapid.IntRange(0, 2).Draw(t, "late") > 0 {
+				w.deliver(len(w.writes) - 1)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"pass":  func(t *rapid.T) { w.now += time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond },
+			"sleep": func(t *rapid.T) { w.now += time.Duration(rapid.IntRange(1, 12).Draw(t, "s")) * time.Second },
+			"look": func(t *rapid.T) {
+				pick(t).term.Seen(w.now, w.record, w.version)
+			},
+			"claim": func(t *rapid.T) {
+				v := pick(t)
+				if record, expect, wanted := v.term.Claim(w.now); wanted {
+					send(t, v, record, expect, true)
+				}
+			},
+			"renew": func(t *rapid.T) {
+				if v := pick(t); v.term.Mine() {
+					record, expect := v.term.Renewal(w.now)
+					send(t, v, record, expect, false)
+				}
+			},
+			"release": func(t *rapid.T) {
+				if v := pick(t); v.term.Mine() {
+					record, expect := v.term.Renewal(w.now)
+					record.Released = true
+					w.writes = append(w.writes, write{by: v, record: record, expect: expect, released: true})
+					w.start(v)
+				}
+			},
+			"deliver": func(t *rapid.T) {
+				if len(w.writes) > 0 {
+					w.deliver(rapid.IntRange(0, len(w.writes)-1).Draw(t, "write"))
+				}
+			},
+			"restart": func(t *rapid.T) { w.start(pick(t)) },
+			"act":     func(t *rapid.T) { w.act(t, pick(t)) },
+		})
+	})
+}
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/guavatrack/guavatrack/internal/residence"
+	"github.com/guavatrack/guavatrack/internal/roster"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
@@ -157,32 +158,28 @@
 // expect returns when an item is expected to be ready. The caller holds the
 // lock.
 func (s *Scheduler) expect(now time.Time, told Waiting) time.Duration {
-	view := s.View()
-	if view.Manifest == nil || view.Manifest.Pools[told.Pool] == nil || view.Manifest.Pools[told.Pool].Engine == nil {
-		return 0
-	}
-	model := view.Manifest.Pools[told.Pool].Engine.Models[told.Item.Model]
+	model := s.View().Model(told.Pool, told.Item.Model)
 	if model == nil {
 		return 0
 	}
-	copied, held := false, false
+	ready := model.FromStore
 	for _, e := range s.engines {
-		switch {
-		case e.server.Pool != told.Pool:
-		case e.open != nil && e.open.Load && e.open.Item.Model == told.Item.Model:
-			return max(0, e.open.due.Sub(now))
-		case e.next == told.Item.Model && now.Before(e.nextUntil):
-			return model.FromDisk + unloadTime
-		case e.held[told.Item.Model] != nil && !e.held[told.Item.Model].leaving:
-			held = true
-		case e.onDisk[told.Item.Model]:
-			copied = true
+		if e.server.Pool == told.Pool {
+			ready = min(ready, e.expect(now, told.Item.Model, model))
 		}
 	}
+	return ready
+}
+
+// expect returns when the engine is expected to have a model ready.
+func (e *engine) expect(now time.Time, id fleet.ModelID, model *roster.Model) time.Duration {
+	held := e.held[id]
 	switch {
-	case held:
+	case held != nil && !held.leaving:
 		return 0
-	case copied:
+	case e.open != nil && e.open.Load && e.open.Item.Model == id:
+		return max(0, e.open.due.Sub(now))
+	case e.next == id && now.Before(e.nextUntil), e.onDisk[id]:
 		return model.FromDisk + unloadTime
 	default:
 		return model.FromStore
--- a/internal/placement/give.go
+++ b/internal/placement/give.go
@@ -89,8 +89,20 @@
 // Sent again it expects the same number of accepted orders, so that it is
 // carried out once at most.
 func (t *task) run(ctx context.Context) {
+	outcome := t.insist(ctx)
+	switch follow := t.settle(outcome); {
+	case follow && t.order.Item.Adapter != "":
+		t.announceAdapter(ctx)
+	case follow:
+		t.await(ctx)
+	}
+	t.stir()
+}
+
+// insist sends the order until there is an answer.
+func (t *task) insist(ctx context.Context) (outcome Outcome) {
 	began := time.Now()
-	outcome := Unknown
+	outcome = Unknown
 	var err error
 	for try := 0; try < orderTries && outcome == Unknown && ctx.Err() == nil && t.allowed(); try++ {
 		outcome, err = t.send(ctx)
@@ -105,33 +117,34 @@
 	t.Log.LogAttrs(ctx, level, "order answered", slog.String("server", string(t.engine.server.ID)),
 		slog.String("item", t.order.Item.String()), slog.Bool("load", t.order.Load),
 		slog.String("outcome", outcome.String()), slog.Duration("took", time.Since(began)), slog.Any("error", err))
+	return outcome
+}
+
+// settle takes in the outcome and reports whether the engine carries the order
+// out now, so that its end is to be awaited.
+func (t *task) settle(outcome Outcome) (follow bool) {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.engine.sending = false
+	adapter := t.order.Item.Adapter != ""
 	switch {
-	case outcome == Accepted && t.order.Load && t.order.Item.Adapter != "":
+	case outcome == Accepted && !adapter:
+		t.engine.sequence++
+		return true
+	case outcome == Accepted && t.order.Load:
 		t.adapterComes()
-		t.mu.Unlock()
-		t.announceAdapter(ctx)
-	case outcome == Held && !t.order.Load && t.order.Item.Adapter != "":
+		return true
+	case outcome == Held && adapter && !t.order.Load:
 		t.adapterGone()
-		t.mu.Unlock()
-	case t.order.Item.Adapter != "":
-		// An adapter in use goes only when its calls have ended. Until a report
-		// shows that it is gone its place is taken.
-		t.doubt(time.Now())
-		t.mu.Unlock()
-	case outcome == Accepted:
-		t.engine.sequence++
-		t.mu.Unlock()
-		t.await(ctx)
 	case outcome == NotSent:
 		t.undo(time.Now())
-		t.mu.Unlock()
 	default:
+		// Among these is the accepted unload of an adapter in use: it goes only
+		// when its calls have ended, and until a report shows that it is gone
+		// its place is taken.
 		t.doubt(time.Now())
-		t.mu.Unlock()
 	}
-	t.stir()
+	return false
 }
 
 func (t *task) send(ctx context.Context) (Outcome, error) {
--- a/internal/placement/reporter.go
+++ b/internal/placement/reporter.go
@@ -122,15 +122,10 @@
 // usual returns the time of a load of which nothing else is known. The caller
 // holds the lock.
 func (r *Reporter) usual(want dispatch.Want) time.Duration {
-	view := r.View()
-	if view.Manifest == nil || view.Manifest.Pools[want.Pool] == nil || view.Manifest.Pools[want.Pool].Engine == nil {
-		return 0
+	if model := r.View().Model(want.Pool, want.Item.Model); model != nil {
+		return model.FromDisk
 	}
-	model := view.Manifest.Pools[want.Pool].Engine.Models[want.Item.Model]
-	if model == nil {
-		return 0
-	}
-	return model.FromDisk
+	return 0
 }
 
 // stir has a message sent soon.
--- a/internal/residence/adapters.go
+++ b/internal/residence/adapters.go
@@ -28,9 +28,7 @@
 
 // adapter orders one adapter where it takes the least used place.
 func (p *planner) adapter(demand *Demand) {
-	var best *Engine
-	var victim *HeldAdapter
-	var victimModel fleet.ModelID
+	best := adapterPlace{}
 	for at := range p.Engines {
 		engine := &p.Engines[at]
 		held := engine.held(demand.Item.Model)
@@ -43,32 +41,58 @@
 		if engine.AdaptersComing >= maxAdaptersComing || engine.Busy {
 			continue
 		}
-		if engine.adapterCount() < engine.AdapterSlots {
-			if best == nil || victim != nil || engine.load() < best.load() {
-				best, victim = engine, nil
-			}
-			continue
-		}
-		if best != nil && victim == nil {
-			continue
-		}
-		model, idle := engine.idleAdapter(p.Now)
-		if idle != nil && (victim == nil || idle.Used.Before(victim.Used)) {
-			best, victim, victimModel = engine, idle, model
+		if place := engine.adapterPlace(p.Now); place.before(best) {
+			best = place
 		}
 	}
-	if best == nil {
+	if best.engine == nil {
 		return
 	}
-	p.used[best.ID] = true
-	if victim != nil {
+	p.used[best.engine.ID] = true
+	if best.victim != nil {
 		p.orders = append(p.orders, Order{
-			Server: best.ID, Item: fleet.Item{Model: victimModel, Adapter: victim.Adapter}, Why: WhyRoom,
+			Server: best.engine.ID, Item: fleet.Item{Model: best.model, Adapter: best.victim.Adapter}, Why: WhyRoom,
 		})
 		return
 	}
 	p.AdapterLoads--
-	p.orders = append(p.orders, Order{Server: best.ID, Load: true, Item: demand.Item, Why: WhyWaiting})
+	p.orders = append(p.orders, Order{Server: best.engine.ID, Load: true, Item: demand.Item, Why: WhyWaiting})
+}
+
+// adapterPlace is a place for an adapter: a free one, or that of a victim.
+type adapterPlace struct {
+	// engine is nil if there is no place.
+	engine *Engine
+	model  fleet.ModelID
+	victim *HeldAdapter
+}
+
+// adapterPlace returns the place that the engine has for another adapter.
+func (e *Engine) adapterPlace(now time.Time) adapterPlace {
+	if e.adapterCount() < e.AdapterSlots {
+		return adapterPlace{engine: e}
+	}
+	model, victim := e.idleAdapter(now)
+	if victim == nil {
+		return adapterPlace{}
+	}
+	return adapterPlace{engine: e, model: model, victim: victim}
+}
+
+// before reports whether a place is better than another: a free one on the
+// engine with the fewest calls, or else the one of the adapter that has been
+// unused longest.
+func (p adapterPlace) before(other adapterPlace) bool {
+	switch {
+	case p.engine == nil || other.engine == nil:
+		return p.engine != nil
+	case (p.victim == nil) != (other.victim == nil):
+		return p.victim == nil
+	case p.victim == nil:
+		return p.engine.load() < other.engine.load()
+	default:
+		return p.victim.Used.Before(other.victim.Used)
+	}
 }
 
 // adapter returns an adapter of the model; nil if it is not there.
--- a/internal/residence/plan.go
+++ b/internal/residence/plan.go
@@ -158,10 +158,11 @@
 			engine.Next = ""
 		case engine.Busy:
 			p.coming[model]++
-		case p.free(engine) >= p.Models[model].Size && engine.held(model) == nil:
-			p.give(choice{engine: engine, tier: engine.tier(model)}, model, WhyWaiting)
-		default:
+		case p.free(engine) < p.Models[model].Size, engine.held(model) != nil,
+			engine.tier(model) == WeightStore && p.StoreLoads <= 0:
 			engine.Next = ""
+		default:
+			p.give(choice{engine: engine, tier: engine.tier(model)}, model, WhyWaiting)
 		}
 	}
 }
@@ -220,8 +221,7 @@
 	hasCopy := p.hasCopy(model)
 	for at := range p.Engines {
 		engine := &p.Engines[at]
-		if engine.Closed || engine.Busy || engine.Next != "" && engine.Next != model || p.used[engine.ID] ||
-			engine.held(model) != nil {
+		if !p.open(engine, model) {
 			continue
 		}
 		tier := engine.tier(model)
@@ -238,6 +238,12 @@
 	}
 }
 
+// open reports whether an engine may get an order to load a model.
+func (p *planner) open(engine *Engine, model fleet.ModelID) bool {
+	return !engine.Closed && !engine.Busy && (engine.Next == "" || engine.Next == model) && !p.used[engine.ID] &&
+		engine.held(model) == nil
+}
+
 // hasCopy reports whether the VM of any engine that may be used has the
 // weights of a model.
 func (p *planner) hasCopy(model fleet.ModelID) bool {
@@ -288,12 +294,12 @@
 	if !surplus && known != nil && known.Waiting > 0 {
 		return 0, false
 	}
+	idle := p.Now.Sub(victim.Used)
 	pressed := p.Now.Sub(demand.Since) > pressAfter && demand.Waiting > 0
-	if victim.Running > 0 && !(pressed && victim.Running == 1 && p.ready[victim.Model] <= 1 || surplus && pressed) {
+	if !pressed && (victim.Running > 0 || idle < usedAfter) {
 		return 0, false
 	}
-	idle := p.Now.Sub(victim.Used)
-	if victim.Running == 0 && idle < usedAfter && !pressed {
+	if victim.Running > 1 && !surplus {
 		return 0, false
 	}
 	rate := 0.0
@@ -368,7 +374,7 @@
 			value += known.Rate
 		}
 		if tier == WeightStore {
-			value -= 1
+			value--
 		}
 		if !found || value > best.value {
 			best = spareChoice{choice: choice{engine: engine, tier: tier}, model: model, value: value}
--- a/internal/residence/plan_test.go
+++ b/internal/residence/plan_test.go
@@ -98,3 +98,108 @@
 	c.Assert(orders, qt.HasLen, 1)
 	c.Assert(orders[0].Item.Model, qt.Equals, model(7))
 }
+
+// TestModelsInUseStay answers the pattern of a rare model that waits while all
+// others run: only one that is used a little makes room, and not at once.
+func TestModelsInUseStay(t *testing.T) {
+	c := qt.New(t)
+	state := site(1, 8)
+	holds(&state.Engines[0], 0, 1, 2)
+	for at := range state.Engines[0].Held {
+		state.Engines[0].Held[at].Running = 1 + at
+	}
+	state.Engines[0].OnDisk[model(6)] = true
+	waits(&state, 6, 1)
+	c.Assert(residence.Plan(state), qt.HasLen, 0)
+	state.Demands[0].Since = noon.Add(-time.Second)
+	orders := residence.Plan(state)
+	c.Assert(orders, qt.HasLen, 1)
+	c.Assert(orders[0].Item.Model, qt.Equals, model(0))
+}
+
+// TestModelOnADiskIsNeverFetchedFromTheStore answers the pattern of a model
+// whose only copy is on an engine that is busy for a moment.
+func TestModelOnADiskIsNeverFetchedFromTheStore(t *testing.T) {
+	c := qt.New(t)
+	state := site(2, 8)
+	state.Engines[0].OnDisk[model(6)] = true
+	state.Engines[0].Busy = true
+	waits(&state, 6, 1)
+	for _, order := range residence.Plan(state) {
+		c.Check(order.Item.Model, qt.Not(qt.Equals), model(6))
+	}
+	state.Engines[0].Closed = true
+	orders := residence.Plan(state)
+	c.Assert(orders[0].Item.Model, qt.Equals, model(6))
+	c.Assert(orders[0].Tier, qt.Equals, residence.WeightStore)
+}
+
+// TestCallsThatCanBeInTimeGoFirst answers the pattern of more waiting models
+// than engines that can swap.
+func TestCallsThatCanBeInTimeGoFirst(t *testing.T) {
+	c := qt.New(t)
+	state := site(1, 8)
+	for at := range 8 {
+		state.Engines[0].OnDisk[model(at)] = true
+	}
+	holds(&state.Engines[0], 0, 1, 2)
+	waits(&state, 5, 1)
+	waits(&state, 6, 1)
+	waits(&state, 7, 1)
+	state.Demands[0].Objective = noon.Add(-time.Second)
+	state.Demands[1].Objective = noon.Add(2 * time.Second)
+	state.Demands[2].Objective = noon.Add(1500 * time.Millisecond)
+	orders := residence.Plan(state)
+	c.Assert(orders, qt.HasLen, 1)
+	c.Assert(orders[0].For, qt.Equals, model(7))
+}
+
+// TestBusyModelGetsMoreReplicas answers the pattern of demand that moves to a
+// model that one engine holds.
+func TestBusyModelGetsMoreReplicas(t *testing.T) {
+	c := qt.New(t)
+	state := site(2, 8)
+	holds(&state.Engines[0], 0, 1, 2)
+	holds(&state.Engines[1], 3, 4, 5)
+	state.Engines[0].Held[0].Running = 30
+	state.Engines[1].OnDisk[model(0)] = true
+	waits(&state, 0, 10)
+	orders := residence.Plan(state)
+	c.Assert(orders, qt.HasLen, 1)
+	c.Assert(orders[0].Server, qt.Equals, server(1))
+	c.Assert(orders[0].For, qt.Equals, model(0))
+}
+
+func TestEmptyRoomIsFilledFromTheOwnDisk(t *testing.T) {
+	c := qt.New(t)
+	state := site(1, 8)
+	state.Engines[0].OnDisk[model(3)] = true
+	orders := residence.Plan(state)
+	c.Assert(orders, qt.DeepEquals, []residence.Order{{
+		Server: server(0), Load: true, Item: fleet.Item{Model: model(3)}, Tier: residence.LocalDisk, Why: residence.WhySpare,
+	}})
+}
+
+// TestAdapters answers the pattern of adapters that take turns on few places.
+func TestAdapters(t *testing.T) {
+	c := qt.New(t)
+	state := site(2, 2)
+	state.Engines[0].AdapterSlots = 2
+	holds(&state.Engines[0], 0)
+	wanted := fleet.Item{Model: model(0), Adapter: "a9"}
+	state.Demands = []residence.Demand{{Item: wanted, Waiting: 1, Since: noon, Objective: noon.Add(time.Second)}}
+	c.Assert(residence.Plan(state)[0], qt.DeepEquals, residence.Order{
+		Server: server(0), Load: true, Item: wanted, Why: residence.WhyWaiting,
+	})
+	held := &state.Engines[0].Held[0]
+	held.Adapters = []residence.HeldAdapter{
+		{Adapter: "a1", Used: noon.Add(-time.Minute)}, {Adapter: "a2", Used: noon.Add(-time.Hour), Running: 1},
+	}
+	c.Assert(residence.Plan(state)[0], qt.DeepEquals, residence.Order{
+		Server: server(0), Item: fleet.Item{Model: model(0), Adapter: "a1"}, Why: residence.WhyRoom,
+	})
+	held.Adapters[0].Used = noon.Add(-100 * time.Millisecond)
+	for _, order := range residence.Plan(state) {
+		c.Check(order.Item.Adapter, qt.Equals, fleet.AdapterID(""))
+	}
+}
--- a/internal/roster/controller.go
+++ b/internal/roster/controller.go
@@ -46,6 +46,14 @@
 	Listed bool
 }
 
+// Model describes a model of a pool; nil if it is not deployed.
+func (v *View) Model(pool fleet.PoolID, model fleet.ModelID) *Model {
+	if v.Manifest == nil || v.Manifest.Pools[pool] == nil || v.Manifest.Pools[pool].Engine == nil {
+		return nil
+	}
+	return v.Manifest.Pools[pool].Engine.Models[model]
+}
+
 // Controller follows the platform's list of servers and its manifest. Its
 // exported fields are set before Run.
 type Controller struct {
