Release a lease whose claim is in doubt; let the youngest node claim first

All nodes are stopped one after the other while the store is slow. The log shows that the successor's claim took effect without its answer, that it then drained without releasing the lease, and that nobody ordered engines from 9.1 s to 22.3 s.

Change: each call of the lease has a timeout of its own, a node that stops releases the record if it names it, whatever it believes, and nodes that started later claim a free lease first, since they are stopped again last.

--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -79,15 +79,31 @@
 // under the same name is another one.
 func (n *Node) vm() string { return n.Settings.Node.Name + "@" + n.Settings.Peers.Listen }
 
-func newLease(n *Node, store table.Store) *lease.Controller {
+func newLease(n *Node, store table.Store, members *member.Controller) *lease.Controller {
 	return &lease.Controller{
 		Term: lease.Term{
 			Self: n.vm(), Node: n.ID, Length: leaseTime, HandOver: n.Settings.Platform.HandOver.Std(),
 		},
-		Store: store, Key: leaseKey, Log: n.Log,
+		Store: store, Key: leaseKey, Yield: func() time.Duration { return n.yield(members) }, Log: n.Log,
 	}
 }
 
+// yieldStep is how long a node lets each one that started later go first.
+const yieldStep = 150 * time.Millisecond
+
+// yield returns how long to wait before the lease is claimed. Where nodes are
+// stopped one after the other, the one that started last is the last to be
+// stopped again.
+func (n *Node) yield(members *member.Controller) (span time.Duration) {
+	own := members.Self.StartedAt
+	for _, info := range members.Members() {
+		if info.StartedAt.After(own) && !info.Leaving {
+			span += yieldStep
+		}
+	}
+	return span
+}
+
 func newDirectory() *placement.Directory { return &placement.Directory{} }
 
 func newReporter(
--- a/internal/lease/controller.go
+++ b/internal/lease/controller.go
@@ -21,7 +21,8 @@
 	// lookInterval is the time between two looks at a lease that another VM
 	// seems to hold no more.
 	lookInterval = 500 * time.Millisecond
-	callTimeout  = 700 * time.Millisecond
+	// callTimeout bounds one call of the table.
+	callTimeout = time.Second
 )
 
 // Controller holds a lease or watches who does. Its exported fields are set
@@ -32,6 +33,9 @@
 	Key   table.Key
 	// Clock counts suspension; nil means [BootTime].
 	Clock func() time.Duration
+	// Yield returns how long to wait before a lease that is free is claimed, so
+	// that VMs better suited go first. Nil means not at all.
+	Yield func() time.Duration
 	// Changed is called when the right is gained or lost. It may be nil.
 	Changed func()
 	Log     *slog.Logger
@@ -133,8 +137,6 @@
 	c.mu.Lock()
 	mine, suspect, gaveUp := c.Term.mine, c.suspect, c.gaveUp
 	c.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	switch {
 	case gaveUp:
 		return time.Second
@@ -156,9 +158,10 @@
 		return
 	}
 	c.mu.Lock()
+	own := c.Term.record.Holder == c.Term.Self
 	record, expect, wanted := c.Term.Claim(c.Clock())
 	c.mu.Unlock()
-	if !wanted {
+	if !wanted || !own && !c.yield(ctx, expect) {
 		return
 	}
 	sent := c.Clock()
@@ -178,6 +181,32 @@
 	c.changed()
 }
 
+// yield lets others go first, and reports whether the lease is still to be had
+// after that.
+func (c *Controller) yield(ctx context.Context, expect table.Version) bool {
+	if c.Yield == nil {
+		return true
+	}
+	span := c.Yield()
+	if span <= 0 {
+		return true
+	}
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return false
+	}
+	if !c.read(ctx) {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, now, wanted := c.Term.Claim(c.Clock())
+	return wanted && now == expect && !c.gaveUp
+}
+
 // settle finds out whether a write whose answer was lost took effect.
 func (c *Controller) settle(ctx context.Context, record Record, expect table.Version) error {
 	held, version, err := c.fetch(ctx)
@@ -250,6 +279,8 @@
 }
 
 func (c *Controller) fetch(ctx context.Context) (record Record, version table.Version, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	found, err := c.Store.Get(ctx, c.Key)
 	switch {
 	case errors.Is(err, table.ErrNotFound):
@@ -268,24 +299,34 @@
 	if err != nil {
 		return errors.Wrap(err, "lease record")
 	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	return c.Store.Transact(ctx, table.Token(uuid.NewString()), []table.Write{{Key: c.Key, Expect: expect, Body: body}})
 }
 
-// GiveUp ends the right of this process for good and tells the others. The
-// caller must have ended all acts before.
+// releaseTries is how often the release of a lease is written.
+const releaseTries = 4
+
+// GiveUp ends the right of this process for good and tells the others, also if
+// a claim is on its way whose outcome is not known yet.
 func (c *Controller) GiveUp(ctx context.Context) {
 	c.init()
 	c.mu.Lock()
-	mine, record, expect := c.Term.mine, c.Term.record, c.Term.version
 	c.Term.mine, c.gaveUp = false, true
 	c.mu.Unlock()
-	if !mine {
-		return
-	}
-	record.Released = true
-	if err := c.write(ctx, record, expect); err != nil {
+	for range releaseTries {
+		record, version, err := c.fetch(ctx)
+		if err == nil && (record.Node != c.Term.Node || record.Released) {
+			return
+		}
+		if err == nil {
+			record.Released = true
+			err = c.write(ctx, record, version)
+		}
+		if err == nil {
+			c.Log.Info("lease released")
+			return
+		}
 		c.Log.Warn("lease not released", slog.Any("error", err))
-		return
 	}
-	c.Log.Info("lease released")
 }
