Two replicas of busy models, refusals by callers' patience, work of requests

Change: a model that is called often is to have two replicas; a call has a time by which it must start and is refused before; the queue scales its estimate by the size of a request; entries are read every 0.9 s and notices every 15 s.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -23,6 +23,24 @@
 	Rank     int
 	Item     fleet.Item
 	Deadline time.Time
+	// StartBy is when the request has to start, since its caller waits no longer
+	// for the first byte; zero if there is no such time.
+	StartBy time.Time
+	// Work is how much longer than others the request takes; 0 means 1.
+	Work float64
+}
+
+// work returns the request's work.
+func (r *Request) work() float64 {
+	if r.Work <= 0 {
+		return 1
+	}
+	return r.Work
+}
+
+// times returns a time for one unit of work, scaled to the request.
+func (r *Request) times(span time.Duration) time.Duration {
+	return time.Duration(r.work() * float64(span))
 }
 
 // Capacity is what the requests of a queue can run on.
@@ -97,8 +115,11 @@
 // serviceWeight is the weight of the newest service time in the average.
 const serviceWeight = 0.1
 
-// Served notes how long a request took from its start to its end.
-func (q *Queue) Served(span time.Duration) {
+// Served notes how long a request of some work took from its start to its end.
+func (q *Queue) Served(span time.Duration, work float64) {
+	if work > 0 {
+		span = time.Duration(float64(span) / work)
+	}
 	if q.service == 0 {
 		q.service, q.deviation = span, span/4
 		return
@@ -117,7 +138,8 @@
 	margin = 4
 )
 
-// longest returns the time that nearly every request takes at most.
+// longest returns the time that nearly every request takes at most for one unit
+// of work.
 func (q *Queue) longest() time.Duration {
 	return q.service + q.service/margin + deviations*q.deviation
 }
@@ -125,14 +147,25 @@
 // Service returns the average time that a request takes; 0 if not known.
 func (q *Queue) Service() time.Duration { return q.service }
 
-// Estimate returns when a request would end if it were queued now.
-func (q *Queue) Estimate(now time.Time, request Request, capacity Capacity) time.Time {
+// Estimate returns when a request would start and end if it were queued now.
+func (q *Queue) Estimate(now time.Time, request Request, capacity Capacity) (start, end time.Time) {
 	ahead := q.ahead(request) - capacity.Free
 	wait := capacity.ReadyIn
 	if ahead >= 0 {
 		wait += q.service * time.Duration(ahead+1) / time.Duration(max(1, capacity.Slots))
 	}
-	return now.Add(wait + q.longest())
+	start = now.Add(wait)
+	return start, start.Add(request.times(q.longest()))
+}
+
+// late returns by how much a request that starts and ends at these times would
+// be late; 0 if it would not.
+func (r *Request) late(start, end time.Time) time.Duration {
+	late := max(0, end.Sub(r.Deadline))
+	if !r.StartBy.IsZero() {
+		late = max(late, start.Sub(r.StartBy))
+	}
+	return late
 }
 
 // ahead returns how many of the waiting requests would run before a new one.
@@ -151,9 +184,8 @@
 
 // Offer asks for a place in the queue.
 func (q *Queue) Offer(now time.Time, request Request, capacity Capacity) Decision {
-	end := q.Estimate(now, request, capacity)
-	if end.After(request.Deadline) {
-		return Decision{Outcome: Late, RetryAfter: max(leastRetryAfter, end.Sub(request.Deadline))}
+	if late := request.late(q.Estimate(now, request, capacity)); late > 0 {
+		return Decision{Outcome: Late, RetryAfter: max(leastRetryAfter, late)}
 	}
 	decision := Decision{}
 	if q.size >= q.bound() {
@@ -237,7 +269,8 @@
 			if place >= 0 {
 				wait += q.service * time.Duration(place+1) / time.Duration(max(1, capacity.Slots))
 			}
-			if now.Add(wait + q.longest()).After(request.Deadline) {
+			start := now.Add(wait)
+			if request.late(start, start.Add(request.times(q.longest()))) > 0 {
 				expired = append(expired, request)
 				continue
 			}
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -45,7 +45,7 @@
 		Deadline: m.now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "patience")) * time.Millisecond),
 	}
 	capacity := admission.Capacity{Slots: m.slots}
-	end := m.queue.Estimate(m.now, request, capacity)
+	_, end := m.queue.Estimate(m.now, request, capacity)
 	decision := m.queue.Offer(m.now, request, capacity)
 	if decision.Displaced != 0 {
 		if _, waits := m.waiting[decision.Displaced]; !waits {
@@ -79,7 +79,7 @@
 	}
 	m.queue.Started(request)
 	delete(m.waiting, request.Ticket)
-	m.queue.Served(time.Duration(rapid.IntRange(1, 500).Draw(t, "service")) * time.Millisecond)
+	m.queue.Served(time.Duration(rapid.IntRange(1, 500).Draw(t, "service"))*time.Millisecond, 1)
 }
 
 func (m *model) expire(t *rapid.T) {
@@ -196,10 +196,41 @@
 
 func ExampleQueue_Offer() {
 	var queue admission.Queue
-	queue.Served(2 * time.Second)
+	queue.Served(2*time.Second, 1)
 	decision := queue.Offer(start, admission.Request{
 		Ticket: 1, Caller: "taproom", Rank: 0, Deadline: start.Add(time.Second),
 	}, admission.Capacity{Slots: 1, Free: 1})
 	fmt.Println(decision.Outcome == admission.Late, decision.RetryAfter)
 	// Output: true 2.5s
 }
+
+// TestShortRequestsAreNotJudgedByLongOnes answers the pattern of summaries of a
+// few tokens that wait beside chats of many.
+func TestShortRequestsAreNotJudgedByLongOnes(t *testing.T) {
+	c := qt.New(t)
+	var queue admission.Queue
+	for range 20 {
+		queue.Served(2*time.Second, 1)
+		queue.Served(200*time.Millisecond, 0.1)
+	}
+	capacity := admission.Capacity{Slots: 4, Free: 0}
+	short := admission.Request{Ticket: 1, Work: 0.1, Deadline: start.Add(1500 * time.Millisecond)}
+	c.Assert(queue.Offer(start, short, capacity).Outcome, qt.Equals, admission.Queued)
+	long := admission.Request{Ticket: 2, Work: 1, Deadline: start.Add(1500 * time.Millisecond)}
+	c.Assert(queue.Offer(start, long, capacity).Outcome, qt.Equals, admission.Late)
+}
+
+// TestCallerThatWaitsNoLongerIsRefusedBefore answers the pattern of callers that
+// give up long before their deadline if no byte comes.
+func TestCallerThatWaitsNoLongerIsRefusedBefore(t *testing.T) {
+	c := qt.New(t)
+	var queue admission.Queue
+	request := admission.Request{Ticket: 1, StartBy: start.Add(2 * time.Second), Deadline: start.Add(time.Minute)}
+	decision := queue.Offer(start, request, admission.Capacity{Slots: 1, ReadyIn: 3 * time.Second})
+	c.Assert(decision.Outcome, qt.Equals, admission.Late)
+	c.Assert(decision.RetryAfter, qt.Equals, time.Second)
+	capacity := admission.Capacity{Slots: 1, ReadyIn: time.Second}
+	c.Assert(queue.Offer(start, request, capacity).Outcome, qt.Equals, admission.Queued)
+	c.Assert(queue.Expire(start.Add(500*time.Millisecond), capacity), qt.HasLen, 0)
+	c.Assert(queue.Expire(start.Add(1100*time.Millisecond), capacity), qt.HasLen, 1)
+}
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -32,6 +32,11 @@
 	// Concurrency is the number of calls of the item that a replica runs at
 	// once, for estimates while there is none.
 	Concurrency int
+	// StartBy is when the caller gives up if no byte of an answer has come; zero
+	// if it waits until the deadline.
+	StartBy time.Time
+	// Work is how much longer than others the call takes; 0 means 1.
+	Work float64
 	// Tokens is the room that the call needs in a server's key-value cache.
 	Tokens int
 	// Idempotent says that the call may run more than once.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -32,6 +32,9 @@
 	// Allowance bounds the further attempts for each pool. It is asked for
 	// every attempt; nil means [DefaultAllowance].
 	Allowance func() retry.Allowance
+	// PoisonPoll is the time between two reads of what other nodes know of such
+	// requests from the store; 0 means 2 s.
+	PoisonPoll time.Duration
 	// SpreadPoison, if set, tells the other nodes of a request that crashes
 	// backend servers. They call LearnPoison.
 	SpreadPoison func(poison.Notice)
@@ -77,7 +80,7 @@
 	d.budgets.setUp()
 	d.link.setUp()
 	d.poison = &poison.Controller{
-		Store: d.Store, Node: d.Node, Spread: d.SpreadPoison, Log: d.Log, Metrics: d.Metrics,
+		Store: d.Store, Node: d.Node, Spread: d.SpreadPoison, PollInterval: d.PoisonPoll, Log: d.Log, Metrics: d.Metrics,
 	}
 	d.meters.register(d.Metrics)
 	d.servers.setUp()
--- a/internal/dispatch/lane.go
+++ b/internal/dispatch/lane.go
@@ -143,6 +143,7 @@
 	l.last++
 	request := admission.Request{
 		Ticket: l.last, Caller: call.Caller, Rank: call.Rank, Item: call.Item, Deadline: call.Deadline,
+		StartBy: call.StartBy, Work: call.Work,
 	}
 	decision := l.queue.Offer(now, request, l.dispatcher.capacity(call, now, readyIn))
 	if decision.Outcome == admission.Late {
@@ -356,7 +357,7 @@
 		}
 	}
 	left := w.estimate.ReadyIn - now.Sub(w.at)
-	if now.Add(left).After(call.Deadline) {
+	if ready := now.Add(left); ready.After(call.Deadline) || !call.StartBy.IsZero() && ready.After(call.StartBy) {
 		return 0, &refusal.Refusal{
 			Reason: refusal.DeadlineUnreachable, Message: "the model will not be loaded before the deadline",
 			RetryAfter: left,
@@ -444,10 +445,10 @@
 }
 
 // served notes the end of a request that got its answer.
-func (l *lane) served(span time.Duration) {
+func (l *lane) served(span time.Duration, work float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.queue.Served(span)
+	l.queue.Served(span, work)
 }
 
 // firstByte notes the time to a first byte.
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -28,7 +28,7 @@
 	for {
 		err := r.try(taken)
 		if err == nil {
-			call.lane.served(time.Since(taken.started))
+			call.lane.served(time.Since(taken.started), call.Work)
 			r.clear(call)
 			return nil
 		}
--- a/internal/hosted/endpoints.go
+++ b/internal/hosted/endpoints.go
@@ -14,6 +14,7 @@
 	"github.com/guavatrack/guavatrack/internal/member"
 	"github.com/guavatrack/guavatrack/internal/metric"
 	"github.com/guavatrack/guavatrack/internal/node"
+	"github.com/guavatrack/guavatrack/internal/peer"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 	"github.com/guavatrack/guavatrack/platform"
 )
@@ -25,47 +26,69 @@
 	maxHeader     = 64 << 10
 )
 
-// endpoints are the listening sockets of a node.
+// Addresses are where a node listens, with the ports that were free where the
+// settings left them open.
+type Addresses struct {
+	Callers, Peers, Lookup, Readiness, Metrics string
+}
+
+// endpoints are the listening sockets of a node. They are opened first, since
+// the node tells its addresses to the others.
 type endpoints struct {
-	callers *http.Server
-	servers []*http.Server
+	addresses Addresses
+	// listeners are in the order of the addresses, without that for peers.
+	listeners []net.Listener
+	callers   *http.Server
+	servers   []*http.Server
 }
 
-// serve opens all sockets.
-func (e *endpoints) serve(n *Node) (err error) {
+func newEndpoints(n *Node, peers *peer.Peer) (e *endpoints, err error) {
+	defer func() {
+		if err != nil {
+			err = errors.Wrap(err, "listen")
+		}
+	}()
+	e = &endpoints{}
 	given := n.Settings.Platform
-	find := &platform.Lookup{Near: n.near, KeepFor: given.KeepFor.Std()}
-	metricsHandler := http.NewServeMux()
-	metricsHandler.Handle("GET /metrics", metric.Handler(n.parts.Metrics, node.Metrics()))
 	for _, endpoint := range []struct {
-		address string
-		handler http.Handler
+		listen string
+		actual *string
 	}{
-		{n.Settings.Callers.Listen, n.callers()},
-		{given.Lookup, find.Handler()},
-		{given.Readiness, platform.Readiness(n.Ready)},
-		{given.Metrics, metricsHandler},
+		{n.Settings.Callers.Listen, &e.addresses.Callers},
+		{given.Lookup, &e.addresses.Lookup},
+		{given.Readiness, &e.addresses.Readiness},
+		{given.Metrics, &e.addresses.Metrics},
 	} {
-		server, err := listen(endpoint.address, endpoint.handler)
+		listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", endpoint.listen)
 		if err != nil {
-			return errors.Wrap(err, "listen")
+			return nil, err
 		}
-		e.servers = append(e.servers, server)
+		e.listeners = append(e.listeners, listener)
+		*endpoint.actual = listener.Addr().String()
 	}
-	e.callers = e.servers[0]
-	return nil
-}
-
-func listen(address string, handler http.Handler) (*http.Server, error) {
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
-	if err != nil {
+	if err := peers.Listen(context.Background()); err != nil {
 		return nil, err
 	}
-	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+	e.addresses.Peers = peers.ListenAddress()
+	return e, nil
+}
+
+// serve answers on all sockets.
+func (e *endpoints) serve(n *Node) {
+	given := n.Settings.Platform
+	find := &platform.Lookup{Near: n.near, KeepFor: given.KeepFor.Std()}
+	metricsHandler := http.NewServeMux()
+	metricsHandler.Handle("GET /metrics", metric.Handler(n.parts.Metrics, node.Metrics()))
+	for at, handler := range []http.Handler{
+		n.callers(), find.Handler(), platform.Readiness(n.Ready), metricsHandler,
+	} {
+		server := &http.Server{
+			Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		}
+		e.servers = append(e.servers, server)
+		go func() { _ = server.Serve(e.listeners[at]) }()
 	}
-	go func() { _ = server.Serve(listener) }()
-	return server, nil
+	e.callers = e.servers[0]
 }
 
 // near returns the nodes to name to a caller at a place. Suspects are named only
--- a/internal/hosted/hosted_test.go
+++ b/internal/hosted/hosted_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -60,9 +59,9 @@
 	given.Node = settings.Node{
 		Name: fmt.Sprint("vm", at), Place: fleet.Place{Region: "east", FailureDomain: "east-a"}, RegionLink: fleet.MiB,
 	}
-	given.Callers.Listen, given.Peers.Listen = freePort(r.C), freePort(r.C)
+	given.Callers.Listen, given.Peers.Listen = anyPort, anyPort
 	given.Platform = &settings.Platform{
-		Store: r.site.StoreAddress, Readiness: freePort(r.C), Lookup: freePort(r.C), Metrics: freePort(r.C),
+		Store: r.site.StoreAddress, Readiness: anyPort, Lookup: anyPort, Metrics: anyPort,
 		Regions: map[fleet.FailureDomain]fleet.Region{"east-a": "east"}, KeepFor: fleet.Duration(time.Second),
 		Grace: fleet.Duration(4 * time.Second), HandOver: fleet.Duration(100 * time.Millisecond),
 		Retries: settings.Retries{Ratio: 0.2, Slack: 400}, Memory: 200 * fleet.MiB,
@@ -71,12 +70,8 @@
 	return given
 }
 
-func freePort(c *qt.C) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	defer listener.Close()
-	return listener.Addr().String()
-}
+// anyPort asks for a free port of the loopback address.
+const anyPort = "127.0.0.1:0"
 
 // until waits for a condition that must come about.
 func (r *rig) until(holds func() bool) {
@@ -101,7 +96,7 @@
 // send sends a request to a node.
 func (r *rig) send(node int, method, path, model, body string) got {
 	id := fmt.Sprint("request-", r.next.Add(1))
-	request, err := http.NewRequest(method, "http://"+r.nodes[node].Settings.Callers.Listen+path, strings.NewReader(body))
+	request, err := http.NewRequest(method, "http://"+r.nodes[node].Addresses().Callers+path, strings.NewReader(body))
 	r.Assert(err, qt.IsNil)
 	request.Host = standin.Host
 	request.Header.Set("Guavatrack-Attempt-Id", id)
@@ -370,7 +365,7 @@
 
 // lookUp asks a node where to connect.
 func (r *rig) lookUp(node int) []string {
-	address := r.nodes[node].Settings.Platform.Lookup
+	address := r.nodes[node].Addresses().Lookup
 	response, err := http.Get("http://" + address + "/resolve?name=" + standin.Host + "&region=east&zone=east-a")
 	r.Assert(err, qt.IsNil)
 	defer response.Body.Close()
@@ -388,7 +383,7 @@
 	for node := range r.nodes {
 		r.until(func() bool { return len(r.lookUp(node)) == 3 })
 	}
-	response, err := http.Get("http://" + r.nodes[0].Settings.Platform.Readiness + "/readiness")
+	response, err := http.Get("http://" + r.nodes[0].Addresses().Readiness + "/readiness")
 	r.Assert(err, qt.IsNil)
 	defer response.Body.Close()
 	r.Check(response.StatusCode, qt.Equals, http.StatusOK)
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -99,14 +99,15 @@
 			}
 		})
 	}
-	if err := n.parts.Endpoints.serve(n); err != nil {
-		return err
-	}
+	n.parts.Endpoints.serve(n)
 	n.Log.Info("node started", slog.String("node", string(n.ID)), slog.String("vm", n.Settings.Node.Name),
-		slog.String("callers", n.Settings.Callers.Listen))
+		slog.String("callers", n.Addresses().Callers))
 	return nil
 }
 
+// Addresses returns where the node listens. It is valid after Start.
+func (n *Node) Addresses() Addresses { return n.parts.Endpoints.addresses }
+
 type runner struct {
 	name string
 	run  func(context.Context) error
--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -65,11 +65,13 @@
 	return &peer.Peer{Address: n.Settings.Peers.Listen, Log: n.Log, Metrics: registry}
 }
 
-func newMembers(n *Node, peers *peer.Peer, store table.Store, registry metrics.Registry) *member.Controller {
+func newMembers(
+	n *Node, peers *peer.Peer, store table.Store, open *endpoints, registry metrics.Registry,
+) *member.Controller {
 	return &member.Controller{
 		Self: member.Info{
-			Node: n.ID, Place: n.Settings.Node.Place, CallerAddress: n.Settings.Callers.Listen,
-			PeerAddress: n.Settings.Peers.Listen, StartedAt: time.Now().UTC(),
+			Node: n.ID, Place: n.Settings.Node.Place, CallerAddress: open.addresses.Callers,
+			PeerAddress: open.addresses.Peers, StartedAt: time.Now().UTC(),
 		},
 		Peers: peers, Store: store, Interval: memberInterval, Log: n.Log, Metrics: registry,
 	}
@@ -138,16 +140,18 @@
 	return &dispatch.Dispatcher{
 		Directory: directory, Waker: reporter, WakeFull: true, Prober: exchange, Store: store,
 		Place: n.Settings.Node.Place, Node: n.ID, Allowance: func() retry.Allowance { return n.allowance(members) },
-		SpreadPoison: gossip.Spread, Log: n.Log, Metrics: registry,
+		SpreadPoison: gossip.Spread, PoisonPoll: poisonPoll, Log: n.Log, Metrics: registry,
 	}
 }
 
+// poisonPoll is the time between two reads of notices from the store. Gossip
+// carries them sooner.
+const poisonPoll = 15 * time.Second
+
 func newGossip(n *Node, members *member.Controller) *poison.Gossip {
 	return &poison.Gossip{Node: n.ID, Facts: members, Log: n.Log}
 }
 
-func newEndpoints() *endpoints { return &endpoints{} }
-
 // Shares of the fleet's allowance of further attempts that the nodes use, and
 // the number of nodes that they take to be there at least: some may not be known
 // yet, and one that starts again has a new budget.
--- a/internal/poison/controller.go
+++ b/internal/poison/controller.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"log/slog"
@@ -32,7 +33,7 @@
 // Timing and size of the exchange of notices through the table.
 const (
 	partition    = "poison"
-	pollInterval = 2 * time.Second
+	defaultPoll  = 2 * time.Second
 	tableTimeout = time.Second
 	// catchUpTimeout bounds the delay of a further attempt after a crash.
 	catchUpTimeout = 200 * time.Millisecond
@@ -47,9 +48,11 @@
 	Node  fleet.NodeID
 	// Spread, if set, tells the other nodes of a notice without waiting. Their
 	// nodes call Learn.
-	Spread  func(Notice)
-	Log     *slog.Logger
-	Metrics metrics.Registry
+	Spread func(Notice)
+	// PollInterval is the time between two reads of the table; 0 means 2 s.
+	PollInterval time.Duration
+	Log          *slog.Logger
+	Metrics      metrics.Registry
 
 	once                     sync.Once
 	mu                       sync.Mutex
@@ -256,7 +259,7 @@
 // that have expired.
 func (c *Controller) Run(ctx context.Context) error {
 	c.once.Do(c.setUp)
-	ticker := time.NewTicker(pollInterval)
+	ticker := time.NewTicker(cmp.Or(c.PollInterval, defaultPoll))
 	defer ticker.Stop()
 	for {
 		c.poll(ctx)
--- a/internal/residence/plan.go
+++ b/internal/residence/plan.go
@@ -16,6 +16,9 @@
 	// fillShare is the share of an engine's slots that calls of one model take
 	// before another replica is wanted.
 	fillShare = 0.5
+	// busyRate is the number of calls a second from which on a model is to have
+	// two replicas, so that the loss of an engine does not stop them all.
+	busyRate = 1.5
 	// usedAfter is the idle time from which on a model that calls ran on lately
 	// is taken to be unused: until then a call may be under way that is not
 	// known here yet.
@@ -132,16 +135,20 @@
 	return left
 }
 
-// target returns how many replicas the calls of a model fill.
+// target returns how many replicas a model is to have.
 func (p *planner) target(model fleet.ModelID) int {
 	slots := 0
 	for at := range p.Engines {
 		slots = max(slots, p.Engines[at].Slots)
 	}
+	least := 1
+	if known := p.demand[model]; known != nil && known.Rate >= busyRate {
+		least = 2
+	}
 	if slots == 0 {
-		return 1
+		return least
 	}
-	return max(1, int(math.Ceil(float64(p.load[model])/(fillShare*float64(slots)))))
+	return max(least, int(math.Ceil(float64(p.load[model])/(fillShare*float64(slots)))))
 }
 
 // finish has the models loaded that room was made for. Room that is still being
--- a/internal/residence/plan_test.go
+++ b/internal/residence/plan_test.go
@@ -170,6 +170,22 @@
 	c.Assert(orders[0].For, qt.Equals, model(0))
 }
 
+// TestBusyModelHasTwoReplicas answers the pattern of an engine that is lost with
+// the only replica of a model that many call.
+func TestBusyModelHasTwoReplicas(t *testing.T) {
+	c := qt.New(t)
+	state := site(2, 8)
+	holds(&state.Engines[0], 0, 1, 2)
+	holds(&state.Engines[1], 3, 4, 5)
+	state.Engines[1].OnDisk[model(0)] = true
+	state.Demands = []residence.Demand{{Item: fleet.Item{Model: model(0)}, Rate: 8}}
+	orders := residence.Plan(state)
+	c.Assert(orders, qt.HasLen, 1)
+	c.Assert(orders[0].For, qt.Equals, model(0))
+	state.Demands[0].Rate = 0.2
+	c.Assert(residence.Plan(state), qt.HasLen, 0)
+}
+
 func TestEmptyRoomIsFilledFromTheOwnDisk(t *testing.T) {
 	c := qt.New(t)
 	state := site(1, 8)
--- a/internal/roster/controller.go
+++ b/internal/roster/controller.go
@@ -28,7 +28,7 @@
 // Timing of the controller.
 const (
 	// serversRest and manifestRest are the pauses between two reads of a feed.
-	serversRest  = 600 * time.Millisecond
+	serversRest  = 900 * time.Millisecond
 	manifestRest = 300 * time.Millisecond
 	// reentryTime is how long after the store's return a living server may
 	// take to enter itself again.
--- a/internal/roster/manifest.go
+++ b/internal/roster/manifest.go
@@ -41,6 +41,9 @@
 	// Objective is the time to the first byte within which an answer is worth
 	// most.
 	Objective time.Duration
+	// Pause is the longest time between two events of a stream that is still in
+	// time.
+	Pause time.Duration
 	// Rank is the urgency, the most urgent being 0.
 	Rank int
 	// Targets are the pools that serve the route, by weight.
