Swap without waiting for reports; mind the only copies on disks

Cause: reports lag by 0.1 s, so each swap left its engine idle twice (unloads were seen after 0.30 s, loads 0.16 to 0.22 s after they were done), and a node learned of engines that are lost only from their entries, 3.6 s later.

Change: the load follows the unload as soon as the engine takes it, and the model is offered when its stated time is over, confirmed or taken back by the next report; nodes tell the scheduler of engines that they can't reach; what a server says of its load leaves out the node's own calls; a load from the weight store goes where it pushes no only copy off a disk.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -155,6 +155,10 @@
 	a.slot.bytes.Add(int64(count))
 }
 
+// Load notes what the server says of its load with an answer, this call
+// included: the calls that it runs and that wait there.
+func (a *Attempt) Load(running, queued int) { a.slot.server.loaded(time.Now(), running+queued) }
+
 // Sized notes the bytes of the call itself.
 func (a *Attempt) Sized(count int) { a.slot.bytes.Add(int64(count)) }
 
--- a/internal/dispatch/directory.go
+++ b/internal/dispatch/directory.go
@@ -24,7 +24,8 @@
 	// server with the same Group.
 	Slots int
 	Group string
-	// Steady says that Slots is the limit, which is not to be learned.
+	// Steady says that Slots is the true limit for all nodes together, which is
+	// not to be learned.
 	Steady bool
 	// Tokens is the size of the server's key-value cache; 0 if unknown.
 	Tokens int
@@ -84,6 +85,8 @@
 type Occupancy interface {
 	Entered(replica *Replica, at time.Time)
 	Left(replica *Replica, at time.Time)
+	// Lost says that the server could not be reached or has crashed.
+	Lost(replica *Replica, at time.Time)
 }
 
 // Prober finds out about servers that don't answer a call.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -30,6 +30,9 @@
 	running  map[fleet.ServerID]int
 	peak     int
 	takes    time.Duration
+	// others is the number of other nodes' calls that the servers say they run
+	// beside this node's; 0 has them say nothing.
+	others int
 }
 
 func newServers(count int) *servers {
@@ -78,8 +81,12 @@
 	m.runs[m.id] = append(m.runs[m.id], server)
 	m.running[server]++
 	m.peak = max(m.peak, m.running[server])
-	answer := m.answer
+	answer, load := m.answer, m.others+m.running[server]
+	said := m.others > 0
 	m.mu.Unlock()
+	if said {
+		attempt.Load(load, 0)
+	}
 	defer func() {
 		m.mu.Lock()
 		defer m.mu.Unlock()
@@ -242,6 +249,61 @@
 	})
 }
 
+// TestOtherNodesCallsLeaveRoom answers the pattern of several nodes before the
+// same servers: what a server says of its load bounds what a node adds.
+func TestOtherNodesCallsLeaveRoom(t *testing.T) {
+	bubble(t, func(c *qt.C) {
+		s := newServers(1)
+		s.others = 3
+		d := s.dispatcher()
+		c.Assert(d.Do(s.call("first", nil)), qt.IsNil)
+		var group sync.WaitGroup
+		for at := range 4 {
+			group.Go(func() { c.Check(d.Do(s.call(fmt.Sprint(at), nil)), qt.IsNil) })
+		}
+		group.Wait()
+		c.Check(s.peak <= 2, qt.IsTrue, qt.Commentf("%d", s.peak))
+	})
+}
+
+// TestReplicaThatIsLostDoesNotRefuseItsCalls answers the pattern of a crashed
+// server that still stands in the directory while another replica is loaded.
+func TestReplicaThatIsLostDoesNotRefuseItsCalls(t *testing.T) {
+	bubble(t, func(c *qt.C) {
+		s := newServers(1)
+		s.replicas[0].Item = fleet.Item{Model: "m"}
+		s.answer = func(id string, _ fleet.ServerID) error {
+			if id == "first" {
+				return failure(retry.Unreachable, false)
+			}
+			return nil
+		}
+		d := s.dispatcher()
+		d.Waker = loading{}
+		unsent := func(call *dispatch.Call) {
+			call.Item, call.MaxAttempts = fleet.Item{Model: "m"}, 1
+			call.Message = message{servers: s, id: string(call.ID), unsent: true}
+		}
+		c.Assert(d.Do(s.call("first", unsent)), qt.IsNotNil)
+		var group sync.WaitGroup
+		for at := range 8 {
+			group.Go(func() {
+				call := s.call(fmt.Sprint(at), unsent)
+				call.StartBy = call.Started.Add(time.Second)
+				c.Check(d.Do(call), qt.IsNil)
+			})
+		}
+		group.Wait()
+	})
+}
+
+// loading is a waker whose loads are always under way.
+type loading struct{}
+
+func (loading) Wake(context.Context, dispatch.Want) (dispatch.Estimate, error) {
+	return dispatch.Estimate{ReadyIn: 300 * time.Millisecond}, nil
+}
+
 func TestCallWithoutServersIsRefusedAtOnce(t *testing.T) {
 	bubble(t, func(c *qt.C) {
 		s := newServers(0)
--- a/internal/dispatch/lane.go
+++ b/internal/dispatch/lane.go
@@ -429,10 +429,6 @@
 // capacity returns what the requests of a call's item can run on.
 func (d *Dispatcher) capacity(call *Call, now time.Time, readyIn time.Duration) (capacity admission.Capacity) {
 	replicas := d.replicas(call)
-	if len(replicas) == 0 {
-		slots := max(1, call.Concurrency)
-		return admission.Capacity{Slots: slots, Free: slots, ReadyIn: readyIn}
-	}
 	for at := range replicas {
 		if replicas[at].Region != d.Place.Region && len(replicas) > 1 && d.Place.Region != "" {
 			continue
@@ -441,6 +437,12 @@
 		capacity.Slots += candidate.Limit
 		capacity.Free += max(0, candidate.Limit-candidate.InFlight)
 	}
+	if capacity.Slots == 0 {
+		// Nothing is there, or nothing that can be reached: another replica will
+		// be.
+		slots := max(1, call.Concurrency)
+		return admission.Capacity{Slots: slots, Free: slots, ReadyIn: readyIn}
+	}
 	return capacity
 }
 
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -187,6 +187,9 @@
 		Server: a.Replica.Server, Domain: a.Replica.FailureDomain, Failure: kind,
 	})
 	now = time.Now()
+	if r.occupancy != nil && (kind == retry.Unreachable || kind == retry.Crashed || kind == retry.SilentServer) {
+		r.occupancy.Lost(&a.Replica, now)
+	}
 	switch kind {
 	case retry.Absent:
 		state.lacked(now, a.slot)
--- a/internal/dispatch/servers.go
+++ b/internal/dispatch/servers.go
@@ -40,6 +40,10 @@
 	// absent says until when an item is taken to be gone although the last
 	// report still shows it.
 	absent map[fleet.Item]time.Time
+	// others is the number of other nodes' calls at othersAt, from what the
+	// server said with an answer.
+	others   int
+	othersAt time.Time
 	// firstByte is the average time to the first byte, as of firstByteAt.
 	firstByte   time.Duration
 	firstByteAt time.Time
@@ -124,14 +128,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	shared := s.group(replica)
-	limit := replica.Slots
+	others, asOf := max(0, replica.Running+replica.Queued-shared.inFlight), replica.AsOf
+	if s.othersAt.After(asOf) {
+		others, asOf = s.others, s.othersAt
+	}
+	limit := steadyLimit(now, replica, others, asOf)
 	if !replica.Steady {
 		shared.limit.Report(now, replica.AsOf, replica.Running, replica.Queued, shared.inFlight)
 		limit = shared.limit.Value()
 	}
 	candidate := route.Candidate{
 		Server: s.id, Place: replica.Place, InFlight: shared.inFlight, Limit: limit,
-		Others: max(0, replica.Running+replica.Queued-shared.inFlight), AsOf: replica.AsOf,
+		Others: others, AsOf: asOf,
 		ReadySince: replica.ReadySince, Ejected: s.health.Ejected(now),
 	}
 	if s.firstByte > 0 {
@@ -144,6 +152,27 @@
 	return candidate
 }
 
+// othersLife is the time in which what a server said of other nodes' calls loses
+// its weight.
+const othersLife = time.Second
+
+// steadyLimit returns how many calls the node may have at a server whose slots
+// are known: those that the other nodes leave.
+func steadyLimit(now time.Time, replica *Replica, others int, asOf time.Time) int {
+	if asOf.IsZero() {
+		return replica.Slots
+	}
+	weight := math.Exp(-float64(max(0, now.Sub(asOf))) / float64(othersLife))
+	return max(1, replica.Slots-int(weight*float64(others)))
+}
+
+// loaded notes what the server says of the calls of all nodes.
+func (s *server) loaded(now time.Time, all int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.others, s.othersAt = max(0, all-len(s.running)), now
+}
+
 // closed reports whether the server gets no calls for now. The caller holds
 // the lock.
 func (s *server) closed(now time.Time, replica *Replica, call *Call) bool {
--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -127,11 +127,7 @@
 	}
 }
 
-func newExchange(view *roster.Controller, directory *placement.Directory) *platform.Exchange {
-	return platform.NewExchange(view.View, func(load platform.Load) {
-		directory.Observe(load.Server, load.Running, load.Waiting)
-	})
-}
+func newExchange(view *roster.Controller) *platform.Exchange { return platform.NewExchange(view.View) }
 
 func newDispatcher(
 	n *Node, directory *placement.Directory, reporter *placement.Reporter, exchange *platform.Exchange,
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -133,6 +133,9 @@
 		}
 		known.add(now, arrival.Count)
 	}
+	for _, server := range message.Lost {
+		s.doubt(now, server)
+	}
 	if len(message.Waiting) > 0 {
 		s.stir()
 	}
--- a/internal/placement/directory.go
+++ b/internal/placement/directory.go
@@ -17,9 +17,8 @@
 	mu sync.RWMutex
 	// told is what the scheduler said of engines, and seen when their entries
 	// last changed.
-	told  map[fleet.ServerID]toldEngine
-	seen  map[fleet.ServerID]seenEntry
-	loads map[fleet.ServerID]load
+	told map[fleet.ServerID]toldEngine
+	seen map[fleet.ServerID]seenEntry
 	// index lists the servers of each item and pool; nil if it is to be made.
 	index map[indexKey][]dispatch.Replica
 }
@@ -39,12 +38,6 @@
 	at     time.Time
 }
 
-// load is what a server said of its load with an answer.
-type load struct {
-	running, waiting int
-	at               time.Time
-}
-
 type indexKey struct {
 	pool fleet.PoolID
 	item fleet.Item
@@ -69,7 +62,6 @@
 		if view.Servers[id] == nil {
 			delete(d.seen, id)
 			delete(d.told, id)
-			delete(d.loads, id)
 		}
 	}
 	d.index = nil
@@ -79,7 +71,6 @@
 	if d.told == nil {
 		d.told = make(map[fleet.ServerID]toldEngine)
 		d.seen = make(map[fleet.ServerID]seenEntry)
-		d.loads = make(map[fleet.ServerID]load)
 	}
 }
 
@@ -106,21 +97,13 @@
 	}
 }
 
-// Observe takes in what a server says of its load.
-func (d *Directory) Observe(server fleet.ServerID, running, waiting int) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.init()
-	d.loads[server] = load{running: running, waiting: waiting, at: time.Now()}
-}
-
-// Replicas implements [dispatch.Directory].
+// Replicas implements [dispatch.Directory]. The result must not be changed.
 func (d *Directory) Replicas(item fleet.Item, pool fleet.PoolID) []dispatch.Replica {
 	key := indexKey{pool: pool, item: item}
 	d.mu.RLock()
 	if d.index != nil {
 		defer d.mu.RUnlock()
-		return d.loaded(d.index[key])
+		return d.index[key]
 	}
 	d.mu.RUnlock()
 	d.mu.Lock()
@@ -129,23 +112,7 @@
 	if d.index == nil {
 		d.reindex()
 	}
-	return d.loaded(d.index[key])
-}
-
-// loaded returns the replicas with the servers' last word on their load. The
-// caller holds the lock.
-func (d *Directory) loaded(indexed []dispatch.Replica) []dispatch.Replica {
-	if len(indexed) == 0 {
-		return nil
-	}
-	replicas := make([]dispatch.Replica, len(indexed))
-	copy(replicas, indexed)
-	for at := range replicas {
-		if known, found := d.loads[replicas[at].Server]; found {
-			replicas[at].Running, replicas[at].Queued, replicas[at].AsOf = known.running, known.waiting, known.at
-		}
-	}
-	return replicas
+	return d.index[key]
 }
 
 // reindex makes the index. The caller holds the lock.
@@ -155,7 +122,7 @@
 	for id, server := range view.Servers {
 		replica := dispatch.Replica{
 			Server: id, Boot: server.Boot, Address: server.Address, Place: server.Place,
-			Ready: true, Draining: server.Draining, Slots: server.Slots,
+			Ready: true, Draining: server.Draining, Slots: server.Slots, Steady: true,
 		}
 		if view.Manifest != nil && view.Manifest.Pools[server.Pool] != nil {
 			if spec := view.Manifest.Pools[server.Pool].Engine; spec != nil {
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -16,12 +16,17 @@
 	// not, its report is to be read, at readAt at the earliest.
 	known   bool
 	reading bool
-	readAt  time.Time
+	// doubted says that a node could not reach the engine, checking that its
+	// report is being read for that.
+	doubted, checking bool
+	readAt            time.Time
 	// sequence is the number of orders that the engine has accepted.
 	sequence uint64
 	held     map[fleet.ModelID]*heldModel
 	inMemory map[fleet.ModelID]bool
 	onDisk   map[fleet.ModelID]bool
+	// diskOrder lists the copies on disk, the least recently used first.
+	diskOrder []fleet.ModelID
 	// sending says that an order is on its way.
 	sending bool
 	// open is the order about a model that the engine carries out; nil if none.
@@ -36,7 +41,10 @@
 }
 
 type heldModel struct {
-	leaving  bool
+	leaving bool
+	// offered says that it should be there by now, although no report has shown
+	// it yet.
+	offered  bool
 	adapters map[fleet.AdapterID]*heldAdapter
 }
 
@@ -66,7 +74,7 @@
 	if from == nil {
 		return
 	}
-	e.inMemory, e.onDisk = modelSet(from.InMemory), modelSet(from.OnDisk)
+	e.inMemory, e.onDisk, e.diskOrder = modelSet(from.InMemory), modelSet(from.OnDisk), from.OnDisk
 }
 
 func modelSet(models []fleet.ModelID) map[fleet.ModelID]bool {
@@ -98,6 +106,25 @@
 	e.held = held
 }
 
+// evicts returns the copy that another one would push off the disk; empty if
+// there is room.
+func (e *engine) evicts(spec *roster.EngineSpec) fleet.ModelID {
+	if spec.Disk == 0 || len(e.diskOrder) == 0 {
+		return ""
+	}
+	var taken, largest fleet.Bytes
+	for _, id := range e.diskOrder {
+		if model := spec.Models[id]; model != nil {
+			taken += model.Size
+			largest = max(largest, model.Size)
+		}
+	}
+	if taken+largest <= spec.Disk {
+		return ""
+	}
+	return e.diskOrder[0]
+}
+
 // news returns what calls may be sent for.
 func (e *engine) news(now time.Time) engineNews {
 	told := engineNews{Server: e.server.ID, Boot: e.server.Boot}
@@ -120,7 +147,7 @@
 func (e *engine) plan(now time.Time, spec *roster.EngineSpec, uses map[useKey]*use) residence.Engine {
 	planned := residence.Engine{
 		ID: e.server.ID, Place: e.server.Place, Memory: spec.Memory, AdapterSlots: spec.AdapterSlots,
-		Slots: spec.Slots, InMemory: e.inMemory, OnDisk: e.onDisk,
+		Slots: spec.Slots, InMemory: e.inMemory, OnDisk: e.onDisk, Evicts: e.evicts(spec),
 		Closed: !e.known || e.server.Draining || now.Before(e.closedUntil),
 		Busy:   e.open != nil || e.sending,
 	}
--- a/internal/placement/give.go
+++ b/internal/placement/give.go
@@ -93,6 +93,7 @@
 	switch follow := t.settle(outcome); {
 	case follow && t.order.Item.Adapter != "":
 		t.announceAdapter(ctx)
+	case follow && t.order.For != "" && t.swap(ctx):
 	case follow:
 		t.await(ctx)
 	}
@@ -208,10 +209,16 @@
 
 // await looks at the engine's reports until the order has been carried out.
 func (t *task) await(ctx context.Context) {
-	end := time.Now().Add(openLimit)
-	sleep(ctx, t.takes+reportLag/2)
+	began := time.Now()
+	end := began.Add(openLimit)
+	if t.order.Load {
+		t.offer(ctx)
+	} else {
+		sleep(ctx, t.takes)
+	}
+	sleep(ctx, reportLag/2)
 	for ctx.Err() == nil && time.Now().Before(end) {
-		if t.look(ctx) {
+		if t.look(ctx, began) {
 			t.counts.done.Inc(1)
 			t.announce(ctx)
 			return
@@ -224,7 +231,7 @@
 }
 
 // look reads a report and reports whether the order is over.
-func (t *task) look(ctx context.Context) (over bool) {
+func (t *task) look(ctx context.Context, began time.Time) (over bool) {
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
 	report, err := t.Engines.Report(ctx, t.engine.server)
@@ -239,6 +246,9 @@
 		return false
 	}
 	if report.Sequence < t.engine.sequence || report.Engine.Busy {
+		if after := time.Since(began); after > t.takes+reportLag*2 {
+			t.retract(after)
+		}
 		return false
 	}
 	now := time.Now()
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -52,6 +52,8 @@
 	Waiting  []Waiting           `json:"waiting,omitempty"`
 	Uses     []Use               `json:"uses,omitempty"`
 	Arrivals []Arrival           `json:"arrivals,omitempty"`
+	// Lost lists servers that could not be reached since the last message.
+	Lost []fleet.ServerID `json:"lost,omitempty"`
 }
 
 // demandAnswer is the scheduler's answer.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -29,6 +29,8 @@
 	engines  map[fleet.ServerID]*fakeEngine
 	outcomes []placement.Outcome // of the next orders, before they are carried out
 	orders   []placement.Order
+	// down is an engine that can't be reached.
+	down fleet.ServerID
 }
 
 type fakeEngine struct {
@@ -126,6 +128,9 @@
 	time.Sleep(2 * time.Millisecond)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if server.ID == e.down {
+		return placement.Report{}, errors.New("connection refused")
+	}
 	engine := e.engines[server.ID]
 	report := placement.Report{Sequence: engine.sequence, Engine: roster.Engine{Busy: engine.busy}}
 	for model, adapters := range engine.held {
@@ -304,15 +309,20 @@
 		if len(s.directories[node].Replicas(item, pool)) > 0 {
 			return true
 		}
-		_, err := s.reporters[node].Wake(context.Background(), dispatch.Want{
-			Item: item, Pool: pool, Waiting: 1, Since: began, Objective: began.Add(2 * time.Second),
-		})
-		s.Assert(err, qt.IsNil)
+		s.wake(node, item, began)
 		time.Sleep(100 * time.Millisecond)
 	}
 	return false
 }
 
+// wake asks for an item that a call has waited for since a time.
+func (s *site) wake(node int, item fleet.Item, began time.Time) {
+	_, err := s.reporters[node].Wake(context.Background(), dispatch.Want{
+		Item: item, Pool: pool, Waiting: 1, Since: began, Objective: began.Add(2 * time.Second),
+	})
+	s.Assert(err, qt.IsNil)
+}
+
 // bubble runs a test in virtual time.
 func bubble(t *testing.T, count int, run func(*site)) {
 	t.Helper()
@@ -375,6 +385,26 @@
 	})
 }
 
+// TestModelOfALostEngineIsLoadedElsewhere has an engine crash while its entry
+// still stands: a node that could not reach it tells the scheduler.
+func TestModelOfALostEngineIsLoadedElsewhere(t *testing.T) {
+	bubble(t, 2, func(s *site) {
+		replica := s.directories[1].Replicas(fleet.Item{Model: model(0)}, pool)[0]
+		s.engines.mu.Lock()
+		s.engines.down = replica.Server
+		s.engines.mu.Unlock()
+		s.reporters[1].Lost(&replica, time.Now())
+		time.Sleep(100 * time.Millisecond)
+		began := time.Now()
+		for len(s.directories[1].Replicas(fleet.Item{Model: model(0)}, pool)) < 2 && time.Since(began) < 3*time.Second {
+			s.wake(1, fleet.Item{Model: model(0)}, began)
+			time.Sleep(50 * time.Millisecond)
+		}
+		c := s.C
+		c.Assert(time.Since(began) < 2*time.Second, qt.IsTrue)
+	})
+}
+
 func TestNoOrderWithoutTheLease(t *testing.T) {
 	bubble(t, 2, func(s *site) {
 		s.lease.set(5, false)
--- a/internal/placement/reporter.go
+++ b/internal/placement/reporter.go
@@ -44,6 +44,7 @@
 	uses     map[useKey]*use
 	arrivals map[indexKey]int
 	expected map[indexKey]time.Time
+	lost     map[fleet.ServerID]bool
 	fencing  fleet.FencingNumber
 	seen     uint64
 	lastSent time.Time
@@ -94,6 +95,7 @@
 		r.uses = make(map[useKey]*use)
 		r.arrivals = make(map[indexKey]int)
 		r.expected = make(map[indexKey]time.Time)
+		r.lost = make(map[fleet.ServerID]bool)
 		r.stirred = make(chan struct{}, 1)
 		if r.Log == nil {
 			r.Log = slog.New(slog.DiscardHandler)
@@ -153,6 +155,18 @@
 // Left implements [dispatch.Occupancy].
 func (r *Reporter) Left(replica *dispatch.Replica, at time.Time) { r.occupy(replica, at, -1) }
 
+// Lost implements [dispatch.Occupancy].
+func (r *Reporter) Lost(replica *dispatch.Replica, _ time.Time) {
+	if replica.Item.Model == "" {
+		return
+	}
+	r.init()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lost[replica.Server] = true
+	r.stir()
+}
+
 func (r *Reporter) occupy(replica *dispatch.Replica, at time.Time, change int) {
 	if replica.Item.Model == "" {
 		return
@@ -248,7 +262,11 @@
 	for key, count := range r.arrivals {
 		message.Arrivals = append(message.Arrivals, Arrival{Pool: key.pool, Item: key.item, Count: count})
 	}
+	for server := range r.lost {
+		message.Lost = append(message.Lost, server)
+	}
 	clear(r.arrivals)
+	clear(r.lost)
 	r.lastSent = now
 	return message
 }
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -67,6 +67,8 @@
 	stirred chan struct{}
 	running sync.WaitGroup
 	counts  counters
+	// slack is how much longer than stated loads from each tier take.
+	slack [3]time.Duration
 	// storeTokens bounds the rate of loads from the weight store.
 	storeTokens   float64
 	storeTokensAt time.Time
@@ -195,6 +197,10 @@
 				e.copies(server.Engine)
 			}
 		}
+		if e.doubted && !e.checking {
+			e.checking = true
+			s.running.Go(func() { s.check(ctx, e) })
+		}
 		if !e.known && !e.reading && now.After(e.readAt) && now.After(e.closedUntil) {
 			e.reading = true
 			s.running.Go(func() { s.read(ctx, e) })
@@ -202,6 +208,37 @@
 	}
 }
 
+// doubt has the report of an engine read that a node could not reach, so that
+// its models are loaded elsewhere if it is gone. The caller holds the lock.
+func (s *Scheduler) doubt(now time.Time, server fleet.ServerID) {
+	e := s.engines[server]
+	if e == nil || !e.known || e.doubted || now.Before(e.closedUntil) {
+		return
+	}
+	e.doubted = true
+	s.stir()
+}
+
+// check reads the report of an engine that is in doubt.
+func (s *Scheduler) check(ctx context.Context, e *engine) {
+	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+	s.mu.Lock()
+	server := e.server
+	s.mu.Unlock()
+	_, err := s.Engines.Report(ctx, server)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e.doubted, e.checking = false, false
+	if err == nil || ctx.Err() != nil && context.Cause(ctx) == context.Canceled {
+		return
+	}
+	s.Log.Warn("engine lost", slog.String("server", string(server.ID)), slog.Any("error", err))
+	e.known, e.closedUntil = false, time.Now().Add(closedTime)
+	s.note(e)
+	s.stir()
+}
+
 // read reads the report of an engine whose state is not known.
 func (s *Scheduler) read(ctx context.Context, e *engine) {
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
--- a/internal/residence/plan.go
+++ b/internal/residence/plan.go
@@ -45,6 +45,8 @@
 	ready, coming map[fleet.ModelID]int
 	// load is the number of calls that run on or wait for each model.
 	load map[fleet.ModelID]int
+	// copies counts the VMs that have a copy of each model.
+	copies map[fleet.ModelID]int
 	// used lists the engines that have got an order.
 	used map[fleet.ServerID]bool
 	// largestAdapter is the size of the largest adapter of all models.
@@ -57,7 +59,7 @@
 	p := &planner{
 		State: &state, demand: make(map[fleet.ModelID]*Demand),
 		ready: make(map[fleet.ModelID]int), coming: make(map[fleet.ModelID]int), load: make(map[fleet.ModelID]int),
-		used: make(map[fleet.ServerID]bool),
+		copies: make(map[fleet.ModelID]int), used: make(map[fleet.ServerID]bool),
 	}
 	for _, model := range state.Models {
 		p.largestAdapter = max(p.largestAdapter, model.AdapterSize)
@@ -83,6 +85,14 @@
 		if engine.Loading != "" {
 			p.coming[engine.Loading]++
 		}
+		if engine.Closed {
+			continue
+		}
+		for model, there := range engine.OnDisk {
+			if there {
+				p.copies[model]++
+			}
+		}
 	}
 	for at := range p.Demands {
 		demand := &p.Demands[at]
@@ -232,7 +242,7 @@
 			continue
 		}
 		tier := engine.tier(model)
-		if tier == WeightStore && (hasCopy || p.StoreLoads <= 0 || why != WhyWaiting) {
+		if tier == WeightStore && (hasCopy || p.StoreLoads <= 0 || why == WhySpread) {
 			continue
 		}
 		candidate, fits := p.fit(engine, demand, tier)
@@ -253,10 +263,12 @@
 
 // hasCopy reports whether the VM of any engine that may be used has the
 // weights of a model.
-func (p *planner) hasCopy(model fleet.ModelID) bool {
-	return slices.ContainsFunc(p.Engines, func(e Engine) bool {
-		return !e.Closed && e.tier(model) != WeightStore
-	})
+func (p *planner) hasCopy(model fleet.ModelID) bool { return p.copies[model] > 0 }
+
+// loses reports whether a load from the weight store would push the only copy of
+// a model off the engine's disk.
+func (p *planner) loses(engine *Engine) bool {
+	return engine.Evicts != "" && p.copies[engine.Evicts] <= 1
 }
 
 // fit returns the cheapest way to load a model on an engine.
@@ -266,6 +278,9 @@
 		return choice{}, false
 	}
 	cost := model.loadTime(tier)
+	if tier == WeightStore && p.loses(engine) {
+		cost += model.FromStore
+	}
 	if demand.Region != "" && engine.Region != demand.Region {
 		cost += crossCost
 	}
@@ -373,7 +388,7 @@
 			continue
 		}
 		tier := engine.tier(model)
-		if tier == WeightStore && p.StoreLoads <= spareStoreLoads {
+		if tier == WeightStore && (p.StoreLoads <= spareStoreLoads || p.loses(engine)) {
 			continue
 		}
 		value := p.Random()
--- a/internal/residence/plan_test.go
+++ b/internal/residence/plan_test.go
@@ -18,7 +18,7 @@
 // site is a state with engines of room for three of the models m0, m1, ….
 func site(engines, models int) residence.State {
 	state := residence.State{
-		Now: noon, Models: make(map[fleet.ModelID]residence.Model), StoreLoads: 4, AdapterLoads: 30,
+		Now: noon, Models: make(map[fleet.ModelID]residence.Model), StoreLoads: 2, AdapterLoads: 30,
 		Random: func() float64 { return 0 },
 	}
 	for at := range models {
@@ -186,6 +186,21 @@
 	c.Assert(residence.Plan(state), qt.HasLen, 0)
 }
 
+// TestOnlyCopiesStayOnTheirDisks answers the pattern of full disks: a load from
+// the weight store pushes the oldest copy off one of them.
+func TestOnlyCopiesStayOnTheirDisks(t *testing.T) {
+	c := qt.New(t)
+	state := site(3, 8)
+	state.Engines[0].Evicts, state.Engines[1].Evicts = model(0), model(1)
+	state.Engines[0].OnDisk[model(0)] = true
+	state.Engines[1].OnDisk[model(1)], state.Engines[2].OnDisk[model(1)] = true, true
+	state.Engines[2].Busy = true
+	waits(&state, 6, 1)
+	orders := residence.Plan(state)
+	c.Assert(orders[0].Server, qt.Equals, server(1))
+	c.Assert(orders[0].Item.Model, qt.Equals, model(6))
+}
+
 func TestEmptyRoomIsFilledFromTheOwnDisk(t *testing.T) {
 	c := qt.New(t)
 	state := site(1, 8)
--- a/internal/residence/state.go
+++ b/internal/residence/state.go
@@ -63,6 +63,9 @@
 	Held          []Held
 	// InMemory and OnDisk are the models that the VM has copies of.
 	InMemory, OnDisk map[fleet.ModelID]bool
+	// Evicts is the copy that a load from the weight store would push off the
+	// disk; empty if there is room.
+	Evicts fleet.ModelID
 	// AdaptersComing is the number of adapters that are being loaded.
 	AdaptersComing int
 }
--- a/internal/roster/server.go
+++ b/internal/roster/server.go
@@ -30,7 +30,8 @@
 	// Busy says that an order is being carried out.
 	Busy bool
 	Held []Held
-	// InMemory and OnDisk list the models of which the VM has copies.
+	// InMemory and OnDisk list the models of which the VM has copies, the least
+	// recently used first.
 	InMemory, OnDisk []fleet.ModelID
 }
 
