Models that many calls want go first; rates count refused calls

The logs showed a busy model without a replica refused for 16 s: its objective of 0.4 s is shorter than any load, so that it came after all rare models that could still be in time; a busy model with one full replica got no second one, since refused calls counted nowhere; and a node that had just taken over unloaded a replica of a busy model, because it knew no rates yet.

Change: the plan orders models by the calls that would gain; the wanted replicas follow from the rate of calls, refused ones included, and the time that each occupies a server; in the first 4 s of a hold nothing counts as surplus.

--- a/internal/dispatch/directory.go
+++ b/internal/dispatch/directory.go
@@ -15,6 +15,7 @@
 	Boot    fleet.BootID
 	Address string
 	fleet.Place
+	Pool fleet.PoolID
 	// Item is what the server holds; empty for plain services.
 	Item fleet.Item
 	// Ready says that calls may be sent there, Draining that the server is to
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -20,24 +20,45 @@
 	// waitingLife is how long what a node's calls wait for is believed, usesLife
 	// what they run on.
 	waitingLife = time.Second
-	usesLife    = 3 * time.Second
+	// settleTime is how long rates of calls are followed before they are relied
+	// on.
+	settleTime = 4 * time.Second
+	usesLife   = 3 * time.Second
 	// rateSpan is the time over which rates of calls are averaged.
 	rateSpan = 6 * time.Second
 )
 
-// rate is a moving average of calls a second.
+// rate is a moving average of calls a second, of those sent to servers, and of
+// the servers that they occupied.
 type rate struct {
-	value float64
-	at    time.Time
+	came, sent, busy float64
+	at               time.Time
 }
 
-func (r *rate) add(now time.Time, count int) {
-	r.value = r.now(now) + float64(count)/rateSpan.Seconds()
-	r.at = now
+func (r *rate) add(now time.Time, counted Arrival) {
+	r.fade(now)
+	r.came += float64(counted.Count) / rateSpan.Seconds()
+	r.sent += float64(counted.Sent) / rateSpan.Seconds()
+	r.busy += float64(counted.BusyMs) / float64(rateSpan.Milliseconds())
 }
 
-func (r *rate) now(now time.Time) float64 {
-	return r.value * math.Exp(-float64(now.Sub(r.at))/float64(rateSpan))
+func (r *rate) fade(now time.Time) {
+	factor := math.Exp(-float64(now.Sub(r.at)) / float64(rateSpan))
+	r.came, r.sent, r.busy, r.at = r.came*factor, r.sent*factor, r.busy*factor, now
+}
+
+// Bounds of the time that a call is taken to occupy a server.
+const (
+	leastTakes = 100 * time.Millisecond
+	mostTakes  = 5 * time.Second
+)
+
+// takes returns how long a call occupies a server.
+func (r *rate) takes() time.Duration {
+	if r.sent <= 0 {
+		return 0
+	}
+	return min(mostTakes, max(leastTakes, time.Duration(r.busy/r.sent*float64(time.Second))))
 }
 
 // sumUses joins what all nodes' calls run on.
@@ -77,7 +98,9 @@
 	}
 	for key, known := range s.rates {
 		if key.pool == pool {
-			of(key.item).Rate = known.now(now)
+			known.fade(now)
+			sum := of(key.item)
+			sum.Rate, sum.Takes = known.came, known.takes()
 		}
 	}
 	for _, node := range s.nodes {
@@ -131,7 +154,7 @@
 			known = &rate{at: now}
 			s.rates[key] = known
 		}
-		known.add(now, arrival.Count)
+		known.add(now, arrival)
 	}
 	for _, server := range message.Lost {
 		s.doubt(now, server)
--- a/internal/placement/directory.go
+++ b/internal/placement/directory.go
@@ -121,7 +121,7 @@
 	d.index = make(map[indexKey][]dispatch.Replica)
 	for id, server := range view.Servers {
 		replica := dispatch.Replica{
-			Server: id, Boot: server.Boot, Address: server.Address, Place: server.Place,
+			Server: id, Boot: server.Boot, Address: server.Address, Place: server.Place, Pool: server.Pool,
 			Ready: true, Draining: server.Draining, Slots: server.Slots, Steady: true,
 		}
 		if view.Manifest != nil && view.Manifest.Pools[server.Pool] != nil {
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -34,11 +34,14 @@
 	IdleMs int64 `json:"idleMs,omitempty"`
 }
 
-// Arrival is how many calls for an item came since the last message.
+// Arrival is how many calls for an item came since the last message, how many
+// of them were sent to a server, and the time that calls occupied servers.
 type Arrival struct {
-	Pool  fleet.PoolID `json:"pool"`
-	Item  fleet.Item   `json:"item"`
-	Count int          `json:"count"`
+	Pool   fleet.PoolID `json:"pool"`
+	Item   fleet.Item   `json:"item"`
+	Count  int          `json:"count,omitempty"`
+	Sent   int          `json:"sent,omitempty"`
+	BusyMs int64        `json:"busyMs,omitempty"`
 }
 
 // demandMessage is what a node tells the scheduler.
--- a/internal/placement/reporter.go
+++ b/internal/placement/reporter.go
@@ -42,7 +42,7 @@
 	mu       sync.Mutex
 	waiting  map[indexKey]wanted
 	uses     map[useKey]*use
-	arrivals map[indexKey]int
+	arrivals map[indexKey]*arrivals
 	expected map[indexKey]time.Time
 	lost     map[fleet.ServerID]bool
 	fencing  fleet.FencingNumber
@@ -75,6 +75,34 @@
 	last  time.Time
 }
 
+// arrivals counts the calls for an item since the last message.
+type arrivals struct {
+	came, sent int
+	// running is the number of calls at servers, busy the time that they have
+	// occupied them until at.
+	running int
+	busy    time.Duration
+	at      time.Time
+}
+
+// pass counts the time until now.
+func (a *arrivals) pass(now time.Time) {
+	if !a.at.IsZero() && now.After(a.at) {
+		a.busy += time.Duration(a.running) * now.Sub(a.at)
+	}
+	a.at = now
+}
+
+// of returns the arrivals of an item. The caller holds the lock.
+func (r *Reporter) of(key indexKey) *arrivals {
+	found := r.arrivals[key]
+	if found == nil {
+		found = &arrivals{}
+		r.arrivals[key] = found
+	}
+	return found
+}
+
 // Timing of a reporter.
 const (
 	// wantLife is how long a want is believed that is not repeated. Waiting
@@ -93,7 +121,7 @@
 	r.once.Do(func() {
 		r.waiting = make(map[indexKey]wanted)
 		r.uses = make(map[useKey]*use)
-		r.arrivals = make(map[indexKey]int)
+		r.arrivals = make(map[indexKey]*arrivals)
 		r.expected = make(map[indexKey]time.Time)
 		r.lost = make(map[fleet.ServerID]bool)
 		r.stirred = make(chan struct{}, 1)
@@ -143,7 +171,7 @@
 	r.init()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.arrivals[indexKey{pool: pool, item: item}]++
+	r.of(indexKey{pool: pool, item: item}).came++
 }
 
 // Finished implements [dispatch.Observer].
@@ -182,6 +210,10 @@
 	}
 	found.count += change
 	found.last = at
+	counted := r.of(indexKey{pool: replica.Pool, item: replica.Item})
+	counted.pass(at)
+	counted.running += change
+	counted.sent += max(0, change)
 }
 
 // Run sends messages until the context ends.
@@ -259,13 +291,19 @@
 			Server: key.server, Item: key.item, Count: found.count, IdleMs: since(now, found.last),
 		})
 	}
-	for key, count := range r.arrivals {
-		message.Arrivals = append(message.Arrivals, Arrival{Pool: key.pool, Item: key.item, Count: count})
+	for key, counted := range r.arrivals {
+		counted.pass(now)
+		message.Arrivals = append(message.Arrivals, Arrival{
+			Pool: key.pool, Item: key.item, Count: counted.came, Sent: counted.sent, BusyMs: counted.busy.Milliseconds(),
+		})
+		counted.came, counted.sent, counted.busy = 0, 0, 0
+		if counted.running == 0 {
+			delete(r.arrivals, key)
+		}
 	}
 	for server := range r.lost {
 		message.Lost = append(message.Lost, server)
 	}
-	clear(r.arrivals)
 	clear(r.lost)
 	r.lastSent = now
 	return message
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -61,6 +61,8 @@
 	once    sync.Once
 	fencing fleet.FencingNumber
 	number  uint64
+	// began is when this hold of the lease began.
+	began   time.Time
 	engines map[fleet.ServerID]*engine
 	nodes   map[fleet.NodeID]*nodeDemand
 	rates   map[indexKey]*rate
@@ -168,7 +170,7 @@
 // begin starts a hold of the lease: nothing is known of the engines. The caller
 // holds the lock.
 func (s *Scheduler) begin(fencing fleet.FencingNumber) {
-	s.fencing, s.number = fencing, 0
+	s.fencing, s.number, s.began = fencing, 0, time.Now()
 	clear(s.engines)
 	clear(s.rates)
 }
@@ -280,6 +282,7 @@
 func (s *Scheduler) plan(ctx context.Context, now time.Time, pool *roster.Pool, uses map[useKey]*use) {
 	state := residence.State{
 		Now: now, Models: models(pool.Engine), Demands: s.sumDemands(now, pool.ID),
+		Settled:    now.Sub(s.began) > settleTime,
 		StoreLoads: s.storeLoadsLeft(now, pool.Engine.LoadsPerSecond), AdapterLoads: s.AdapterLoads, Random: rand.Float64,
 	}
 	for _, e := range s.engines {
--- a/internal/residence/plan.go
+++ b/internal/residence/plan.go
@@ -26,6 +26,14 @@
 	// crossCost is the cost of a replica in another region than its callers, as
 	// a time.
 	crossCost = 100 * time.Millisecond
+	// heavy is the number of calls that wait or will come within gainTime from
+	// which on a model goes before those that are asked for now and then.
+	heavy    = 4.0
+	gainTime = 2 * time.Second
+	// recentCost is the cost of unloading a model that has just been used, as a
+	// time, where rates of calls are known and where they are not yet.
+	recentCost        = 100 * time.Millisecond
+	recentCostUnknown = 2 * time.Second
 	// keepCost is the cost of unloading a model with one call a second, as a
 	// time.
 	keepCost = time.Second
@@ -111,15 +119,18 @@
 
 // add joins the demand for another item of the model.
 func (d *Demand) add(other *Demand) {
-	d.Rate += other.Rate
+	takes := time.Duration(0)
+	if rate := d.Rate + other.Rate; rate > 0 {
+		takes = time.Duration((d.Rate*float64(d.Takes) + other.Rate*float64(other.Takes)) / rate)
+	}
+	d.Rate, d.Takes = d.Rate+other.Rate, takes
 	if other.Waiting == 0 {
 		return
 	}
 	if d.Waiting == 0 {
-		rate := d.Rate
-		item := d.Item
-		*d = *other
-		d.Rate, d.Item = rate, item
+		sum := *other
+		sum.Item, sum.Rate, sum.Takes = d.Item, d.Rate, d.Takes
+		*d = sum
 		return
 	}
 	d.Waiting += other.Waiting
@@ -158,7 +169,17 @@
 	if slots == 0 {
 		return least
 	}
-	return max(least, int(math.Ceil(float64(p.load[model])/(fillShare*float64(slots)))))
+	return max(least, int(math.Ceil(p.calls(model)/(fillShare*float64(slots)))))
+}
+
+// calls returns how many calls of a model run at once when none has to wait: by
+// those that run and wait, or by the rate at which they come.
+func (p *planner) calls(model fleet.ModelID) float64 {
+	load := float64(p.load[model])
+	if known := p.demand[model]; known != nil {
+		load = max(load, known.Rate*known.Takes.Seconds())
+	}
+	return load
 }
 
 // finish has the models loaded that room was made for. Room that is still being
@@ -184,31 +205,40 @@
 	}
 }
 
-// wanted orders what calls wait for: first models without a replica, those that
-// can be in time before the others, then further replicas of models whose
-// replicas are full.
+// want is a model that is to get another replica.
+type want struct {
+	*Demand
+	why string
+	// gain is the number of calls that a replica would help soon.
+	gain float64
+	late int
+}
+
+// wanted orders what calls wait for: first models that many calls would gain
+// from, by their number, then those without a replica, those that can be in time
+// before the others, and then further replicas.
 func (p *planner) wanted() {
-	var missing, fuller []*Demand
+	var wants []want
 	for model, demand := range p.demand {
-		switch have := p.ready[model] + p.coming[model]; {
+		have := p.ready[model] + p.coming[model]
+		soon := float64(demand.Waiting) + demand.Rate*gainTime.Seconds()
+		switch target := p.target(model); {
 		case have == 0 && demand.Waiting > 0:
-			missing = append(missing, demand)
-		case have > 0 && have < p.target(model):
-			fuller = append(fuller, demand)
+			wants = append(wants, want{Demand: demand, why: WhyWaiting, gain: soon, late: p.late(demand)})
+		case have > 0 && have < target:
+			gain := soon * float64(target-have) / float64(target)
+			wants = append(wants, want{Demand: demand, why: WhySpread, gain: gain, late: 2})
 		}
 	}
-	slices.SortFunc(missing, func(a, b *Demand) int {
-		return cmp.Or(cmp.Compare(p.late(a), p.late(b)), a.Objective.Compare(b.Objective),
+	slices.SortFunc(wants, func(a, b want) int {
+		if a.gain >= heavy || b.gain >= heavy {
+			return cmp.Or(cmp.Compare(b.gain, a.gain), cmp.Compare(a.Item.Model, b.Item.Model))
+		}
+		return cmp.Or(cmp.Compare(a.late, b.late), a.Objective.Compare(b.Objective),
 			cmp.Compare(a.Item.Model, b.Item.Model))
 	})
-	slices.SortFunc(fuller, func(a, b *Demand) int {
-		return cmp.Or(cmp.Compare(p.load[b.Item.Model], p.load[a.Item.Model]), cmp.Compare(a.Item.Model, b.Item.Model))
-	})
-	for _, demand := range missing {
-		p.place(demand, WhyWaiting)
-	}
-	for _, demand := range fuller {
-		p.place(demand, WhySpread)
+	for _, wanted := range wants {
+		p.place(wanted.Demand, wanted.why)
 	}
 }
 
@@ -311,7 +341,7 @@
 	if victim.Leaving || p.Models[victim.Model].Size <= 0 {
 		return 0, false
 	}
-	surplus := p.ready[victim.Model] > p.target(victim.Model)
+	surplus := p.Settled && p.ready[victim.Model] > p.target(victim.Model)
 	known := p.demand[victim.Model]
 	if !surplus && known != nil && known.Waiting > 0 {
 		return 0, false
@@ -337,7 +367,11 @@
 	}
 	// Among models that are asked for equally often the one that was used last
 	// stays.
-	return price + time.Duration(float64(time.Millisecond)*100/(1+idle.Seconds())), true
+	recent := recentCost
+	if !p.Settled {
+		recent = recentCostUnknown
+	}
+	return price + time.Duration(float64(recent)/(1+idle.Seconds())), true
 }
 
 // give orders what a choice needs next.
--- a/internal/residence/plan_test.go
+++ b/internal/residence/plan_test.go
@@ -19,7 +19,7 @@
 func site(engines, models int) residence.State {
 	state := residence.State{
 		Now: noon, Models: make(map[fleet.ModelID]residence.Model), StoreLoads: 2, AdapterLoads: 30,
-		Random: func() float64 { return 0 },
+		Settled: true, Random: func() float64 { return 0 },
 	}
 	for at := range models {
 		state.Models[model(at)] = residence.Model{
@@ -201,6 +201,58 @@
 	c.Assert(orders[0].Item.Model, qt.Equals, model(6))
 }
 
+// TestManyCallsGoBeforeFew answers the pattern of a busy model that has lost its
+// replicas while rarely used ones wait as well: its objective is too short for
+// any load, which must not put it last.
+func TestManyCallsGoBeforeFew(t *testing.T) {
+	c := qt.New(t)
+	state := site(1, 8)
+	holds(&state.Engines[0], 0, 1, 2)
+	for at := range 8 {
+		state.Engines[0].OnDisk[model(at)] = true
+	}
+	waits(&state, 5, 1)
+	waits(&state, 6, 3)
+	state.Demands[1].Rate, state.Demands[1].Objective = 10, noon.Add(400*time.Millisecond)
+	orders := residence.Plan(state)
+	c.Assert(orders, qt.HasLen, 1)
+	c.Assert(orders[0].For, qt.Equals, model(6))
+}
+
+// TestRefusedCallsCountForReplicas answers the pattern of a busy model whose only
+// replica is full, so that most of its calls are refused and none waits long.
+func TestRefusedCallsCountForReplicas(t *testing.T) {
+	c := qt.New(t)
+	state := site(2, 8)
+	holds(&state.Engines[0], 0, 1, 2)
+	holds(&state.Engines[1], 0, 4, 5)
+	state.Engines = append(state.Engines, residence.Engine{
+		ID: server(2), Memory: 230 * gigabyte, Slots: 32, OnDisk: map[fleet.ModelID]bool{model(0): true},
+	})
+	state.Demands = []residence.Demand{{Item: fleet.Item{Model: model(0)}, Rate: 30, Takes: 1500 * time.Millisecond}}
+	orders := residence.Plan(state)
+	c.Assert(orders, qt.HasLen, 1)
+	c.Assert(orders[0].Server, qt.Equals, server(2))
+}
+
+// TestNewSchedulerUnloadsNoBusyModel answers the pattern of a node that has just
+// taken over and knows no rates of calls.
+func TestNewSchedulerUnloadsNoBusyModel(t *testing.T) {
+	c := qt.New(t)
+	state := site(2, 8)
+	state.Settled = false
+	holds(&state.Engines[0], 0, 1, 2)
+	holds(&state.Engines[1], 0, 4, 5)
+	for at := range state.Engines {
+		state.Engines[at].Held[0].Used = noon.Add(-300 * time.Millisecond)
+		state.Engines[at].OnDisk[model(6)] = true
+	}
+	waits(&state, 6, 1)
+	orders := residence.Plan(state)
+	c.Assert(orders, qt.HasLen, 1)
+	c.Assert(orders[0].Item.Model, qt.Not(qt.Equals), model(0))
+}
+
 func TestEmptyRoomIsFilledFromTheOwnDisk(t *testing.T) {
 	c := qt.New(t)
 	state := site(1, 8)
--- a/internal/residence/state.go
+++ b/internal/residence/state.go
@@ -14,6 +14,8 @@
 	Models map[fleet.ModelID]Model
 	// Demands lists the items that calls wait for or run on.
 	Demands []Demand
+	// Settled says that the rates of calls have been followed for a while.
+	Settled bool
 	// StoreLoads is the number of loads from the weight store that may begin
 	// now, AdapterLoads that of adapters.
 	StoreLoads, AdapterLoads int
@@ -102,8 +104,10 @@
 	Objective time.Time
 	// Rank is the urgency of the most urgent of them, 0 being the most urgent.
 	Rank int
-	// Rate is the number of calls a second lately.
-	Rate float64
+	// Rate is the number of calls a second lately, refused ones included, Takes
+	// how long each occupies a server.
+	Rate  float64
+	Takes time.Duration
 	// Region is where most of the calls wait.
 	Region fleet.Region
 }
