--- a/cmd/guavatrack/demo/demo.go
+++ b/cmd/guavatrack/demo/demo.go
@@ -27,8 +27,9 @@
 
 // options are the flags of the command.
 type options struct {
-	Check bool `long:"check" description:"drive the demonstration and check what happens"`
-	Log   bool `long:"log" description:"write the nodes' logs to standard error"`
+	Check    bool `long:"check" description:"drive the demonstration and check what happens"`
+	Platform bool `long:"platform" description:"run nodes on stand-ins of a platform that lists servers and keeps the manifest"`
+	Log      bool `long:"log" description:"write the nodes' logs to standard error"`
 }
 
 // Command returns the demo command.
@@ -71,6 +72,9 @@
 			err = errors.Wrap(err, "demo")
 		}
 	}()
+	if given.Platform {
+		return runHosted(ctx, app, given)
+	}
 	log := slog.New(slog.DiscardHandler)
 	if given.Log {
 		log = slog.New(slog.NewTextHandler(app.Err, nil))
--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -136,6 +136,7 @@
 		{name: "audit", short: "Show the trail of changes", data: &auditCommand{app: a}},
 		{name: "drain", short: "Stop a node without cutting off a request", data: &drainCommand{app: a}},
 		{name: "log-level", short: "Change what a node logs", data: &logLevelCommand{app: a}},
+		{name: "explain", short: "Tell the life of a request from the logs of nodes", data: &explainCommand{app: a}},
 		{name: "settings", short: "Check settings files", data: &group{}, children: []command{
 			{name: "check", short: "Check a settings file and report every mistake", data: &checkCommand{app: a}},
 			{name: "defaults", short: "Write the settings that a file need not give", data: &defaultsCommand{app: a}},
--- a/internal/cli/hosted.go
+++ b/internal/cli/hosted.go
@@ -25,7 +25,7 @@
 		return usageError{fmt.Sprintf("log.level: %v", err)}
 	}
 	sink := logs.New(c.app.Out)
-	log := slog.New(sink.Handler(&slog.HandlerOptions{Level: level}))
+	log := slog.New(sink.Handler(&slog.HandlerOptions{Level: level})).With(slog.String("vm", given.Node.Name))
 	defer func() {
 		ctx, cancel := context.WithTimeout(context.Background(), logCloseTimeout)
 		defer cancel()
--- a/internal/dispatch/lane.go
+++ b/internal/dispatch/lane.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/maphash"
+	"log/slog"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -145,7 +146,9 @@
 		Ticket: l.last, Caller: call.Caller, Rank: call.Rank, Item: call.Item, Deadline: call.Deadline,
 		StartBy: call.StartBy, Work: call.Work,
 	}
-	decision := l.queue.Offer(now, request, l.dispatcher.capacity(call, now, readyIn))
+	capacity := l.dispatcher.capacity(call, now, readyIn)
+	decision := l.queue.Offer(now, request, capacity)
+	l.logOffer(call, capacity, decision)
 	if decision.Outcome == admission.Late {
 		if taken, found := l.dispatcher.take(call, now, true); found {
 			return nil, taken, nil
@@ -168,6 +171,16 @@
 	return waiting, nil, nil
 }
 
+// logOffer logs that a call waits, or why it may not. The caller holds the lock.
+func (l *lane) logOffer(call *Call, capacity admission.Capacity, decision admission.Decision) {
+	outcome := [...]string{"waits", "would be late", "queue full"}[decision.Outcome]
+	l.dispatcher.Log.LogAttrs(call.Context, slog.LevelInfo, "request queued",
+		slog.String("request", string(call.ID)), slog.String("item", call.Item.String()),
+		slog.String("outcome", outcome), slog.Int("ahead", l.queue.Len()), slog.Int("slots", capacity.Slots),
+		slog.Int("free", capacity.Free), slog.Duration("readyIn", capacity.ReadyIn),
+		slog.Duration("left", call.Left()), slog.Duration("retryAfter", decision.RetryAfter))
+}
+
 func refuseAdmission(decision admission.Decision) *refusal.Refusal {
 	if decision.Outcome == admission.Full {
 		return &refusal.Refusal{
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -100,7 +100,7 @@
 		})
 	}
 	n.parts.Endpoints.serve(n)
-	n.Log.Info("node started", slog.String("node", string(n.ID)), slog.String("vm", n.Settings.Node.Name),
+	n.Log.Info("node started", slog.String("node", string(n.ID)), slog.String("place", string(n.Settings.Node.FailureDomain)),
 		slog.String("callers", n.Addresses().Callers))
 	return nil
 }
