--- a/cmd/guavatrack/demo/platform.go
+++ b/cmd/guavatrack/demo/platform.go
@@ -28,6 +28,8 @@
 	eventTime    = 20 * time.Millisecond
 	handOver     = 300 * time.Millisecond
 	nodeMemory   = 256 * fleet.MiB
+	// nodeDescriptors is what a process may open.
+	nodeDescriptors = 4096
 )
 
 // hostedPlace is where everything of the demonstration on a platform stands.
@@ -77,7 +79,7 @@
 		Store: store, Readiness: anyPort, Lookup: anyPort, Metrics: anyPort,
 		Regions: map[fleet.FailureDomain]fleet.Region{hostedPlace.FailureDomain: hostedPlace.Region},
 		KeepFor: fleet.Duration(keepFor), Grace: fleet.Duration(4 * keepFor), HandOver: fleet.Duration(handOver),
-		Retries: settings.Retries{Ratio: 0.2, Slack: 50}, Memory: nodeMemory,
+		Retries: settings.Retries{Ratio: 0.2, Slack: 50}, Memory: nodeMemory, Descriptors: nodeDescriptors,
 	}
 	return given
 }
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -186,7 +186,12 @@
 	r.call.failed = append(r.call.failed, retry.Attempt{
 		Server: a.Replica.Server, Domain: a.Replica.FailureDomain, Failure: kind,
 	})
-	now = time.Now()
+	r.blame(a, kind)
+}
+
+// blame notes a failure in the state of its server.
+func (r *relay) blame(a *Attempt, kind retry.Failure) {
+	now, state := time.Now(), a.slot.server
 	if r.occupancy != nil && (kind == retry.Unreachable || kind == retry.Crashed || kind == retry.SilentServer) {
 		r.occupancy.Lost(&a.Replica, now)
 	}
--- a/internal/drain/calls.go
+++ b/internal/drain/calls.go
@@ -9,6 +9,8 @@
 type Calls struct {
 	mu      sync.Mutex
 	running map[*running]struct{}
+	// held is the memory that the bodies of the requests take, in bytes.
+	held int64
 	// ended is closed and replaced when no request is left.
 	ended chan struct{}
 }
@@ -44,6 +46,22 @@
 	}
 }
 
+// Hold counts memory that a request takes and reports whether all together take
+// no more than the limit. Done must be called when it is free again.
+func (c *Calls) Hold(size, limit int64) (done func(), fits bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.held+size > limit {
+		return nil, false
+	}
+	c.held += size
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.held -= size
+	}, true
+}
+
 // Running returns the number of requests in progress.
 func (c *Calls) Running() int {
 	c.mu.Lock()
--- a/internal/hosted/hosted_test.go
+++ b/internal/hosted/hosted_test.go
@@ -64,7 +64,7 @@
 		Store: r.site.StoreAddress, Readiness: anyPort, Lookup: anyPort, Metrics: anyPort,
 		Regions: map[fleet.FailureDomain]fleet.Region{"east-a": "east"}, KeepFor: fleet.Duration(time.Second),
 		Grace: fleet.Duration(4 * time.Second), HandOver: fleet.Duration(100 * time.Millisecond),
-		Retries: settings.Retries{Ratio: 0.2, Slack: 400}, Memory: 200 * fleet.MiB,
+		Retries: settings.Retries{Ratio: 0.2, Slack: 400}, Memory: 200 * fleet.MiB, Descriptors: 4000,
 	}
 	r.Assert(given.Check().Err(), qt.IsNil)
 	return given
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -225,10 +225,21 @@
 	}
 }
 
+// What requests may take: a request holds a connection to its caller and one to
+// a server; the rest of the descriptors is for the node itself, and a part of the
+// memory for bodies.
+const (
+	ownDescriptors       = 400
+	descriptorsOfRequest = 2
+	bodyShare            = 4
+)
+
 // callers returns the handler of callers' requests.
 func (n *Node) callers() http.Handler {
 	return &platform.Callers{
 		View: n.parts.Roster.View, Dispatcher: n.parts.Dispatcher, Servers: n.parts.Exchange,
 		Draining: n.draining.Load, Closing: n.leaving.Load, Active: &n.active, Log: n.Log,
+		MaxRunning: (n.Settings.Platform.Descriptors - ownDescriptors) / descriptorsOfRequest,
+		MaxHeld:    int64(n.Settings.Platform.Memory) / bodyShare,
 	}
 }
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -199,14 +199,20 @@
 				e.copies(server.Engine)
 			}
 		}
-		if e.doubted && !e.checking {
-			e.checking = true
-			s.running.Go(func() { s.check(ctx, e) })
-		}
-		if !e.known && !e.reading && now.After(e.readAt) && now.After(e.closedUntil) {
-			e.reading = true
-			s.running.Go(func() { s.read(ctx, e) })
-		}
+		s.ask(ctx, now, e)
+	}
+}
+
+// ask has the report of an engine read that is in doubt or whose state is not
+// known. The caller holds the lock.
+func (s *Scheduler) ask(ctx context.Context, now time.Time, e *engine) {
+	if e.doubted && !e.checking {
+		e.checking = true
+		s.running.Go(func() { s.check(ctx, e) })
+	}
+	if !e.known && !e.reading && now.After(e.readAt) && now.After(e.closedUntil) {
+		e.reading = true
+		s.running.Go(func() { s.read(ctx, e) })
 	}
 }
 
@@ -222,8 +228,8 @@
 }
 
 // check reads the report of an engine that is in doubt.
-func (s *Scheduler) check(ctx context.Context, e *engine) {
-	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
+func (s *Scheduler) check(running context.Context, e *engine) {
+	ctx, cancel := context.WithTimeout(running, engineTimeout)
 	defer cancel()
 	s.mu.Lock()
 	server := e.server
@@ -232,7 +238,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e.doubted, e.checking = false, false
-	if err == nil || ctx.Err() != nil && context.Cause(ctx) == context.Canceled {
+	if err == nil || running.Err() != nil {
 		return
 	}
 	s.Log.Warn("engine lost", slog.String("server", string(server.ID)), slog.Any("error", err))
--- a/internal/residence/plan.go
+++ b/internal/residence/plan.go
@@ -342,23 +342,12 @@
 		return 0, false
 	}
 	surplus := p.Settled && p.ready[victim.Model] > p.target(victim.Model)
-	known := p.demand[victim.Model]
-	if !surplus && known != nil && known.Waiting > 0 {
-		return 0, false
-	}
-	idle := p.Now.Sub(victim.Used)
-	pressed := p.Now.Sub(demand.Since) > pressAfter && demand.Waiting > 0
-	if !pressed && (victim.Running > 0 || idle < usedAfter) {
-		return 0, false
-	}
-	if victim.Running > 1 && !surplus {
+	if !p.mayGo(victim, demand, surplus) {
 		return 0, false
 	}
-	rate := 0.0
-	if known != nil {
-		rate = known.Rate / float64(max(1, p.ready[victim.Model]))
+	if known := p.demand[victim.Model]; known != nil {
+		price = time.Duration(known.Rate / float64(max(1, p.ready[victim.Model])) * float64(keepCost))
 	}
-	price = time.Duration(rate * float64(keepCost))
 	if surplus {
 		price /= 2
 	}
@@ -371,9 +360,25 @@
 	if !p.Settled {
 		recent = recentCostUnknown
 	}
+	idle := p.Now.Sub(victim.Used)
 	return price + time.Duration(float64(recent)/(1+idle.Seconds())), true
 }
 
+// mayGo reports whether a model may be unloaded for the sake of a demand: not
+// while calls wait for it and it has no surplus replica, and one in use only if
+// the demand has waited long.
+func (p *planner) mayGo(victim *Held, demand *Demand, surplus bool) bool {
+	known := p.demand[victim.Model]
+	if !surplus && known != nil && known.Waiting > 0 {
+		return false
+	}
+	pressed := p.Now.Sub(demand.Since) > pressAfter && demand.Waiting > 0
+	if !pressed && (victim.Running > 0 || p.Now.Sub(victim.Used) < usedAfter) {
+		return false
+	}
+	return victim.Running <= 1 || surplus
+}
+
 // give orders what a choice needs next.
 func (p *planner) give(best choice, model fleet.ModelID, why string) {
 	p.used[best.engine.ID] = true
--- a/internal/settings/platform.go
+++ b/internal/settings/platform.go
@@ -4,6 +4,9 @@
 	"github.com/guavatrack/guavatrack/internal/strictjson"
 )
 
+// leastDescriptors is the least number of descriptors with which a node runs.
+const leastDescriptors = 512
+
 // checkOnPlatform returns every mistake in the settings of a node on a platform.
 func (s *Settings) checkOnPlatform() strictjson.FieldErrors {
 	c := checker{}
@@ -23,6 +26,9 @@
 	c.span("platform.grace", p.Grace)
 	c.span("platform.handOver", p.HandOver)
 	c.size("platform.memory", p.Memory)
+	if p.Descriptors < leastDescriptors {
+		c.problems.Add("platform.descriptors", "must be at least %d", leastDescriptors)
+	}
 	if p.Regions[s.Node.FailureDomain] != s.Node.Region {
 		c.problems.Add("platform.regions", "must have the node's failure domain %q in its region %q",
 			s.Node.FailureDomain, s.Node.Region)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -50,8 +50,9 @@
 	// HandOver is the time in which two nodes must not give orders to an engine
 	// one after the other.
 	HandOver fleet.Duration `json:"handOver"`
-	// Memory is what the process may take.
-	Memory fleet.Bytes `json:"memory"`
+	// Memory and Descriptors are what the process may take.
+	Memory      fleet.Bytes `json:"memory"`
+	Descriptors int         `json:"descriptors"`
 }
 
 // Retries bounds the attempts beyond the first of each request, for each pool
