--- a/internal/placement/give.go
+++ b/internal/placement/give.go
@@ -109,6 +109,9 @@
 		outcome, err = t.send(ctx)
 		if outcome == Unknown {
 			t.counts.lost.Inc(1)
+			t.mu.Lock()
+			t.unanswered(time.Now(), t.engine)
+			t.mu.Unlock()
 		}
 	}
 	level := slog.LevelInfo
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -431,6 +431,44 @@
 	})
 }
 
+// TestRestartedEngineKeepsRoomForLateOrders has an engine start again under its
+// name while an order without an answer may still be carried out: its count of
+// orders comes to where the late order expects it.
+func TestRestartedEngineKeepsRoomForLateOrders(t *testing.T) {
+	bubble(t, 1, func(s *site) {
+		s.engines.mu.Lock()
+		for range 6 {
+			s.engines.outcomes = append(s.engines.outcomes, placement.Unknown)
+		}
+		s.engines.mu.Unlock()
+		s.wait(1, fleet.Item{Model: model(5)}, 100*time.Millisecond)
+		s.engines.mu.Lock()
+		late := s.engines.engines["e0"].late
+		s.engines.engines["e0"] = &fakeEngine{held: make(map[fleet.ModelID]map[fleet.AdapterID]bool), late: late}
+		s.engines.outcomes = nil
+		s.engines.mu.Unlock()
+		next := *s.view.Load()
+		next.Servers = map[fleet.ServerID]*roster.Server{
+			"e0": {ID: "e0", Boot: "2", Pool: pool, Slots: 8, Engine: &roster.Engine{}},
+		}
+		s.view.Store(&next)
+		for _, directory := range s.directories {
+			directory.Changed(&next)
+		}
+		time.Sleep(5 * time.Second)
+		s.engines.mu.Lock()
+		held := len(s.engines.engines["e0"].held)
+		s.engines.mu.Unlock()
+		s.Assert(held < places, qt.IsTrue, qt.Commentf("%d held", held))
+		s.engines.lateOrders()
+		time.Sleep(20 * time.Second)
+		s.engines.mu.Lock()
+		held = len(s.engines.engines["e0"].held)
+		s.engines.mu.Unlock()
+		s.Assert(held, qt.Equals, places)
+	})
+}
+
 // TestDirectoryFallsBackOnEntries has the scheduler fall silent and an engine
 // start again.
 func TestDirectoryFallsBackOnEntries(t *testing.T) {
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -64,6 +64,9 @@
 	// began is when this hold of the lease began.
 	began   time.Time
 	engines map[fleet.ServerID]*engine
+	// late lists the orders without an answer, by engine, which may be carried out
+	// later.
+	late    map[fleet.ServerID][]lateOrder
 	nodes   map[fleet.NodeID]*nodeDemand
 	rates   map[indexKey]*rate
 	stirred chan struct{}
@@ -92,6 +95,7 @@
 func (s *Scheduler) init() {
 	s.once.Do(func() {
 		s.engines = make(map[fleet.ServerID]*engine)
+		s.late = make(map[fleet.ServerID][]lateOrder)
 		s.nodes = make(map[fleet.NodeID]*nodeDemand)
 		s.rates = make(map[indexKey]*rate)
 		s.stirred = make(chan struct{}, 1)
@@ -296,6 +300,7 @@
 			continue
 		}
 		planned := e.plan(now, pool.Engine, uses)
+		s.reserve(now, e, &planned, state.Models)
 		state.AdapterLoads -= planned.AdaptersComing
 		state.Engines = append(state.Engines, planned)
 	}
