--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -297,6 +297,27 @@
 	})
 }
 
+// TestModelThatIsALittleLateIsTriedAgainSoon answers the pattern of a model that
+// was offered a moment before its load was done.
+func TestModelThatIsALittleLateIsTriedAgainSoon(t *testing.T) {
+	bubble(t, func(c *qt.C) {
+		s := newServers(1)
+		s.takes = 0
+		began := time.Now()
+		s.answer = func(string, fleet.ServerID) error {
+			if time.Since(began) < 100*time.Millisecond {
+				return failure(retry.Absent, true)
+			}
+			return nil
+		}
+		d := s.dispatcher()
+		d.Waker = loading{}
+		call := s.call("a", func(call *dispatch.Call) { call.Item = fleet.Item{Model: "m"} })
+		c.Assert(d.Do(call), qt.IsNil)
+		c.Assert(time.Since(began) < 200*time.Millisecond, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
+	})
+}
+
 // loading is a waker whose loads are always under way.
 type loading struct{}
 
--- a/internal/dispatch/servers.go
+++ b/internal/dispatch/servers.go
@@ -37,9 +37,9 @@
 	groups  map[string]*group
 	// tokens is the room that the node's own calls take in the cache.
 	tokens int
-	// absent says until when an item is taken to be gone although the last
-	// report still shows it.
-	absent map[fleet.Item]time.Time
+	// absent lists items that are taken to be gone although the last report
+	// still shows them.
+	absent map[fleet.Item]absence
 	// others is the number of other nodes' calls at othersAt, from what the
 	// server said with an answer.
 	others   int
@@ -81,7 +81,7 @@
 	if found == nil {
 		found = &server{
 			id: id, running: make(map[*slot]struct{}), groups: make(map[string]*group),
-			absent: make(map[fleet.Item]time.Time),
+			absent: make(map[fleet.Item]absence),
 		}
 		shard.servers[id] = found
 	}
@@ -177,7 +177,7 @@
 // the lock.
 func (s *server) closed(now time.Time, replica *Replica, call *Call) bool {
 	return s.exclusive != nil && s.exclusive != call || now.Before(s.closedUntil) ||
-		replica.Boot != "" && replica.Boot == s.deadBoot || now.Before(s.absent[replica.Item])
+		replica.Boot != "" && replica.Boot == s.deadBoot || now.Before(s.absent[replica.Item].until)
 }
 
 // hasTokens reports whether the call fits into the server's cache beside the
@@ -258,6 +258,7 @@
 	defer s.mu.Unlock()
 	s.health.Succeeded()
 	s.closings = 0
+	delete(s.absent, taken.replica.Item)
 	shared := s.group(&taken.replica)
 	shared.limit.Succeeded(shared.inFlight, taken.firstByte)
 }
@@ -280,15 +281,28 @@
 	s.closings++
 }
 
-// absentLife is how long an item that a server did not have is taken to be gone.
-const absentLife = time.Second
+// absence is an item that a server did not have, so many times in a row.
+type absence struct {
+	until time.Time
+	times int
+}
+
+// An item that a server did not have is tried again after firstAbsence, since it
+// may just have been a little late, and then after twice as long each time.
+const (
+	firstAbsence   = 125 * time.Millisecond
+	absenceDoubles = 3
+)
 
 // lacked notes that the server does not hold the item of a slot.
 func (s *server) lacked(now time.Time, taken *slot) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.health.Abandoned()
-	s.absent[taken.replica.Item] = now.Add(absentLife)
+	known := s.absent[taken.replica.Item]
+	s.absent[taken.replica.Item] = absence{
+		until: now.Add(firstAbsence << min(known.times, absenceDoubles)), times: known.times + 1,
+	}
 }
 
 func (s *server) failed(now time.Time) {
