--- a/cmd/guavatrack/demo/platform.go
+++ b/cmd/guavatrack/demo/platform.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"log/slog"
 	"net/http"
 	"os"
@@ -175,15 +174,10 @@
 
 // ask sends a request to a node and returns the answer's body.
 func ask(node *hosted.Node, path, model string) (string, error) {
-	request, err := standin.NewRequest(node.Addresses().Callers, path, model)
+	request, err := standin.NewRequest(node.Addresses().Callers, http.MethodPost, path, model, "{}")
 	if err != nil {
 		return "", err
 	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(response.Body)
-	return string(text), err
+	answer, err := standin.Send(request)
+	return answer.Body, err
 }
--- a/internal/hosted/hosted_test.go
+++ b/internal/hosted/hosted_test.go
@@ -3,9 +3,7 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"log/slog"
 	"net/http"
 	"strings"
@@ -27,7 +25,6 @@
 	*qt.C
 	site  *standin.Site
 	nodes []*hosted.Node
-	next  atomic.Int64
 }
 
 // newRig starts a platform and nodes, and waits until all can serve.
@@ -86,33 +83,16 @@
 
 // got is the answer to a request.
 type got struct {
-	id     string
-	status int
-	header http.Header
-	body   string
-	err    error
+	standin.Answer
+	err error
 }
 
 // send sends a request to a node.
 func (r *rig) send(node int, method, path, model, body string) got {
-	id := fmt.Sprint("request-", r.next.Add(1))
-	request, err := http.NewRequest(method, "http://"+r.nodes[node].Addresses().Callers+path, strings.NewReader(body))
+	request, err := standin.NewRequest(r.nodes[node].Addresses().Callers, method, path, model, body)
 	r.Assert(err, qt.IsNil)
-	request.Host = standin.Host
-	request.Header.Set("Guavatrack-Attempt-Id", id)
-	request.Header.Set("Guavatrack-Deadline-Ms", "4000")
-	if model != "" {
-		request.Header.Set("Guavatrack-Model", model)
-		request.Header.Set("Guavatrack-Token-Usage", "100,50")
-	}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	response, err := client.Do(request)
-	if err != nil {
-		return got{id: id, err: err}
-	}
-	defer response.Body.Close()
-	text, err := io.ReadAll(response.Body)
-	return got{id: id, status: response.StatusCode, header: response.Header, body: string(text), err: err}
+	answer, err := standin.Send(request)
+	return got{Answer: answer, err: err}
 }
 
 // pieces returns the numbers of the events of a stream.
@@ -131,10 +111,10 @@
 func (r *rig) wholeStream(answer got) {
 	r.Helper()
 	r.Check(answer.err, qt.IsNil)
-	r.Check(answer.status, qt.Equals, http.StatusOK, qt.Commentf("%s", answer.body))
-	r.Check(pieces(answer.body), qt.DeepEquals, allPieces)
-	r.Check(answer.header.Get("Guavatrack-Response-Seal"), qt.Contains, "seal-")
-	r.Check(answer.header.Get("Guavatrack-Attempt-Id"), qt.Equals, answer.id)
+	r.Check(answer.Status, qt.Equals, http.StatusOK, qt.Commentf("%s", answer.Body))
+	r.Check(pieces(answer.Body), qt.DeepEquals, allPieces)
+	r.Check(answer.Signature, qt.Contains, "seal-")
+	r.Check(answer.AnswerID, qt.Equals, answer.ID)
 }
 
 func TestLoadedModelAnswersAtOnce(t *testing.T) {
@@ -180,17 +160,17 @@
 	r := newRig(t, &standin.Site{Engines: 1, Services: 2, Models: 3}, 1)
 	for _, prefix := range []string{standin.Once, standin.Repeatable} {
 		answer := r.send(0, http.MethodPost, prefix+"a%2Fb//c?x=1&y=%20", "", `{"courier":"monday"}`)
-		r.Check(answer.status, qt.Equals, http.StatusOK)
-		r.Check(answer.body, qt.Matches, `POST /\w+/a%2Fb//c\?x=1&y=%20 by service\d: \{"courier":"monday"\}`)
-		r.Check(r.site.Ledger.Runs(answer.id), qt.Equals, 1)
+		r.Check(answer.Status, qt.Equals, http.StatusOK)
+		r.Check(answer.Body, qt.Matches, `POST /\w+/a%2Fb//c\?x=1&y=%20 by service\d: \{"courier":"monday"\}`)
+		r.Check(r.site.Ledger.Runs(answer.ID), qt.Equals, 1)
 	}
 }
 
 func TestUnknownPathsAndModels(t *testing.T) {
 	r := newRig(t, &standin.Site{Engines: 1, Services: 1, Models: 3}, 1)
-	r.Check(r.send(0, http.MethodGet, "/nowhere/", "", "").status, qt.Equals, http.StatusNotFound)
-	r.Check(r.send(0, http.MethodPost, standin.Streaming, "m99", "").status, qt.Equals, http.StatusNotFound)
-	r.Check(r.send(0, http.MethodPost, standin.Once, "", strings.Repeat("x", 70000)).status,
+	r.Check(r.send(0, http.MethodGet, "/nowhere/", "", "").Status, qt.Equals, http.StatusNotFound)
+	r.Check(r.send(0, http.MethodPost, standin.Streaming, "m99", "").Status, qt.Equals, http.StatusNotFound)
+	r.Check(r.send(0, http.MethodPost, standin.Once, "", strings.Repeat("x", 70000)).Status,
 		qt.Equals, http.StatusRequestEntityTooLarge)
 }
 
@@ -237,10 +217,10 @@
 	} {
 		r.faultServices(test.fault)
 		answer := r.send(0, http.MethodPost, standin.Once+"book", "", "{}")
-		r.Check(answer.status, qt.Equals, test.status, qt.Commentf("%s: %s", test.name, answer.body))
-		r.Check(r.site.Ledger.Runs(answer.id), qt.Equals, test.runs, qt.Commentf("%s", test.name))
+		r.Check(answer.Status, qt.Equals, test.status, qt.Commentf("%s: %s", test.name, answer.Body))
+		r.Check(r.site.Ledger.Runs(answer.ID), qt.Equals, test.runs, qt.Commentf("%s", test.name))
 		if test.status == http.StatusServiceUnavailable {
-			r.Check(answer.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+			r.Check(answer.RetryAfter, qt.Not(qt.Equals), "")
 		}
 	}
 }
@@ -252,8 +232,8 @@
 	} {
 		r.faultServices(fault)
 		answer := r.send(0, http.MethodGet, standin.Repeatable+"stock", "", "")
-		r.Check(answer.status, qt.Equals, http.StatusOK, qt.Commentf("fault %d: %s", fault, answer.body))
-		r.Check(answer.body, qt.Contains, "GET /repeatable/stock")
+		r.Check(answer.Status, qt.Equals, http.StatusOK, qt.Commentf("fault %d: %s", fault, answer.Body))
+		r.Check(answer.Body, qt.Contains, "GET /repeatable/stock")
 	}
 }
 
@@ -263,9 +243,9 @@
 		service.SetFault(func(*http.Request) standin.Fault { return standin.Failing })
 	}
 	answer := r.send(0, http.MethodGet, standin.Repeatable+"stock", "", "")
-	r.Check(answer.status, qt.Equals, http.StatusInternalServerError)
-	r.Check(answer.header.Get("Guavatrack-Response-Seal"), qt.Contains, "seal-service")
-	r.Check(answer.body, qt.Equals, "failed")
+	r.Check(answer.Status, qt.Equals, http.StatusInternalServerError)
+	r.Check(answer.Signature, qt.Contains, "seal-service")
+	r.Check(answer.Body, qt.Equals, "failed")
 }
 
 func TestBrokenStreamGoesOnElsewhere(t *testing.T) {
@@ -282,27 +262,27 @@
 	r := newRig(t, &standin.Site{Engines: 3, Services: 1, Models: 3}, 1)
 	r.faultEngines(standin.Break)
 	answer := r.send(0, http.MethodPost, standin.Streaming+"chat", "m1", "hello")
-	r.Check(answer.status, qt.Equals, http.StatusOK)
+	r.Check(answer.Status, qt.Equals, http.StatusOK)
 	r.Check(answer.err, qt.ErrorMatches, ".*unexpected EOF")
-	r.Check(pieces(answer.body), qt.DeepEquals, allPieces[:4])
-	r.Check(r.site.Ledger.Runs(answer.id), qt.Equals, 1)
+	r.Check(pieces(answer.Body), qt.DeepEquals, allPieces[:4])
+	r.Check(r.site.Ledger.Runs(answer.ID), qt.Equals, 1)
 }
 
 func TestRequestEndsAtItsRoutesTime(t *testing.T) {
 	r := newRig(t, &standin.Site{Engines: 1, Services: 1, Models: 3}, 1)
 	r.site.ServiceList[0].SetFault(func(*http.Request) standin.Fault { return standin.Hang })
 	answer := r.send(0, http.MethodPost, standin.Once+"book", "", "{}")
-	r.Check(answer.status, qt.Equals, http.StatusGatewayTimeout)
-	r.Check(r.site.Ledger.Runs(answer.id), qt.Equals, 1)
+	r.Check(answer.Status, qt.Equals, http.StatusGatewayTimeout)
+	r.Check(r.site.Ledger.Runs(answer.ID), qt.Equals, 1)
 }
 
 func TestManifestComesIntoForce(t *testing.T) {
 	r := newRig(t, &standin.Site{Engines: 1, Services: 1, Models: 3}, 2)
-	r.Check(r.send(0, http.MethodPost, "/extra1/chat", "m0", "").status, qt.Equals, http.StatusNotFound)
+	r.Check(r.send(0, http.MethodPost, "/extra1/chat", "m0", "").Status, qt.Equals, http.StatusNotFound)
 	r.site.Publish(2)
 	for node := range r.nodes {
 		r.until(func() bool {
-			return r.send(node, http.MethodPost, "/extra1/chat", "m0", "").status == http.StatusOK
+			return r.send(node, http.MethodPost, "/extra1/chat", "m0", "").Status == http.StatusOK
 		})
 	}
 }
@@ -330,7 +310,7 @@
 	r.site.Store.Forget()
 	r.site.Store.SetFaults(standin.StoreFaults{})
 	r.site.Publish(1)
-	r.until(func() bool { return r.send(0, http.MethodPost, "/extra0/chat", "m0", "").status == http.StatusOK })
+	r.until(func() bool { return r.send(0, http.MethodPost, "/extra0/chat", "m0", "").Status == http.StatusOK })
 }
 
 func TestLeavingServerGetsNoNewRequests(t *testing.T) {
@@ -340,7 +320,7 @@
 	time.Sleep(1500 * time.Millisecond)
 	for range 20 {
 		answer := r.send(0, http.MethodPost, standin.Once+"book", "", "{}")
-		r.Check(answer.body, qt.Contains, "by service1")
+		r.Check(answer.Body, qt.Contains, "by service1")
 	}
 }
 
@@ -365,17 +345,10 @@
 
 // lookUp asks a node where to connect.
 func (r *rig) lookUp(node int) []string {
-	address := r.nodes[node].Addresses().Lookup
-	response, err := http.Get("http://" + address + "/resolve?name=" + standin.Host + "&region=east&zone=east-a")
+	found, keepFor, err := standin.LookUp(r.nodes[node].Addresses().Lookup, "east", "east-a")
 	r.Assert(err, qt.IsNil)
-	defer response.Body.Close()
-	var answer struct {
-		Addresses []string `json:"addresses"`
-		TTLS      float64  `json:"ttlS"`
-	}
-	r.Assert(json.NewDecoder(response.Body).Decode(&answer), qt.IsNil)
-	r.Check(answer.TTLS, qt.Equals, 1.0)
-	return answer.Addresses
+	r.Check(keepFor, qt.Equals, time.Second)
+	return found
 }
 
 func TestNodesFindEachOtherThroughTheStore(t *testing.T) {
@@ -383,10 +356,9 @@
 	for node := range r.nodes {
 		r.until(func() bool { return len(r.lookUp(node)) == 3 })
 	}
-	response, err := http.Get("http://" + r.nodes[0].Addresses().Readiness + "/readiness")
+	ready, err := standin.Ready(r.nodes[0].Addresses().Readiness)
 	r.Assert(err, qt.IsNil)
-	defer response.Body.Close()
-	r.Check(response.StatusCode, qt.Equals, http.StatusOK)
+	r.Check(ready, qt.IsTrue)
 }
 
 // TestOrdersGoOnAtAnotherNode stops the node that gives the orders.
@@ -398,7 +370,7 @@
 	for at := range 12 {
 		r.until(func() bool {
 			answer := r.send(1, http.MethodPost, standin.Resumable+"chat", fmt.Sprint("m", at), "hello")
-			return answer.status == http.StatusOK
+			return answer.Status == http.StatusOK
 		})
 	}
 }
--- /dev/null
+++ b/internal/residence/spare.go
@@ -0,0 +1,52 @@
+package residence
+
+import (
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+)
+
+// spare fills room that nobody waits for: with models of the VM's own copies
+// that no engine holds, the most asked for first, or, on an engine without such
+// copies, from the weight store.
+func (p *planner) spare() {
+	for at := range p.Engines {
+		engine := &p.Engines[at]
+		if engine.Closed || engine.Busy || engine.Next != "" || p.used[engine.ID] {
+			continue
+		}
+		if best, found := p.spareModel(engine); found {
+			p.give(best.choice, best.model, WhySpare)
+		}
+	}
+}
+
+// spareChoice is a model to fill room with.
+type spareChoice struct {
+	choice
+	model fleet.ModelID
+	value float64
+}
+
+func (p *planner) spareModel(engine *Engine) (best spareChoice, found bool) {
+	left := p.free(engine)
+	for model, described := range p.Models {
+		if described.Size <= 0 || described.Size > left || p.ready[model]+p.coming[model] > 0 {
+			continue
+		}
+		tier := engine.tier(model)
+		if tier == WeightStore && (p.StoreLoads <= spareStoreLoads || p.loses(engine)) {
+			continue
+		}
+		value := p.Random()
+		if known := p.demand[model]; known != nil {
+			value += known.Rate
+		}
+		if tier == WeightStore {
+			value--
+		}
+		if !found || value > best.value {
+			best = spareChoice{choice: choice{engine: engine, tier: tier}, model: model, value: value}
+			found = true
+		}
+	}
+	return best, found
+}
