--- a/internal/caller/entry.go
+++ b/internal/caller/entry.go
@@ -26,8 +26,8 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.meters.requests.Inc(1)
 		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerTimeout))
-		ctx, cancel := context.WithCancel(r.Context())
-		defer cancel()
+		ctx, cancel := context.WithCancelCause(r.Context())
+		defer cancel(nil)
 		call := &Call{Request: r, Response: w, Snapshot: s.Snapshot()}
 		call.Context, call.Started = ctx, time.Now()
 		defer s.active.Begin(cancel)()
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
@@ -136,7 +137,7 @@
 func (d *Dispatcher) ended(call *Call, err error) {
 	level, outcome := slog.LevelInfo, "answered"
 	if err != nil {
-		level, outcome = slog.LevelWarn, err.Error()
+		level, outcome = slog.LevelWarn, call.why(err)
 	}
 	d.Log.LogAttrs(context.Background(), level, "request ended",
 		slog.String("request", string(call.ID)), slog.String("item", call.Item.String()),
@@ -145,6 +146,19 @@
 		slog.String("outcome", outcome))
 }
 
+// why says why a call had no answer. A context that its edge has cancelled
+// without another cause is that of a caller whose connection is gone.
+func (c *Call) why(err error) string {
+	switch cause := context.Cause(c.Context); {
+	case errors.Is(cause, context.Canceled):
+		return "the caller left: " + err.Error()
+	case cause != nil && !errors.Is(cause, context.DeadlineExceeded):
+		return cause.Error() + ": " + err.Error()
+	default:
+		return err.Error()
+	}
+}
+
 // lockedSource shares a random source between requests.
 type lockedSource struct {
 	mu     sync.Mutex
--- /dev/null
+++ b/internal/dispatch/ending_test.go
@@ -0,0 +1,44 @@
+package dispatch_test
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/guavatrack/guavatrack/internal/dispatch"
+	"github.com/guavatrack/guavatrack/internal/drain"
+)
+
+// TestLogTellsACallerThatLeftFromAStop ends calls under way in each of the ways
+// in which their context can end.
+func TestLogTellsACallerThatLeftFromAStop(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		end  func(context.CancelCauseFunc)
+		want string
+	}{
+		{"caller", func(cancel context.CancelCauseFunc) { cancel(nil) }, `"outcome":"the caller left: `},
+		{"stop", func(cancel context.CancelCauseFunc) { cancel(drain.ErrCutOff) }, `"outcome":"the node stops: `},
+		{"deadline", func(context.CancelCauseFunc) {}, `"outcome":"context deadline exceeded`},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			bubble(t, func(c *qt.C) {
+				s := newServers(1)
+				s.takes = time.Minute
+				var log bytes.Buffer
+				d := s.dispatcher()
+				d.Log = slog.New(slog.NewJSONHandler(&log, nil))
+				ctx, cancel := context.WithCancelCause(context.Background())
+				bounded, end := context.WithTimeout(ctx, 2*time.Second)
+				defer end()
+				time.AfterFunc(time.Second, func() { test.end(cancel) })
+				c.Assert(d.Do(s.call("a", func(call *dispatch.Call) { call.Context = bounded })), qt.IsNotNil)
+				c.Assert(log.String(), qt.Contains, test.want)
+			})
+		})
+	}
+}
--- a/internal/drain/calls.go
+++ b/internal/drain/calls.go
@@ -3,8 +3,13 @@
 import (
 	"context"
 	"sync"
+
+	"github.com/go-faster/errors"
 )
 
+// ErrCutOff is why the context of a request ends that a stop cuts off.
+var ErrCutOff = errors.New("the node stops")
+
 // Calls counts the requests in progress, so that a stop can wait for them.
 type Calls struct {
 	mu      sync.Mutex
@@ -16,11 +21,11 @@
 }
 
 // running is a request in progress.
-type running struct{ cancel context.CancelFunc }
+type running struct{ cancel context.CancelCauseFunc }
 
 // Begin adds a request. Done must be called when it has ended; cancel is called
-// to cut it off.
-func (c *Calls) Begin(cancel context.CancelFunc) (done func()) {
+// with [ErrCutOff] to cut it off.
+func (c *Calls) Begin(cancel context.CancelCauseFunc) (done func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.init()
@@ -92,7 +97,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for request := range c.running {
-		request.cancel()
+		request.cancel(ErrCutOff)
 	}
 	return len(c.running)
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -118,7 +118,7 @@
 		}
 		about := subjects[line.Fields["server"]] || subjects[line.Fields["item"]] || subjects[line.Fields["for"]]
 		node := line.VM == vm && line.Fields["server"] == nil && line.Fields["item"] == nil
-		if about || node {
+		if about || node || line.Text == "process was paused" {
 			s.Around = append(s.Around, line)
 		}
 	}
@@ -126,13 +126,18 @@
 }
 
 // Write tells the story: every line with the time since the first one of the
-// request, the VM whose clock it is by, and what it says.
+// request, the VM whose clock it is by, and what it says, and between the
+// request's own lines and the others a summary of the causes.
 func (s *Story) Write(out io.Writer) {
 	began := s.Own[0].Time
 	_, _ = fmt.Fprintf(out, "request %s, from %s by the clock of %s\n", s.Request, began.Format(time.RFC3339Nano), s.Own[0].VM)
 	for _, line := range s.Own {
 		line.write(out, began, "")
 	}
+	_, _ = fmt.Fprintln(out, "in short")
+	for _, cause := range s.Causes() {
+		_, _ = fmt.Fprintf(out, "%10s   %s\n", "", cause)
+	}
 	if len(s.Around) > 0 {
 		_, _ = fmt.Fprintf(out, "what the nodes believed (each VM by its own clock)\n")
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -38,3 +38,46 @@
 	_, err := explain.Read("r9", strings.NewReader("{}\n"))
 	qt.Assert(t, err, qt.ErrorMatches, `request "r9" is in none of the logs`)
 }
+
+// TestCauses tells one kind of failure in each case.
+func TestCauses(t *testing.T) {
+	ended := `{"time":"2026-03-01T10:00:09Z","msg":"request ended","vm":"v1","request":"r1","took":9000000000,` +
+		`"mayHaveRun":false,"outcome":"deadlineUnreachable"}`
+	queued := `{"time":"2026-03-01T10:00:00Z","msg":"request queued","vm":"v1","request":"r1","item":"m7"}`
+	for _, test := range []struct {
+		name string
+		log  []string
+		want []string
+	}{
+		{"nothing was ordered", []string{queued, ended}, []string{
+			"ended after 9s: deadlineUnreachable; it has not run", "while it waited no order about m7 was given",
+		}},
+		{"orders were rejected", []string{
+			queued, ended,
+			`{"time":"2026-03-01T10:00:01Z","msg":"order sent","vm":"v2","load":false,"item":"m2","for":"m7","server":"e1"}`,
+			`{"time":"2026-03-01T10:00:02Z","msg":"order answered","vm":"v2","load":true,"item":"m7","server":"e1","outcome":"conflict"}`,
+		}, []string{
+			"ended after 9s: deadlineUnreachable; it has not run",
+			"while it waited, orders about m7: 1 sent, loads accepted 0, rejected 1, done 0",
+		}},
+		{"the scheduler was paused and changed", []string{
+			queued, ended,
+			`{"time":"2026-03-01T10:00:08Z","msg":"process was paused","vm":"v2","took":7000000000}`,
+			`{"time":"2026-03-01T10:00:03Z","msg":"scheduler lost","vm":"v1","node":"n2"}`,
+			`{"time":"2026-03-01T10:00:04Z","msg":"scheduler lost","vm":"v1","node":"n2"}`,
+		}, []string{
+			"ended after 9s: deadlineUnreachable; it has not run", "while it waited no order about m7 was given",
+			"the process on v2 was paused for 7s until 8.000s", "at 3.000s by v1: its node could not reach the scheduler",
+		}},
+		{"the node died", []string{queued}, []string{
+			"the end of the request is in none of the logs: its node stopped, or its log is missing",
+			"while it waited no order about m7 was given",
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			story, err := explain.Read("r1", strings.NewReader(strings.Join(test.log, "\n")))
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, story.Causes(), qt.DeepEquals, test.want)
+		})
+	}
+}
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -123,6 +123,7 @@
 		{"scheduler", n.parts.Scheduler.Run},
 		{"dispatcher", n.parts.Dispatcher.Run},
 		{"poison", n.takePoison},
+		{"pauses", n.watchPauses},
 	}
 }
 
