A model that an engine turned away is tried there again only after newer word

Cause: while the scheduler was stopped or had just changed, the directory showed models that had been replaced; the engine answered that it lacks them, and 125 ms later the call's last attempt went to the same engine. Change: the second try waits for newer word of what the engine holds, 5 s at the most. Tests: TestStaleWordCostsOneAttempt, TestServerIsTriedAgainWithoutWord.

--- a/internal/dispatch/directory.go
+++ b/internal/dispatch/directory.go
@@ -45,6 +45,12 @@
 	Replicas(item fleet.Item, pool fleet.PoolID) []Replica
 }
 
+// Dated is a [Directory] that knows how old its word is.
+type Dated interface {
+	// AsOf returns when the directory last learned what a server holds.
+	AsOf(server fleet.ServerID) time.Time
+}
+
 // Estimate is what a [Waker] expects of a load.
 type Estimate struct {
 	// ReadyIn is the time until the first replica is ready.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -84,6 +84,7 @@
 		Store: d.Store, Node: d.Node, Spread: d.SpreadPoison, PollInterval: d.PoisonPoll, Log: d.Log, Metrics: d.Metrics,
 	}
 	d.meters.register(d.Metrics)
+	d.servers.dated, _ = d.Directory.(Dated)
 	d.servers.setUp()
 }
 
--- a/internal/dispatch/servers.go
+++ b/internal/dispatch/servers.go
@@ -20,6 +20,8 @@
 type serverShards struct {
 	seed   maphash.Seed
 	shards [serverShardCount]serverShard
+	// dated is nil if the directory can't tell how old its word is.
+	dated Dated
 }
 
 type serverShard struct {
@@ -30,6 +32,8 @@
 // server is the node's own view of a backend server.
 type server struct {
 	id fleet.ServerID
+	// dated is nil if the directory can't tell how old its word is.
+	dated Dated
 
 	mu      sync.Mutex
 	health  route.Health
@@ -80,7 +84,7 @@
 	found := shard.servers[id]
 	if found == nil {
 		found = &server{
-			id: id, running: make(map[*slot]struct{}), groups: make(map[string]*group),
+			id: id, dated: s.dated, running: make(map[*slot]struct{}), groups: make(map[string]*group),
 			absent: make(map[fleet.Item]absence),
 		}
 		shard.servers[id] = found
@@ -177,7 +181,22 @@
 // the lock.
 func (s *server) closed(now time.Time, replica *Replica, call *Call) bool {
 	return s.exclusive != nil && s.exclusive != call || now.Before(s.closedUntil) ||
-		replica.Boot != "" && replica.Boot == s.deadBoot || now.Before(s.absent[replica.Item].until)
+		replica.Boot != "" && replica.Boot == s.deadBoot || s.lacks(now, replica.Item)
+}
+
+// lacks reports whether the server is taken to lack an item that it has turned
+// away: for a while, and until the directory has learned anew that the server
+// holds it. The caller holds the lock.
+func (s *server) lacks(now time.Time, item fleet.Item) bool {
+	known, found := s.absent[item]
+	switch {
+	case !found:
+		return false
+	case now.Before(known.until):
+		return true
+	default:
+		return s.dated != nil && now.Sub(known.at) < longestAbsence && !s.dated.AsOf(s.id).After(known.at)
+	}
 }
 
 // hasTokens reports whether the call fits into the server's cache beside the
@@ -283,8 +302,8 @@
 
 // absence is an item that a server did not have, so many times in a row.
 type absence struct {
-	until time.Time
-	times int
+	at, until time.Time
+	times     int
 }
 
 // An item that a server did not have is tried again after firstAbsence, since it
@@ -292,6 +311,8 @@
 const (
 	firstAbsence   = 125 * time.Millisecond
 	absenceDoubles = 3
+	// longestAbsence is when a server is tried again without newer word of it.
+	longestAbsence = 5 * time.Second
 )
 
 // lacked notes that the server does not hold the item of a slot.
@@ -301,7 +322,7 @@
 	s.health.Abandoned()
 	known := s.absent[taken.replica.Item]
 	s.absent[taken.replica.Item] = absence{
-		until: now.Add(firstAbsence << min(known.times, absenceDoubles)), times: known.times + 1,
+		at: now, until: now.Add(firstAbsence << min(known.times, absenceDoubles)), times: known.times + 1,
 	}
 }
 
--- a/internal/placement/directory.go
+++ b/internal/placement/directory.go
@@ -23,13 +23,17 @@
 	index map[indexKey][]dispatch.Replica
 }
 
-var _ dispatch.Directory = (*Directory)(nil)
+var (
+	_ dispatch.Directory = (*Directory)(nil)
+	_ dispatch.Dated     = (*Directory)(nil)
+)
 
-// toldEngine is what the scheduler said of a run of an engine.
+// toldEngine is what the scheduler said of a run of an engine. It said so at
+// saidAt, and that nothing has changed since at.
 type toldEngine struct {
-	boot   fleet.BootID
-	engine *roster.Engine
-	at     time.Time
+	boot       fleet.BootID
+	engine     *roster.Engine
+	saidAt, at time.Time
 }
 
 // seenEntry is an entry and when it came.
@@ -81,7 +85,7 @@
 	defer d.mu.Unlock()
 	d.init()
 	for at := range engines {
-		d.told[engines[at].Server] = toldEngine{boot: engines[at].Boot, engine: engines[at].engine(), at: now}
+		d.told[engines[at].Server] = toldEngine{boot: engines[at].Boot, engine: engines[at].engine(), saidAt: now, at: now}
 	}
 	d.index = nil
 }
@@ -97,6 +101,17 @@
 	}
 }
 
+// AsOf implements [dispatch.Dated]. That nothing has changed is no new word: the
+// scheduler may not have looked at the engine since.
+func (d *Directory) AsOf(server fleet.ServerID) time.Time {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	if told, found := d.scheduled(d.seen[server].server); found {
+		return told.saidAt
+	}
+	return d.seen[server].at
+}
+
 // Replicas implements [dispatch.Directory]. The result must not be changed.
 func (d *Directory) Replicas(item fleet.Item, pool fleet.PoolID) []dispatch.Replica {
 	key := indexKey{pool: pool, item: item}
@@ -153,9 +168,18 @@
 // engine returns what an engine holds, from the scheduler's word or, if that is
 // older or of another run, from the engine's entry. The caller holds the lock.
 func (d *Directory) engine(server *roster.Server) *roster.Engine {
-	told, found := d.told[server.ID]
-	if !found || told.boot != server.Boot || d.seen[server.ID].at.Sub(told.at) > entryLag {
-		return server.Engine
+	if told, found := d.scheduled(server); found {
+		return told.engine
+	}
+	return server.Engine
+}
+
+// scheduled returns the scheduler's word of an engine if it goes before the
+// engine's entry. The caller holds the lock.
+func (d *Directory) scheduled(server *roster.Server) (told toldEngine, found bool) {
+	if server == nil {
+		return toldEngine{}, false
 	}
-	return told.engine
+	told, found = d.told[server.ID]
+	return told, found && told.boot == server.Boot && d.seen[server.ID].at.Sub(told.at) <= entryLag
 }
