Loads after an unload are taken from where their weights really are

The model was offered 0.17 s early, and calls with two attempts spent both on it. Change: residence.Copies says where a model comes from after an unload, for the expected time and for the choice of what to unload. One LoadTime in place of two.

--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -205,7 +205,7 @@
 		return 0
 	case e.open != nil && e.open.Load && e.open.Item.Model == id:
 		return max(0, e.open.due.Sub(now))
-	case e.next == id && now.Before(e.nextUntil), e.onDisk[id]:
+	case e.next == id && now.Before(e.nextUntil), e.OnDisk[id]:
 		return model.FromDisk + unloadTime
 	default:
 		return model.FromStore
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -23,8 +23,7 @@
 	// sequence is the number of orders that the engine has accepted.
 	sequence uint64
 	held     map[fleet.ModelID]*heldModel
-	inMemory map[fleet.ModelID]bool
-	onDisk   map[fleet.ModelID]bool
+	residence.Copies
 	// diskOrder lists the copies on disk, the least recently used first.
 	diskOrder []fleet.ModelID
 	// sending says that an order is on its way.
@@ -74,7 +73,7 @@
 	if from == nil {
 		return
 	}
-	e.inMemory, e.onDisk, e.diskOrder = modelSet(from.InMemory), modelSet(from.OnDisk), from.OnDisk
+	e.InMemory, e.OnDisk, e.diskOrder = from.InMemory, modelSet(from.OnDisk), from.OnDisk
 }
 
 func modelSet(models []fleet.ModelID) map[fleet.ModelID]bool {
@@ -145,9 +144,10 @@
 
 // plan describes the engine to package residence, with the uses of its items.
 func (e *engine) plan(now time.Time, spec *roster.EngineSpec, uses map[useKey]*use) residence.Engine {
+	e.HostMemory = spec.HostMemory
 	planned := residence.Engine{
 		ID: e.server.ID, Place: e.server.Place, Memory: spec.Memory, AdapterSlots: spec.AdapterSlots,
-		Slots: spec.Slots, InMemory: e.inMemory, OnDisk: e.onDisk, Evicts: e.evicts(spec),
+		Slots: spec.Slots, Copies: e.Copies, Evicts: e.evicts(spec),
 		Closed: !e.known || e.server.Draining || now.Before(e.closedUntil),
 		Busy:   e.open != nil || e.sending,
 	}
--- a/internal/placement/give.go
+++ b/internal/placement/give.go
@@ -47,14 +47,12 @@
 	switch {
 	case order.Item.Adapter != "":
 		t.takes = adapterTime
-	case order.Load && order.Tier == residence.WeightStore:
-		t.takes = model.FromStore
+	case order.Load:
+		t.takes = model.LoadTime(order.Tier)
+	}
+	if order.Load && order.Item.Adapter == "" && order.Tier == residence.WeightStore {
 		s.storeTokens--
 		s.counts.storeLoads.Inc(1)
-	case order.Load && order.Tier == residence.LocalDisk:
-		t.takes = model.FromDisk
-	case order.Load:
-		t.takes = model.FromMemory
 	}
 	e.sending = true
 	if order.Item.Adapter == "" {
--- a/internal/placement/swap.go
+++ b/internal/placement/swap.go
@@ -68,18 +68,19 @@
 	for _, node := range t.nodes {
 		wanted = wanted || now.Sub(node.at) < waitingLife && node.waitsFor(t.order.For)
 	}
-	model := t.View().Model(e.server.Pool, t.order.For)
-	tier := e.tier(t.order.For)
-	if !wanted || model == nil || tier == residence.WeightStore {
+	spec := t.View().Engine(e.server.Pool)
+	if !wanted || spec == nil || spec.Models[t.order.For] == nil {
+		return nil, false
+	}
+	described := models(spec)
+	tier := e.TierAfter(t.order.For, t.order.Item.Model, described)
+	if tier == residence.WeightStore {
 		return nil, false
 	}
 	order := residence.Order{
 		Server: e.server.ID, Load: true, Item: fleet.Item{Model: t.order.For}, Tier: tier, Why: residence.WhyWaiting,
 	}
-	takes := model.FromDisk
-	if tier == residence.HostMemory {
-		takes = model.FromMemory
-	}
+	takes := described[t.order.For].LoadTime(tier)
 	return &task{Scheduler: t.Scheduler, engine: e, order: order, fencing: t.fencing, expect: e.sequence, takes: takes}, true
 }
 
@@ -97,18 +98,6 @@
 	t.note(e)
 }
 
-// tier returns where the engine would load a model from.
-func (e *engine) tier(model fleet.ModelID) residence.Tier {
-	switch {
-	case e.inMemory[model]:
-		return residence.HostMemory
-	case e.onDisk[model]:
-		return residence.LocalDisk
-	default:
-		return residence.WeightStore
-	}
-}
-
 // offer waits for the time that a load is expected to take and tells the nodes
 // that wait of the model, before a report shows it. If a report that came later
 // does not show it, further loads are given more time.
--- a/internal/residence/fit.go
+++ b/internal/residence/fit.go
@@ -1,8 +1,6 @@
 package residence
 
-import (
-	"time"
-)
+import "time"
 
 // fit returns the cheapest way to load a model on an engine.
 func (p *planner) fit(engine *Engine, demand *Demand, tier Tier) (best choice, found bool) {
@@ -10,7 +8,7 @@
 	if model.Size <= 0 {
 		return choice{}, false
 	}
-	cost := model.loadTime(tier)
+	cost := model.LoadTime(tier)
 	if tier == WeightStore && p.loses(engine) {
 		cost += model.FromStore
 	}
@@ -31,6 +29,10 @@
 			continue
 		}
 		total := cost + unloadTime + price
+		if tier == HostMemory {
+			after := engine.TierAfter(demand.Item.Model, victim.Model, p.Models)
+			total += model.LoadTime(after) - model.LoadTime(tier)
+		}
 		if !found || total < best.cost {
 			best, found = choice{engine: engine, tier: tier, victim: victim, cost: total}, true
 		}
--- a/internal/residence/plan.go
+++ b/internal/residence/plan.go
@@ -195,10 +195,10 @@
 		case engine.Busy:
 			p.coming[model]++
 		case p.free(engine) < p.Models[model].Size, engine.held(model) != nil,
-			engine.tier(model) == WeightStore && p.StoreLoads <= 0:
+			engine.Tier(model) == WeightStore && p.StoreLoads <= 0:
 			engine.Next = ""
 		default:
-			p.give(choice{engine: engine, tier: engine.tier(model)}, model, WhyWaiting)
+			p.give(choice{engine: engine, tier: engine.Tier(model)}, model, WhyWaiting)
 		}
 	}
 }
--- a/internal/residence/spare.go
+++ b/internal/residence/spare.go
@@ -32,7 +32,7 @@
 		if described.Size <= 0 || described.Size > left || p.ready[model]+p.coming[model] > 0 {
 			continue
 		}
-		tier := engine.tier(model)
+		tier := engine.Tier(model)
 		if tier == WeightStore && (p.StoreLoads <= spareStoreLoads || p.loses(engine)) {
 			continue
 		}
--- a/internal/residence/state.go
+++ b/internal/residence/state.go
@@ -32,21 +32,6 @@
 	FromStore, FromDisk, FromMemory time.Duration
 }
 
-// Tier says where the weights of a load come from.
-type Tier int
-
-// Tiers, fastest first.
-const (
-	HostMemory Tier = iota
-	LocalDisk
-	WeightStore
-)
-
-// String returns the name of the tier in logs.
-func (t Tier) String() string {
-	return [...]string{"hostMemory", "localDisk", "weightStore"}[t]
-}
-
 // Engine is one engine.
 type Engine struct {
 	ID fleet.ServerID
@@ -63,8 +48,7 @@
 	// is being made; empty if none.
 	Loading, Next fleet.ModelID
 	Held          []Held
-	// InMemory and OnDisk are the models that the VM has copies of.
-	InMemory, OnDisk map[fleet.ModelID]bool
+	Copies
 	// Evicts is the copy that a load from the weight store would push off the
 	// disk; empty if there is room.
 	Evicts fleet.ModelID
@@ -143,27 +127,3 @@
 	}
 	return nil
 }
-
-// tier returns where the engine would load a model from.
-func (e *Engine) tier(model fleet.ModelID) Tier {
-	switch {
-	case e.InMemory[model]:
-		return HostMemory
-	case e.OnDisk[model]:
-		return LocalDisk
-	default:
-		return WeightStore
-	}
-}
-
-// loadTime returns the time of a load from a tier.
-func (m Model) loadTime(tier Tier) time.Duration {
-	switch tier {
-	case HostMemory:
-		return m.FromMemory
-	case LocalDisk:
-		return m.FromDisk
-	default:
-		return m.FromStore
-	}
-}
--- a/internal/residence/want.go
+++ b/internal/residence/want.go
@@ -74,7 +74,7 @@
 		if !p.open(engine, model) {
 			continue
 		}
-		tier := engine.tier(model)
+		tier := engine.Tier(model)
 		if tier == WeightStore && (hasCopy || p.StoreLoads <= 0 || why == WhySpread) {
 			continue
 		}
--- a/internal/roster/controller.go
+++ b/internal/roster/controller.go
@@ -48,10 +48,19 @@
 
 // Model describes a model of a pool; nil if it is not deployed.
 func (v *View) Model(pool fleet.PoolID, model fleet.ModelID) *Model {
-	if v.Manifest == nil || v.Manifest.Pools[pool] == nil || v.Manifest.Pools[pool].Engine == nil {
+	if spec := v.Engine(pool); spec != nil {
+		return spec.Models[model]
+	}
+	return nil
+}
+
+// Engine describes the engines of a pool; nil if it has none or none is
+// deployed.
+func (v *View) Engine(pool fleet.PoolID) *EngineSpec {
+	if v.Manifest == nil || v.Manifest.Pools[pool] == nil {
 		return nil
 	}
-	return v.Manifest.Pools[pool].Engine.Models[model]
+	return v.Manifest.Pools[pool].Engine
 }
 
 // Controller follows the platform's list of servers and its manifest. Its
--- a/internal/roster/manifest.go
+++ b/internal/roster/manifest.go
@@ -80,8 +80,9 @@
 	// Memory is what weights and adapters may take together.
 	Memory       fleet.Bytes
 	AdapterSlots int
-	// Disk is the room for copies of weights on the VM's disk; 0 if unknown.
-	Disk fleet.Bytes
+	// Disk is the room for copies of weights on the VM's disk, HostMemory that
+	// in its memory; 0 if unknown.
+	Disk, HostMemory fleet.Bytes
 	// LoadsPerSecond is the rate at which loads from the weight store may begin
 	// over all engines.
 	LoadsPerSecond float64
