A plan for many engines costs less, and plans pause in proportion to their cost

Change: the models that no engine holds are listed once, engines without room are passed over, and after a plan the scheduler rests 30 times its length. Test: TestPlanOfFullEnginesLooksAtNoSpareModel.

--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -84,9 +84,12 @@
 // Timing of the scheduler.
 const (
 	// planInterval is the time between two plans if nothing happens,
-	// leastPlanInterval that between two if much does.
+	// leastPlanInterval that between two if much does, or planPause times what
+	// the last plan took, so that plans for many engines leave time for the
+	// rest.
 	planInterval      = 150 * time.Millisecond
 	leastPlanInterval = 5 * time.Millisecond
+	planPause         = 30
 	// reportLag is how old a report may be.
 	reportLag     = 150 * time.Millisecond
 	engineTimeout = 500 * time.Millisecond
@@ -130,11 +133,13 @@
 	s.mu.Unlock()
 	defer s.running.Wait()
 	for ctx.Err() == nil {
+		began := time.Now()
 		s.step(ctx)
+		pause := max(leastPlanInterval, planPause*time.Since(began))
 		timer := time.NewTimer(planInterval)
 		select {
 		case <-s.stirred:
-			sleep(ctx, leastPlanInterval)
+			sleep(ctx, pause)
 		case <-timer.C:
 		case <-ctx.Done():
 		}
--- a/internal/residence/plan.go
+++ b/internal/residence/plan.go
@@ -55,8 +55,10 @@
 	copies map[fleet.ModelID]int
 	// used lists the engines that have got an order.
 	used map[fleet.ServerID]bool
-	// largestAdapter is the size of the largest adapter of all models.
+	// largestAdapter is the size of the largest adapter of all models, slots
+	// the most calls that an engine runs at once.
 	largestAdapter fleet.Bytes
+	slots          int
 }
 
 // Plan returns the orders to give now, at most one about a model to each
@@ -82,6 +84,7 @@
 func (p *planner) count() {
 	for at := range p.Engines {
 		engine := &p.Engines[at]
+		p.slots = max(p.slots, engine.Slots)
 		for _, held := range engine.Held {
 			p.load[held.Model] += held.Running
 			if !held.Leaving && !engine.Closed {
@@ -156,18 +159,14 @@
 
 // target returns how many replicas a model is to have.
 func (p *planner) target(model fleet.ModelID) int {
-	slots := 0
-	for at := range p.Engines {
-		slots = max(slots, p.Engines[at].Slots)
-	}
 	least := 1
 	if known := p.demand[model]; known != nil && known.Rate >= busyRate {
 		least = 2
 	}
-	if slots == 0 {
+	if p.slots == 0 {
 		return least
 	}
-	return max(least, int(math.Ceil(p.calls(model)/(fillShare*float64(slots)))))
+	return max(least, int(math.Ceil(p.calls(model)/(fillShare*float64(p.slots)))))
 }
 
 // calls returns how many calls of a model run at once when none has to wait: by
--- a/internal/residence/plan_test.go
+++ b/internal/residence/plan_test.go
@@ -287,3 +287,16 @@
 		c.Check(order.Item.Adapter, qt.Equals, fleet.AdapterID(""))
 	}
 }
+
+// TestPlanOfFullEnginesLooksAtNoSpareModel answers the pattern of many engines
+// without room: what a plan costs must not grow with engines times models.
+func TestPlanOfFullEnginesLooksAtNoSpareModel(t *testing.T) {
+	state := site(300, 1500)
+	for at := range state.Engines {
+		holds(&state.Engines[at], 3*at, 3*at+1, 3*at+2)
+	}
+	looks := 0
+	state.Random = func() float64 { looks++; return 0 }
+	qt.Assert(t, residence.Plan(state), qt.HasLen, 0)
+	qt.Assert(t, looks, qt.Equals, 0)
+}
--- a/internal/residence/spare.go
+++ b/internal/residence/spare.go
@@ -1,6 +1,8 @@
 package residence
 
 import (
+	"slices"
+
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
@@ -8,17 +10,36 @@
 // that no engine holds, the most asked for first, or, on an engine without such
 // copies, from the weight store.
 func (p *planner) spare() {
+	absent := p.absent()
+	if len(absent) == 0 {
+		return
+	}
+	least := p.Models[absent[0]].Size
+	for _, model := range absent {
+		least = min(least, p.Models[model].Size)
+	}
 	for at := range p.Engines {
 		engine := &p.Engines[at]
-		if engine.Closed || engine.Busy || engine.Next != "" || p.used[engine.ID] {
+		if engine.Closed || engine.Busy || engine.Next != "" || p.used[engine.ID] || p.free(engine) < least {
 			continue
 		}
-		if best, found := p.spareModel(engine); found {
+		if best, found := p.spareModel(engine, absent); found {
 			p.give(best.choice, best.model, WhySpare)
 		}
 	}
 }
 
+// absent returns the models that no engine holds or is about to, in order.
+func (p *planner) absent() (models []fleet.ModelID) {
+	for model, described := range p.Models {
+		if described.Size > 0 && p.ready[model]+p.coming[model] == 0 {
+			models = append(models, model)
+		}
+	}
+	slices.Sort(models)
+	return models
+}
+
 // spareChoice is a model to fill room with.
 type spareChoice struct {
 	choice
@@ -26,10 +47,10 @@
 	value float64
 }
 
-func (p *planner) spareModel(engine *Engine) (best spareChoice, found bool) {
+func (p *planner) spareModel(engine *Engine, absent []fleet.ModelID) (best spareChoice, found bool) {
 	left := p.free(engine)
-	for model, described := range p.Models {
-		if described.Size <= 0 || described.Size > left || p.ready[model]+p.coming[model] > 0 {
+	for _, model := range absent {
+		if p.Models[model].Size > left || p.coming[model] > 0 {
 			continue
 		}
 		tier := engine.Tier(model)
