Long lists of servers are read whole, and full reads follow at once

The whole list had 0.7 s for all its pages together, and after a read that was cut short at the store's 500 rows the node rested 0.9 s, so that it fell behind for good once more than 500 entries changed in that time. Tests: TestLongListIsReadWhole, TestFullReadsFollowAtOnce, both failing before.

--- a/internal/roster/feed.go
+++ b/internal/roster/feed.go
@@ -27,7 +27,7 @@
 
 // Feed is a part of the platform's store that can be read whole and followed.
 type Feed[T any] interface {
-	// List reads everything.
+	// List reads everything, page by page, and bounds the time of each page.
 	List(ctx context.Context) (entries []T, at Revision, err error)
 	// Follow waits for changes after a revision, and returns none if there were
 	// none within the wait. It fails with ErrHistoryGone.
@@ -39,8 +39,13 @@
 	// followWait bounds one wait for changes. A connection that went silent is
 	// noticed after it.
 	followWait = 2 * time.Second
-	// answerTimeout is allowed for an answer beyond the wait.
+	// answerTimeout is allowed for an answer beyond the wait, listTimeout for
+	// the pages of a whole list together.
 	answerTimeout = 700 * time.Millisecond
+	listTimeout   = 20 * time.Second
+	// fullRead is the number of changes from which on a read is taken to be cut
+	// short, so that the next one follows at once.
+	fullRead = 400
 	// retryPause is the longest pause after a failure.
 	retryPause = 250 * time.Millisecond
 )
@@ -66,18 +71,22 @@
 func (f *follower[T]) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause := f.rest
-		if err := f.step(ctx); err != nil && ctx.Err() == nil {
+		more, err := f.step(ctx)
+		switch {
+		case err != nil && ctx.Err() == nil:
 			f.lost(err)
 			pause = retryPause/2 + rand.N(retryPause/2)
+		case more:
+			pause = 0
 		}
 		sleep(ctx, pause)
 	}
 }
 
-// step reads once.
-func (f *follower[T]) step(ctx context.Context) error {
+// step reads once and reports whether there is likely more to read.
+func (f *follower[T]) step(ctx context.Context) (more bool, err error) {
 	if !f.listed {
-		return f.list(ctx)
+		return false, f.list(ctx)
 	}
 	// After a failure the first read does not wait, so that the contact is
 	// known to be back at once.
@@ -91,21 +100,21 @@
 	if errors.Is(err, ErrHistoryGone) {
 		f.log.Warn("history of the store is gone", slog.String("feed", f.name), slog.Uint64("after", uint64(f.at)))
 		f.listed = false
-		return nil
+		return false, nil
 	}
 	if err != nil {
-		return err
+		return false, err
 	}
 	regained := f.regained()
 	f.at = max(f.at, at)
 	if len(changes) > 0 || regained {
 		f.apply(time.Now(), changes, false, regained)
 	}
-	return nil
+	return len(changes) >= fullRead, nil
 }
 
 func (f *follower[T]) list(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	entries, at, err := f.feed.List(ctx)
 	if err != nil {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -25,6 +26,10 @@
 	down    bool
 	gone    bool
 	reads   int
+	// listTakes is the time of a whole list, most bounds the changes of a read;
+	// 0 for no bound.
+	listTakes time.Duration
+	most      int
 }
 
 var errDown = errors.New("store down")
@@ -36,7 +41,12 @@
 	change()
 }
 
-func (f *feed[T]) List(context.Context) ([]T, roster.Revision, error) {
+func (f *feed[T]) List(ctx context.Context) ([]T, roster.Revision, error) {
+	select {
+	case <-time.After(f.listTakes):
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reads++
@@ -56,6 +66,10 @@
 		if !down && !gone && at > after {
 			f.changes = nil
 		}
+		if f.most > 0 && len(changes) > f.most {
+			f.changes, changes = changes[f.most:], changes[:f.most]
+			at = after + 1
+		}
 		f.mu.Unlock()
 		switch {
 		case down:
@@ -183,6 +197,35 @@
 	})
 }
 
+// TestLongListIsReadWhole answers the pattern of a large site whose nodes all
+// start at once and read the list of servers in many slow pages.
+func TestLongListIsReadWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := start(t)
+		s.servers.listTakes = 3 * time.Second
+		s.servers.set(func() { s.servers.all = []roster.ServerEntry{entry("a", "1")} })
+		time.Sleep(4 * time.Second)
+		s.Assert(s.has("a"), qt.IsTrue)
+	})
+}
+
+// TestFullReadsFollowAtOnce answers the pattern of more servers whose entries
+// change between two reads than one read returns.
+func TestFullReadsFollowAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := start(t)
+		time.Sleep(3 * time.Second)
+		s.servers.set(func() {
+			s.servers.most, s.servers.at = 500, s.servers.at+10
+			for at := range 3000 {
+				s.servers.changes = append(s.servers.changes, entry(fmt.Sprint("e", at), "1"))
+			}
+		})
+		time.Sleep(1500 * time.Millisecond)
+		s.Assert(s.roster.View().Servers, qt.HasLen, 3000)
+	})
+}
+
 func TestLongestPrefixWins(t *testing.T) {
 	c := qt.New(t)
 	manifest := &roster.Manifest{Hosts: map[string][]*roster.Route{
