One wait.For in place of twelve, one way to run a process's parts

Ten packages had a copy of sleep or pause and two of wait; both kinds of node had the same runner. No change of behaviour.

--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -18,6 +18,7 @@
 	"github.com/guavatrack/guavatrack/internal/node"
 	"github.com/guavatrack/guavatrack/internal/operator"
 	"github.com/guavatrack/guavatrack/internal/standin"
+	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 	"github.com/guavatrack/guavatrack/pkg/refusal"
 	"github.com/guavatrack/guavatrack/pkg/ticket"
@@ -178,7 +179,7 @@
 				call := chat{
 					base: "http://" + at.Addresses().Callers, item: item, text: "warm up", tokens: 1, deadline: readyTimeout,
 				}
-				for until := time.Now().Add(readyTimeout); f.client.chat(ctx, call).Outcome != Answered; wait(ctx, retryPause) {
+				for until := time.Now().Add(readyTimeout); f.client.chat(ctx, call).Outcome != Answered; wait.For(ctx, retryPause) {
 					if time.Now().After(until) {
 						return errors.Errorf("%s: no answer within %s without faults", item, readyTimeout)
 					}
@@ -263,7 +264,7 @@
 	}
 	kinds := f.kinds()
 	names := slices.Sorted(maps.Keys(kinds))
-	for until := time.Now().Add(span - outageLength); time.Now().Before(until) && ctx.Err() == nil; wait(ctx, faultEvery) {
+	for until := time.Now().Add(span - outageLength); time.Now().Before(until) && ctx.Err() == nil; wait.For(ctx, faultEvery) {
 		name := names[f.random.IntN(len(names))]
 		f.o.Printf("  %s", name)
 		f.result.Faults[name]++
@@ -276,7 +277,7 @@
 	for _, service := range f.site.Services {
 		service.SetFaults(standin.Faults{})
 	}
-	wait(ctx, settleTime)
+	wait.For(ctx, settleTime)
 }
 
 // engineFault sets the faults of an engine, which always crashes on poison.
@@ -294,7 +295,7 @@
 	server := f.anyEngine()
 	f.engineFault(server, faults)
 	f.background.Go(func() {
-		wait(ctx, faultLength)
+		wait.For(ctx, faultLength)
 		f.engineFault(server, standin.EngineFaults{})
 	})
 }
@@ -306,7 +307,7 @@
 	number := f.tableFaults
 	f.site.Table.SetFaults(faults)
 	f.background.Go(func() {
-		wait(ctx, length)
+		wait.For(ctx, length)
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		if number == f.tableFaults { // a later fault isn't cut short
@@ -348,7 +349,7 @@
 		"storeSlow": func(ctx context.Context) {
 			f.site.Store.SetSlowdown(5)
 			f.background.Go(func() {
-				wait(ctx, faultLength)
+				wait.For(ctx, faultLength)
 				f.site.Store.SetSlowdown(1)
 			})
 		},
@@ -367,7 +368,7 @@
 	f.probe(ctx, f.warmItem(f.random))
 	f.background.Go(func() {
 		victim.Stop()
-		wait(ctx, faultLength/2)
+		wait.For(ctx, faultLength/2)
 		if err := f.addNode(ctx); err != nil {
 			f.o.Printf("  new node: %v", err)
 		}
@@ -395,7 +396,7 @@
 			if f.chat(ctx, item, "probe", faultDeadline).Outcome == Answered {
 				break
 			}
-			wait(ctx, retryPause)
+			wait.For(ctx, retryPause)
 		}
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -445,7 +446,7 @@
 			continue
 		}
 		f.drain(ctx, old)
-		wait(ctx, rollingPause)
+		wait.For(ctx, rollingPause)
 	}
 }
 
@@ -462,7 +463,7 @@
 // watchTable finds the peak of table writes a second.
 func (f *faultsRun) watchTable(ctx context.Context) {
 	last := f.site.Table.Counts().Writes
-	for wait(ctx, time.Second); ctx.Err() == nil; wait(ctx, time.Second) {
+	for wait.For(ctx, time.Second); ctx.Err() == nil; wait.For(ctx, time.Second) {
 		now := f.site.Table.Counts().Writes
 		f.result.TableWritesPerSecondPeak = max(f.result.TableWritesPerSecondPeak, now-last)
 		last = now
@@ -475,7 +476,7 @@
 	seen := make(map[fleet.NodeID]time.Duration)
 	model := f.config.Models[0].ModelName(0)
 	next := time.Now().Add(ticketEvery)
-	for ; ctx.Err() == nil; wait(ctx, configInterval) {
+	for ; ctx.Err() == nil; wait.For(ctx, configInterval) {
 		if time.Now().After(next) {
 			next = time.Now().Add(ticketEvery)
 			before := f.number
--- a/internal/bench/idlenode.go
+++ b/internal/bench/idlenode.go
@@ -15,6 +15,7 @@
 
 	"github.com/guavatrack/guavatrack/internal/node"
 	"github.com/guavatrack/guavatrack/internal/standin"
+	"github.com/guavatrack/guavatrack/internal/wait"
 )
 
 // idleNode is run by [Relay] in a process of its own, so that the memory of the
@@ -41,7 +42,7 @@
 		return nil, err
 	}
 	defer started.Stop()
-	wait(ctx, idleTime)
+	wait.For(ctx, idleTime)
 	mb, err := residentMb()
 	return idleNodeResult{mb}, err
 }
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -8,6 +8,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/refusal"
 )
 
@@ -116,7 +117,7 @@
 	var group sync.WaitGroup
 	begun := time.Now()
 	for due := begun; ctx.Err() == nil && due.Sub(begun) < l.Span; due = due.Add(l.gap(source)) {
-		wait(ctx, time.Until(due))
+		wait.For(ctx, time.Until(due))
 		summary.Behind = max(summary.Behind, time.Since(due))
 		number := summary.Sent
 		summary.Sent++
@@ -181,15 +182,3 @@
 func Ms(histogram *hdrhistogram.Histogram, percentile float64) float64 {
 	return float64(histogram.ValueAtQuantile(percentile)) / 1000
 }
-
-func wait(ctx context.Context, span time.Duration) {
-	if span <= 0 {
-		return
-	}
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/bench/overload.go
+++ b/internal/bench/overload.go
@@ -9,6 +9,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/guavatrack/guavatrack/internal/standin"
+	"github.com/guavatrack/guavatrack/internal/wait"
 )
 
 // Overload offers more than the engines can do, and a slow and a silent engine.
@@ -237,6 +238,6 @@
 func (r *rig) silence(ctx context.Context, i int) {
 	for ctx.Err() == nil {
 		r.engines[i].SetFaults(standin.EngineFaults{Faults: standin.Faults{Silence: true}})
-		wait(ctx, silenceInterval)
+		wait.For(ctx, silenceInterval)
 	}
 }
--- a/internal/bench/rig.go
+++ b/internal/bench/rig.go
@@ -19,6 +19,7 @@
 	"github.com/guavatrack/guavatrack/internal/engine"
 	"github.com/guavatrack/guavatrack/internal/standin"
 	"github.com/guavatrack/guavatrack/internal/vmlist"
+	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 	"github.com/guavatrack/guavatrack/pkg/ticket"
 )
@@ -104,7 +105,7 @@
 		if err == nil && len(report.Held) == 1 && report.Held[0].State == engine.Ready {
 			return nil
 		}
-		wait(ctx, time.Millisecond)
+		wait.For(ctx, time.Millisecond)
 	}
 	return errors.Errorf("engine %d: not loaded within %s", i, rigTimeout)
 }
@@ -114,7 +115,7 @@
 
 func (r *rig) follow(ctx context.Context) {
 	for ctx.Err() == nil {
-		wait(ctx, reportInterval)
+		wait.For(ctx, reportInterval)
 		r.refresh(ctx)
 	}
 }
--- a/internal/bench/system.go
+++ b/internal/bench/system.go
@@ -19,6 +19,7 @@
 	"github.com/guavatrack/guavatrack/internal/operator"
 	"github.com/guavatrack/guavatrack/internal/settings"
 	"github.com/guavatrack/guavatrack/internal/standin"
+	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 	"github.com/guavatrack/guavatrack/pkg/refusal"
 )
@@ -111,7 +112,7 @@
 		case time.Now().After(until):
 			return errors.Wrapf(err, "node not ready within %s", readyTimeout)
 		}
-		wait(ctx, retryPause)
+		wait.For(ctx, retryPause)
 	}
 }
 
@@ -221,7 +222,7 @@
 			}
 			maybeRun = maybeRun || result.Outcome == Dropped
 		}
-		wait(ctx, retryPause)
+		wait.For(ctx, retryPause)
 	}
 }
 
@@ -294,7 +295,7 @@
 		return submitted
 	}
 	want := standin.Answer(item, standin.ChatPrompt(message), faultTokens)
-	for until := time.Now().Add(jobDeadline); time.Now().Before(until) && ctx.Err() == nil; wait(ctx, jobPoll) {
+	for until := time.Now().Add(jobDeadline); time.Now().Before(until) && ctx.Err() == nil; wait.For(ctx, jobPoll) {
 		var answer wholeAnswer
 		result := s.send(ctx, "", faultDeadline, func(ctx context.Context, base string, left time.Duration) Result {
 			return s.client.decode(ctx, left, &answer, func(ctx context.Context) (*http.Response, error) {
--- a/internal/claim/controller.go
+++ b/internal/claim/controller.go
@@ -14,6 +14,7 @@
 
 	"github.com/guavatrack/guavatrack/internal/metric"
 	"github.com/guavatrack/guavatrack/internal/table"
+	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
@@ -106,7 +107,7 @@
 	event := Event{Kind: Begin}
 	for {
 		action := owner.Next(time.Now(), event)
-		if !pause(ctx, action.After) && action.Kind != Wait {
+		if !wait.For(ctx, action.After) && action.Kind != Wait {
 			action.Kind = Read
 		}
 		switch action.Kind {
@@ -124,21 +125,6 @@
 	}
 }
 
-// pause waits and reports whether the context is still alive.
-func pause(ctx context.Context, span time.Duration) bool {
-	if span <= 0 {
-		return true
-	}
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (c *Controller) newRecord(call Call) Record {
 	now := time.Now()
 	settleBy := call.Deadline.Add(SettleGrace)
--- a/internal/claim/settle.go
+++ b/internal/claim/settle.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/guavatrack/guavatrack/internal/table"
+	"github.com/guavatrack/guavatrack/internal/wait"
 )
 
 // Timing of the recording of outcomes.
@@ -56,7 +57,7 @@
 			return nil
 		}
 		expect = table.Absent
-		if !pause(ctx, span) {
+		if !wait.For(ctx, span) {
 			return errors.Wrap(err, "settle")
 		}
 		span = min(2*span, settleLongest)
@@ -91,7 +92,7 @@
 // Run deletes expired claims until the context ends.
 func (c *Controller) Run(ctx context.Context) error {
 	c.once.Do(c.setUp)
-	for pause(ctx, sweepInterval) {
+	for wait.For(ctx, sweepInterval) {
 		c.sweep(ctx)
 	}
 	return nil
--- a/internal/config/accept.go
+++ b/internal/config/accept.go
@@ -11,6 +11,7 @@
 
 	"github.com/guavatrack/guavatrack/internal/audit"
 	"github.com/guavatrack/guavatrack/internal/table"
+	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 	"github.com/guavatrack/guavatrack/pkg/ticket"
 )
@@ -66,7 +67,7 @@
 			return accepted, err
 		}
 		c.counts.races.Inc(1)
-		if !sleep(ctx, c.jitter(retryPause*time.Duration(attempt+1))) {
+		if !wait.For(ctx, c.jitter(retryPause*time.Duration(attempt+1))) {
 			return Accepted{}, ctx.Err()
 		}
 	}
@@ -245,7 +246,7 @@
 		default:
 			return err
 		}
-		if !sleep(ctx, c.jitter(retryPause)) {
+		if !wait.For(ctx, c.jitter(retryPause)) {
 			break
 		}
 	}
--- a/internal/config/controller.go
+++ b/internal/config/controller.go
@@ -15,6 +15,7 @@
 	"github.com/guavatrack/guavatrack/internal/member"
 	"github.com/guavatrack/guavatrack/internal/peer"
 	"github.com/guavatrack/guavatrack/internal/table"
+	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 	"github.com/guavatrack/guavatrack/pkg/ticket"
 )
@@ -133,7 +134,7 @@
 		if err := c.poll(ctx); err != nil && ctx.Err() == nil {
 			c.counts.tableErrors.Inc(1)
 		}
-		if !sleep(ctx, c.jitter(max(minPoll, time.Duration(len(c.members()))*pollPerMember))) {
+		if !wait.For(ctx, c.jitter(max(minPoll, time.Duration(len(c.members()))*pollPerMember))) {
 			return nil
 		}
 	}
@@ -166,18 +167,6 @@
 	return span*3/4 + rand.N(span/2+1)
 }
 
-// sleep waits and reports whether the context is still there.
-func sleep(ctx context.Context, span time.Duration) bool {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // poll compares the node with the table.
 func (c *Controller) poll(ctx context.Context) error {
 	began := time.Now()
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -14,6 +14,7 @@
 	"github.com/guavatrack/guavatrack/internal/poison"
 	"github.com/guavatrack/guavatrack/internal/retry"
 	"github.com/guavatrack/guavatrack/internal/table"
+	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
@@ -103,7 +104,7 @@
 // housekeep drops the state of backend servers without requests now and then.
 // It is learned again in a few requests.
 func (d *Dispatcher) housekeep(ctx context.Context) error {
-	for pause(ctx, housekeepInterval) {
+	for wait.For(ctx, housekeepInterval) {
 		d.servers.forget()
 	}
 	return nil
@@ -172,18 +173,3 @@
 	defer l.mu.Unlock()
 	return l.source.Uint64()
 }
-
-// pause waits and reports whether the context is still alive.
-func pause(ctx context.Context, span time.Duration) bool {
-	if span <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/dispatch/isolate.go
+++ b/internal/dispatch/isolate.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/guavatrack/guavatrack/internal/poison"
+	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/refusal"
 )
 
@@ -99,7 +100,7 @@
 func (d *Dispatcher) tryAlone(ctx context.Context, taken *slot) error {
 	end := time.Now().Add(min(alonePatience, taken.call.Left()/aloneShare))
 	for taken.server.load() > 1 && time.Now().Before(end) {
-		if !pause(ctx, alonePoll) {
+		if !wait.For(ctx, alonePoll) {
 			return errNotAlone
 		}
 	}
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/guavatrack/guavatrack/internal/retry"
+	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/refusal"
 )
 
@@ -53,7 +54,7 @@
 		return nil, failed
 	}
 	r.meters.retries.Inc(1)
-	if !pause(call.Context, decision.Pause) {
+	if !wait.For(call.Context, decision.Pause) {
 		return nil, failed
 	}
 	if decision.SameServer {
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/guavatrack/guavatrack/internal/wait"
 )
 
 // spreadTime is allowed for the news that the node leaves to reach all nodes.
@@ -63,7 +65,7 @@
 	began := time.Now()
 	log.InfoContext(ctx, "drain begins", "keepFor", s.KeepFor)
 	s.Leave()
-	sleep(ctx, s.KeepFor+spreadTime)
+	wait.For(ctx, s.KeepFor+spreadTime)
 	report.Waited = time.Since(began)
 	report.CutOff = s.Finish(ctx)
 	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), handOverTime)
@@ -80,12 +82,3 @@
 	log.InfoContext(ctx, "drain ends", "cutOff", report.CutOff, "took", report.Took)
 	return report, err
 }
-
-func sleep(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/grant/commit.go
+++ b/internal/grant/commit.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 
 	"github.com/guavatrack/guavatrack/internal/table"
+	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
@@ -39,7 +40,7 @@
 	lost := false
 	var err error
 	for attempt := range maxCommitAttempts {
-		if attempt > 0 && !sleep(ctx, c.jitter(pauseAfter(attempt))) {
+		if attempt > 0 && !wait.For(ctx, c.jitter(pauseAfter(attempt))) {
 			break
 		}
 		call, cancel := context.WithTimeout(ctx, callTimeout)
@@ -181,7 +182,7 @@
 	ctx context.Context, id fleet.ServerID, edit func(ServerRecord) (ServerRecord, error),
 ) (err error) {
 	for attempt := range maxCommitAttempts {
-		if attempt > 0 && !sleep(ctx, c.jitter(pauseAfter(attempt))) {
+		if attempt > 0 && !wait.For(ctx, c.jitter(pauseAfter(attempt))) {
 			return ctx.Err()
 		}
 		end, err := c.tryChange(ctx, id, edit)
--- a/internal/grant/controller.go
+++ b/internal/grant/controller.go
@@ -229,15 +229,3 @@
 	defer c.randomMu.Unlock()
 	return span/2 + time.Duration(c.random.Int64N(int64(span)))
 }
-
-// sleep waits for the span or the end of the context, which it reports.
-func sleep(ctx context.Context, span time.Duration) bool {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/grant/follow.go
+++ b/internal/grant/follow.go
@@ -11,6 +11,7 @@
 	"github.com/guavatrack/guavatrack/internal/engine"
 	"github.com/guavatrack/guavatrack/internal/table"
 	"github.com/guavatrack/guavatrack/internal/vmlist"
+	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
@@ -34,7 +35,7 @@
 	tasks.Go(func() { c.refreshLoop(ctx) })
 	for {
 		c.superviseServers(ctx, &tasks)
-		if !sleep(ctx, c.Poll) {
+		if !wait.For(ctx, c.Poll) {
 			return ctx.Err()
 		}
 	}
@@ -209,7 +210,7 @@
 			}
 			pause = min(2*pause, maxRefreshPause)
 		}
-		if !sleep(ctx, c.jitter(pause)) {
+		if !wait.For(ctx, c.jitter(pause)) {
 			return
 		}
 	}
--- a/internal/grant/load.go
+++ b/internal/grant/load.go
@@ -10,6 +10,7 @@
 	"github.com/guavatrack/guavatrack/internal/engine"
 	"github.com/guavatrack/guavatrack/internal/table"
 	"github.com/guavatrack/guavatrack/internal/vmlist"
+	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
@@ -90,7 +91,7 @@
 // obtain records a grant, again after each conflict.
 func (c *Controller) obtain(ctx context.Context, id fleet.ServerID, r *Request) (*plan, fleet.ServerID, error) {
 	for attempt := range maxCommitAttempts {
-		if attempt > 0 && !sleep(ctx, c.jitter(pauseAfter(attempt))) {
+		if attempt > 0 && !wait.For(ctx, c.jitter(pauseAfter(attempt))) {
 			return nil, id, ctx.Err()
 		}
 		planned, err := c.tryObtain(ctx, id, r)
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -23,7 +23,9 @@
 	"github.com/guavatrack/guavatrack/internal/placement"
 	"github.com/guavatrack/guavatrack/internal/poison"
 	"github.com/guavatrack/guavatrack/internal/roster"
+	"github.com/guavatrack/guavatrack/internal/run"
 	"github.com/guavatrack/guavatrack/internal/settings"
+	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 	"github.com/guavatrack/guavatrack/platform"
 )
@@ -92,13 +94,7 @@
 	}
 	running, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
-	for _, run := range n.runners() {
-		n.runs.Go(func() {
-			if err := run.run(running); err != nil && running.Err() == nil {
-				n.Log.Error("controller ended", slog.String("controller", run.name), slog.Any("error", err))
-			}
-		})
-	}
+	run.Start(running, &n.runs, n.Log, n.runners())
 	n.parts.Endpoints.serve(n)
 	n.Log.Info("node started", slog.String("node", string(n.ID)), slog.String("place", string(n.Settings.Node.FailureDomain)),
 		slog.String("callers", n.Addresses().Callers))
@@ -108,22 +104,17 @@
 // Addresses returns where the node listens. It is valid after Start.
 func (n *Node) Addresses() Addresses { return n.parts.Endpoints.addresses }
 
-type runner struct {
-	name string
-	run  func(context.Context) error
-}
-
-func (n *Node) runners() []runner {
-	return []runner{
-		{"roster", n.parts.Roster.Run},
-		{"peers", n.parts.Peers.Run},
-		{"members", n.join},
-		{"lease", n.parts.Lease.Run},
-		{"reporter", n.parts.Reporter.Run},
-		{"scheduler", n.parts.Scheduler.Run},
-		{"dispatcher", n.parts.Dispatcher.Run},
-		{"poison", n.takePoison},
-		{"pauses", n.watchPauses},
+func (n *Node) runners() []run.Part {
+	return []run.Part{
+		{Name: "roster", Run: n.parts.Roster.Run},
+		{Name: "peers", Run: n.parts.Peers.Run},
+		{Name: "members", Run: n.join},
+		{Name: "lease", Run: n.parts.Lease.Run},
+		{Name: "reporter", Run: n.parts.Reporter.Run},
+		{Name: "scheduler", Run: n.parts.Scheduler.Run},
+		{Name: "dispatcher", Run: n.parts.Dispatcher.Run},
+		{Name: "poison", Run: n.takePoison},
+		{Name: "pauses", Run: n.watchPauses},
 	}
 }
 
@@ -137,7 +128,7 @@
 // it is not named to callers before.
 func (n *Node) join(ctx context.Context) error {
 	for end := time.Now().Add(warmUpLimit); n.known() != nil && time.Now().Before(end) && ctx.Err() == nil; {
-		sleep(ctx, warmUpPoll)
+		wait.For(ctx, warmUpPoll)
 	}
 	return n.parts.Members.Run(ctx)
 }
@@ -148,7 +139,7 @@
 
 func (n *Node) takePoison(ctx context.Context) error {
 	for ctx.Err() == nil {
-		sleep(ctx, poisonInterval)
+		wait.For(ctx, poisonInterval)
 		n.parts.Poison.Take()
 	}
 	return nil
@@ -199,7 +190,7 @@
 	n.leaving.Store(true)
 	n.parts.Members.Leave()
 	n.runs.Go(func() { n.parts.Lease.GiveUp(ctx) })
-	sleep(ctx, time.Duration(acceptShare*float64(grace)))
+	wait.For(ctx, time.Duration(acceptShare*float64(grace)))
 	n.draining.Store(true)
 	n.parts.Endpoints.closeCallers()
 	cutOff = n.active.Drain(ctx)
@@ -217,15 +208,6 @@
 	_ = n.app.Stop(context.Background())
 }
 
-func sleep(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // What requests may take: a request holds a connection to its caller and one to
 // a server; the rest of the descriptors is for the node itself, and a part of the
 // memory for bodies.
--- a/internal/hosted/pause.go
+++ b/internal/hosted/pause.go
@@ -4,6 +4,8 @@
 	"context"
 	"log/slog"
 	"time"
+
+	"github.com/guavatrack/guavatrack/internal/wait"
 )
 
 const (
@@ -19,7 +21,7 @@
 // requests that it held stood still.
 func (n *Node) watchPauses(ctx context.Context) error {
 	for last := time.Now(); ctx.Err() == nil; last = time.Now() {
-		sleep(ctx, pauseInterval)
+		wait.For(ctx, pauseInterval)
 		if took := time.Since(last) - pauseInterval; took >= leastPause {
 			n.Log.Warn("process was paused", slog.Duration("took", took))
 		}
--- a/internal/member/controller.go
+++ b/internal/member/controller.go
@@ -13,6 +13,7 @@
 
 	"github.com/guavatrack/guavatrack/internal/peer"
 	"github.com/guavatrack/guavatrack/internal/table"
+	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
@@ -101,7 +102,7 @@
 	c.pending.Go(func() { c.keepRegistered(ctx) })
 	for {
 		c.locked(func(now time.Time) []Action { return c.view.Tick(now) })
-		if !sleep(ctx, c.jitter(c.Interval)) {
+		if !wait.For(ctx, c.jitter(c.Interval)) {
 			return nil
 		}
 	}
@@ -114,18 +115,6 @@
 	return span*9/10 + time.Duration(c.Rand.Int64N(int64(span)/5+1))
 }
 
-// sleep waits and reports whether the context is still there.
-func sleep(ctx context.Context, span time.Duration) bool {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (c *Controller) setRunning(ctx context.Context) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/member/registration.go
+++ b/internal/member/registration.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 
 	"github.com/guavatrack/guavatrack/internal/table"
+	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
@@ -67,7 +68,7 @@
 	for {
 		interval := refreshInterval(len(c.Members()))
 		c.refresh(ctx, interval)
-		if !sleep(ctx, c.jitter(interval)) {
+		if !wait.For(ctx, c.jitter(interval)) {
 			return
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/guavatrack/guavatrack/internal/member"
 	"github.com/guavatrack/guavatrack/internal/peer"
 	"github.com/guavatrack/guavatrack/internal/policy"
+	"github.com/guavatrack/guavatrack/internal/run"
 	"github.com/guavatrack/guavatrack/internal/settings"
 	"github.com/guavatrack/guavatrack/internal/table"
 	"github.com/guavatrack/guavatrack/internal/vmlist"
@@ -96,32 +97,21 @@
 	}
 	running, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
-	for _, run := range n.runners() {
-		n.runs.Go(func() {
-			if err := run.run(running); err != nil && running.Err() == nil {
-				n.Log.Error("controller ended", slog.String("controller", run.name), slog.Any("error", err))
-			}
-		})
-	}
+	run.Start(running, &n.runs, n.Log, n.runners())
 	n.Log.Info("node started", slog.Any("node", n.ID), slog.Any("addresses", n.Addresses()))
 	return nil
 }
 
-type runner struct {
-	name string
-	run  func(context.Context) error
-}
-
-func (n *Node) runners() []runner {
-	return []runner{
-		{"peers", n.parts.Peers.Run},
-		{"vmList", n.parts.VMs.Run},
-		{"members", n.join},
-		{"configuration", n.parts.Config.Run},
-		{"grants", n.parts.Grants.Run},
-		{"policy", n.parts.Policy.Run},
-		{"callers", n.parts.Callers.Run},
-		{"facts", n.parts.Facts.run},
+func (n *Node) runners() []run.Part {
+	return []run.Part{
+		{Name: "peers", Run: n.parts.Peers.Run},
+		{Name: "vmList", Run: n.parts.VMs.Run},
+		{Name: "members", Run: n.join},
+		{Name: "configuration", Run: n.parts.Config.Run},
+		{Name: "grants", Run: n.parts.Grants.Run},
+		{Name: "policy", Run: n.parts.Policy.Run},
+		{Name: "callers", Run: n.parts.Callers.Run},
+		{Name: "facts", Run: n.parts.Facts.run},
 	}
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -24,6 +24,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
@@ -159,7 +160,7 @@
 			return nil
 		case err != nil:
 			p.counts.acceptErrors.Inc(1)
-			wait(ctx, acceptPause)
+			wait.For(ctx, acceptPause)
 		default:
 			p.accept(ctx, conn)
 		}
@@ -169,15 +170,6 @@
 // acceptPause keeps a listener that fails from spinning.
 const acceptPause = 50 * time.Millisecond
 
-func wait(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // accept serves a connection that another node made.
 func (p *Peer) accept(ctx context.Context, conn net.Conn) {
 	select {
--- a/internal/placement/give.go
+++ b/internal/placement/give.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/guavatrack/guavatrack/internal/residence"
+	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
@@ -201,7 +202,7 @@
 
 // announceAdapter tells the nodes that wait once an adapter is ready.
 func (t *task) announceAdapter(ctx context.Context) {
-	sleep(ctx, adapterTime)
+	wait.For(ctx, adapterTime)
 	t.mu.Lock()
 	t.note(t.engine)
 	t.mu.Unlock()
@@ -215,16 +216,16 @@
 	if t.order.Load {
 		t.offer(ctx)
 	} else {
-		sleep(ctx, t.takes)
+		wait.For(ctx, t.takes)
 	}
-	sleep(ctx, reportLag/2)
+	wait.For(ctx, reportLag/2)
 	for ctx.Err() == nil && time.Now().Before(end) {
 		if t.look(ctx, began) {
 			t.counts.done.Inc(1)
 			t.announce(ctx)
 			return
 		}
-		sleep(ctx, pollInterval)
+		wait.For(ctx, pollInterval)
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/placement/reporter.go
+++ b/internal/placement/reporter.go
@@ -10,6 +10,7 @@
 
 	"github.com/guavatrack/guavatrack/internal/dispatch"
 	"github.com/guavatrack/guavatrack/internal/roster"
+	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
@@ -224,7 +225,7 @@
 		timer := time.NewTimer(reportInterval)
 		select {
 		case <-r.stirred:
-			sleep(ctx, leastInterval-time.Since(r.lastSent))
+			wait.For(ctx, leastInterval-time.Since(r.lastSent))
 		case <-timer.C:
 		case <-ctx.Done():
 		}
@@ -360,15 +361,3 @@
 		r.Directory.tell(told.Engines)
 	}
 }
-
-func sleep(ctx context.Context, span time.Duration) {
-	if span <= 0 {
-		return
-	}
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -12,6 +12,7 @@
 	"github.com/guavatrack/guavatrack/internal/metric"
 	"github.com/guavatrack/guavatrack/internal/residence"
 	"github.com/guavatrack/guavatrack/internal/roster"
+	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
@@ -139,7 +140,7 @@
 		timer := time.NewTimer(planInterval)
 		select {
 		case <-s.stirred:
-			sleep(ctx, pause)
+			wait.For(ctx, pause)
 		case <-timer.C:
 		case <-ctx.Done():
 		}
--- a/internal/placement/swap.go
+++ b/internal/placement/swap.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/guavatrack/guavatrack/internal/residence"
+	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
@@ -27,7 +28,7 @@
 // which it does once the unload is done. It reports whether the load was
 // accepted and has been followed to its end.
 func (t *task) swap(ctx context.Context) bool {
-	sleep(ctx, t.takes-swapPause)
+	wait.For(ctx, t.takes-swapPause)
 	for range swapTries {
 		next, wanted := t.following()
 		if !wanted || ctx.Err() != nil {
@@ -44,7 +45,7 @@
 			next.await(ctx)
 			return true
 		case Conflict:
-			sleep(ctx, swapPause)
+			wait.For(ctx, swapPause)
 		default:
 			t.mu.Lock()
 			t.doubt(time.Now())
@@ -105,7 +106,7 @@
 	t.mu.Lock()
 	slack := max(firstSlack, t.slack[t.order.Tier])
 	t.mu.Unlock()
-	sleep(ctx, t.takes+slack)
+	wait.For(ctx, t.takes+slack)
 	t.mu.Lock()
 	if t.engines[t.engine.server.ID] == t.engine && t.engine.open != nil && t.engine.held[t.order.Item.Model] == nil {
 		t.engine.held[t.order.Item.Model] = &heldModel{adapters: make(map[fleet.AdapterID]*heldAdapter), offered: true}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -13,6 +13,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/guavatrack/guavatrack/internal/engine"
+	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
@@ -353,7 +354,7 @@
 
 func (e *Engine) finishLoad(life context.Context, copied *held, crash bool) {
 	if crash {
-		sleep(life, minLoadStep)
+		wait.For(life, minLoadStep)
 		e.Crash()
 		return
 	}
@@ -396,7 +397,7 @@
 // finishUnload makes a copy absent once its requests have ended, and with a
 // base model its adapters.
 func (e *Engine) finishUnload(life context.Context, copied *held) {
-	if !sleep(life, e.config.UnloadTime) {
+	if !wait.For(life, e.config.UnloadTime) {
 		return
 	}
 	for {
@@ -405,7 +406,7 @@
 			break
 		}
 		e.mu.Unlock()
-		sleep(life, minLoadStep)
+		wait.For(life, minLoadStep)
 	}
 	defer e.mu.Unlock()
 	if life.Err() != nil {
--- a/internal/standin/gate.go
+++ b/internal/standin/gate.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
@@ -122,7 +123,7 @@
 	if faults.Down {
 		panic(http.ErrAbortHandler)
 	}
-	if !sleep(r.Context(), faults.Slow.Std()) {
+	if !wait.For(r.Context(), faults.Slow.Std()) {
 		return
 	}
 	switch {
@@ -153,21 +154,6 @@
 func (d *discardWriter) WriteHeader(int)             {}
 func (d *discardWriter) Flush()                      {}
 
-// sleep waits for the span and reports whether the context is still alive.
-func sleep(ctx context.Context, span time.Duration) bool {
-	if span <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func tooManyRequests(w http.ResponseWriter, _ *http.Request) {
 	writeError(w, http.StatusTooManyRequests, "rate_limit_exceeded", "throttled")
 }
--- a/internal/standin/generate.go
+++ b/internal/standin/generate.go
@@ -13,6 +13,7 @@
 	"github.com/google/uuid"
 
 	"github.com/guavatrack/guavatrack/internal/engine"
+	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
@@ -94,7 +95,7 @@
 		}
 		panic(http.ErrAbortHandler)
 	}
-	if !sleep(job.ctx, e.prefill(job)) {
+	if !wait.For(job.ctx, e.prefill(job)) {
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set(engine.RequestIDHeader, string(job.id))
@@ -104,7 +105,7 @@
 	}
 	for next := time.Now(); job.first < len(job.tokens); job.first++ {
 		next = next.Add(e.interval())
-		if !sleep(job.ctx, time.Until(next)) {
+		if !wait.For(job.ctx, time.Until(next)) {
 			panic(http.ErrAbortHandler)
 		}
 	}
@@ -295,9 +296,9 @@
 		if offset < len(job.tokens) {
 			next = next.Add(e.interval())
 		}
-		if wait := time.Until(next); wait > 0 {
+		if early := time.Until(next); early > 0 {
 			flush()
-			sleep(job.ctx, wait)
+			wait.For(job.ctx, early)
 		}
 		if job.ctx.Err() != nil {
 			panic(http.ErrAbortHandler)
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/guavatrack/guavatrack/internal/engine"
+	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
@@ -65,12 +66,12 @@
 	if s.next.Before(now) {
 		s.next = now
 	}
-	wait := s.next.Sub(now)
+	turn := s.next.Sub(now)
 	if s.config.LoadsPerSecond > 0 {
 		s.next = s.next.Add(time.Duration(float64(time.Second) / s.config.LoadsPerSecond))
 	}
 	s.mu.Unlock()
-	return sleep(ctx, wait)
+	return wait.For(ctx, turn)
 }
 
 func (s *WeightStore) addModels(change int) {
@@ -102,7 +103,7 @@
 		s.adapters--
 		s.mu.Unlock()
 	}()
-	return sleep(ctx, span)
+	return wait.For(ctx, span)
 }
 
 // checkpoints is a VM's cache of checkpoints: host memory in front of a disk,
@@ -228,7 +229,7 @@
 			whole := time.Duration(total / speed * float64(time.Second))
 			step = min(left, max(minLoadStep, min(maxLoadStep, whole/loadSteps)))
 		}
-		if !sleep(ctx, max(step, time.Microsecond)) {
+		if !wait.For(ctx, max(step, time.Microsecond)) {
 			return false
 		}
 		moved += speed * step.Seconds()
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -10,6 +10,7 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
@@ -104,7 +105,7 @@
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.gate.serve(w, r, s.router) }
 
 func (s *Service) handleGet(w http.ResponseWriter, r *http.Request) {
-	if sleep(r.Context(), s.config.Delay) {
+	if wait.For(r.Context(), s.config.Delay) {
 		writeJSON(w, http.StatusOK, ServiceAnswer{Path: r.URL.Path, Reference: Reference(r.URL.Path, nil, "")})
 	}
 }
@@ -120,6 +121,6 @@
 	if count > 1 {
 		s.config.Ledger.record(DoubleRun, s.config.ID, "%s: run %d of %s", r.URL.Path, count, reference)
 	}
-	sleep(r.Context(), s.config.Delay)
+	wait.For(r.Context(), s.config.Delay)
 	writeJSON(w, http.StatusCreated, ServiceAnswer{Path: r.URL.Path, Reference: reference, Run: count})
 }
