Nodes read at most 150 changes of servers a second

Change: after a read the feed rests 6.5 ms for each change, which is above the usual rest from 140 changes on only.

--- a/internal/roster/controller.go
+++ b/internal/roster/controller.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/guavatrack/guavatrack/internal/metric"
+	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
@@ -199,7 +200,7 @@
 func (c *Controller) sweep(ctx context.Context) {
 	const interval = 200 * time.Millisecond
 	for ctx.Err() == nil {
-		sleep(ctx, interval)
+		wait.For(ctx, interval)
 		now := time.Now()
 		c.mu.Lock()
 		idle := len(c.missing) == 0 || now.Sub(c.regainedAt) < reentryTime
--- a/internal/roster/feed.go
+++ b/internal/roster/feed.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
@@ -43,9 +44,9 @@
 	// the pages of a whole list together.
 	answerTimeout = 700 * time.Millisecond
 	listTimeout   = 20 * time.Second
-	// fullRead is the number of changes from which on a read is taken to be cut
-	// short, so that the next one follows at once.
-	fullRead = 400
+	// changePause is rested for each change that was read: nodes of a region
+	// share its link to the store, and the manifest has to come through.
+	changePause = 6500 * time.Microsecond
 	// retryPause is the longest pause after a failure.
 	retryPause = 250 * time.Millisecond
 )
@@ -70,23 +71,20 @@
 
 func (f *follower[T]) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause := f.rest
-		more, err := f.step(ctx)
-		switch {
-		case err != nil && ctx.Err() == nil:
+		changes, err := f.step(ctx)
+		pause := max(f.rest, time.Duration(changes)*changePause)
+		if err != nil && ctx.Err() == nil {
 			f.lost(err)
 			pause = retryPause/2 + rand.N(retryPause/2)
-		case more:
-			pause = 0
 		}
-		sleep(ctx, pause)
+		wait.For(ctx, pause)
 	}
 }
 
-// step reads once and reports whether there is likely more to read.
-func (f *follower[T]) step(ctx context.Context) (more bool, err error) {
+// step reads once and returns the number of changes.
+func (f *follower[T]) step(ctx context.Context) (count int, err error) {
 	if !f.listed {
-		return false, f.list(ctx)
+		return 0, f.list(ctx)
 	}
 	// After a failure the first read does not wait, so that the contact is
 	// known to be back at once.
@@ -100,17 +98,17 @@
 	if errors.Is(err, ErrHistoryGone) {
 		f.log.Warn("history of the store is gone", slog.String("feed", f.name), slog.Uint64("after", uint64(f.at)))
 		f.listed = false
-		return false, nil
+		return 0, nil
 	}
 	if err != nil {
-		return false, err
+		return 0, err
 	}
 	regained := f.regained()
 	f.at = max(f.at, at)
 	if len(changes) > 0 || regained {
 		f.apply(time.Now(), changes, false, regained)
 	}
-	return len(changes) >= fullRead, nil
+	return len(changes), nil
 }
 
 func (f *follower[T]) list(ctx context.Context) error {
@@ -142,12 +140,3 @@
 	f.lostAt = time.Time{}
 	return true
 }
-
-func sleep(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
