The loser of a race for the lease knows the holder at once

Cause: TestStoreOutageStopsNoRequest failed beside busy processes. The second node had lost the race for the lease and would have read who holds it half a second later, but the store was gone by then; it reached no scheduler until the store was back, and refused what waited for a load. Change: a lost race is followed by a read. Test: TestLoserOfARaceKnowsTheHolder, which failed before.

--- a/internal/lease/controller.go
+++ b/internal/lease/controller.go
@@ -171,6 +171,9 @@
 	}
 	if err != nil {
 		c.Log.Info("lease not gained", slog.Any("error", err))
+		if errors.Is(err, table.ErrConflict) {
+			c.read(ctx) // Another was faster: its name is needed at once.
+		}
 		return
 	}
 	c.mu.Lock()
--- a/internal/lease/controller_test.go
+++ b/internal/lease/controller_test.go
@@ -51,6 +51,39 @@
 	})
 }
 
+// slow is a table whose first answer is older than another's claim.
+type slow struct {
+	table.Store
+	reads int
+}
+
+func (s *slow) Get(ctx context.Context, key table.Key) (table.Record, error) {
+	s.reads++
+	if s.reads == 1 {
+		return table.Record{}, table.ErrNotFound
+	}
+	return s.Store.Get(ctx, key)
+}
+
+// TestLoserOfARaceKnowsTheHolder answers the pattern of nodes that start together
+// just before the table goes down.
+func TestLoserOfARaceKnowsTheHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := standin.NewTable()
+		first, stopFirst := run(t, store, "a")
+		defer stopFirst()
+		time.Sleep(10 * time.Millisecond)
+		second, stopSecond := run(t, &slow{Store: store}, "b")
+		defer stopSecond()
+		time.Sleep(10 * time.Millisecond)
+		store.SetFaults(standin.TableFaults{Down: true})
+		time.Sleep(3 * time.Second)
+		c.Assert(holds(first), qt.IsTrue)
+		c.Assert(second.Holder(), qt.Equals, fleet.NodeID("a-process"))
+	})
+}
+
 func TestHolderGoesOnWhileTheTableIsDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
