--- a/cmd/guavatrack/demo/check.go
+++ b/cmd/guavatrack/demo/check.go
@@ -22,7 +22,7 @@
 // step is one part of the check.
 type step struct {
 	name string
-	run  func(ctx context.Context, in *installation) (seen string, err error)
+	run  func(ctx context.Context, in *deployment) (seen string, err error)
 }
 
 // steps are run in order; each builds on what the earlier ones loaded.
@@ -50,7 +50,7 @@
 var errNotHeld = errors.New("a step did not hold")
 
 // check drives the demonstration and prints what happened.
-func check(ctx context.Context, app *cli.App, in *installation) error {
+func check(ctx context.Context, app *cli.App, in *deployment) error {
 	outcomes := make([]outcome, 0, len(steps))
 	held := true
 	for _, step := range steps {
@@ -104,7 +104,7 @@
 }
 
 // send sends a request to a node and returns the whole body.
-func (in *installation) send(
+func (in *deployment) send(
 	ctx context.Context, at int, method, path, body string, header http.Header,
 ) (text []byte, err error) {
 	address := "http://" + in.nodes[at].Addresses().Callers + path
@@ -129,7 +129,7 @@
 }
 
 // chat asks for a completion and compares the answer with the whole one.
-func (in *installation) chat(ctx context.Context, at int, model, prompt string) error {
+func (in *deployment) chat(ctx context.Context, at int, model, prompt string) error {
 	text, err := in.send(ctx, at, http.MethodPost, "/v1/chat/completions", chatBody(model, prompt, false), nil)
 	if err != nil {
 		return err
@@ -144,14 +144,14 @@
 	return nil
 }
 
-func coldStart(ctx context.Context, in *installation) (string, error) {
+func coldStart(ctx context.Context, in *deployment) (string, error) {
 	if err := in.chat(ctx, 0, "hop-advisor", "a wreath for a door"); err != nil {
 		return "", err
 	}
 	return "hop-advisor was loaded for the first request", in.chat(ctx, 2, "pedal-diagnosis", "it squeaks")
 }
 
-func warmRequest(ctx context.Context, in *installation) (string, error) {
+func warmRequest(ctx context.Context, in *deployment) (string, error) {
 	for at := range in.nodes {
 		if err := in.chat(ctx, at, "hop-advisor", fmt.Sprintf("warm %d", at)); err != nil {
 			return "", err
@@ -160,7 +160,7 @@
 	return "whole answers at all nodes", nil
 }
 
-func stream(ctx context.Context, in *installation) (string, error) {
+func stream(ctx context.Context, in *deployment) (string, error) {
 	const prompt = "a wreath for a table"
 	text, err := in.send(ctx, 1, http.MethodPost, "/v1/chat/completions", chatBody("hop-advisor", prompt, true), nil)
 	if err != nil {
@@ -188,11 +188,11 @@
 	return fmt.Sprintf("%d events, the whole answer", events), nil
 }
 
-func adapter(ctx context.Context, in *installation) (string, error) {
+func adapter(ctx context.Context, in *deployment) (string, error) {
 	return "hop-advisor:brewery was loaded on its base", in.chat(ctx, 1, "hop-advisor:brewery", "hops")
 }
 
-func lookUp(ctx context.Context, in *installation) (string, error) {
+func lookUp(ctx context.Context, in *deployment) (string, error) {
 	text, err := in.send(ctx, 0, http.MethodGet, "/orders/stock/bines", "", nil)
 	if err != nil {
 		return "", err
@@ -204,7 +204,7 @@
 	return "order-desk answered " + answer.Path, nil
 }
 
-func bookTwice(ctx context.Context, in *installation) (string, error) {
+func bookTwice(ctx context.Context, in *deployment) (string, error) {
 	header := http.Header{standin.IdempotencyHeader: {"booking-1"}}
 	before := in.site.Runs.Total()
 	var answers [2]standin.ServiceAnswer
@@ -233,7 +233,7 @@
 
 // idleUnload wakes a model whose prices say that it must not idle and waits
 // until it is gone.
-func idleUnload(ctx context.Context, in *installation) (string, error) {
+func idleUnload(ctx context.Context, in *deployment) (string, error) {
 	if err := in.chat(ctx, 0, "catalogue-summary", "spring"); err != nil {
 		return "", err
 	}
@@ -259,7 +259,7 @@
 
 // drainUnderLoad drains the second node while requests run at it and callers
 // follow the look-up.
-func drainUnderLoad(ctx context.Context, in *installation) (string, error) {
+func drainUnderLoad(ctx context.Context, in *deployment) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, drainLimit)
 	defer cancel()
 	stop := make(chan struct{})
@@ -287,7 +287,7 @@
 
 // follow sends requests to the address that the look-up names, keeping its
 // answer as long as it says, until it is told to stop.
-func (in *installation) follow(ctx context.Context, client int, stop <-chan struct{}) (int, error) {
+func (in *deployment) follow(ctx context.Context, client int, stop <-chan struct{}) (int, error) {
 	var address string
 	var until time.Time
 	for count := 0; ; count++ {
@@ -311,7 +311,7 @@
 }
 
 // where asks the last node, which does not leave, for an address.
-func (in *installation) where(ctx context.Context) (address string, until time.Time, err error) {
+func (in *deployment) where(ctx context.Context) (address string, until time.Time, err error) {
 	asked := time.Now()
 	last := len(in.nodes) - 1
 	text, err := in.send(ctx, last, http.MethodGet, "/v1/where?model=hop-advisor&region=bohemia-west", "", nil)
@@ -328,7 +328,7 @@
 	return answer.Addresses[0], asked.Add(answer.KeepFor.Std()), nil
 }
 
-func (in *installation) indexOf(address string) int {
+func (in *deployment) indexOf(address string) int {
 	for i, each := range in.nodes {
 		if each.Addresses().Callers == address {
 			return i
@@ -337,7 +337,7 @@
 	return 0
 }
 
-func promises(_ context.Context, in *installation) (string, error) {
+func promises(_ context.Context, in *deployment) (string, error) {
 	if found := in.site.Violations(); len(found) > 0 {
 		return "", errors.Errorf("%d broken: %v", len(found), found[0])
 	}
--- a/cmd/guavatrack/demo/demo.go
+++ b/cmd/guavatrack/demo/demo.go
@@ -59,8 +59,8 @@
 	{Region: "bizkaia", FailureDomain: "bizkaia-a"},
 }
 
-// installation is what the demonstration runs.
-type installation struct {
+// deployment is what the demonstration runs.
+type deployment struct {
 	site  *standin.Site
 	nodes []*node.Node
 	http  *http.Client
@@ -97,14 +97,14 @@
 }
 
 // start runs stand-ins and nodes and applies the two users' tickets.
-func start(ctx context.Context, log *slog.Logger) (in *installation, err error) {
+func start(ctx context.Context, log *slog.Logger) (in *deployment, err error) {
 	config := standin.Both().Resize(engines, 0, 0)
 	config.Speed, config.ListLag = loadSpeed, 0
 	site, err := standin.StartSite(config)
 	if err != nil {
 		return nil, err
 	}
-	in = &installation{site: site, http: &http.Client{Timeout: time.Minute}}
+	in = &deployment{site: site, http: &http.Client{Timeout: time.Minute}}
 	defer func() {
 		if err != nil {
 			in.close()
@@ -123,7 +123,7 @@
 	return in, in.waitReady(ctx)
 }
 
-func (in *installation) startNode(ctx context.Context, place fleet.Place, log *slog.Logger) error {
+func (in *deployment) startNode(ctx context.Context, place fleet.Place, log *slog.Logger) error {
 	given := settings.Defaults()
 	given.AllowPlainText = true
 	given.Node.Place = place
@@ -138,7 +138,7 @@
 	return nil
 }
 
-func (in *installation) apply(ctx context.Context, text []byte) error {
+func (in *deployment) apply(ctx context.Context, text []byte) error {
 	given, err := ticket.Parse(text)
 	if err != nil {
 		return err
@@ -160,7 +160,7 @@
 )
 
 // waitReady waits until every node knows the others and both tickets.
-func (in *installation) waitReady(ctx context.Context) error {
+func (in *deployment) waitReady(ctx context.Context) error {
 	end := time.Now().Add(readyLimit)
 	for {
 		pending := ""
@@ -191,7 +191,7 @@
 	Try   string           `json:"try"`
 }
 
-func (in *installation) print(app *cli.App) error {
+func (in *deployment) print(app *cli.App) error {
 	result := started{}
 	for _, each := range in.nodes {
 		result.Nodes = append(result.Nodes, each.Addresses())
@@ -213,7 +213,7 @@
 }
 
 // close stops the nodes at once and the stand-ins.
-func (in *installation) close() {
+func (in *deployment) close() {
 	for _, each := range in.nodes {
 		select {
 		case <-each.Drained():
--- a/internal/bench/idle_site.go
+++ b/internal/bench/idle_site.go
@@ -26,7 +26,7 @@
 // modelSizes are the sizes of base models, dealt by the hash of the name.
 var modelSizes = []fleet.Bytes{8 * fleet.GiB, 14 * fleet.GiB, 16 * fleet.GiB, 24 * fleet.GiB, 40 * fleet.GiB}
 
-// idleSite is one user's installation in a replay.
+// idleSite is one user's deployment in a replay.
 type idleSite struct {
 	prices  ticket.Prices
 	engines int
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -93,8 +93,8 @@
 	return causes
 }
 
-// losses are the texts of lines that say that something was lost.
-var losses = map[string]string{
+// lossTexts are the texts of lines that say that something was lost.
+var lossTexts = map[string]string{
 	"scheduler lost":         "its node could not reach the scheduler",
 	"lease lost":             "the right to give orders was lost",
 	"lease seen":             "the scheduler changed",
@@ -110,7 +110,7 @@
 	told := make(map[string]bool)
 	for at := range s.Around {
 		line := &s.Around[at]
-		what, found := losses[line.Text]
+		what, found := lossTexts[line.Text]
 		if !found {
 			continue
 		}
--- a/internal/node/tls_test.go
+++ b/internal/node/tls_test.go
@@ -25,7 +25,7 @@
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
-// secured are the files and secrets of an installation with TLS.
+// secured are the files and secrets of a deployment with TLS.
 type secured struct {
 	settings         settings.Settings
 	callerKey, token string
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -1,4 +1,4 @@
-// Package peer carries JSON-RPC 2.0 between the nodes of one installation.
+// Package peer carries JSON-RPC 2.0 between the nodes of one deployment.
 //
 // A [Peer] listens on one TCP address and holds few long connections to other
 // nodes, one for each node it calls. A connection over which a call got no
--- a/pkg/fleet/doc.go
+++ b/pkg/fleet/doc.go
@@ -1,4 +1,4 @@
-// Package fleet names the things that a guavatrack installation consists of.
+// Package fleet names the things that a guavatrack deployment consists of.
 //
 // A caller sends a request to a node. A node is one process of guavatrack on
 // an entry VM. The node sends the request to a backend server: either an
--- a/pkg/guavatrack/client.go
+++ b/pkg/guavatrack/client.go
@@ -1,4 +1,4 @@
-// Package guavatrack is a client for callers of a guavatrack installation.
+// Package guavatrack is a client for callers of a guavatrack deployment.
 //
 // It asks any node which nodes to use for a model, keeps the answer for as long
 // as the answer says, sends requests to the preferred node and fails over to the
@@ -32,7 +32,7 @@
 // the request was sent.
 var ErrNoNode = errors.New("no node could be reached")
 
-// Client sends requests to an installation. Its exported fields are set before
+// Client sends requests to a deployment. Its exported fields are set before
 // first use. It may be used from several goroutines.
 type Client struct {
 	// Nodes are addresses of nodes to ask which ones to use, host and port.
