--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -156,6 +156,8 @@
 	if s.Rand == nil {
 		s.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
+	// Jobs and requests draw from it at the same time.
+	s.Rand = dispatch.SharedRand(s.Rand)
 	s.transports.setUp(s.Dial)
 	s.dispatcher = &dispatch.Dispatcher{
 		Directory: backends{s}, Waker: s.waker(), Prober: backends{s}, Store: s.Store, Place: s.Place,
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -77,7 +77,7 @@
 	if occupancy, is := d.Waker.(Occupancy); is {
 		d.occupancy = occupancy
 	}
-	d.Rand = rand.New(&lockedSource{source: d.Rand})
+	d.Rand = SharedRand(d.Rand)
 	d.lanes.setUp()
 	d.budgets.setUp()
 	d.link.setUp()
@@ -160,16 +160,3 @@
 		return err.Error()
 	}
 }
-
-// lockedSource shares a random source between requests.
-type lockedSource struct {
-	mu     sync.Mutex
-	source rand.Source
-}
-
-// Uint64 implements [rand.Source].
-func (l *lockedSource) Uint64() uint64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.source.Uint64()
-}
