--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -33,6 +34,13 @@
 	down fleet.ServerID
 }
 
+// given returns the orders that were given.
+func (e *engines) given() []placement.Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.orders)
+}
+
 type fakeEngine struct {
 	sequence uint64
 	busy     bool
@@ -193,6 +201,12 @@
 
 func (r *right) Trust() {}
 
+func (r *right) doubted() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.doubts > 0
+}
+
 // wire carries calls between the nodes of a test in JSON.
 type wire struct {
 	mu       sync.Mutex
@@ -409,11 +423,11 @@
 	bubble(t, 2, func(s *site) {
 		s.lease.set(5, false)
 		s.Assert(s.wait(0, fleet.Item{Model: model(5)}, 2*time.Second), qt.IsFalse)
-		s.Assert(s.engines.orders, qt.HasLen, 0)
-		s.Assert(s.lease.doubts > 0, qt.IsTrue)
+		s.Assert(s.engines.given(), qt.HasLen, 0)
+		s.Assert(s.lease.doubted(), qt.IsTrue)
 		s.lease.set(9, true)
 		s.Assert(s.wait(0, fleet.Item{Model: model(5)}, 3*time.Second), qt.IsTrue)
-		for _, order := range s.engines.orders {
+		for _, order := range s.engines.given() {
 			s.Assert(order.Fencing, qt.Equals, fleet.FencingNumber(9))
 		}
 	})
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -40,8 +40,11 @@
 }
 
 func (f *feed[T]) List(ctx context.Context) ([]T, roster.Revision, error) {
+	f.mu.Lock()
+	takes := f.listTakes
+	f.mu.Unlock()
 	select {
-	case <-time.After(f.listTakes):
+	case <-time.After(takes):
 	case <-ctx.Done():
 		return nil, 0, ctx.Err()
 	}
@@ -196,8 +199,9 @@
 func TestLongListIsReadWhole(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := start(t)
-		s.servers.listTakes = 3 * time.Second
-		s.servers.set(func() { s.servers.all = []roster.ServerEntry{entry("a", "1")} })
+		s.servers.set(func() {
+			s.servers.listTakes, s.servers.all = 3*time.Second, []roster.ServerEntry{entry("a", "1")}
+		})
 		time.Sleep(4 * time.Second)
 		s.Assert(s.has("a"), qt.IsTrue)
 	})
