One signal and one way to wait until something holds

Cause: the lease, the scheduler, the reporter and the log sink each had a channel of one place with the same select to signal and, but for the sink, the same timer and select to wait; both kinds of node polled for their warm start in a loop of their own; the lease and the callers' client had another wait.For in line. Change: wait.Signal, wait.Until, wait.For. The lease's hook Changed, which nobody set, is gone.

--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -127,9 +127,7 @@
 // join makes the node a member once it can serve, or after warmUpLimit, so that
 // it is not named to callers before.
 func (n *Node) join(ctx context.Context) error {
-	for end := time.Now().Add(warmUpLimit); n.known() != nil && time.Now().Before(end) && ctx.Err() == nil; {
-		wait.For(ctx, warmUpPoll)
-	}
+	wait.Until(ctx, warmUpLimit, warmUpPoll, func() bool { return n.known() == nil })
 	return n.parts.Members.Run(ctx)
 }
 
--- a/internal/lease/controller.go
+++ b/internal/lease/controller.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 
 	"github.com/guavatrack/guavatrack/internal/table"
+	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
@@ -36,20 +37,18 @@
 	// Yield returns how long to wait before a lease that is free is claimed, so
 	// that VMs better suited go first. Nil means not at all.
 	Yield func() time.Duration
-	// Changed is called when the right is gained or lost. It may be nil.
-	Changed func()
-	Log     *slog.Logger
+	Log   *slog.Logger
 
 	once    sync.Once
 	mu      sync.Mutex
 	suspect bool
-	wake    chan struct{}
+	wake    wait.Signal
 	gaveUp  bool
 }
 
 func (c *Controller) init() {
 	c.once.Do(func() {
-		c.wake = make(chan struct{}, 1)
+		c.wake = wait.NewSignal()
 		c.suspect = true
 		if c.Clock == nil {
 			c.Clock = BootTime
@@ -98,7 +97,7 @@
 	c.suspect = true
 	c.mu.Unlock()
 	if !already {
-		c.stir()
+		c.wake.Give()
 	}
 }
 
@@ -109,25 +108,11 @@
 	c.suspect = false
 }
 
-func (c *Controller) stir() {
-	select {
-	case c.wake <- struct{}{}:
-	default:
-	}
-}
-
 // Run holds or watches the lease until the context ends.
 func (c *Controller) Run(ctx context.Context) error {
 	c.init()
 	for ctx.Err() == nil {
-		pause := c.step(ctx)
-		timer := time.NewTimer(pause)
-		select {
-		case <-timer.C:
-		case <-c.wake:
-		case <-ctx.Done():
-		}
-		timer.Stop()
+		c.wake.Wait(ctx, c.step(ctx))
 	}
 	return nil
 }
@@ -181,7 +166,6 @@
 	from := c.Term.from - c.Clock()
 	c.mu.Unlock()
 	c.Log.Info("lease gained", slog.Uint64("fencing", uint64(record.Fencing)), slog.Duration("actsIn", max(0, from)))
-	c.changed()
 }
 
 // yield lets others go first, and reports whether the lease is still to be had
@@ -194,14 +178,7 @@
 	if span <= 0 {
 		return true
 	}
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-		return false
-	}
-	if !c.read(ctx) {
+	if !wait.For(ctx, span) || !c.read(ctx) {
 		return false
 	}
 	c.mu.Lock()
@@ -271,13 +248,6 @@
 	}
 	if lost {
 		c.Log.Warn("lease lost", slog.String("holder", record.Holder))
-		c.changed()
-	}
-}
-
-func (c *Controller) changed() {
-	if c.Changed != nil {
-		c.Changed()
 	}
 }
 
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -12,6 +12,8 @@
 	"log/slog"
 	"sync"
 	"time"
+
+	"github.com/guavatrack/guavatrack/internal/wait"
 )
 
 // Bounds of a [Sink].
@@ -37,14 +39,14 @@
 	room   float64
 	roomAt time.Time
 	// stirred is signalled when there is something to write.
-	stirred chan struct{}
+	stirred wait.Signal
 	done    chan struct{}
 	closed  bool
 }
 
 // New returns a sink that writes to out until it is closed.
 func New(out io.Writer) *Sink {
-	s := &Sink{out: out, stirred: make(chan struct{}, 1), done: make(chan struct{}), room: linesPerSecond, roomAt: time.Now()}
+	s := &Sink{out: out, stirred: wait.NewSignal(), done: make(chan struct{}), room: linesPerSecond, roomAt: time.Now()}
 	go s.run()
 	return s
 }
@@ -106,10 +108,7 @@
 		return len(line), nil
 	}
 	s.pending = append(s.pending, line...)
-	select {
-	case s.stirred <- struct{}{}:
-	default:
-	}
+	s.stirred.Give()
 	return len(line), nil
 }
 
@@ -149,10 +148,7 @@
 	s.mu.Lock()
 	s.closed = true
 	s.mu.Unlock()
-	select {
-	case s.stirred <- struct{}{}:
-	default:
-	}
+	s.stirred.Give()
 	select {
 	case <-s.done:
 	case <-ctx.Done():
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/guavatrack/guavatrack/internal/settings"
 	"github.com/guavatrack/guavatrack/internal/table"
 	"github.com/guavatrack/guavatrack/internal/vmlist"
+	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 	"github.com/guavatrack/guavatrack/pkg/ticket"
 )
@@ -124,16 +125,7 @@
 // warmUpLimit. Before, it would be named to callers and take models that are
 // loaded for absent.
 func (n *Node) join(ctx context.Context) error {
-	limited, cancel := context.WithTimeout(ctx, warmUpLimit)
-	defer cancel()
-	tick := time.NewTicker(warmUpPoll)
-	defer tick.Stop()
-	for !n.warm() && limited.Err() == nil {
-		select {
-		case <-limited.Done():
-		case <-tick.C:
-		}
-	}
+	wait.Until(ctx, warmUpLimit, warmUpPoll, n.warm)
 	return n.parts.Members.Run(ctx)
 }
 
--- a/internal/placement/reporter.go
+++ b/internal/placement/reporter.go
@@ -49,7 +49,7 @@
 	fencing  fleet.FencingNumber
 	seen     uint64
 	lastSent time.Time
-	stirred  chan struct{}
+	stirred  wait.Signal
 	// failing says that the scheduler did not answer last time.
 	failing bool
 }
@@ -125,7 +125,7 @@
 		r.arrivals = make(map[indexKey]*arrivals)
 		r.expected = make(map[indexKey]time.Time)
 		r.lost = make(map[fleet.ServerID]bool)
-		r.stirred = make(chan struct{}, 1)
+		r.stirred = wait.NewSignal()
 		if r.Log == nil {
 			r.Log = slog.New(slog.DiscardHandler)
 		}
@@ -160,12 +160,7 @@
 }
 
 // stir has a message sent soon.
-func (r *Reporter) stir() {
-	select {
-	case r.stirred <- struct{}{}:
-	default:
-	}
-}
+func (r *Reporter) stir() { r.stirred.Give() }
 
 // Arrived implements [dispatch.Observer].
 func (r *Reporter) Arrived(item fleet.Item, pool fleet.PoolID, _ time.Time) {
@@ -222,14 +217,9 @@
 	r.init()
 	for ctx.Err() == nil {
 		r.report(ctx)
-		timer := time.NewTimer(reportInterval)
-		select {
-		case <-r.stirred:
+		if r.stirred.Wait(ctx, reportInterval) {
 			wait.For(ctx, leastInterval-time.Since(r.lastSent))
-		case <-timer.C:
-		case <-ctx.Done():
 		}
-		timer.Stop()
 	}
 	return nil
 }
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -70,7 +70,7 @@
 	late    map[fleet.ServerID][]lateOrder
 	nodes   map[fleet.NodeID]*nodeDemand
 	rates   map[indexKey]*rate
-	stirred chan struct{}
+	stirred wait.Signal
 	running sync.WaitGroup
 	counts  counters
 	// slack is how much longer than stated loads from each tier take.
@@ -102,7 +102,7 @@
 		s.late = make(map[fleet.ServerID][]lateOrder)
 		s.nodes = make(map[fleet.NodeID]*nodeDemand)
 		s.rates = make(map[indexKey]*rate)
-		s.stirred = make(chan struct{}, 1)
+		s.stirred = wait.NewSignal()
 		if s.Log == nil {
 			s.Log = slog.New(slog.DiscardHandler)
 		}
@@ -119,12 +119,7 @@
 }
 
 // stir has a plan made soon.
-func (s *Scheduler) stir() {
-	select {
-	case s.stirred <- struct{}{}:
-	default:
-	}
-}
+func (s *Scheduler) stir() { s.stirred.Give() }
 
 // Run plans and gives orders until the context ends, and waits for the orders
 // that are on their way.
@@ -137,14 +132,9 @@
 		began := time.Now()
 		s.step(ctx)
 		pause := max(leastPlanInterval, planPause*time.Since(began))
-		timer := time.NewTimer(planInterval)
-		select {
-		case <-s.stirred:
+		if s.stirred.Wait(ctx, planInterval) {
 			wait.For(ctx, pause)
-		case <-timer.C:
-		case <-ctx.Done():
 		}
-		timer.Stop()
 	}
 	return nil
 }
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -20,3 +20,16 @@
 		return false
 	}
 }
+
+// Until waits until the condition holds, looking at it every interval, and
+// reports whether it does. It gives up after the limit and with the context.
+func Until(ctx context.Context, limit, interval time.Duration, holds func() bool) bool {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for !holds() {
+		if !For(ctx, interval) {
+			return holds()
+		}
+	}
+	return true
+}
--- a/pkg/guavatrack/client.go
+++ b/pkg/guavatrack/client.go
@@ -24,6 +24,7 @@
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
+	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 	"github.com/guavatrack/guavatrack/pkg/refusal"
 )
@@ -243,14 +244,7 @@
 	if deadline, set := ctx.Deadline(); set && time.Until(deadline) <= pause {
 		return false
 	}
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.For(ctx, pause)
 }
 
 // repeatable reports whether a refused call may have another end when it is
