--- a/internal/config/controller.go
+++ b/internal/config/controller.go
@@ -14,6 +14,7 @@
 
 	"github.com/guavatrack/guavatrack/internal/member"
 	"github.com/guavatrack/guavatrack/internal/peer"
+	"github.com/guavatrack/guavatrack/internal/run"
 	"github.com/guavatrack/guavatrack/internal/table"
 	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
@@ -89,9 +90,8 @@
 	// confirmed holds the highest revision heard from each node.
 	confirmed map[fleet.NodeID]Revision
 
-	syncing atomic.Bool
-	pending sync.WaitGroup
-	running context.Context // set while Run runs; guarded by mu
+	syncing    atomic.Bool
+	background run.Background
 }
 
 func (c *Controller) init() {
@@ -123,13 +123,7 @@
 // Run reads the head of the configuration until the context ends.
 func (c *Controller) Run(ctx context.Context) error {
 	c.init()
-	c.setRunning(ctx)
-	defer func() {
-		c.mu.Lock()
-		c.running = nil
-		c.mu.Unlock()
-		c.pending.Wait()
-	}()
+	defer c.background.Begin(ctx)()
 	for {
 		if err := c.poll(ctx); err != nil && ctx.Err() == nil {
 			c.counts.tableErrors.Inc(1)
@@ -140,21 +134,6 @@
 	}
 }
 
-func (c *Controller) setRunning(ctx context.Context) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.running = ctx
-}
-
-// spawn runs work that ends with Run. It does nothing while Run does not run.
-func (c *Controller) spawn(work func(ctx context.Context)) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if ctx := c.running; ctx != nil {
-		c.pending.Go(func() { work(ctx) })
-	}
-}
-
 func (c *Controller) members() []member.Info {
 	if c.Group == nil {
 		return nil
@@ -392,6 +371,6 @@
 	}
 	c.mu.Unlock()
 	if behind || differs {
-		c.spawn(func(ctx context.Context) { c.fetch(ctx, from) })
+		c.background.Go(func(ctx context.Context) { c.fetch(ctx, from) })
 	}
 }
--- a/internal/config/decided.go
+++ b/internal/config/decided.go
@@ -38,7 +38,7 @@
 	held, _ := c.state.Entry(key)
 	c.mu.Unlock()
 	if held.Number != newest.Number {
-		c.spawn(func(ctx context.Context) { _ = c.poll(ctx) })
+		c.background.Go(func(ctx context.Context) { _ = c.poll(ctx) })
 		return table.Write{}, errors.Wrapf(table.ErrConflict, "number %d here, %d in the table", held.Number, newest.Number)
 	}
 	return table.Write{Key: record.Key, Expect: record.Version, CheckOnly: true}, nil
--- a/internal/config/spread.go
+++ b/internal/config/spread.go
@@ -85,7 +85,7 @@
 
 func (c *Controller) handOn(message push, nodes []fleet.NodeID) {
 	for _, node := range nodes {
-		c.spawn(func(ctx context.Context) {
+		c.background.Go(func(ctx context.Context) {
 			if err := c.call(ctx, node, pushMethod, message, &nothing{}); err != nil {
 				c.counts.pushesFailed.Inc(1)
 			}
--- a/internal/member/controller.go
+++ b/internal/member/controller.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/guavatrack/guavatrack/internal/peer"
+	"github.com/guavatrack/guavatrack/internal/run"
 	"github.com/guavatrack/guavatrack/internal/table"
 	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
@@ -55,14 +56,13 @@
 	Log     *slog.Logger
 	Metrics metrics.Registry
 
-	once    sync.Once
-	mu      sync.Mutex
-	view    *View
-	live    atomic.Pointer[[]Info]
-	pending sync.WaitGroup
-	running context.Context // set while Run runs; guarded by mu
-	counts  counters
-	record  registration
+	once       sync.Once
+	mu         sync.Mutex
+	view       *View
+	live       atomic.Pointer[[]Info]
+	background run.Background
+	counts     counters
+	record     registration
 }
 
 func (c *Controller) init() {
@@ -92,14 +92,8 @@
 // Run exchanges messages until the context ends.
 func (c *Controller) Run(ctx context.Context) error {
 	c.init()
-	c.setRunning(ctx)
-	defer func() {
-		c.mu.Lock()
-		c.running = nil
-		c.mu.Unlock()
-		c.pending.Wait()
-	}()
-	c.pending.Go(func() { c.keepRegistered(ctx) })
+	defer c.background.Begin(ctx)()
+	c.background.Go(c.keepRegistered)
 	for {
 		c.locked(func(now time.Time) []Action { return c.view.Tick(now) })
 		if !wait.For(ctx, c.jitter(c.Interval)) {
@@ -115,12 +109,6 @@
 	return span*9/10 + time.Duration(c.Rand.Int64N(int64(span)/5+1))
 }
 
-func (c *Controller) setRunning(ctx context.Context) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.running = ctx
-}
-
 // locked lets the view decide and then carries out its actions, while Run
 // runs.
 func (c *Controller) locked(decide func(now time.Time) []Action) {
@@ -130,12 +118,8 @@
 	actions := decide(now)
 	actions = append(actions, c.view.Hurry(now)...)
 	c.publishLive(now)
-	ctx := c.running
-	if ctx == nil {
-		return
-	}
 	for _, action := range actions {
-		c.pending.Go(func() { c.carryOut(ctx, action) })
+		c.background.Go(func(ctx context.Context) { c.carryOut(ctx, action) })
 	}
 }
 
