--- a/internal/run/background.go
+++ b/internal/run/background.go
@@ -15,17 +15,17 @@
 // Begin allows work. The function it returns ends that and waits for the work
 // that is under way.
 func (b *Background) Begin(ctx context.Context) (end func()) {
-	b.set(ctx)
-	return func() {
-		b.set(nil)
-		b.pending.Wait()
-	}
-}
-
-func (b *Background) set(ctx context.Context) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.ctx = ctx
+	return b.end
+}
+
+func (b *Background) end() {
+	b.mu.Lock()
+	b.ctx = nil
+	b.mu.Unlock()
+	b.pending.Wait()
 }
 
 // Go runs work that ends with Run. It does nothing while Run does not run.
