An order keeps the entry that it was decided for; one way to read a report

Cause: an order on its way read engine.server without the scheduler's lock, which the scheduler sets whenever an entry changes: a data race, found on reading and shown by the race detector in TestEntriesChangeWhileOrdersAreUnderWay, which fails before. Three places read a report with the same timeout, two made a task. Change: a task holds the entry; Scheduler.report and Scheduler.task. What nobody reads is gone: the span in a node's message, and running, queued and coming calls and adapters in a report.

--- a/internal/placement/give.go
+++ b/internal/placement/give.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/guavatrack/guavatrack/internal/residence"
+	"github.com/guavatrack/guavatrack/internal/roster"
 	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
@@ -34,7 +35,10 @@
 // task is an order on its way.
 type task struct {
 	*Scheduler
-	engine  *engine
+	engine *engine
+	// server is the engine's entry when the order was decided: engine.server
+	// changes under the lock.
+	server  *roster.Server
 	order   residence.Order
 	fencing fleet.FencingNumber
 	expect  uint64
@@ -42,15 +46,24 @@
 	takes time.Duration
 }
 
-// give sends an order in the background. The caller holds the lock.
-func (s *Scheduler) give(ctx context.Context, now time.Time, e *engine, order residence.Order, model residence.Model) {
-	t := &task{Scheduler: s, engine: e, order: order, fencing: s.fencing, expect: e.sequence, takes: unloadTime}
+// task returns the task of an order decided for the engine as it is now. The
+// caller holds the lock.
+func (s *Scheduler) task(e *engine, order residence.Order, model residence.Model) *task {
+	t := &task{
+		Scheduler: s, engine: e, server: e.server, order: order, fencing: s.fencing, expect: e.sequence, takes: unloadTime,
+	}
 	switch {
 	case order.Item.Adapter != "":
 		t.takes = adapterTime
 	case order.Load:
 		t.takes = model.LoadTime(order.Tier)
 	}
+	return t
+}
+
+// give sends an order in the background. The caller holds the lock.
+func (s *Scheduler) give(ctx context.Context, now time.Time, e *engine, order residence.Order, model residence.Model) {
+	t := s.task(e, order, model)
 	if order.Load && order.Item.Adapter == "" && order.Tier == residence.WeightStore {
 		s.storeTokens--
 		s.counts.storeLoads.Inc(1)
@@ -117,7 +130,7 @@
 	if outcome != Accepted && outcome != Held {
 		level = slog.LevelWarn
 	}
-	t.Log.LogAttrs(ctx, level, "order answered", slog.String("server", string(t.engine.server.ID)),
+	t.Log.LogAttrs(ctx, level, "order answered", slog.String("server", string(t.server.ID)),
 		slog.String("item", t.order.Item.String()), slog.Bool("load", t.order.Load),
 		slog.String("outcome", outcome.String()), slog.Duration("took", time.Since(began)), slog.Any("error", err))
 	return outcome
@@ -153,7 +166,7 @@
 func (t *task) send(ctx context.Context) (Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	return t.Engines.Order(ctx, t.engine.server, Order{
+	return t.Engines.Order(ctx, t.server, Order{
 		Load: t.order.Load, Item: t.order.Item, Expect: t.expect, Holder: t.Holder, Fencing: t.fencing,
 		Allowed: t.allowed,
 	})
@@ -234,16 +247,14 @@
 
 // look reads a report and reports whether the order is over.
 func (t *task) look(ctx context.Context, began time.Time) (over bool) {
-	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
-	defer cancel()
-	report, err := t.Engines.Report(ctx, t.engine.server)
+	report, err := t.report(ctx, t.server)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.engines[t.engine.server.ID] != t.engine {
+	if t.engines[t.server.ID] != t.engine {
 		return true // The engine has ended or the lease is another's.
 	}
 	if err != nil {
-		t.Log.Warn("engine's report can't be read", slog.String("server", string(t.engine.server.ID)), slog.Any("error", err))
+		t.Log.Warn("engine's report can't be read", slog.String("server", string(t.server.ID)), slog.Any("error", err))
 		t.engine.closedUntil = time.Now().Add(closedTime)
 		return false
 	}
@@ -261,7 +272,7 @@
 		t.engine.sequence = report.Sequence
 	}
 	t.note(t.engine)
-	t.Log.Info("order done", slog.String("server", string(t.engine.server.ID)), slog.Bool("load", t.order.Load),
+	t.Log.Info("order done", slog.String("server", string(t.server.ID)), slog.Bool("load", t.order.Load),
 		slog.String("item", t.order.Item.String()), slog.Duration("expected", t.takes))
 	return true
 }
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -51,7 +51,6 @@
 	// Fencing and Seen name the news that the node has.
 	Fencing  fleet.FencingNumber `json:"fencing"`
 	Seen     uint64              `json:"seen"`
-	SpanMs   int64               `json:"spanMs"`
 	Waiting  []Waiting           `json:"waiting,omitempty"`
 	Uses     []Use               `json:"uses,omitempty"`
 	Arrivals []Arrival           `json:"arrivals,omitempty"`
--- a/internal/placement/orders.go
+++ b/internal/placement/orders.go
@@ -57,10 +57,7 @@
 type Report struct {
 	Engine roster.Engine
 	// Sequence is the number of orders that this run of the engine has accepted.
-	Sequence        uint64
-	Running, Queued int
-	// Coming lists the adapters that are being loaded.
-	Coming []fleet.Item
+	Sequence uint64
 }
 
 // Engines sends orders to engines and reads their reports.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -18,6 +18,7 @@
 	"github.com/guavatrack/guavatrack/internal/peer"
 	"github.com/guavatrack/guavatrack/internal/placement"
 	"github.com/guavatrack/guavatrack/internal/roster"
+	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
@@ -501,3 +502,35 @@
 		s.Assert(s.directories[1].Replicas(fleet.Item{Model: model(7)}, pool), qt.HasLen, 1)
 	})
 }
+
+// TestEntriesChangeWhileOrdersAreUnderWay answers the pattern of engines that
+// write their entries anew every second or two; the race detector finds an order
+// that reads what the scheduler changes.
+func TestEntriesChangeWhileOrdersAreUnderWay(t *testing.T) {
+	bubble(t, 1, func(s *site) {
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		var onDisk []fleet.ModelID
+		for at := range 8 {
+			onDisk = append(onDisk, model(at))
+		}
+		go func() {
+			defer close(ended)
+			for wait.For(ctx, 7*time.Millisecond) {
+				next := *s.view.Load()
+				next.Servers = make(map[fleet.ServerID]*roster.Server)
+				for id, server := range s.view.Load().Servers {
+					copied, engine := *server, *server.Engine
+					engine.OnDisk = onDisk
+					copied.Engine = &engine
+					next.Servers[id] = &copied
+				}
+				s.view.Store(&next)
+			}
+		}()
+		defer func() { cancel(); <-ended }()
+		for at := range 8 {
+			s.Assert(s.wait(0, fleet.Item{Model: model(at)}, 5*time.Second), qt.IsTrue, qt.Commentf("m%d", at))
+		}
+	})
+}
--- a/internal/placement/reporter.go
+++ b/internal/placement/reporter.go
@@ -270,7 +270,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.forgetOld(now)
-	message := demandMessage{From: r.Node, Region: r.Region, Fencing: r.fencing, Seen: r.seen, SpanMs: since(now, r.lastSent)}
+	message := demandMessage{From: r.Node, Region: r.Region, Fencing: r.fencing, Seen: r.seen}
 	for key, want := range r.waiting {
 		message.Waiting = append(message.Waiting, Waiting{
 			Pool: key.pool, Item: key.item, Count: want.Waiting, Rank: want.Rank,
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -206,13 +206,14 @@
 // ask has the report of an engine read that is in doubt or whose state is not
 // known. The caller holds the lock.
 func (s *Scheduler) ask(ctx context.Context, now time.Time, e *engine) {
+	server := e.server
 	if e.doubted && !e.checking {
 		e.checking = true
-		s.running.Go(func() { s.check(ctx, e) })
+		s.running.Go(func() { s.check(ctx, e, server) })
 	}
 	if !e.known && !e.reading && now.After(e.readAt) && now.After(e.closedUntil) {
 		e.reading = true
-		s.running.Go(func() { s.read(ctx, e) })
+		s.running.Go(func() { s.read(ctx, e, server) })
 	}
 }
 
@@ -227,14 +228,16 @@
 	s.stir()
 }
 
-// check reads the report of an engine that is in doubt.
-func (s *Scheduler) check(running context.Context, e *engine) {
-	ctx, cancel := context.WithTimeout(running, engineTimeout)
+// report reads the report of an engine.
+func (s *Scheduler) report(ctx context.Context, server *roster.Server) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
-	s.mu.Lock()
-	server := e.server
-	s.mu.Unlock()
-	_, err := s.Engines.Report(ctx, server)
+	return s.Engines.Report(ctx, server)
+}
+
+// check reads the report of an engine that is in doubt.
+func (s *Scheduler) check(running context.Context, e *engine, server *roster.Server) {
+	_, err := s.report(running, server)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e.doubted, e.checking = false, false
@@ -248,13 +251,8 @@
 }
 
 // read reads the report of an engine whose state is not known.
-func (s *Scheduler) read(ctx context.Context, e *engine) {
-	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
-	defer cancel()
-	s.mu.Lock()
-	server := e.server
-	s.mu.Unlock()
-	report, err := s.Engines.Report(ctx, server)
+func (s *Scheduler) read(ctx context.Context, e *engine, server *roster.Server) {
+	report, err := s.report(ctx, server)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
--- a/internal/placement/swap.go
+++ b/internal/placement/swap.go
@@ -36,7 +36,7 @@
 		}
 		outcome, err := next.send(ctx)
 		t.counts.orders.Inc(1)
-		t.Log.LogAttrs(ctx, slog.LevelInfo, "order answered", slog.String("server", string(t.engine.server.ID)),
+		t.Log.LogAttrs(ctx, slog.LevelInfo, "order answered", slog.String("server", string(t.server.ID)),
 			slog.String("item", next.order.Item.String()), slog.Bool("load", true),
 			slog.String("outcome", outcome.String()), slog.Any("error", err))
 		switch outcome {
@@ -81,8 +81,7 @@
 	order := residence.Order{
 		Server: e.server.ID, Load: true, Item: fleet.Item{Model: t.order.For}, Tier: tier, Why: residence.WhyWaiting,
 	}
-	takes := described[t.order.For].LoadTime(tier)
-	return &task{Scheduler: t.Scheduler, engine: e, order: order, fencing: t.fencing, expect: e.sequence, takes: takes}, true
+	return t.task(e, order, described[t.order.For]), true
 }
 
 // replace notes that the load was accepted, so that the unload before it is
@@ -108,7 +107,7 @@
 	t.mu.Unlock()
 	wait.For(ctx, t.takes+slack)
 	t.mu.Lock()
-	if t.engines[t.engine.server.ID] == t.engine && t.engine.open != nil && t.engine.held[t.order.Item.Model] == nil {
+	if t.engines[t.server.ID] == t.engine && t.engine.open != nil && t.engine.held[t.order.Item.Model] == nil {
 		t.engine.held[t.order.Item.Model] = &heldModel{adapters: make(map[fleet.AdapterID]*heldAdapter), offered: true}
 		t.note(t.engine)
 	}
@@ -126,6 +125,6 @@
 	delete(t.engine.held, t.order.Item.Model)
 	t.slack[t.order.Tier] = min(maxSlack, max(firstSlack, t.slack[t.order.Tier])+slackStep)
 	t.note(t.engine)
-	t.Log.Info("load takes longer than expected", slog.String("server", string(t.engine.server.ID)),
+	t.Log.Info("load takes longer than expected", slog.String("server", string(t.server.ID)),
 		slog.String("item", t.order.Item.String()), slog.Duration("after", after), slog.Duration("slack", t.slack[t.order.Tier]))
 }
