--- a/internal/dispatch/directory.go
+++ b/internal/dispatch/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/guavatrack/guavatrack/pkg/fleet"
@@ -105,15 +106,14 @@
 	Crashed(ctx context.Context, replica Replica) bool
 }
 
-// usable returns the replicas that may get new work.
+// usable returns the replicas that may get new work: mostly all, which are not
+// copied then.
 func usable(replicas []Replica) []Replica {
-	ready := make([]Replica, 0, len(replicas))
-	for at := range replicas {
-		if replicas[at].Ready && !replicas[at].Draining {
-			ready = append(ready, replicas[at])
-		}
+	out := func(replica Replica) bool { return !replica.Ready || replica.Draining }
+	if !slices.ContainsFunc(replicas, out) {
+		return replicas
 	}
-	return ready
+	return slices.DeleteFunc(slices.Clone(replicas), out)
 }
 
 // replicas returns the replicas that a call may be sent to.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -71,12 +71,8 @@
 	if d.Allowance == nil {
 		d.Allowance = func() retry.Allowance { return DefaultAllowance }
 	}
-	if observer, is := d.Waker.(Observer); is {
-		d.observer = observer
-	}
-	if occupancy, is := d.Waker.(Occupancy); is {
-		d.occupancy = occupancy
-	}
+	d.observer, _ = d.Waker.(Observer)
+	d.occupancy, _ = d.Waker.(Occupancy)
 	d.Rand = SharedRand(d.Rand)
 	d.lanes.setUp()
 	d.budgets.setUp()
--- a/internal/hosted/endpoints.go
+++ b/internal/hosted/endpoints.go
@@ -19,7 +19,8 @@
 	"github.com/guavatrack/guavatrack/platform"
 )
 
-// Limits of connections. Those on what callers send are the manifest's.
+// Limits of connections. Of the manifest's limits only that of bodies is kept, by
+// package platform.
 const (
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 60 * time.Second
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -219,7 +219,7 @@
 func (n *Node) callers() http.Handler {
 	return &platform.Callers{
 		View: n.parts.Roster.View, Dispatcher: n.parts.Dispatcher, Servers: n.parts.Exchange,
-		Draining: n.draining.Load, Closing: n.leaving.Load, Active: &n.active, Log: n.Log,
+		Draining: n.draining.Load, Closing: n.leaving.Load, Active: &n.active,
 		MaxRunning: (n.Settings.Platform.Descriptors - ownDescriptors) / descriptorsOfRequest,
 		MaxHeld:    int64(n.Settings.Platform.Memory) / bodyShare,
 	}
--- a/internal/roster/controller.go
+++ b/internal/roster/controller.go
@@ -41,8 +41,6 @@
 	// Manifest is nil until one is known.
 	Manifest *Manifest
 	Servers  map[fleet.ServerID]*Server
-	// Pools lists the servers of each pool.
-	Pools map[fleet.PoolID][]*Server
 	// Listed says that the list of servers has been read.
 	Listed bool
 }
@@ -161,7 +159,7 @@
 				}
 			}
 		}
-		next.setServers(servers)
+		next.Servers = servers
 		metrics.GetOrRegisterGauge(serversName, c.Metrics).Update(int64(len(servers)))
 	})
 }
@@ -213,7 +211,7 @@
 			for id := range c.missing {
 				c.remove(now, servers, id)
 			}
-			next.setServers(servers)
+			next.Servers = servers
 		})
 	}
 }
@@ -229,11 +227,3 @@
 		c.Changed(&next)
 	}
 }
-
-func (v *View) setServers(servers map[fleet.ServerID]*Server) {
-	v.Servers = servers
-	v.Pools = make(map[fleet.PoolID][]*Server)
-	for _, server := range servers {
-		v.Pools[server.Pool] = append(v.Pools[server.Pool], server)
-	}
-}
--- a/internal/roster/server.go
+++ b/internal/roster/server.go
@@ -41,21 +41,3 @@
 	Version  uint64
 	Adapters []fleet.AdapterID
 }
-
-// Holds reports whether the engine can run an item.
-func (e *Engine) Holds(item fleet.Item) bool {
-	for at := range e.Held {
-		if e.Held[at].Model != item.Model {
-			continue
-		}
-		if item.Adapter == "" {
-			return true
-		}
-		for _, adapter := range e.Held[at].Adapters {
-			if adapter == item.Adapter {
-				return true
-			}
-		}
-	}
-	return false
-}
