--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -510,9 +510,9 @@
 	bubble(t, 1, func(s *site) {
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan struct{})
-		var onDisk []fleet.ModelID
-		for at := range 8 {
-			onDisk = append(onDisk, model(at))
+		onDisk := make([]fleet.ModelID, 8)
+		for at := range onDisk {
+			onDisk[at] = model(at)
 		}
 		go func() {
 			defer close(ended)
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -20,8 +20,6 @@
 	ports map[string]*Port
 	lost  func(from, to string) bool
 	delay func(from, to string) time.Duration
-	calls int
-	bytes int
 }
 
 // NewNetwork returns a network that loses nothing and takes no time.
@@ -47,13 +45,6 @@
 	n.delay = delay
 }
 
-// Traffic returns the calls made so far and the bytes of their JSON.
-func (n *Network) Traffic() (calls, bytes int) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.calls, n.bytes
-}
-
 // Port is one node's end of a [Network].
 type Port struct {
 	network  *Network
@@ -108,7 +99,7 @@
 	if err != nil {
 		return err
 	}
-	to, err := p.network.carry(ctx, p.address, address, len(request))
+	to, err := p.network.carry(ctx, p.address, address)
 	if err != nil {
 		return err
 	}
@@ -124,20 +115,18 @@
 	if err != nil {
 		return err
 	}
-	if _, err := p.network.carry(ctx, address, p.address, len(answer)); err != nil {
+	if _, err := p.network.carry(ctx, address, p.address); err != nil {
 		return err
 	}
 	return json.Unmarshal(answer, out)
 }
 
 // carry moves one message and returns the port at which it arrives.
-func (n *Network) carry(ctx context.Context, from, to string, size int) (*Port, error) {
+func (n *Network) carry(ctx context.Context, from, to string) (*Port, error) {
 	n.mu.Lock()
 	port, found := n.ports[to]
 	_, sends := n.ports[from]
 	lost, delay := n.lost(from, to) || !sends, n.delay(from, to)
-	n.calls++
-	n.bytes += size
 	n.mu.Unlock()
 	if !found && !lost {
 		return nil, errors.Wrap(peer.ErrUnreachable, "refused")
--- a/internal/standin/vms.go
+++ b/internal/standin/vms.go
@@ -35,13 +35,6 @@
 // SetFaults replaces the faults.
 func (l *VMList) SetFaults(faults Faults) { l.gate.SetFaults(faults) }
 
-// SetLag changes how far the list is behind.
-func (l *VMList) SetLag(lag time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.lag = lag
-}
-
 // ServeHTTP implements [http.Handler].
 func (l *VMList) ServeHTTP(w http.ResponseWriter, r *http.Request) { l.gate.serve(w, r, l.router) }
 
