Rest longer after a read that a full link did not bring in time

Cause: at 99 nodes and 1,008 servers the 33 nodes of the region away from the store read the servers' entries (650 B each) over 30 Mbit/s. Their answers need 5.7 s together, a read was allowed 0.7 s beyond its wait and was repeated after 0.13 to 0.25 s.

Ruled out: entries that change often. 401 entries came in one answer, none after.

Change: an answer that came too late is given three times as long next time, up to 6 s for the servers and 1.5 s for the manifest, after a rest of up to 1 s.

--- a/internal/roster/controller.go
+++ b/internal/roster/controller.go
@@ -34,6 +34,10 @@
 	// reentryTime is how long after the store's return a living server may
 	// take to enter itself again.
 	reentryTime = 2 * time.Second
+	// serversPatience and manifestPatience are allowed at most for an answer.
+	// The list is long where servers are many.
+	serversPatience  = 6 * time.Second
+	manifestPatience = 1500 * time.Millisecond
 )
 
 // View is what is known at one moment. It is not changed after it was made.
@@ -101,13 +105,15 @@
 	var group sync.WaitGroup
 	group.Go(func() {
 		follow := follower[ServerEntry]{
-			name: "servers", feed: c.Servers, rest: serversRest, apply: c.applyServers, log: c.Log,
+			name: "servers", feed: c.Servers, rest: serversRest, apply: c.applyServers,
+			patience: serversPatience, log: c.Log,
 		}
 		follow.run(ctx)
 	})
 	group.Go(func() {
 		follow := follower[*Manifest]{
-			name: "manifest", feed: c.Manifests, rest: manifestRest, apply: c.applyManifests, log: c.Log,
+			name: "manifest", feed: c.Manifests, rest: manifestRest, apply: c.applyManifests,
+			patience: manifestPatience, log: c.Log,
 		}
 		follow.run(ctx)
 	})
--- a/internal/roster/feed.go
+++ b/internal/roster/feed.go
@@ -41,14 +41,19 @@
 	// noticed after it.
 	followWait = 2 * time.Second
 	// answerTimeout is allowed for an answer beyond the wait, listTimeout for
-	// the pages of a whole list together.
-	answerTimeout = 700 * time.Millisecond
-	listTimeout   = 20 * time.Second
+	// the pages of a whole list together. An answer that is given up still takes
+	// its part of the link, so each next one is allowed patienceFactor times as
+	// long, up to the patience of the follower.
+	answerTimeout  = 700 * time.Millisecond
+	listTimeout    = 20 * time.Second
+	patienceFactor = 3
 	// changePause is rested for each change that was read: nodes of a region
 	// share its link to the store, and the manifest has to come through.
 	changePause = 6500 * time.Microsecond
-	// retryPause is the longest pause after a failure.
+	// retryPause is the longest pause after a failure, latePause after an answer
+	// that did not come in time.
 	retryPause = 250 * time.Millisecond
+	latePause  = time.Second
 )
 
 // follower keeps a copy of a feed up to date.
@@ -61,28 +66,49 @@
 	// apply takes in entries; whole says that they are all there are, regained
 	// that the feed failed before.
 	apply func(now time.Time, entries []T, whole, regained bool)
-	log   *slog.Logger
+	// patience is the longest time that is allowed for an answer.
+	patience time.Duration
+	log      *slog.Logger
 
 	at     Revision
 	listed bool
+	// timeout is allowed for the next answer.
+	timeout time.Duration
+	// late says that the last answer did not come in time.
+	late bool
 	// lostAt is when the feed began to fail; zero if it does not.
 	lostAt time.Time
 }
 
 func (f *follower[T]) run(ctx context.Context) {
+	f.timeout = answerTimeout
 	for ctx.Err() == nil {
 		changes, err := f.step(ctx)
 		pause := max(f.rest, time.Duration(changes)*changePause)
 		if err != nil && ctx.Err() == nil {
 			f.lost(err)
-			pause = retryPause/2 + rand.N(retryPause/2)
+			pause = f.backOff()
+		} else {
+			f.timeout = answerTimeout
 		}
 		wait.For(ctx, pause)
 	}
 }
 
+// backOff returns how long to rest after a failure. An answer that did not come
+// in time may be on a link that is full; one that was refused is not.
+func (f *follower[T]) backOff() time.Duration {
+	pause := retryPause
+	if f.late {
+		pause = min(f.timeout, latePause)
+		f.timeout = min(patienceFactor*f.timeout, f.patience)
+	}
+	return pause/2 + rand.N(pause/2)
+}
+
 // step reads once and returns the number of changes.
 func (f *follower[T]) step(ctx context.Context) (count int, err error) {
+	f.late = false
 	if !f.listed {
 		return 0, f.list(ctx)
 	}
@@ -92,7 +118,7 @@
 	if !f.lostAt.IsZero() {
 		wait = 0
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+answerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+f.timeout)
 	defer cancel()
 	changes, at, err := f.feed.Follow(ctx, f.at, wait)
 	if errors.Is(err, ErrHistoryGone) {
@@ -100,6 +126,7 @@
 		f.listed = false
 		return 0, nil
 	}
+	f.late = errors.Is(ctx.Err(), context.DeadlineExceeded)
 	if err != nil {
 		return 0, err
 	}
