Let few nodes of a region read the store for the others

Cause: every node read all entries of servers over its region's link, 650 B for each of 1,002 servers and 33 nodes, beside what the servers of that region write themselves. Rests after late reads kept it from collapsing, but 5 nodes still had an old manifest.

Change: roster.Relay stands before both feeds. Four nodes of a region, or one in 24, read the store, the others ask them; whoever gets no answer reads for itself. Lists between nodes are compressed.

Ruled out: reading entries less often (no entry changed often).

Tests: relay_test.go, with silent readers, readers cut off from the store, nodes that disagree on who reads.

--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -53,18 +53,20 @@
 type parts struct {
 	fx.In
 
-	Metrics    metrics.Registry
-	Roster     *roster.Controller
-	Peers      *peer.Peer
-	Members    *member.Controller
-	Lease      *lease.Controller
-	Directory  *placement.Directory
-	Reporter   *placement.Reporter
-	Scheduler  *placement.Scheduler
-	Dispatcher *dispatch.Dispatcher
-	Exchange   *platform.Exchange
-	Poison     *poison.Gossip
-	Endpoints  *endpoints
+	Metrics       metrics.Registry
+	Roster        *roster.Controller
+	ServerRelay   *roster.Relay[roster.ServerEntry]
+	ManifestRelay *roster.Relay[*roster.Manifest]
+	Peers         *peer.Peer
+	Members       *member.Controller
+	Lease         *lease.Controller
+	Directory     *placement.Directory
+	Reporter      *placement.Reporter
+	Scheduler     *placement.Scheduler
+	Dispatcher    *dispatch.Dispatcher
+	Exchange      *platform.Exchange
+	Poison        *poison.Gossip
+	Endpoints     *endpoints
 }
 
 // memoryShare of what the process may take is where the garbage collector works
--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -17,13 +17,14 @@
 	"github.com/guavatrack/guavatrack/internal/retry"
 	"github.com/guavatrack/guavatrack/internal/roster"
 	"github.com/guavatrack/guavatrack/internal/table"
+	"github.com/guavatrack/guavatrack/pkg/fleet"
 	"github.com/guavatrack/guavatrack/platform"
 )
 
 // providers makes the parts of a node. What needs each other in a circle is put
 // together by connect.
 var providers = fx.Provide(
-	metrics.NewRegistry, newStore, newTable, newRoster, newPeers, newMembers, newLease, newDirectory, newReporter,
+	metrics.NewRegistry, newStore, newTable, newServerRelay, newManifestRelay, newRoster, newPeers, newMembers, newLease, newDirectory, newReporter,
 	newScheduler, newExchange, newDispatcher, newGossip, newEndpoints,
 )
 
@@ -51,13 +52,38 @@
 
 func newTable(store *platform.Store) table.Store { return &platform.Table{Store: store} }
 
-func newRoster(n *Node, store *platform.Store, directory *placement.Directory, registry metrics.Registry) *roster.Controller {
-	return &roster.Controller{
-		Servers: &platform.Servers{
+func newServerRelay(
+	n *Node, store *platform.Store, peers *peer.Peer, members *member.Controller, registry metrics.Registry,
+) *roster.Relay[roster.ServerEntry] {
+	return &roster.Relay[roster.ServerEntry]{
+		Name: "servers",
+		Source: &platform.Servers{
 			Store: store, Regions: n.Settings.Platform.Regions, Log: n.Log, Metrics: registry,
 		},
-		Manifests: &platform.Manifests{Store: store, Log: n.Log, Metrics: registry},
-		Changed:   directory.Changed, Log: n.Log, Metrics: registry,
+		Key:     func(entry roster.ServerEntry) string { return string(entry.ID) },
+		Removed: func(entry roster.ServerEntry) bool { return entry.Server == nil },
+		Node:    n.ID, Ranked: func() []fleet.NodeID { return members.Ranked("servers") }, Peers: peers, Log: n.Log,
+	}
+}
+
+func newManifestRelay(
+	n *Node, store *platform.Store, peers *peer.Peer, members *member.Controller, registry metrics.Registry,
+) *roster.Relay[*roster.Manifest] {
+	return &roster.Relay[*roster.Manifest]{
+		Name:    "manifest",
+		Source:  &platform.Manifests{Store: store, Log: n.Log, Metrics: registry},
+		Key:     func(*roster.Manifest) string { return "" },
+		Removed: func(*roster.Manifest) bool { return false },
+		Node:    n.ID, Ranked: func() []fleet.NodeID { return members.Ranked("manifest") }, Peers: peers, Log: n.Log,
+	}
+}
+
+func newRoster(
+	n *Node, servers *roster.Relay[roster.ServerEntry], manifests *roster.Relay[*roster.Manifest],
+	directory *placement.Directory, registry metrics.Registry,
+) *roster.Controller {
+	return &roster.Controller{
+		Servers: servers, Manifests: manifests, Changed: directory.Changed, Log: n.Log, Metrics: registry,
 	}
 }
 
@@ -170,6 +196,8 @@
 	p.Directory.View = p.Roster.View
 	p.Peers.Resolve, p.Peers.Crosses = p.Members.Resolve, p.Members.Crosses
 	p.Members.Register()
+	p.ServerRelay.Register()
+	p.ManifestRelay.Register()
 	placement.Register(p.Peers, p.Scheduler, p.Reporter)
 	p.Poison.Learn = p.Dispatcher.LearnPoison
 }
--- a/internal/member/controller.go
+++ b/internal/member/controller.go
@@ -324,6 +324,15 @@
 	return append([]fleet.NodeID(nil), c.view.Neighbors()...)
 }
 
+// Ranked returns the nodes of the region that are well and don't leave, this one
+// included, in an order that is the same at all nodes with the same view.
+func (c *Controller) Ranked(purpose string) []fleet.NodeID {
+	c.init()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.Ranked(purpose)
+}
+
 // Across returns one node of each other region that can be reached.
 func (c *Controller) Across() []fleet.NodeID {
 	c.init()
--- a/internal/member/neighbor.go
+++ b/internal/member/neighbor.go
@@ -60,3 +60,18 @@
 	})
 	return nodes
 }
+
+// Ranked returns the nodes of the region, this one included, that are neither
+// suspected nor leaving, ordered by their hash for a purpose.
+func (v *View) Ranked(purpose string) []fleet.NodeID {
+	var nodes []fleet.NodeID
+	if v.self.Status == Alive && !v.self.Leaving {
+		nodes = append(nodes, v.self.Node)
+	}
+	for node, held := range v.entries {
+		if held.Status == Alive && !held.Leaving && held.Region == v.self.Region {
+			nodes = append(nodes, node)
+		}
+	}
+	return ranked(nodes, purpose)
+}
--- a/internal/roster/feed.go
+++ b/internal/roster/feed.go
@@ -22,8 +22,8 @@
 // ServerEntry is the entry of one server in the platform's list. Server is nil
 // if the entry was removed or names no server to use.
 type ServerEntry struct {
-	ID     fleet.ServerID
-	Server *Server
+	ID     fleet.ServerID `json:"id,omitempty"`
+	Server *Server        `json:"server,omitempty"`
 }
 
 // Feed is a part of the platform's store that can be read whole and followed.
--- a/internal/roster/link_test.go
+++ b/internal/roster/link_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -135,11 +134,7 @@
 		r := &region{link: link{perEntry: 170 * time.Microsecond}}
 		r.start(t, 33)
 		time.Sleep(5 * time.Second)
-		var entries []roster.ServerEntry
-		for at := range 1000 {
-			entries = append(entries, entry(fmt.Sprint("e", at), "1"))
-		}
-		r.servers.put(entries...)
+		r.servers.put(manyEntries(1000, "1")...)
 		time.Sleep(25 * time.Second)
 		for _, controller := range r.controllers {
 			c.Check(controller.View().Servers, qt.HasLen, 1000)
--- a/internal/roster/manifest.go
+++ b/internal/roster/manifest.go
@@ -10,11 +10,11 @@
 // Manifest is what the operator has deployed. A newer version replaces an older
 // one whole. It is not changed after it was read.
 type Manifest struct {
-	Version uint64
+	Version uint64 `json:"version,omitempty"`
 	// Hosts lists the routes of each host name.
-	Hosts  map[string][]*Route
-	Pools  map[fleet.PoolID]*Pool
-	Limits Limits
+	Hosts  map[string][]*Route    `json:"hosts,omitempty"`
+	Pools  map[fleet.PoolID]*Pool `json:"pools,omitempty"`
+	Limits Limits                 `json:"limits,omitempty"`
 }
 
 // Kind says how requests of a route are answered and what may be repeated.
@@ -32,80 +32,83 @@
 
 // Route says how requests under a path prefix of a host are served.
 type Route struct {
-	Name   string
-	Host   string
-	Prefix string
-	Kind   Kind
+	Name   string `json:"name,omitempty"`
+	Host   string `json:"host,omitempty"`
+	Prefix string `json:"prefix,omitempty"`
+	Kind   Kind   `json:"kind,omitempty"`
 	// Timeout is the longest time to an answer.
-	Timeout time.Duration
+	Timeout time.Duration `json:"timeout,omitempty"`
 	// Objective is the time to the first byte within which an answer is worth
 	// most.
-	Objective time.Duration
+	Objective time.Duration `json:"objective,omitempty"`
 	// Pause is the longest time between two events of a stream that is still in
 	// time.
-	Pause time.Duration
+	Pause time.Duration `json:"pause,omitempty"`
 	// Rank is the urgency, the most urgent being 0.
-	Rank int
+	Rank int `json:"rank,omitempty"`
 	// Targets are the pools that serve the route, by weight.
-	Targets []Target
+	Targets []Target `json:"targets,omitempty"`
 	// MaxAttempts is the largest number of servers for one request.
-	MaxAttempts int
+	MaxAttempts int `json:"maxAttempts,omitempty"`
 	// Resumable says that a stream that broke off may go on at another server.
-	Resumable bool
+	Resumable bool `json:"resumable,omitempty"`
 }
 
 // Target is one pool of a route.
 type Target struct {
-	Pool   fleet.PoolID
-	Weight float64
+	Pool   fleet.PoolID `json:"pool,omitempty"`
+	Weight float64      `json:"weight,omitempty"`
 }
 
 // Pool is a set of backend servers of one kind.
 type Pool struct {
-	ID fleet.PoolID
+	ID fleet.PoolID `json:"id,omitempty"`
 	// HealthPath answers whether a server is well.
-	HealthPath string
+	HealthPath string `json:"healthPath,omitempty"`
 	// MaxConnections is the number of connections that a server accepts from
 	// all nodes together; 0 if unknown.
-	MaxConnections int
+	MaxConnections int `json:"maxConnections,omitempty"`
 	// Engine describes the engines of the pool; nil for plain services.
-	Engine *EngineSpec
+	Engine *EngineSpec `json:"engine,omitempty"`
 }
 
 // EngineSpec describes the engines of a pool.
 type EngineSpec struct {
-	Slots int
+	Slots int `json:"slots,omitempty"`
 	// CacheTokens is the size of the key-value cache.
-	CacheTokens int
+	CacheTokens int `json:"cacheTokens,omitempty"`
 	// Memory is what weights and adapters may take together.
-	Memory       fleet.Bytes
-	AdapterSlots int
+	Memory       fleet.Bytes `json:"memory,omitempty"`
+	AdapterSlots int         `json:"adapterSlots,omitempty"`
 	// Disk is the room for copies of weights on the VM's disk, HostMemory that
 	// in its memory; 0 if unknown.
-	Disk, HostMemory fleet.Bytes
+	Disk       fleet.Bytes `json:"disk,omitempty"`
+	HostMemory fleet.Bytes `json:"hostMemory,omitempty"`
 	// LoadsPerSecond is the rate at which loads from the weight store may begin
 	// over all engines.
-	LoadsPerSecond float64
-	Models         map[fleet.ModelID]*Model
+	LoadsPerSecond float64                  `json:"loadsPerSecond,omitempty"`
+	Models         map[fleet.ModelID]*Model `json:"models,omitempty"`
 }
 
 // Model is a model that the engines of a pool may hold.
 type Model struct {
-	Size fleet.Bytes
+	Size fleet.Bytes `json:"size,omitempty"`
 	// Adapters is the number of adapters, AdapterSize the size of each.
-	Adapters    int
-	AdapterSize fleet.Bytes
+	Adapters    int         `json:"adapters,omitempty"`
+	AdapterSize fleet.Bytes `json:"adapterSize,omitempty"`
 	// FromStore, FromDisk and FromMemory are the times of a load by where its
 	// weights are: in the weight store, on the VM's disk or in its memory.
-	FromStore, FromDisk, FromMemory time.Duration
+	FromStore  time.Duration `json:"fromStore,omitempty"`
+	FromDisk   time.Duration `json:"fromDisk,omitempty"`
+	FromMemory time.Duration `json:"fromMemory,omitempty"`
 }
 
 // Limits bound what callers may send.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	HeaderBytes   int           `json:"headerBytes,omitempty"`
+	BodyBytes     int64         `json:"bodyBytes,omitempty"`
+	HeaderTimeout time.Duration `json:"headerTimeout,omitempty"`
+	IdleTimeout   time.Duration `json:"idleTimeout,omitempty"`
 }
 
 // Match returns the route with the longest prefix of the path; nil if the host
