--- a/internal/hosted/endpoints.go
+++ b/internal/hosted/endpoints.go
@@ -93,7 +93,7 @@
 }
 
 // near returns the nodes to name to a caller at a place. Suspects are named only
-// if there is nobody else.
+// if there is nobody else, and this node where all are starting.
 func (n *Node) near(place fleet.Place) []string {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	var sound []member.Info
@@ -105,7 +105,10 @@
 	if near := lookup.Near(place, sound, random); len(near) > 0 {
 		return near
 	}
-	return lookup.Near(place, n.parts.Members.Members(), random)
+	if near := lookup.Near(place, n.parts.Members.Members(), random); len(near) > 0 || n.leaving.Load() {
+		return near
+	}
+	return []string{n.Addresses().Callers}
 }
 
 // closeCallers takes no more connections of callers and closes idle ones.
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -108,9 +108,10 @@
 
 func (n *Node) runners() []run.Part {
 	return []run.Part{
-		{Name: "roster", Run: n.parts.Roster.Run},
 		{Name: "peers", Run: n.parts.Peers.Run},
-		{Name: "members", Run: n.join},
+		{Name: "members", Run: n.parts.Members.Run},
+		{Name: "roster", Run: n.followStore},
+		{Name: "start", Run: n.announce},
 		{Name: "lease", Run: n.parts.Lease.Run},
 		{Name: "reporter", Run: n.parts.Reporter.Run},
 		{Name: "scheduler", Run: n.parts.Scheduler.Run},
@@ -122,15 +123,31 @@
 
 // Timing of the start.
 const (
+	// joinLimit bounds the wait for the other nodes, which know what the store
+	// lists.
+	joinLimit   = 500 * time.Millisecond
 	warmUpLimit = 3 * time.Second
-	warmUpPoll  = 50 * time.Millisecond
+	warmUpPoll  = 20 * time.Millisecond
 )
 
-// join makes the node a member once it can serve, or after warmUpLimit, so that
-// it is not named to callers before.
-func (n *Node) join(ctx context.Context) error {
+// followStore follows the store once the other nodes are known, so that nodes
+// that start together don't all read it whole.
+func (n *Node) followStore(ctx context.Context) error {
+	joining, cancel := context.WithTimeout(ctx, joinLimit)
+	defer cancel()
+	select {
+	case <-n.parts.Members.Joined():
+	case <-joining.Done():
+	}
+	return n.parts.Roster.Run(ctx)
+}
+
+// announce has the node named to callers once it can serve, or after
+// warmUpLimit.
+func (n *Node) announce(ctx context.Context) error {
 	wait.Until(ctx, warmUpLimit, warmUpPoll, func() bool { return n.known() == nil })
-	return n.parts.Members.Run(ctx)
+	n.parts.Members.Started()
+	return nil
 }
 
 // poisonInterval is the time between two looks at what other nodes tell of
--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -97,7 +97,7 @@
 	return &member.Controller{
 		Self: member.Info{
 			Node: n.ID, Place: n.Settings.Node.Place, CallerAddress: open.addresses.Callers,
-			PeerAddress: open.addresses.Peers, StartedAt: time.Now().UTC(),
+			PeerAddress: open.addresses.Peers, Starting: true, StartedAt: time.Now().UTC(),
 		},
 		Peers: peers, Store: store, Interval: memberInterval, Log: n.Log, Metrics: registry,
 	}
--- a/internal/lookup/near.go
+++ b/internal/lookup/near.go
@@ -13,13 +13,14 @@
 
 // Near returns the callers' addresses of members for a caller at a place: those
 // in its failure domain, and as long as they are too few those of its region
-// and of all others. A member that leaves is not named, and no address twice.
+// and of all others. A member that starts
+// or leaves is not named, and no address twice.
 func Near(place fleet.Place, members []member.Info, random *rand.Rand) []string {
 	rings := [3][]string{}
 	seen := make(map[string]bool, len(members))
 	for at := range members {
 		info := &members[at]
-		if info.Leaving || seen[info.CallerAddress] {
+		if info.Starting || info.Leaving || seen[info.CallerAddress] {
 			continue
 		}
 		seen[info.CallerAddress] = true
--- a/internal/lookup/near_test.go
+++ b/internal/lookup/near_test.go
@@ -23,6 +23,7 @@
 	members := []member.Info{
 		at("west", "a", "a1", false), at("west", "a", "a2", false), at("west", "b", "b1", false),
 		at("west", "b", "b2", true), at("east", "c", "c1", false), at("west", "a", "a1", false),
+		{Place: fleet.Place{Region: "west", FailureDomain: "a"}, CallerAddress: "a3", Starting: true},
 	}
 	for _, test := range []struct {
 		region, domain string
--- a/internal/member/controller.go
+++ b/internal/member/controller.go
@@ -61,6 +61,8 @@
 	view       *View
 	live       atomic.Pointer[[]Info]
 	background run.Background
+	joinedOnce sync.Once
+	joined     chan struct{}
 	counts     counters
 	record     registration
 }
@@ -76,6 +78,7 @@
 		if c.Log == nil {
 			c.Log = slog.New(slog.DiscardHandler)
 		}
+		c.joined = make(chan struct{})
 		c.counts = newCounters(c.Metrics)
 		c.view = NewView(c.Self, c.Interval, c.Rand)
 		c.publishLive(time.Now())
@@ -376,6 +379,21 @@
 	return c.view.Facts(time.Now(), kind)
 }
 
+// Joined is closed once the node has asked others for the members, or found none.
+func (c *Controller) Joined() <-chan struct{} {
+	c.init()
+	return c.joined
+}
+
+// Started announces that a node that was starting can be named to callers.
+func (c *Controller) Started() {
+	c.init()
+	c.locked(func(time.Time) []Action {
+		c.view.Started()
+		return nil
+	})
+}
+
 // Leave announces that the node drains, so that it is no longer named.
 func (c *Controller) Leave() {
 	c.init()
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -19,8 +19,9 @@
 	OperatorAddress string `json:"operatorAddress,omitempty"`
 	// Weight is the node's share of work relative to others; 0 means 1.
 	Weight float64 `json:"weight,omitempty"`
-	// Leaving says that the node drains: it is still there but must not be
-	// named to callers.
+	// Starting says that the node can't serve yet, Leaving that it drains: it is
+	// there but must not be named to callers.
+	Starting  bool      `json:"starting,omitempty"`
 	Leaving   bool      `json:"leaving,omitempty"`
 	StartedAt time.Time `json:"startedAt"`
 }
--- a/internal/member/registration.go
+++ b/internal/member/registration.go
@@ -33,6 +33,8 @@
 	cutMemory = 24 * time.Hour
 	// joins is the number of nodes that a node asks for the members.
 	joins = 2
+	// tableTimeout bounds the calls of one round to a table that is silent.
+	tableTimeout = 3 * time.Second
 )
 
 // registration is a node's record in the table.
@@ -68,6 +70,7 @@
 	for {
 		interval := refreshInterval(len(c.Members()))
 		c.refresh(ctx, interval)
+		c.joinedOnce.Do(func() { close(c.joined) })
 		if !wait.For(ctx, c.jitter(interval)) {
 			return
 		}
@@ -78,20 +81,28 @@
 func (c *Controller) refresh(ctx context.Context, interval time.Duration) {
 	var others []registered
 	if c.Store != nil {
-		if err := c.write(ctx, interval); err != nil {
-			c.counts.tableErrors.Inc(1)
-		}
-		read, err := c.read(ctx)
-		if err != nil {
-			c.counts.tableErrors.Inc(1)
-		} else {
-			others = read
-			c.compare(others)
-		}
+		others = c.register(ctx, interval)
 	}
 	c.join(ctx, others)
 }
 
+// register writes the node's record and returns those of the others, none if
+// the table does not answer.
+func (c *Controller) register(ctx context.Context, interval time.Duration) []registered {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	if err := c.write(ctx, interval); err != nil {
+		c.counts.tableErrors.Inc(1)
+	}
+	others, err := c.read(ctx)
+	if err != nil {
+		c.counts.tableErrors.Inc(1)
+		return nil
+	}
+	c.compare(others)
+	return others
+}
+
 // write puts the node's record.
 func (c *Controller) write(ctx context.Context, interval time.Duration) error {
 	c.record.mu.Lock()
@@ -166,11 +177,14 @@
 			if json.Unmarshal(record.Body, &other) != nil || other.Node == c.Self.Node {
 				continue
 			}
-			if !other.stale(time.Now()) || c.mayServeOn(other) {
+			switch {
+			case other.PeerAddress == c.Self.PeerAddress:
+				c.removePredecessor(ctx, record)
+			case !other.stale(time.Now()) || c.mayServeOn(other):
 				list = append(list, other)
-				continue
+			default:
+				c.remove(ctx, other, record)
 			}
-			c.remove(ctx, other, record)
 		}
 		if len(records) == 0 {
 			return list, nil
@@ -196,9 +210,21 @@
 		}
 		live = append(live, info.Node)
 	}
-	if ranked(live, string(other.Node))[0] != c.Self.Node {
+	if ranked(live, string(other.Node))[0] == c.Self.Node {
+		c.removeRecord(ctx, record)
+	}
+}
+
+// removePredecessor deletes the record of a process that had this node's address
+// and did not live to delete it. Others need not look for it then.
+func (c *Controller) removePredecessor(ctx context.Context, record table.Record) {
+	if c.MayLive(fleet.NodeID(record.Key.Sort)) {
 		return
 	}
+	c.removeRecord(ctx, record)
+}
+
+func (c *Controller) removeRecord(ctx context.Context, record table.Record) {
 	err := c.Store.Transact(ctx, table.Token(uuid.NewString()), []table.Write{{Key: record.Key, Expect: record.Version}})
 	if err != nil {
 		c.counts.tableErrors.Inc(1)
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -128,6 +128,15 @@
 	}
 }
 
+// Started announces that the node can be named to callers.
+func (v *View) Started() {
+	if !v.self.Starting || v.self.Status == Left {
+		return
+	}
+	v.self.Starting, v.hurry, v.hurriedAt = false, true, time.Time{}
+	v.raise(0)
+}
+
 // Leave announces that the node drains, or with gone that it is no more there.
 func (v *View) Leave(gone bool) {
 	v.self.Leaving, v.hurry, v.hurriedAt = true, true, time.Time{}
@@ -204,7 +213,8 @@
 	if !found || held.live() != record.live() {
 		v.stale = true
 	}
-	v.hurry = v.hurry || !found || held.live() != record.live() || held.Leaving != record.Leaving
+	v.hurry = v.hurry || !found || held.live() != record.live() ||
+		held.Leaving != record.Leaving || held.Starting != record.Starting
 	held.Record, held.changed, held.accusers = record, now, nil
 	v.addSum(record, 1)
 	if record.Status == Suspect {
--- a/internal/member/view_test.go
+++ b/internal/member/view_test.go
@@ -186,6 +186,33 @@
 	c.Assert(missing, qt.Equals, 0)
 }
 
+// TestStartIsToldAtOnce has a node join before it can serve: the others know it,
+// and within two steps of its start that it has started.
+func TestStartIsToldAtOnce(t *testing.T) {
+	c := qt.New(t)
+	s := newSimulation(12, regionsOf(30, 20)...)
+	s.steps(40)
+	id := s.add(s.regions["n004"])
+	s.views[id] = member.NewView(member.Info{
+		Node: id, Place: fleet.Place{Region: s.regions[id]}, PeerAddress: string(id), StartedAt: s.now, Starting: true,
+	}, tick, s.random)
+	s.joinAt(id, "n004")
+	s.steps(5)
+	count := func(starting bool) (known int) {
+		for _, other := range s.ids {
+			for _, info := range s.views[other].Live(s.now) {
+				known += boolInt(info.Node == id && info.Starting == starting)
+			}
+		}
+		return known
+	}
+	c.Assert(count(true), qt.Equals, 51)
+	s.views[id].Started()
+	s.carryOut(id, s.views[id].Hurry(s.now))
+	s.steps(2)
+	c.Assert(count(false), qt.Equals, 51)
+}
+
 func TestLeavingAndGoneAreToldAtOnce(t *testing.T) {
 	c := qt.New(t)
 	s := newSimulation(11, regionsOf(30, 20)...)
