A deputy follows a lost holder of the lease

Change: the holder names a deputy, which may claim 2.5 s after a renewal unless it has promised to wait; the holder acts beyond those 2.5 s only under such promises, asked for each 0.3 s. Orders go on in an outage of the store for 8 s as before.

Ruled out: a lease of 3 s (stops orders in every longer outage).

--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -1,8 +1,10 @@
 package hosted
 
 import (
+	"cmp"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -37,7 +39,9 @@
 	memberInterval = 500 * time.Millisecond
 	// leaseTime is how long the right to give orders lasts without a renewal:
 	// longer than most outages of the store, since orders go on in them.
-	leaseTime = 8 * time.Second
+	// deputyTime is when a deputy may follow a holder that it does not hear.
+	leaseTime  = 8 * time.Second
+	deputyTime = 2500 * time.Millisecond
 )
 
 // leaseKey is the record of the right to give orders.
@@ -107,11 +111,12 @@
 // under the same name is another one.
 func (n *Node) vm() string { return n.Settings.Node.Name + "@" + n.Settings.Peers.Listen }
 
-func newLease(n *Node, store table.Store, members *member.Controller) *lease.Controller {
+func newLease(n *Node, store table.Store, members *member.Controller, peers *peer.Peer) *lease.Controller {
 	return &lease.Controller{
 		Term: lease.Term{
-			Self: n.vm(), Node: n.ID, Length: leaseTime, HandOver: n.Settings.Platform.HandOver.Std(),
+			Self: n.vm(), Node: n.ID, Length: leaseTime, HandOver: n.Settings.Platform.HandOver.Std(), Short: deputyTime,
 		},
+		Deputies: func() []fleet.NodeID { return n.deputies(members) }, Peers: peers,
 		Store: store, Key: leaseKey, Yield: func() time.Duration { return n.yield(members) }, Log: n.Log,
 	}
 }
@@ -132,6 +137,30 @@
 	return span
 }
 
+// deputies returns the nodes that may follow this one in giving orders: those in
+// other failure domains first, and of them those that started last.
+func (n *Node) deputies(members *member.Controller) (nodes []fleet.NodeID) {
+	var sound []member.Info
+	for _, record := range members.Records() {
+		if record.Status == member.Alive && record.Node != n.ID && !record.Leaving && !record.Starting {
+			sound = append(sound, record.Info)
+		}
+	}
+	near := func(info *member.Info) int {
+		if info.FailureDomain == n.Settings.Node.FailureDomain {
+			return 1
+		}
+		return 0
+	}
+	slices.SortFunc(sound, func(a, b member.Info) int {
+		return cmp.Or(cmp.Compare(near(&a), near(&b)), b.StartedAt.Compare(a.StartedAt), cmp.Compare(a.Node, b.Node))
+	})
+	for at := range sound {
+		nodes = append(nodes, sound[at].Node)
+	}
+	return nodes
+}
+
 func newDirectory() *placement.Directory { return &placement.Directory{} }
 
 func newReporter(
@@ -196,6 +225,7 @@
 	p.Directory.View = p.Roster.View
 	p.Peers.Resolve, p.Peers.Crosses = p.Members.Resolve, p.Members.Crosses
 	p.Members.Register()
+	p.Lease.Register()
 	p.ServerRelay.Register()
 	p.ManifestRelay.Register()
 	placement.Register(p.Peers, p.Scheduler, p.Reporter)
--- a/internal/lease/controller.go
+++ b/internal/lease/controller.go
@@ -37,13 +37,21 @@
 	// Yield returns how long to wait before a lease that is free is claimed, so
 	// that VMs better suited go first. Nil means not at all.
 	Yield func() time.Duration
-	Log   *slog.Logger
+	// Deputies returns the processes that may be named as the deputy, the best
+	// first. Nil, or nil Peers, means that none is.
+	Deputies func() []fleet.NodeID
+	Peers    Peers
+	Log      *slog.Logger
 
 	once    sync.Once
 	mu      sync.Mutex
 	suspect bool
 	wake    wait.Signal
 	gaveUp  bool
+	// refusals counts the deputy's missing answers in a row, askedAt is when this
+	// process was asked as the deputy.
+	refusals int
+	askedAt  time.Duration
 }
 
 func (c *Controller) init() {
@@ -111,6 +119,11 @@
 // Run holds or watches the lease until the context ends.
 func (c *Controller) Run(ctx context.Context) error {
 	c.init()
+	var attending sync.WaitGroup
+	defer attending.Wait()
+	if c.Peers != nil {
+		attending.Go(func() { c.attend(ctx) })
+	}
 	for ctx.Err() == nil {
 		c.wake.Wait(ctx, c.step(ctx))
 	}
@@ -120,7 +133,7 @@
 // step does what is due and returns when to look again.
 func (c *Controller) step(ctx context.Context) time.Duration {
 	c.mu.Lock()
-	mine, suspect, gaveUp := c.Term.mine, c.suspect, c.gaveUp
+	mine, suspect, gaveUp := c.Term.mine, c.suspect || c.unasked(), c.gaveUp
 	c.mu.Unlock()
 	switch {
 	case gaveUp:
@@ -143,7 +156,7 @@
 		return
 	}
 	c.mu.Lock()
-	own := c.Term.record.Holder == c.Term.Self
+	own := c.Term.record.Holder == c.Term.Self || c.Term.IsDeputy()
 	record, expect, wanted := c.Term.Claim(c.Clock())
 	c.mu.Unlock()
 	if !wanted || !own && !c.yield(ctx, expect) {
@@ -203,7 +216,7 @@
 // renew reports whether the lease was renewed.
 func (c *Controller) renew(ctx context.Context) bool {
 	c.mu.Lock()
-	record, expect := c.Term.Renewal(c.Clock())
+	record, expect := c.Term.Renewal(c.Clock(), c.deputy())
 	c.mu.Unlock()
 	sent := c.Clock()
 	err := c.write(ctx, record, expect)
--- a/internal/lease/controller_test.go
+++ b/internal/lease/controller_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/guavatrack/guavatrack/internal/lease"
+	"github.com/guavatrack/guavatrack/internal/peer"
 	"github.com/guavatrack/guavatrack/internal/standin"
 	"github.com/guavatrack/guavatrack/internal/table"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
@@ -165,3 +169,181 @@
 		c.Assert(holds(again), qt.IsTrue)
 	})
 }
+
+// wire carries calls between controllers by the names of their processes.
+type wire struct {
+	mu       sync.Mutex
+	handlers map[fleet.NodeID]peer.Handler
+	silent   map[fleet.NodeID]bool
+}
+
+type wireEnd struct {
+	*wire
+	node fleet.NodeID
+}
+
+func (w wireEnd) Handle(_ string, handler peer.Handler) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.handlers[w.node] = handler
+}
+
+func (w wireEnd) Call(ctx context.Context, node fleet.NodeID, _ string, in, out any) error {
+	w.mu.Lock()
+	handler, silent := w.handlers[node], w.silent[node] || w.silent[w.node]
+	w.mu.Unlock()
+	if handler == nil || silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	text, err := json.Marshal(in)
+	if err != nil {
+		return err
+	}
+	result, err := handler(ctx, text)
+	if err != nil {
+		return err
+	}
+	if text, err = json.Marshal(result); err != nil {
+		return err
+	}
+	return json.Unmarshal(text, out)
+}
+
+func (w *wire) hush(vm string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.silent[process(vm)] = true
+}
+
+func process(vm string) fleet.NodeID { return fleet.NodeID(vm + "-process") }
+
+// crew starts controllers that may be each other's deputies, in this order.
+func crew(t *testing.T, store table.Store, vms ...string) (w *wire, crew []*lease.Controller, stops []context.CancelFunc) {
+	t.Helper()
+	w = &wire{handlers: make(map[fleet.NodeID]peer.Handler), silent: make(map[fleet.NodeID]bool)}
+	began := time.Now()
+	for at, vm := range vms {
+		c := &lease.Controller{
+			Term:  lease.Term{Self: vm, Node: process(vm), Length: length, HandOver: handOver, Short: short},
+			Store: store, Key: table.Key{Partition: "orders", Sort: "lease"}, Peers: wireEnd{w, process(vm)},
+			Clock: func() time.Duration { return time.Since(began) },
+			Deputies: func() (nodes []fleet.NodeID) {
+				for other, name := range vms {
+					if other != at {
+						nodes = append(nodes, process(name))
+					}
+				}
+				return nodes
+			},
+		}
+		c.Register()
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = c.Run(ctx)
+		}()
+		stop := sync.OnceFunc(func() { cancel(); <-done })
+		t.Cleanup(stop)
+		crew, stops = append(crew, c), append(stops, stop)
+		time.Sleep(50 * time.Millisecond)
+	}
+	return w, crew, stops
+}
+
+// TestDeputyFollowsALostHolderSoon has the holder vanish: its deputy acts after
+// the short time and the hand-over, not after the whole lease.
+func TestDeputyFollowsALostHolderSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		w, nodes, stops := crew(t, standin.NewTable(), "a", "b", "c")
+		time.Sleep(5 * time.Second)
+		c.Assert(holds(nodes[0]), qt.IsTrue)
+		w.hush("a")
+		stops[0]()
+		time.Sleep(short + handOver + 1500*time.Millisecond)
+		c.Check(holds(nodes[1]), qt.IsTrue)
+		c.Check(holds(nodes[2]), qt.IsFalse)
+	})
+}
+
+// TestHolderWithADeputyGoesOnWhileTheTableIsDown has orders go on in an outage of
+// the table as long as the lease lasts.
+func TestHolderWithADeputyGoesOnWhileTheTableIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := standin.NewTable()
+		_, nodes, _ := crew(t, store, "a", "b", "c")
+		time.Sleep(5 * time.Second)
+		store.SetFaults(standin.TableFaults{Down: true})
+		for range 60 {
+			time.Sleep(100 * time.Millisecond)
+			c.Assert(holds(nodes[0]), qt.IsTrue)
+		}
+		time.Sleep(3 * time.Second)
+		c.Check(holds(nodes[0]), qt.IsFalse)
+		store.SetFaults(standin.TableFaults{})
+		time.Sleep(2 * time.Second)
+		c.Check(holds(nodes[0]), qt.IsTrue)
+	})
+}
+
+// TestSilentDeputyIsReplaced has the deputy vanish: the holder acts on without a
+// break and names another, which lets it act in an outage again.
+func TestSilentDeputyIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := standin.NewTable()
+		w, nodes, stops := crew(t, store, "a", "b", "c")
+		time.Sleep(5 * time.Second)
+		w.hush("b")
+		stops[1]()
+		for range 50 {
+			time.Sleep(100 * time.Millisecond)
+			c.Assert(holds(nodes[0]), qt.IsTrue)
+		}
+		store.SetFaults(standin.TableFaults{Down: true})
+		time.Sleep(6 * time.Second)
+		c.Check(holds(nodes[0]), qt.IsTrue)
+	})
+}
+
+// TestHolderThatIsCutFromItsDeputyAndTheTableStops has the deputy follow a holder
+// that lives and reaches neither it nor the table.
+func TestHolderThatIsCutFromItsDeputyAndTheTableStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := &severed{Store: standin.NewTable()}
+		w, nodes, _ := crew(t, store, "a", "b", "c")
+		time.Sleep(5 * time.Second)
+		w.hush("a")
+		store.cut.Store(true)
+		var lastOfA time.Time
+		for range 200 {
+			time.Sleep(50 * time.Millisecond)
+			if holds(nodes[0]) {
+				lastOfA = time.Now()
+			}
+			if holds(nodes[1]) {
+				break
+			}
+		}
+		c.Assert(holds(nodes[1]), qt.IsTrue)
+		c.Check(time.Since(lastOfA) >= handOver, qt.IsTrue, qt.Commentf("%v", time.Since(lastOfA)))
+	})
+}
+
+// severed is a table that the process of VM a does not reach once it is cut.
+type severed struct {
+	table.Store
+	cut atomic.Bool
+}
+
+func (s *severed) Transact(ctx context.Context, token table.Token, writes []table.Write) error {
+	var record lease.Record
+	if s.cut.Load() && json.Unmarshal(writes[0].Body, &record) == nil && record.Holder == "a" {
+		return table.ErrUnavailable
+	}
+	return s.Store.Transact(ctx, token, writes)
+}
--- a/internal/lease/doc.go
+++ b/internal/lease/doc.go
@@ -13,6 +13,12 @@
 // former holder did can come after it. A process that starts again on the
 // holder's own VM goes on at once: both are one holder to the outside.
 //
+// The holder names a deputy in the record. A renewal alone then lets it act for a
+// short time only, after which the deputy may claim the lease, without waiting for
+// its end. Beyond that the holder acts under promises of the deputy not to claim
+// for a second, for which it asks a few times in each. So a holder that is gone
+// is followed soon, and one that only can't reach the table acts on.
+//
 // Every change of holder raises the fencing number: it is the version of the
 // record, which only grows.
 package lease
--- a/internal/lease/term.go
+++ b/internal/lease/term.go
@@ -19,6 +19,8 @@
 	Acting bool `json:"acting,omitempty"`
 	// Released says that the holder has given the lease up and acts no more.
 	Released bool `json:"released,omitempty"`
+	// Deputy is the process that may claim the lease early; empty if none may.
+	Deputy fleet.NodeID `json:"deputy,omitempty"`
 }
 
 // Term decides on one VM's right. It is pure: all times are arguments, on a
@@ -31,6 +33,9 @@
 	Length time.Duration
 	// HandOver is the time in which two VMs must not act one after the other.
 	HandOver time.Duration
+	// Short is how long a renewal holds where a deputy has been named and has not
+	// promised to wait; 0 has no deputy named.
+	Short time.Duration
 
 	known   bool
 	record  Record
@@ -40,6 +45,7 @@
 	// until is when the own right ends, from when it begins.
 	from, until time.Duration
 	mine        bool
+	deputyship
 }
 
 // margin is added to the times that another VM's clock must not undercut.
@@ -51,6 +57,12 @@
 	if !t.known || version != t.version {
 		t.changedAt = now
 	}
+	if version != t.version {
+		t.claiming, t.naming = false, ""
+	}
+	if record.Deputy != t.record.Deputy {
+		t.promised = 0
+	}
 	t.known, t.record, t.version = true, record, version
 	// A record of this process's own that was not written by it now was written
 	// by a renewal whose answer was lost.
@@ -66,10 +78,11 @@
 		return Record{}, 0, false
 	}
 	free := t.version == table.Absent || t.record.Released || t.record.Holder == t.Self ||
-		now-t.changedAt >= t.Length+margin
+		now-t.changedAt >= t.Length+margin || t.maySucceed(now)
 	if !free {
 		return Record{}, 0, false
 	}
+	t.claiming = true
 	record = Record{Holder: t.Self, Node: t.Node, Fencing: fleet.FencingNumber(t.version) + 1, Acting: t.goesOn()}
 	return record, t.version, true
 }
@@ -80,11 +93,12 @@
 	return t.version == table.Absent || t.record.Holder == t.Self && t.record.Acting
 }
 
-// Renewal returns the record that renews the lease and the version that it
-// needs.
-func (t *Term) Renewal(now time.Duration) (record Record, expect table.Version) {
+// Renewal returns the record that renews the lease and names a deputy, and the
+// version that it needs.
+func (t *Term) Renewal(now time.Duration, deputy fleet.NodeID) (record Record, expect table.Version) {
 	record = t.record
 	record.Acting = record.Acting || now >= t.from
+	record.Deputy = t.name(deputy)
 	return record, t.version
 }
 
@@ -97,18 +111,22 @@
 	}
 	t.record, t.version, t.changedAt = record, version, now
 	t.mine, t.until = true, sent+t.Length
+	t.deputyship = deputyship{alone: sent + t.Short}
 }
 
 // Renewed notes that the renewal sent at the given time took effect.
 func (t *Term) Renewed(sent time.Duration, record Record, version table.Version) {
-	t.record, t.version = record, version
-	t.until = max(t.until, sent+t.Length)
+	if record.Deputy != t.record.Deputy {
+		t.promised = 0
+	}
+	t.record, t.version, t.naming = record, version, ""
+	t.until, t.alone = max(t.until, sent+t.Length), max(t.alone, sent+t.Short)
 }
 
 // Holds reports whether this process may act at the given time, and under
 // which number.
 func (t *Term) Holds(now time.Duration) (fleet.FencingNumber, bool) {
-	return t.record.Fencing, t.mine && now >= t.from && now < t.until
+	return t.record.Fencing, t.mine && now >= t.from && now < t.until && t.unrivalled(now)
 }
 
 // Mine reports whether the record is this process's own.
--- a/internal/lease/term_test.go
+++ b/internal/lease/term_test.go
@@ -15,6 +15,7 @@
 const (
 	length   = 8 * time.Second
 	handOver = 3 * time.Second
+	short    = 2500 * time.Millisecond
 )
 
 // world is a record in a store with several VMs that want the lease. Writes may
@@ -25,8 +26,9 @@
 	record  lease.Record
 	version table.Version
 	vms     []*vm
-	// writes are under way.
+	// writes and asks are under way.
 	writes []write
+	asks   []ask
 	// acted is the last act of all.
 	acted act
 }
@@ -50,6 +52,17 @@
 	lost bool
 }
 
+// ask is a holder's request for its deputy's promise or, once that is given, the
+// answer to it.
+type ask struct {
+	by           *vm
+	node, deputy fleet.NodeID
+	sent         time.Duration
+	record       lease.Record
+	version      table.Version
+	promised     bool
+}
+
 type act struct {
 	at      time.Duration
 	holder  string
@@ -59,7 +72,7 @@
 func (w *world) start(v *vm) {
 	v.boots++
 	v.term = lease.Term{
-		Self: v.name, Node: fleet.NodeID(fmt.Sprint(v.name, "-", v.boots)), Length: length, HandOver: handOver,
+		Self: v.name, Node: fleet.NodeID(fmt.Sprint(v.name, "-", v.boots)), Length: length, HandOver: handOver, Short: short,
 	}
 }
 
@@ -81,6 +94,24 @@
 	}
 }
 
+// deliverAsk carries a request to the deputy, or its promise back.
+func (w *world) deliverAsk(at int) {
+	asked := w.asks[at]
+	w.asks = append(w.asks[:at], w.asks[at+1:]...)
+	if asked.promised {
+		if asked.by.term.Node == asked.node {
+			asked.by.term.Promised(asked.deputy, asked.sent)
+		}
+		return
+	}
+	for _, v := range w.vms {
+		if v.term.Node == asked.deputy && v.term.Vow(w.now, asked.record, asked.version) {
+			asked.promised = true
+			w.asks = append(w.asks, asked)
+		}
+	}
+}
+
 // act has a VM act if it may, and checks it against the last act of all.
 func (w *world) act(t *rapid.T, v *vm) {
 	fencing, holds := v.term.Holds(w.now)
@@ -102,8 +133,8 @@
 	w.acted = act{at: w.now, holder: v.name, fencing: fencing}
 }
 
-// TestNoTwoHoldersActWithinTheHandOver lets VMs look, claim, renew, release,
-// act, be suspended and start again in any order.
+// TestNoTwoHoldersActWithinTheHandOver lets VMs look, claim, renew, name deputies
+// and ask them, release, act, be suspended and start again in any order.
 func TestNoTwoHoldersActWithinTheHandOver(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := &world{}
@@ -136,13 +167,35 @@
 			},
 			"renew": func(t *rapid.T) {
 				if v := pick(t); v.term.Mine() {
-					record, expect := v.term.Renewal(w.now)
+					deputy := pick(t).term.Node
+					if deputy == v.term.Node {
+						deputy = ""
+					}
+					record, expect := v.term.Renewal(w.now, deputy)
 					send(t, v, record, expect, false)
 				}
 			},
+			"ask": func(t *rapid.T) {
+				v := pick(t)
+				deputy, record, version, found := v.term.Deputy()
+				if !found {
+					return
+				}
+				w.asks = append(w.asks, ask{by: v, node: v.term.Node, deputy: deputy, sent: w.now, record: record, version: version})
+				for range rapid.IntRange(0, 2).Draw(t, "steps") {
+					if len(w.asks) > 0 {
+						w.deliverAsk(len(w.asks) - 1)
+					}
+				}
+			},
+			"deliverAsk": func(t *rapid.T) {
+				if len(w.asks) > 0 {
+					w.deliverAsk(rapid.IntRange(0, len(w.asks)-1).Draw(t, "ask"))
+				}
+			},
 			"release": func(t *rapid.T) {
 				if v := pick(t); v.term.Mine() {
-					record, expect := v.term.Renewal(w.now)
+					record, expect := v.term.Renewal(w.now, "")
 					record.Released = true
 					w.writes = append(w.writes, write{by: v, record: record, expect: expect, released: true})
 					w.start(v)
@@ -158,3 +211,87 @@
 		})
 	})
 }
+
+// TestDeputyFollowsOnlyAHolderThatIsDone starts with a holder that has named a
+// deputy, and has everybody act whenever it may.
+func TestDeputyFollowsOnlyAHolderThatIsDone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{}
+		for at := range 3 {
+			v := &vm{name: fmt.Sprint("vm", at)}
+			w.start(v)
+			w.vms = append(w.vms, v)
+		}
+		holder := w.vms[0]
+		look := func() {
+			for _, v := range w.vms {
+				v.term.Seen(w.now, w.record, w.version)
+			}
+		}
+		send := func(record lease.Record, expect table.Version, by *vm, claim bool) {
+			w.writes = append(w.writes, write{
+				by: by, node: by.term.Node, sent: w.now, record: record, expect: expect, claim: claim,
+				lost: rapid.IntRange(0, 3).Draw(t, "lost") == 0,
+			})
+			if rapid.Bool().Draw(t, "atOnce") {
+				w.deliver(len(w.writes) - 1)
+			}
+		}
+		look()
+		record, expect, _ := holder.term.Claim(w.now)
+		w.writes = []write{{by: holder, node: holder.term.Node, record: record, expect: expect, claim: true}}
+		w.deliver(0)
+		w.now += 100 * time.Millisecond
+		renew := func() {
+			if holder.term.Mine() {
+				deputy := w.vms[rapid.IntRange(1, 2).Draw(t, "deputy")].term.Node
+				record, expect := holder.term.Renewal(w.now, deputy)
+				send(record, expect, holder, false)
+			}
+		}
+		renew()
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(t *rapid.T) {
+				for _, v := range w.vms {
+					w.act(t, v)
+				}
+			},
+			"pass":  func(t *rapid.T) { w.now += time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond },
+			"pass2": func(t *rapid.T) { w.now += time.Duration(rapid.IntRange(900, 2800).Draw(t, "ms")) * time.Millisecond },
+			"renew": func(*rapid.T) { renew() },
+			"look": func(t *rapid.T) {
+				w.vms[rapid.IntRange(0, 2).Draw(t, "vm")].term.Seen(w.now, w.record, w.version)
+			},
+			"claim": func(t *rapid.T) {
+				v := w.vms[rapid.IntRange(1, 2).Draw(t, "vm")]
+				if record, expect, wanted := v.term.Claim(w.now); wanted {
+					send(record, expect, v, true)
+				}
+			},
+			"ask": func(t *rapid.T) {
+				deputy, record, version, found := holder.term.Deputy()
+				if !found {
+					return
+				}
+				w.asks = append(w.asks, ask{
+					by: holder, node: holder.term.Node, deputy: deputy, sent: w.now, record: record, version: version,
+				})
+				for range rapid.IntRange(0, 2).Draw(t, "steps") {
+					if len(w.asks) > 0 {
+						w.deliverAsk(len(w.asks) - 1)
+					}
+				}
+			},
+			"deliverAsk": func(t *rapid.T) {
+				if len(w.asks) > 0 {
+					w.deliverAsk(rapid.IntRange(0, len(w.asks)-1).Draw(t, "ask"))
+				}
+			},
+			"deliver": func(t *rapid.T) {
+				if len(w.writes) > 0 {
+					w.deliver(rapid.IntRange(0, len(w.writes)-1).Draw(t, "write"))
+				}
+			},
+		})
+	})
+}
