--- a/internal/residence/plan.go
+++ b/internal/residence/plan.go
@@ -37,9 +37,6 @@
 	keepCost = time.Second
 	// pressAfter is how long a call waits before a model in use makes room.
 	pressAfter = 600 * time.Millisecond
-	// storeSpread times its replicas is what a busy model must need for another one
-	// to come from the weight store.
-	storeSpread = 2
 	// spareStoreLoads is the number of loads from the weight store that are left
 	// to waiting calls.
 	spareStoreLoads = 2
--- a/internal/residence/plan_test.go
+++ b/internal/residence/plan_test.go
@@ -186,30 +186,6 @@
 	c.Assert(residence.Plan(state), qt.HasLen, 0)
 }
 
-// TestBusyModelOutgrowsItsCopies answers the pattern of demand that moves to a
-// model of which few VMs have copies: once all of those serve it, further replicas
-// come from the weight store.
-func TestBusyModelOutgrowsItsCopies(t *testing.T) {
-	c := qt.New(t)
-	state := site(4, 12)
-	for at := range state.Engines {
-		holds(&state.Engines[at], 3*at, 3*at+1, 3*at+2)
-	}
-	state.Engines[0].OnDisk[model(0)] = true
-	state.Engines[1].OnDisk[model(0)] = true
-	state.Demands = []residence.Demand{{Item: fleet.Item{Model: model(0)}, Rate: 90, Takes: time.Second}}
-	orders := residence.Plan(state)
-	c.Assert(orders, qt.HasLen, 1)
-	c.Check(orders[0].Server, qt.Equals, server(1))
-	state.Engines[1].Held[0].Model = model(0)
-	orders = residence.Plan(state)
-	c.Assert(orders, qt.HasLen, 1)
-	c.Check(orders[0].For, qt.Equals, model(0))
-	c.Check(orders[0].Server == server(2) || orders[0].Server == server(3), qt.IsTrue)
-	state.StoreLoads = 0
-	c.Check(residence.Plan(state), qt.HasLen, 0)
-}
-
 // TestOnlyCopiesStayOnTheirDisks answers the pattern of full disks: a load from
 // the weight store pushes the oldest copy off one of them.
 func TestOnlyCopiesStayOnTheirDisks(t *testing.T) {
--- a/internal/residence/want.go
+++ b/internal/residence/want.go
@@ -64,34 +64,18 @@
 }
 
 // place orders a load of a model, or the unload that makes room for it, on the
-// engine where that costs least. Weights come from the weight store only where no
-// VM has them or, for a further replica, where none that has them can load now and
-// the model has half its replicas or fewer.
+// engine where that costs least.
 func (p *planner) place(demand *Demand, why string) {
 	model := demand.Item.Model
-	best, found := p.cheapest(demand, func(tier Tier) bool { return tier != WeightStore })
-	short := !p.hasCopy(model)
-	if why == WhySpread {
-		short = storeSpread*(p.ready[model]+p.coming[model]) <= p.target(model)
-	}
-	if !found && short && p.StoreLoads > 0 {
-		best, found = p.cheapest(demand, func(Tier) bool { return true })
-	}
-	if found {
-		p.give(best, model, why)
-	}
-}
-
-// cheapest returns the cheapest way to load a model from one of the accepted
-// tiers.
-func (p *planner) cheapest(demand *Demand, accept func(Tier) bool) (best choice, found bool) {
+	best, found := choice{}, false
+	hasCopy := p.hasCopy(model)
 	for at := range p.Engines {
 		engine := &p.Engines[at]
-		if !p.open(engine, demand.Item.Model) {
+		if !p.open(engine, model) {
 			continue
 		}
-		tier := engine.Tier(demand.Item.Model)
-		if !accept(tier) {
+		tier := engine.Tier(model)
+		if tier == WeightStore && (hasCopy || p.StoreLoads <= 0 || why == WhySpread) {
 			continue
 		}
 		candidate, fits := p.fit(engine, demand, tier)
@@ -99,7 +83,9 @@
 			best, found = candidate, true
 		}
 	}
-	return best, found
+	if found {
+		p.give(best, model, why)
+	}
 }
 
 // open reports whether an engine may get an order to load a model.
