--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -41,10 +41,18 @@
 	portTries = 50
 )
 
-// freePort returns an address on loopback whose port was free a moment ago.
+// given are the ports that were chosen before.
+var given sync.Map
+
+// freePort returns an address on loopback whose port was free a moment ago, and
+// which it has not returned before.
 func freePort() (address string, err error) {
 	for range portTries {
-		address = net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(ports)))
+		port := firstPort + rand.IntN(ports)
+		if _, taken := given.LoadOrStore(port, true); taken {
+			continue
+		}
+		address = net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
 		var listener net.Listener
 		if listener, err = net.Listen("tcp", address); err == nil { //nolint:noctx // returns at once
 			return address, listener.Close()
