--- a/internal/lease/controller_test.go
+++ b/internal/lease/controller_test.go
@@ -12,7 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/guavatrack/guavatrack/internal/lease"
-	"github.com/guavatrack/guavatrack/internal/peer"
+	"github.com/guavatrack/guavatrack/internal/peer/peertest"
 	"github.com/guavatrack/guavatrack/internal/standin"
 	"github.com/guavatrack/guavatrack/internal/table"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
@@ -170,63 +170,17 @@
 	})
 }
 
-// wire carries calls between controllers by the names of their processes.
-type wire struct {
-	mu       sync.Mutex
-	handlers map[fleet.NodeID]peer.Handler
-	silent   map[fleet.NodeID]bool
-}
-
-type wireEnd struct {
-	*wire
-	node fleet.NodeID
-}
-
-func (w wireEnd) Handle(_ string, handler peer.Handler) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.handlers[w.node] = handler
-}
-
-func (w wireEnd) Call(ctx context.Context, node fleet.NodeID, _ string, in, out any) error {
-	w.mu.Lock()
-	handler, silent := w.handlers[node], w.silent[node] || w.silent[w.node]
-	w.mu.Unlock()
-	if handler == nil || silent {
-		<-ctx.Done()
-		return ctx.Err()
-	}
-	text, err := json.Marshal(in)
-	if err != nil {
-		return err
-	}
-	result, err := handler(ctx, text)
-	if err != nil {
-		return err
-	}
-	if text, err = json.Marshal(result); err != nil {
-		return err
-	}
-	return json.Unmarshal(text, out)
-}
-
-func (w *wire) hush(vm string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.silent[process(vm)] = true
-}
-
 func process(vm string) fleet.NodeID { return fleet.NodeID(vm + "-process") }
 
 // crew starts controllers that may be each other's deputies, in this order.
-func crew(t *testing.T, store table.Store, vms ...string) (w *wire, crew []*lease.Controller, stops []context.CancelFunc) {
+func crew(t *testing.T, store table.Store, vms ...string) (w *peertest.Wires, crew []*lease.Controller, stops []context.CancelFunc) {
 	t.Helper()
-	w = &wire{handlers: make(map[fleet.NodeID]peer.Handler), silent: make(map[fleet.NodeID]bool)}
+	w = &peertest.Wires{}
 	began := time.Now()
 	for at, vm := range vms {
 		c := &lease.Controller{
 			Term:  lease.Term{Self: vm, Node: process(vm), Length: length, HandOver: handOver, Short: short},
-			Store: store, Key: table.Key{Partition: "orders", Sort: "lease"}, Peers: wireEnd{w, process(vm)},
+			Store: store, Key: table.Key{Partition: "orders", Sort: "lease"}, Peers: peertest.End{Wires: w, Node: process(vm)},
 			Clock: func() time.Duration { return time.Since(began) },
 			Deputies: func() (nodes []fleet.NodeID) {
 				for other, name := range vms {
@@ -260,7 +214,7 @@
 		w, nodes, stops := crew(t, standin.NewTable(), "a", "b", "c")
 		time.Sleep(5 * time.Second)
 		c.Assert(holds(nodes[0]), qt.IsTrue)
-		w.hush("a")
+		w.Silence(process("a"), true)
 		stops[0]()
 		time.Sleep(short + handOver + 1500*time.Millisecond)
 		c.Check(holds(nodes[1]), qt.IsTrue)
@@ -297,7 +251,7 @@
 		store := standin.NewTable()
 		w, nodes, stops := crew(t, store, "a", "b", "c")
 		time.Sleep(5 * time.Second)
-		w.hush("b")
+		w.Silence(process("b"), true)
 		stops[1]()
 		for range 50 {
 			time.Sleep(100 * time.Millisecond)
@@ -317,7 +271,7 @@
 		store := &severed{Store: standin.NewTable()}
 		w, nodes, _ := crew(t, store, "a", "b", "c")
 		time.Sleep(5 * time.Second)
-		w.hush("a")
+		w.Silence(process("a"), true)
 		store.cut.Store(true)
 		var lastOfA time.Time
 		for range 200 {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"slices"
 	"sync"
@@ -15,7 +14,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/guavatrack/guavatrack/internal/dispatch"
-	"github.com/guavatrack/guavatrack/internal/peer"
+	"github.com/guavatrack/guavatrack/internal/peer/peertest"
 	"github.com/guavatrack/guavatrack/internal/placement"
 	"github.com/guavatrack/guavatrack/internal/roster"
 	"github.com/guavatrack/guavatrack/internal/wait"
@@ -208,56 +207,13 @@
 	return r.doubts > 0
 }
 
-// wire carries calls between the nodes of a test in JSON.
-type wire struct {
-	mu       sync.Mutex
-	handlers map[fleet.NodeID]map[string]peer.Handler
-	cut      bool
-}
-
-type wirePeer struct {
-	*wire
-	node fleet.NodeID
-}
-
-func (w wirePeer) Handle(method string, handler peer.Handler) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.handlers[w.node] == nil {
-		w.handlers[w.node] = make(map[string]peer.Handler)
-	}
-	w.handlers[w.node][method] = handler
-}
-
-func (w wirePeer) Call(ctx context.Context, node fleet.NodeID, method string, in, out any) error {
-	time.Sleep(2 * time.Millisecond)
-	w.mu.Lock()
-	handler, cut := w.handlers[node][method], w.cut
-	w.mu.Unlock()
-	if handler == nil || cut {
-		return peer.ErrUnreachable
-	}
-	text, err := json.Marshal(in)
-	if err != nil {
-		return err
-	}
-	result, err := handler(ctx, text)
-	if err != nil {
-		return err
-	}
-	if text, err = json.Marshal(result); err != nil {
-		return err
-	}
-	return json.Unmarshal(text, out)
-}
-
 // site is two nodes, the first of which gives the orders.
 type site struct {
 	*qt.C
 	engines     *engines
 	view        atomic.Pointer[roster.View]
 	lease       *right
-	wire        *wire
+	wires       *peertest.Wires
 	directories [2]*placement.Directory
 	reporters   [2]*placement.Reporter
 }
@@ -269,7 +225,7 @@
 	s := &site{
 		C: c, engines: &engines{t: c, engines: make(map[fleet.ServerID]*fakeEngine)},
 		lease: &right{fencing: 5, mine: true, holder: "n0"},
-		wire:  &wire{handlers: make(map[fleet.NodeID]map[string]peer.Handler)},
+		wires: &peertest.Wires{Delay: 2 * time.Millisecond, Refuses: true},
 	}
 	view := &roster.View{Listed: true, Servers: make(map[fleet.ServerID]*roster.Server)}
 	spec := &roster.EngineSpec{
@@ -297,7 +253,7 @@
 	t.Cleanup(func() { cancel(); running.Wait() })
 	for at := range s.reporters {
 		node := fleet.NodeID(fmt.Sprint("n", at))
-		peers := wirePeer{s.wire, node}
+		peers := peertest.End{Wires: s.wires, Node: node}
 		s.directories[at] = &placement.Directory{View: s.view.Load}
 		s.directories[at].Changed(s.view.Load())
 		s.reporters[at] = &placement.Reporter{
@@ -489,9 +445,7 @@
 func TestDirectoryFallsBackOnEntries(t *testing.T) {
 	bubble(t, 1, func(s *site) {
 		s.Assert(s.wait(1, fleet.Item{Model: model(5)}, 3*time.Second), qt.IsTrue)
-		s.wire.mu.Lock()
-		s.wire.cut = true
-		s.wire.mu.Unlock()
+		s.wires.Silence("n0", true)
 		next := *s.view.Load()
 		next.Servers = map[fleet.ServerID]*roster.Server{"e0": {
 			ID: "e0", Boot: "2", Pool: pool, Slots: 8, Engine: &roster.Engine{Held: []roster.Held{{Model: model(7)}}},
--- a/internal/roster/relay_test.go
+++ b/internal/roster/relay_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -11,70 +11,12 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/go-faster/errors"
 
-	"github.com/guavatrack/guavatrack/internal/peer"
+	"github.com/guavatrack/guavatrack/internal/peer/peertest"
 	"github.com/guavatrack/guavatrack/internal/roster"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
-// wires connects relays without a network. Messages are encoded as on a real
-// one.
-type wires struct {
-	mu       sync.Mutex
-	handlers map[fleet.NodeID]map[string]peer.Handler
-	// silent nodes don't answer.
-	silent map[fleet.NodeID]bool
-	calls  atomic.Int64
-}
-
-var errSilent = errors.New("no answer")
-
-// wire is one node's end.
-type wire struct {
-	*wires
-	node fleet.NodeID
-}
-
-func (w wire) Handle(method string, handler peer.Handler) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.handlers[w.node] == nil {
-		w.handlers[w.node] = make(map[string]peer.Handler)
-	}
-	w.handlers[w.node][method] = handler
-}
-
-func (w wire) Call(ctx context.Context, node fleet.NodeID, method string, in, out any) error {
-	w.calls.Add(1)
-	w.mu.Lock()
-	silent, handler := w.silent[node] || w.silent[w.node], w.handlers[node][method]
-	w.mu.Unlock()
-	if silent || handler == nil {
-		<-ctx.Done()
-		return errSilent
-	}
-	params, err := json.Marshal(in)
-	if err != nil {
-		return err
-	}
-	result, err := handler(ctx, params)
-	if err != nil {
-		return err
-	}
-	text, err := json.Marshal(result)
-	if err != nil {
-		return err
-	}
-	return json.Unmarshal(text, out)
-}
-
-func (w *wires) hush(node fleet.NodeID, silent bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.silent[node] = silent
-}
-
 // counted counts the reads of a feed, and refuses them to a node that is cut off.
 type counted[T any] struct {
 	roster.Feed[T]
@@ -101,7 +43,7 @@
 
 // readers are the nodes of a region that read together.
 type readers struct {
-	wires
+	wires     peertest.Wires
 	servers   store[roster.ServerEntry]
 	manifests store[*roster.Manifest]
 	ranked    []fleet.NodeID
@@ -115,7 +57,6 @@
 func startReaders(t *testing.T, nodes int, view ...func(all []fleet.NodeID, own int) []fleet.NodeID) *readers {
 	t.Helper()
 	r := &readers{
-		wires: wires{handlers: make(map[fleet.NodeID]map[string]peer.Handler), silent: make(map[fleet.NodeID]bool)},
 		nodes: make(map[fleet.NodeID]*roster.Controller), reads: make(map[fleet.NodeID]*atomic.Int64),
 		cuts: make(map[fleet.NodeID]*atomic.Bool),
 	}
@@ -142,13 +83,13 @@
 		Name: "servers", Source: &counted[roster.ServerEntry]{&r.servers, r.reads[node], r.cuts[node]},
 		Key:     func(entry roster.ServerEntry) string { return string(entry.ID) },
 		Removed: func(entry roster.ServerEntry) bool { return entry.Server == nil },
-		Node:    node, Ranked: ranked, Peers: wire{&r.wires, node},
+		Node:    node, Ranked: ranked, Peers: peertest.End{Wires: &r.wires, Node: node},
 	}
 	manifests := &roster.Relay[*roster.Manifest]{
 		Name: "manifest", Source: &counted[*roster.Manifest]{&r.manifests, r.reads[node], r.cuts[node]},
 		Key:     func(*roster.Manifest) string { return "" },
 		Removed: func(*roster.Manifest) bool { return false },
-		Node:    node, Ranked: ranked, Peers: wire{&r.wires, node},
+		Node:    node, Ranked: ranked, Peers: peertest.End{Wires: &r.wires, Node: node},
 	}
 	servers.Register()
 	manifests.Register()
@@ -156,10 +97,10 @@
 	return r.nodes[node]
 }
 
-// all reports whether the view of every node fits.
-func (r *readers) all(fits func(*roster.View) bool) bool {
+// all reports whether the view of every node fits, but for those left out.
+func (r *readers) all(fits func(*roster.View) bool, without ...fleet.NodeID) bool {
 	for node, controller := range r.nodes {
-		if !r.silent[node] && !fits(controller.View()) {
+		if !slices.Contains(without, node) && !fits(controller.View()) {
 			return false
 		}
 	}
@@ -217,14 +158,15 @@
 		r.manifests.put(&roster.Manifest{Version: 1})
 		time.Sleep(5 * time.Second)
 		for _, node := range r.ranked[:4] {
-			r.hush(node, true)
+			r.wires.Silence(node, true)
 		}
 		r.manifests.put(&roster.Manifest{Version: 2})
 		r.servers.put(roster.ServerEntry{ID: "e7"})
 		time.Sleep(2500 * time.Millisecond)
-		c.Check(r.all(func(view *roster.View) bool { return view.Manifest.Version == 2 }), qt.IsTrue)
+		newest := func(view *roster.View) bool { return view.Manifest.Version == 2 }
+		c.Check(r.all(newest, r.ranked[:4]...), qt.IsTrue)
 		time.Sleep(time.Second)
-		c.Check(r.all(hasServers(19)), qt.IsTrue)
+		c.Check(r.all(hasServers(19), r.ranked[:4]...), qt.IsTrue)
 	})
 }
 
@@ -278,7 +220,7 @@
 		r.manifests.put(&roster.Manifest{Version: 1})
 		time.Sleep(5 * time.Second)
 		last := r.ranked[5]
-		r.hush(last, true)
+		r.wires.Silence(last, true)
 		r.cuts[last].Store(true)
 		time.Sleep(3 * time.Second)
 		r.servers.put(roster.ServerEntry{ID: "e1"})
@@ -290,7 +232,7 @@
 			time.Sleep(500 * time.Millisecond)
 		}
 		c.Check(r.nodes[last].View().Servers["e1"], qt.IsNotNil)
-		r.hush(last, false)
+		r.wires.Silence(last, false)
 		time.Sleep(8 * time.Second)
 		c.Check(r.nodes[last].View().Servers, qt.HasLen, 4)
 	})
