One copy of what both edges do in an exchange with a backend server

Cause: the second edge (platform/) had its own sending, its own counting of what comes and its own reading of a whole answer, beside those of internal/caller: the same code twice, with the same bound and the same errors.

Change: internal/backend has them for both. Behaviour is the same.

Ruled out: dispatch as the place, since it sees no wire.

--- a/internal/caller/completion.go
+++ b/internal/caller/completion.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/guavatrack/guavatrack/internal/backend"
 	"github.com/guavatrack/guavatrack/internal/dispatch"
 	"github.com/guavatrack/guavatrack/internal/engine"
 	"github.com/guavatrack/guavatrack/internal/retry"
@@ -47,10 +48,10 @@
 		transport = c.transports.fresh
 	}
 	e := &completionAnswer{
-		exchange:   exchange{call: c.call, attempt: attempt, transports: &c.transports, ctx: ctx},
+		exchange:   exchange{call: c.call, transports: &c.transports, ctx: ctx},
 		completion: c,
 	}
-	if err := e.open(transport, request); err != nil {
+	if err := e.open(transport, request, attempt); err != nil {
 		return nil, err
 	}
 	if err := e.begin(); err != nil {
@@ -63,7 +64,7 @@
 // request returns the request that sends the completion to a replica.
 func (c *completion) request(ctx context.Context, attempt *dispatch.Attempt) (request *http.Request, err error) {
 	url := "http://" + attempt.Replica.Address + c.call.Request.URL.Path
-	ctx = traceSent(ctx, attempt)
+	ctx = backend.Traced(ctx, attempt)
 	request, err = http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(c.call.Body))
 	if err != nil {
 		return nil, errors.Wrapf(err, "request to %s", attempt.Replica.Server)
@@ -91,14 +92,14 @@
 // begin reads the answer as far as its first event, or to its end if it is no
 // stream.
 func (a *completionAnswer) begin() (err error) {
-	if a.call.Stream && a.response.StatusCode == http.StatusOK {
+	if a.call.Stream && a.Response.StatusCode == http.StatusOK {
 		a.decoder = engine.NewStreamDecoder(a)
 		if a.first, err = a.decoder.Next(); err != nil {
 			return errors.Wrap(err, "read stream")
 		}
 		return nil
 	}
-	a.body, err = readAnswer(a)
+	a.body, err = a.ReadWhole()
 	return err
 }
 
@@ -107,10 +108,10 @@
 	if a.decoder != nil {
 		return a.relayStream()
 	}
-	if kind := a.response.Header.Get("Content-Type"); kind != "" {
+	if kind := a.Response.Header.Get("Content-Type"); kind != "" {
 		a.call.Response.Header().Set("Content-Type", kind)
 	}
-	return writeBody(a.call, a.response.StatusCode, a.body)
+	return writeBody(a.call, a.Response.StatusCode, a.body)
 }
 
 // relayStream relays events to the caller, each as soon as it has come.
@@ -122,7 +123,7 @@
 		switch verdict {
 		case retry.Foreign:
 			a.transports.dropIdle()
-			return &dispatch.FailureError{Kind: retry.Crossed, Err: errForeign}
+			return &dispatch.FailureError{Kind: retry.Crossed, Err: backend.ErrForeign}
 		case retry.Gap:
 			return errGap
 		case retry.Forward:
--- a/internal/caller/exchange.go
+++ b/internal/caller/exchange.go
@@ -2,63 +2,46 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 
 	"github.com/go-faster/errors"
 
+	"github.com/guavatrack/guavatrack/internal/backend"
 	"github.com/guavatrack/guavatrack/internal/dispatch"
 	"github.com/guavatrack/guavatrack/internal/engine"
 	"github.com/guavatrack/guavatrack/internal/retry"
 )
 
-// Errors of an exchange.
-var (
-	errForeign  = errors.New("answer belongs to another request")
-	errGap      = errors.New("events are missing from the stream")
-	errTooLarge = errors.New("answer too large")
-)
+// errGap says that a stream went on too late.
+var errGap = errors.New("events are missing from the stream")
 
 // exchange is one request to one backend server with its answer.
 type exchange struct {
+	// Answer is nil until its header has come.
+	*backend.Answer
 	call       *Call
-	attempt    *dispatch.Attempt
 	transports *transports
 	ctx        context.Context //nolint:containedctx // an exchange lives as long as its context
-	response   *http.Response
 	// body is the answer if it is not a stream.
 	body []byte
 }
 
 // open sends the request and reads the header of the answer.
-func (e *exchange) open(transport http.RoundTripper, request *http.Request) (err error) {
+func (e *exchange) open(transport http.RoundTripper, request *http.Request, attempt *dispatch.Attempt) (err error) {
 	defer func() {
 		if err != nil {
 			e.Close()
 		}
 	}()
-	e.attempt.Sized(len(e.call.Body))
-	response, err := transport.RoundTrip(request) //nolint:bodyclose // closed by Close
-	if err != nil {
-		return errors.Wrapf(err, "send to %s", e.attempt.Replica.Server)
+	if e.Answer, err = backend.Send(transport, request, attempt, len(e.call.Body)); err != nil {
+		return err
 	}
-	e.response = response
-	e.attempt.Received(0)
-	id := response.Header.Get(engine.RequestIDHeader)
+	id := e.Response.Header.Get(engine.RequestIDHeader)
 	if id != "" && id != string(e.call.ID) {
-		return &dispatch.FailureError{Kind: retry.Crossed, Err: errForeign}
+		return &dispatch.FailureError{Kind: retry.Crossed, Err: backend.ErrForeign}
 	}
-	return failureOf(response.StatusCode)
-}
-
-// Read implements [io.Reader] over the body of the answer.
-func (e *exchange) Read(into []byte) (int, error) {
-	count, err := e.response.Body.Read(into)
-	if count > 0 {
-		e.attempt.Received(count)
-	}
-	return count, err
+	return failureOf(e.Response.StatusCode)
 }
 
 // Close implements [dispatch.Answer]. Other idle connections may have gone
@@ -68,8 +51,8 @@
 	if errors.Is(cause, dispatch.ErrSilentConnection) || errors.Is(cause, dispatch.ErrSilentServer) {
 		e.transports.dropIdle()
 	}
-	if e.response != nil {
-		_ = e.response.Body.Close()
+	if e.Answer != nil {
+		e.Answer.Close()
 	}
 }
 
@@ -87,19 +70,3 @@
 	}
 	return &dispatch.FailureError{Kind: kind, Err: errors.New("backend server answered " + strconv.Itoa(status))}
 }
-
-// maxAnswer bounds an answer that is not streamed, in bytes.
-const maxAnswer = 16 << 20
-
-// readAnswer reads a whole answer, so that no part of one that breaks off
-// reaches the caller.
-func readAnswer(source io.Reader) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(source, maxAnswer+1))
-	if err != nil {
-		return nil, errors.Wrap(err, "read answer")
-	}
-	if len(body) > maxAnswer {
-		return nil, errTooLarge
-	}
-	return body, nil
-}
--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/guavatrack/guavatrack/internal/backend"
 	"github.com/guavatrack/guavatrack/internal/claim"
 	"github.com/guavatrack/guavatrack/internal/dispatch"
 	"github.com/guavatrack/guavatrack/internal/engine"
@@ -47,11 +48,11 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &serviceAnswer{exchange{call: c.call, attempt: attempt, transports: &c.transports, ctx: ctx}}
-	if err := e.open(c.transport(attempt), request); err != nil {
+	e := &serviceAnswer{exchange{call: c.call, transports: &c.transports, ctx: ctx}}
+	if err := e.open(c.transport(attempt), request, attempt); err != nil {
 		return nil, err
 	}
-	if e.body, err = readAnswer(e); err != nil {
+	if e.body, err = e.ReadWhole(); err != nil {
 		e.Close()
 		return nil, err
 	}
@@ -74,7 +75,7 @@
 // on record, see [Server.respond].
 func (a *serviceAnswer) Relay() error {
 	a.call.answer = &claim.Answer{
-		Status: a.response.StatusCode, ContentType: a.response.Header.Get("Content-Type"), Body: a.body,
+		Status: a.Response.StatusCode, ContentType: a.Response.Header.Get("Content-Type"), Body: a.body,
 	}
 	return nil
 }
@@ -93,7 +94,7 @@
 	// from sending a call a second time on its own.
 	var body onceReader
 	body.Reset(call.Body)
-	request, err = http.NewRequestWithContext(traceSent(ctx, attempt), call.Request.Method, url, &body)
+	request, err = http.NewRequestWithContext(backend.Traced(ctx, attempt), call.Request.Method, url, &body)
 	if err != nil {
 		return nil, errors.Wrapf(err, "request to %s", attempt.Replica.Server)
 	}
--- a/internal/caller/transport.go
+++ b/internal/caller/transport.go
@@ -4,11 +4,8 @@
 	"context"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"sync/atomic"
 	"time"
-
-	"github.com/guavatrack/guavatrack/internal/dispatch"
 )
 
 // Settings of connections to backend servers.
@@ -67,11 +64,3 @@
 	t.pooled.CloseIdleConnections()
 	t.fresh.CloseIdleConnections()
 }
-
-// traceSent tells the attempt as soon as a connection is at hand, which is
-// before the first byte is sent.
-func traceSent(ctx context.Context, attempt *dispatch.Attempt) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { attempt.Sending() },
-	})
-}
