--- a/internal/batch/controller.go
+++ b/internal/batch/controller.go
@@ -14,6 +14,7 @@
 	"github.com/google/uuid"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/guavatrack/guavatrack/internal/logs"
 	"github.com/guavatrack/guavatrack/internal/metric"
 	"github.com/guavatrack/guavatrack/internal/table"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
@@ -83,12 +84,8 @@
 }
 
 func (c *Controller) setUp() {
-	if c.Log == nil {
-		c.Log = slog.New(slog.DiscardHandler)
-	}
-	if c.Metrics == nil {
-		c.Metrics = metrics.NewRegistry()
-	}
+	c.Log = logs.OrDiscard(c.Log)
+	c.Metrics = metric.OrNew(c.Metrics)
 	if c.Rand == nil {
 		c.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -19,6 +19,8 @@
 	"github.com/guavatrack/guavatrack/internal/dispatch"
 	"github.com/guavatrack/guavatrack/internal/drain"
 	"github.com/guavatrack/guavatrack/internal/engine"
+	"github.com/guavatrack/guavatrack/internal/logs"
+	"github.com/guavatrack/guavatrack/internal/metric"
 	"github.com/guavatrack/guavatrack/internal/poison"
 	"github.com/guavatrack/guavatrack/internal/table"
 	"github.com/guavatrack/guavatrack/internal/vmlist"
@@ -147,12 +149,8 @@
 }
 
 func (s *Server) setUp() {
-	if s.Log == nil {
-		s.Log = slog.New(slog.DiscardHandler)
-	}
-	if s.Metrics == nil {
-		s.Metrics = metrics.NewRegistry()
-	}
+	s.Log = logs.OrDiscard(s.Log)
+	s.Metrics = metric.OrNew(s.Metrics)
 	if s.Rand == nil {
 		s.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
--- a/internal/claim/controller.go
+++ b/internal/claim/controller.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/guavatrack/guavatrack/internal/logs"
 	"github.com/guavatrack/guavatrack/internal/metric"
 	"github.com/guavatrack/guavatrack/internal/table"
 	"github.com/guavatrack/guavatrack/internal/wait"
@@ -82,12 +83,8 @@
 }
 
 func (c *Controller) setUp() {
-	if c.Log == nil {
-		c.Log = slog.New(slog.DiscardHandler)
-	}
-	if c.Metrics == nil {
-		c.Metrics = metrics.NewRegistry()
-	}
+	c.Log = logs.OrDiscard(c.Log)
+	c.Metrics = metric.OrNew(c.Metrics)
 	c.writer = &groupWriter{store: c.Store}
 	c.recorded = metrics.GetOrRegisterCounter(recordedName, c.Metrics)
 	c.replayed = metrics.GetOrRegisterCounter(replayedName, c.Metrics)
--- a/internal/config/controller.go
+++ b/internal/config/controller.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/guavatrack/guavatrack/internal/logs"
 	"github.com/guavatrack/guavatrack/internal/member"
 	"github.com/guavatrack/guavatrack/internal/peer"
 	"github.com/guavatrack/guavatrack/internal/run"
@@ -99,9 +100,7 @@
 		if c.Limit == 0 {
 			c.Limit = defaultLimit
 		}
-		if c.Log == nil {
-			c.Log = slog.New(slog.DiscardHandler)
-		}
+		c.Log = logs.OrDiscard(c.Log)
 		c.counts = newCounters(c.Metrics)
 		c.state = ticket.NewState()
 		c.ahead = make(map[Revision]bool)
--- a/internal/config/metrics.go
+++ b/internal/config/metrics.go
@@ -53,9 +53,7 @@
 }
 
 func newCounters(registry metrics.Registry) counters {
-	if registry == nil {
-		registry = metrics.NewRegistry()
-	}
+	registry = metric.OrNew(registry)
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, registry) }
 	return counters{
 		revision: metrics.GetOrRegisterGauge(revisionName, registry),
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -11,6 +11,8 @@
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/guavatrack/guavatrack/internal/logs"
+	"github.com/guavatrack/guavatrack/internal/metric"
 	"github.com/guavatrack/guavatrack/internal/poison"
 	"github.com/guavatrack/guavatrack/internal/retry"
 	"github.com/guavatrack/guavatrack/internal/table"
@@ -59,12 +61,8 @@
 }
 
 func (d *Dispatcher) setUp() {
-	if d.Log == nil {
-		d.Log = slog.New(slog.DiscardHandler)
-	}
-	if d.Metrics == nil {
-		d.Metrics = metrics.NewRegistry()
-	}
+	d.Log = logs.OrDiscard(d.Log)
+	d.Metrics = metric.OrNew(d.Metrics)
 	if d.Rand == nil {
 		d.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/guavatrack/guavatrack/internal/logs"
 	"github.com/guavatrack/guavatrack/internal/wait"
 )
 
@@ -59,9 +60,7 @@
 // hands over. The error names the steps that failed.
 func (s *Sequence) Run(ctx context.Context) (report Report, err error) {
 	log := s.Log
-	if log == nil {
-		log = slog.New(slog.DiscardHandler)
-	}
+	log = logs.OrDiscard(log)
 	began := time.Now()
 	log.InfoContext(ctx, "drain begins", "keepFor", s.KeepFor)
 	s.Leave()
--- a/internal/grant/controller.go
+++ b/internal/grant/controller.go
@@ -13,6 +13,8 @@
 	"golang.org/x/time/rate"
 
 	"github.com/guavatrack/guavatrack/internal/engine"
+	"github.com/guavatrack/guavatrack/internal/logs"
+	"github.com/guavatrack/guavatrack/internal/metric"
 	"github.com/guavatrack/guavatrack/internal/table"
 	"github.com/guavatrack/guavatrack/internal/vmlist"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
@@ -127,12 +129,8 @@
 		if c.WritesPerSecond == 0 {
 			c.WritesPerSecond = defaultWrites
 		}
-		if c.Log == nil {
-			c.Log = slog.New(slog.DiscardHandler)
-		}
-		if c.Metrics == nil {
-			c.Metrics = metrics.NewRegistry()
-		}
+		c.Log = logs.OrDiscard(c.Log)
+		c.Metrics = metric.OrNew(c.Metrics)
 		if c.Seed == 0 {
 			c.Seed = rand.Uint64()
 		}
--- a/internal/lease/controller.go
+++ b/internal/lease/controller.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
+	"github.com/guavatrack/guavatrack/internal/logs"
 	"github.com/guavatrack/guavatrack/internal/table"
 	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
@@ -63,9 +64,7 @@
 		if c.Clock == nil {
 			c.Clock = BootTime
 		}
-		if c.Log == nil {
-			c.Log = slog.New(slog.DiscardHandler)
-		}
+		c.Log = logs.OrDiscard(c.Log)
 	})
 }
 
--- a/internal/member/controller.go
+++ b/internal/member/controller.go
@@ -11,6 +11,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/guavatrack/guavatrack/internal/logs"
 	"github.com/guavatrack/guavatrack/internal/peer"
 	"github.com/guavatrack/guavatrack/internal/run"
 	"github.com/guavatrack/guavatrack/internal/table"
@@ -75,9 +76,7 @@
 		if c.Rand == nil {
 			c.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 		}
-		if c.Log == nil {
-			c.Log = slog.New(slog.DiscardHandler)
-		}
+		c.Log = logs.OrDiscard(c.Log)
 		c.joined = make(chan struct{})
 		c.counts = newCounters(c.Metrics)
 		c.view = NewView(c.Self, c.Interval, c.Rand)
--- a/internal/member/metrics.go
+++ b/internal/member/metrics.go
@@ -32,9 +32,7 @@
 }
 
 func newCounters(registry metrics.Registry) counters {
-	if registry == nil {
-		registry = metrics.NewRegistry()
-	}
+	registry = metric.OrNew(registry)
 	return counters{
 		members:         metrics.GetOrRegisterGauge(membersName, registry),
 		exchanges:       metrics.GetOrRegisterCounter(exchangesName, registry),
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -24,6 +24,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/guavatrack/guavatrack/internal/logs"
 	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
@@ -99,9 +100,7 @@
 		p.ready = make(chan struct{})
 		p.inbound = make(chan struct{}, maxInbound)
 		p.counts = newCounters(p.Metrics)
-		if p.Log == nil {
-			p.Log = slog.New(slog.DiscardHandler)
-		}
+		p.Log = logs.OrDiscard(p.Log)
 	})
 }
 
--- a/internal/placement/reporter.go
+++ b/internal/placement/reporter.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/guavatrack/guavatrack/internal/dispatch"
+	"github.com/guavatrack/guavatrack/internal/logs"
 	"github.com/guavatrack/guavatrack/internal/roster"
 	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
@@ -126,9 +127,7 @@
 		r.expected = make(map[indexKey]time.Time)
 		r.lost = make(map[fleet.ServerID]bool)
 		r.stirred = wait.NewSignal()
-		if r.Log == nil {
-			r.Log = slog.New(slog.DiscardHandler)
-		}
+		r.Log = logs.OrDiscard(r.Log)
 	})
 }
 
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -9,6 +9,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/guavatrack/guavatrack/internal/logs"
 	"github.com/guavatrack/guavatrack/internal/metric"
 	"github.com/guavatrack/guavatrack/internal/residence"
 	"github.com/guavatrack/guavatrack/internal/roster"
@@ -103,12 +104,8 @@
 		s.nodes = make(map[fleet.NodeID]*nodeDemand)
 		s.rates = make(map[indexKey]*rate)
 		s.stirred = wait.NewSignal()
-		if s.Log == nil {
-			s.Log = slog.New(slog.DiscardHandler)
-		}
-		if s.Metrics == nil {
-			s.Metrics = metrics.NewRegistry()
-		}
+		s.Log = logs.OrDiscard(s.Log)
+		s.Metrics = metric.OrNew(s.Metrics)
 		s.counts = counters{
 			orders:     metrics.GetOrRegisterCounter(ordersName, s.Metrics),
 			lost:       metrics.GetOrRegisterCounter(ordersLostName, s.Metrics),
--- a/internal/policy/controller.go
+++ b/internal/policy/controller.go
@@ -12,6 +12,8 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/guavatrack/guavatrack/internal/engine"
+	"github.com/guavatrack/guavatrack/internal/logs"
+	"github.com/guavatrack/guavatrack/internal/metric"
 	"github.com/guavatrack/guavatrack/internal/table"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 	"github.com/guavatrack/guavatrack/pkg/ticket"
@@ -137,12 +139,8 @@
 func (c *Controller) init() {
 	c.once.Do(func() {
 		c.kick = make(chan struct{}, kickCapacity)
-		if c.Log == nil {
-			c.Log = slog.New(slog.DiscardHandler)
-		}
-		if c.Metrics == nil {
-			c.Metrics = metrics.NewRegistry()
-		}
+		c.Log = logs.OrDiscard(c.Log)
+		c.Metrics = metric.OrNew(c.Metrics)
 		c.counters = newCounters(c.Metrics)
 		c.store = c.Weights
 		c.store.ReportLag = cmp.Or(c.Weights.ReportLag, defaultReportLag)
--- a/internal/roster/controller.go
+++ b/internal/roster/controller.go
@@ -10,6 +10,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/guavatrack/guavatrack/internal/logs"
 	"github.com/guavatrack/guavatrack/internal/metric"
 	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
@@ -95,12 +96,8 @@
 
 // Run follows both feeds until the context ends.
 func (c *Controller) Run(ctx context.Context) error {
-	if c.Log == nil {
-		c.Log = slog.New(slog.DiscardHandler)
-	}
-	if c.Metrics == nil {
-		c.Metrics = metrics.NewRegistry()
-	}
+	c.Log = logs.OrDiscard(c.Log)
+	c.Metrics = metric.OrNew(c.Metrics)
 	c.missing = make(map[fleet.ServerID]time.Time)
 	var group sync.WaitGroup
 	group.Go(func() {
--- a/internal/roster/relay.go
+++ b/internal/roster/relay.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/guavatrack/guavatrack/internal/logs"
 	"github.com/guavatrack/guavatrack/internal/peer"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
@@ -113,9 +114,7 @@
 
 // Register adds the relay's method to the peers.
 func (r *Relay[T]) Register() {
-	if r.Log == nil {
-		r.Log = slog.New(slog.DiscardHandler)
-	}
+	r.Log = logs.OrDiscard(r.Log)
 	r.shunned = make(map[fleet.NodeID]time.Time)
 	r.copy.init()
 	r.Peers.Handle(r.method(), peer.Typed(r.answer))
