A copy of a feed answers in the form of the message

Cause: what a copy has for another node was a type of its own with the same flags as the message, copied field by field; keeping entries copied the whole copy to compare three fields of it; readers that failed were remembered for ever.

Change: the copy returns the message, its entries and whether it is ready. Behaviour is the same.

--- a/internal/roster/relay.go
+++ b/internal/roster/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -212,8 +213,10 @@
 	if errors.Is(err, errNotReading) {
 		return
 	}
+	now := time.Now()
 	r.mu.Lock()
-	r.shunned[reader] = time.Now().Add(shunTime)
+	maps.DeleteFunc(r.shunned, func(_ fleet.NodeID, until time.Time) bool { return !now.Before(until) })
+	r.shunned[reader] = now.Add(shunTime)
 	r.mu.Unlock()
 	r.Log.Warn("reader lost", slog.String("feed", r.Name), slog.String("node", string(reader)), slog.Any("error", err))
 }
@@ -245,11 +248,11 @@
 	for {
 		r.mu.Lock()
 		r.readFor = time.Now().Add(readForTime)
-		held, changed := r.copy.answer(asked), r.copy.changed
+		answer, entries, ready := r.copy.answer(asked)
+		changed := r.copy.changed
 		r.mu.Unlock()
-		if held.ready {
-			answer.At, answer.Gone, answer.Lost, answer.NotReading = held.at, held.gone, held.lost, held.notReading
-			answer.Packed, err = pack(held.entries)
+		if ready {
+			answer.Packed, err = pack(entries)
 			return answer, err
 		}
 		select {
--- a/internal/roster/replica.go
+++ b/internal/roster/replica.go
@@ -39,15 +39,6 @@
 	keepDirect
 )
 
-// found is what a copy has for another node. It is not ready if waiting may
-// bring more.
-type found[T any] struct {
-	entries                []T
-	at                     Revision
-	ready                  bool
-	gone, lost, notReading bool
-}
-
 func (c *replica[T]) init() {
 	c.entries = make(map[string]dated[T])
 	c.changed = make(chan struct{})
@@ -69,7 +60,7 @@
 
 // keep takes in entries that were read.
 func (c *replica[T]) keep(now time.Time, entries []T, key func(T) string, at Revision, how keeping) {
-	was := *c
+	atBefore, directBefore, lostBefore := c.at, c.direct, c.lost
 	c.direct, c.lost = how&keepDirect != 0, false
 	if how&keepList != 0 {
 		// What was removed before the list is not known one by one.
@@ -80,7 +71,7 @@
 	for _, entry := range entries {
 		c.entries[key(entry)] = dated[T]{entry: entry, at: c.at, seen: now}
 	}
-	if len(entries) > 0 || c.at != was.at || c.direct != was.direct || c.lost != was.lost {
+	if len(entries) > 0 || c.at != atBefore || c.direct != directBefore || lostBefore {
 		c.tell()
 	}
 }
@@ -100,25 +91,24 @@
 	}
 }
 
-// answer returns what the copy has for a node that asks.
-func (c *replica[T]) answer(asked changesRequest) (held found[T]) {
+// answer returns what the copy has for a node that asks. It is not ready if waiting
+// may bring more.
+func (c *replica[T]) answer(asked changesRequest) (answer changesAnswer, entries []T, ready bool) {
 	switch {
 	case c.lost:
-		return found[T]{ready: true, lost: true}
+		return changesAnswer{Lost: true}, nil, true
 	case asked.List && !c.listed:
-		return found[T]{ready: asked.WaitMs == 0, notReading: true}
+		return changesAnswer{NotReading: true}, nil, asked.WaitMs == 0
 	case asked.List:
 	case !c.direct:
-		return found[T]{ready: true, notReading: true}
+		return changesAnswer{NotReading: true}, nil, true
 	case !c.listed || asked.After < c.floor:
-		return found[T]{ready: true, gone: true}
+		return changesAnswer{Gone: true}, nil, true
 	}
-	held.at = c.at
 	for _, entry := range c.entries {
 		if asked.List || entry.at > asked.After {
-			held.entries = append(held.entries, entry.entry)
+			entries = append(entries, entry.entry)
 		}
 	}
-	held.ready = asked.List || len(held.entries) > 0 || asked.WaitMs == 0
-	return held
+	return changesAnswer{At: c.at}, entries, asked.List || len(entries) > 0 || asked.WaitMs == 0
 }
