Placement: derive what was written to every engine, and say orders once

Cause: every answer of the scheduler wrote the time of its word into the entry of every engine, although it is one time for all. The six conditions of an order about a model stood five times in one function. Two constants of one time, in placement and residence. task.doubt hid a method of another meaning of the scheduler.

Change: one time of confirmation; task.open notes an order about a model; residence.UnloadTime; task.reread; nodes that are silent longer than their word is used are forgotten. Behaviour is the same.

--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -61,11 +61,12 @@
 	return min(mostTakes, max(leastTakes, time.Duration(r.busy/r.sent*float64(time.Second))))
 }
 
-// sumUses joins what all nodes' calls run on.
+// sumUses joins what all nodes' calls run on, and forgets nodes that are silent.
 func (s *Scheduler) sumUses(now time.Time) map[useKey]*use {
 	sum := make(map[useKey]*use)
-	for _, node := range s.nodes {
+	for id, node := range s.nodes {
 		if now.Sub(node.at) > usesLife {
+			delete(s.nodes, id)
 			continue
 		}
 		for _, told := range node.Uses {
@@ -206,7 +207,7 @@
 	case e.open != nil && e.open.Load && e.open.Item.Model == id:
 		return max(0, e.open.due.Sub(now))
 	case e.next == id && now.Before(e.nextUntil), e.OnDisk[id]:
-		return model.FromDisk + unloadTime
+		return model.FromDisk + residence.UnloadTime
 	default:
 		return model.FromStore
 	}
--- a/internal/placement/directory.go
+++ b/internal/placement/directory.go
@@ -19,6 +19,8 @@
 	// last changed.
 	told map[fleet.ServerID]toldEngine
 	seen map[fleet.ServerID]seenEntry
+	// confirmedAt is when the scheduler last said that nothing else has changed.
+	confirmedAt time.Time
 	// index lists the servers of each item and pool; nil if it is to be made.
 	index map[indexKey][]dispatch.Replica
 }
@@ -28,12 +30,11 @@
 	_ dispatch.Dated     = (*Directory)(nil)
 )
 
-// toldEngine is what the scheduler said of a run of an engine. It said so at
-// saidAt, and that nothing has changed since at.
+// toldEngine is what the scheduler said of a run of an engine, and when.
 type toldEngine struct {
-	boot       fleet.BootID
-	engine     *roster.Engine
-	saidAt, at time.Time
+	boot   fleet.BootID
+	engine *roster.Engine
+	saidAt time.Time
 }
 
 // seenEntry is an entry and when it came.
@@ -85,20 +86,16 @@
 	defer d.mu.Unlock()
 	d.init()
 	for at := range engines {
-		d.told[engines[at].Server] = toldEngine{boot: engines[at].Boot, engine: engines[at].engine(), saidAt: now, at: now}
+		d.told[engines[at].Server] = toldEngine{boot: engines[at].Boot, engine: engines[at].engine(), saidAt: now}
 	}
 	d.index = nil
 }
 
 // confirm notes that what the scheduler told still holds.
 func (d *Directory) confirm() {
-	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for id, told := range d.told {
-		told.at = now
-		d.told[id] = told
-	}
+	d.confirmedAt = time.Now()
 }
 
 // AsOf implements [dispatch.Dated]. That nothing has changed is no new word: the
@@ -181,5 +178,9 @@
 		return toldEngine{}, false
 	}
 	told, found = d.told[server.ID]
-	return told, found && told.boot == server.Boot && d.seen[server.ID].at.Sub(told.at) <= entryLag
+	heldAt := told.saidAt
+	if d.confirmedAt.After(heldAt) {
+		heldAt = d.confirmedAt
+	}
+	return told, found && told.boot == server.Boot && d.seen[server.ID].at.Sub(heldAt) <= entryLag
 }
--- a/internal/placement/give.go
+++ b/internal/placement/give.go
@@ -19,8 +19,6 @@
 	orderTries   = 6
 	// closedTime is how long an engine that could not be reached is left alone.
 	closedTime = 500 * time.Millisecond
-	// unloadTime is about how long the unload of an unused model takes.
-	unloadTime = 200 * time.Millisecond
 	// pollInterval is the time between two looks at an order that is due.
 	pollInterval = 70 * time.Millisecond
 	// openLimit is how long an order is looked after.
@@ -50,7 +48,7 @@
 // caller holds the lock.
 func (s *Scheduler) task(e *engine, order residence.Order, model residence.Model) *task {
 	t := &task{
-		Scheduler: s, engine: e, server: e.server, order: order, fencing: s.fencing, expect: e.sequence, takes: unloadTime,
+		Scheduler: s, engine: e, server: e.server, order: order, fencing: s.fencing, expect: e.sequence, takes: residence.UnloadTime,
 	}
 	switch {
 	case order.Item.Adapter != "":
@@ -64,25 +62,9 @@
 // give sends an order in the background. The caller holds the lock.
 func (s *Scheduler) give(ctx context.Context, now time.Time, e *engine, order residence.Order, model residence.Model) {
 	t := s.task(e, order, model)
-	if order.Load && order.Item.Adapter == "" && order.Tier == residence.WeightStore {
-		s.storeTokens--
-		s.counts.storeLoads.Inc(1)
-	}
 	e.sending = true
 	if order.Item.Adapter == "" {
-		e.open = &openOrder{Order: order, due: now.Add(t.takes + reportLag)}
-	}
-	if order.For != "" {
-		e.next, e.nextUntil = order.For, now.Add(nextTime)
-	}
-	if order.Load && order.Item.Adapter == "" {
-		e.next = ""
-	}
-	if !order.Load && order.Item.Adapter == "" {
-		if held := e.held[order.Item.Model]; held != nil {
-			held.leaving = true
-			s.note(e)
-		}
+		t.open(now)
 	}
 	s.counts.orders.Inc(1)
 	s.Log.Info("order sent", slog.String("server", string(e.server.ID)), slog.Bool("load", order.Load),
@@ -91,6 +73,28 @@
 	s.running.Go(func() { t.run(ctx) })
 }
 
+// open notes that the engine is to carry out an order about a model. The caller
+// holds the lock.
+func (t *task) open(now time.Time) {
+	e := t.engine
+	e.open = &openOrder{Order: t.order, due: now.Add(t.takes + reportLag)}
+	if t.order.Load {
+		e.next = ""
+		if t.order.Tier == residence.WeightStore {
+			t.storeTokens--
+			t.counts.storeLoads.Inc(1)
+		}
+		return
+	}
+	if t.order.For != "" {
+		e.next, e.nextUntil = t.order.For, now.Add(nextTime)
+	}
+	if held := e.held[t.order.Item.Model]; held != nil {
+		held.leaving = true
+		t.note(e)
+	}
+}
+
 // allowed reports whether the order may still be written to a connection.
 func (t *task) allowed() bool {
 	fencing, holds := t.Lease.Holds()
@@ -158,7 +162,7 @@
 		// Among these is the accepted unload of an adapter in use: it goes only
 		// when its calls have ended, and until a report shows that it is gone
 		// its place is taken.
-		t.doubt(time.Now())
+		t.reread(time.Now())
 	}
 	return false
 }
@@ -186,9 +190,9 @@
 	}
 }
 
-// doubt has the state of the engine read anew, once a report shows it. The
+// reread has the state of the engine read anew, once a report shows it. The
 // caller holds the lock.
-func (t *task) doubt(now time.Time) {
+func (t *task) reread(now time.Time) {
 	t.engine.known, t.engine.open, t.engine.next = false, nil, ""
 	t.engine.readAt = now.Add(reportLag)
 }
@@ -242,7 +246,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.doubt(time.Now())
+	t.reread(time.Now())
 }
 
 // look reads a report and reports whether the order is over.
--- a/internal/placement/swap.go
+++ b/internal/placement/swap.go
@@ -48,7 +48,7 @@
 			wait.For(ctx, swapPause)
 		default:
 			t.mu.Lock()
-			t.doubt(time.Now())
+			t.reread(time.Now())
 			t.mu.Unlock()
 			return true
 		}
--- a/internal/residence/fit.go
+++ b/internal/residence/fit.go
@@ -28,7 +28,7 @@
 		if !allowed {
 			continue
 		}
-		total := cost + unloadTime + price
+		total := cost + UnloadTime + price
 		if tier == HostMemory {
 			after := engine.TierAfter(demand.Item.Model, victim.Model, p.Models)
 			total += model.LoadTime(after) - model.LoadTime(tier)
--- a/internal/residence/plan.go
+++ b/internal/residence/plan.go
@@ -9,8 +9,8 @@
 
 // Weights of the plan.
 const (
-	// unloadTime is about how long an unload of an unused model takes.
-	unloadTime = 200 * time.Millisecond
+	// UnloadTime is about how long an unload of an unused model takes.
+	UnloadTime = 200 * time.Millisecond
 	// fillShare is the share of an engine's slots that calls of one model take
 	// before another replica is wanted.
 	fillShare = 0.5
