Describe the models of a manifest once

Cause: each plan, up to one in 5 ms, and each swap made a description of all models of the pool anew, although a manifest is not changed after it was read.

Change: the scheduler keeps it for the manifest at hand. Behaviour is the same.

Measured: 1,500 models, a benchmark made for this and not kept: 126 us and 131 KB for each plan before, 8 ns and nothing after.

--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -64,8 +64,11 @@
 	fencing fleet.FencingNumber
 	number  uint64
 	// began is when this hold of the lease began.
-	began   time.Time
-	engines map[fleet.ServerID]*engine
+	began time.Time
+	// described are the models of each pool's engines under the manifest.
+	manifest  *roster.Manifest
+	described map[*roster.EngineSpec]map[fleet.ModelID]residence.Model
+	engines   map[fleet.ServerID]*engine
 	// late lists the orders without an answer, by engine, which may be carried out
 	// later.
 	late    map[fleet.ServerID][]lateOrder
@@ -101,6 +104,7 @@
 	s.once.Do(func() {
 		s.engines = make(map[fleet.ServerID]*engine)
 		s.late = make(map[fleet.ServerID][]lateOrder)
+		s.described = make(map[*roster.EngineSpec]map[fleet.ModelID]residence.Model)
 		s.nodes = make(map[fleet.NodeID]*nodeDemand)
 		s.rates = make(map[indexKey]*rate)
 		s.stirred = wait.NewSignal()
@@ -149,6 +153,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	if s.manifest != view.Manifest {
+		s.manifest = view.Manifest
+		clear(s.described)
+	}
 	if fencing != s.fencing {
 		s.begin(fencing)
 	}
@@ -282,7 +290,7 @@
 // holds the lock.
 func (s *Scheduler) plan(ctx context.Context, now time.Time, pool *roster.Pool, uses map[useKey]*use) {
 	state := residence.State{
-		Now: now, Models: models(pool.Engine), Demands: s.sumDemands(now, pool.ID),
+		Now: now, Models: s.models(pool.Engine), Demands: s.sumDemands(now, pool.ID),
 		Settled:    now.Sub(s.began) > settleTime,
 		StoreLoads: s.storeLoadsLeft(now, pool.Engine.LoadsPerSecond), AdapterLoads: s.AdapterLoads, Random: rand.Float64,
 	}
@@ -300,7 +308,12 @@
 	}
 }
 
-func models(spec *roster.EngineSpec) map[fleet.ModelID]residence.Model {
+// models describes the models of a pool to package residence, once for each
+// manifest, which is not changed after it was read. The caller holds the lock.
+func (s *Scheduler) models(spec *roster.EngineSpec) map[fleet.ModelID]residence.Model {
+	if found, known := s.described[spec]; known {
+		return found
+	}
 	described := make(map[fleet.ModelID]residence.Model, len(spec.Models))
 	for id, model := range spec.Models {
 		described[id] = residence.Model{
@@ -308,6 +321,7 @@
 			FromStore: model.FromStore, FromDisk: model.FromDisk, FromMemory: model.FromMemory,
 		}
 	}
+	s.described[spec] = described
 	return described
 }
 
--- a/internal/placement/swap.go
+++ b/internal/placement/swap.go
@@ -73,7 +73,7 @@
 	if !wanted || spec == nil || spec.Models[t.order.For] == nil {
 		return nil, false
 	}
-	described := models(spec)
+	described := t.models(spec)
 	tier := e.TierAfter(t.order.For, t.order.Item.Model, described)
 	if tier == residence.WeightStore {
 		return nil, false
