--- a/internal/hosted/endpoints.go
+++ b/internal/hosted/endpoints.go
@@ -96,13 +96,7 @@
 // if there is nobody else, and this node where all are starting.
 func (n *Node) near(place fleet.Place) []string {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	var sound []member.Info
-	for _, record := range n.parts.Members.Records() {
-		if record.Status == member.Alive {
-			sound = append(sound, record.Info)
-		}
-	}
-	if near := lookup.Near(place, sound, random); len(near) > 0 {
+	if near := lookup.Near(place, sound(n.parts.Members), random); len(near) > 0 {
 		return near
 	}
 	if near := lookup.Near(place, n.parts.Members.Members(), random); len(near) > 0 || n.leaving.Load() {
@@ -111,6 +105,16 @@
 	return []string{n.Addresses().Callers}
 }
 
+// sound returns the nodes that serve and that nobody suspects.
+func sound(members *member.Controller) (nodes []member.Info) {
+	for _, record := range members.Records() {
+		if record.Status == member.Alive && !record.Leaving && !record.Starting {
+			nodes = append(nodes, record.Info)
+		}
+	}
+	return nodes
+}
+
 // closeCallers takes no more connections of callers and closes idle ones.
 func (e *endpoints) closeCallers() {
 	go func() { _ = e.callers.Shutdown(context.Background()) }()
--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -26,8 +26,8 @@
 // providers makes the parts of a node. What needs each other in a circle is put
 // together by connect.
 var providers = fx.Provide(
-	metrics.NewRegistry, newStore, newTable, newServerRelay, newManifestRelay, newRoster, newPeers, newMembers, newLease, newDirectory, newReporter,
-	newScheduler, newExchange, newDispatcher, newGossip, newEndpoints,
+	metrics.NewRegistry, newStore, newTable, newServerRelay, newManifestRelay, newRoster, newPeers, newMembers, newLease,
+	newDirectory, newReporter, newScheduler, newExchange, newDispatcher, newGossip, newEndpoints,
 )
 
 const (
@@ -154,23 +154,20 @@
 // suited first, and of those that are alike in processor time the ones in other
 // failure domains.
 func (n *Node) deputies(members *member.Controller) (nodes []fleet.NodeID) {
-	var sound []member.Info
-	for _, record := range members.Records() {
-		if record.Status == member.Alive && record.Node != n.ID && !record.Leaving && !record.Starting {
-			sound = append(sound, record.Info)
-		}
-	}
 	near := func(info *member.Info) int {
 		if info.FailureDomain == n.Settings.Node.FailureDomain {
 			return 1
 		}
 		return 0
 	}
-	slices.SortFunc(sound, func(a, b member.Info) int {
+	candidates := sound(members)
+	slices.SortFunc(candidates, func(a, b member.Info) int {
 		return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(near(&a), near(&b)), suits(&a, &b))
 	})
-	for at := range sound {
-		nodes = append(nodes, sound[at].Node)
+	for at := range candidates {
+		if candidates[at].Node != n.ID {
+			nodes = append(nodes, candidates[at].Node)
+		}
 	}
 	return nodes
 }
