--- a/internal/lease/term_test.go
+++ b/internal/lease/term_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"os"
 	"testing"
 	"time"
@@ -87,6 +88,17 @@
 	fencing fleet.FencingNumber
 }
 
+// newWorld returns a world of three VMs.
+func newWorld() *world {
+	w := &world{}
+	for at := range 3 {
+		v := &vm{name: fmt.Sprint("vm", at)}
+		w.start(v)
+		w.vms = append(w.vms, v)
+	}
+	return w
+}
+
 func (w *world) start(v *vm) {
 	v.boots++
 	v.term = lease.Term{
@@ -130,6 +142,44 @@
 	}
 }
 
+// ask has a VM ask its deputy, if it has one. Up to two steps of that are made at
+// once.
+func (w *world) ask(t *rapid.T, v *vm) {
+	deputy, record, version, found := v.term.Deputy()
+	if !found {
+		return
+	}
+	w.asks = append(w.asks, ask{by: v, node: v.term.Node, deputy: deputy, sent: w.now, record: record, version: version})
+	for range rapid.IntRange(0, 2).Draw(t, "steps") {
+		if len(w.asks) > 0 {
+			w.deliverAsk(len(w.asks) - 1)
+		}
+	}
+}
+
+// deliveries are the steps that carry what is under way.
+func (w *world) deliveries() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"deliver": func(t *rapid.T) {
+			if len(w.writes) > 0 {
+				w.deliver(rapid.IntRange(0, len(w.writes)-1).Draw(t, "write"))
+			}
+		},
+		"deliverAsk": func(t *rapid.T) {
+			if len(w.asks) > 0 {
+				w.deliverAsk(rapid.IntRange(0, len(w.asks)-1).Draw(t, "ask"))
+			}
+		},
+		"pass": func(t *rapid.T) { w.now += time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond },
+	}
+}
+
+// with joins steps.
+func with(steps, others map[string]func(*rapid.T)) map[string]func(*rapid.T) {
+	maps.Copy(steps, others)
+	return steps
+}
+
 // act has a VM act if it may, and checks it against the last act of all.
 func (w *world) act(t *rapid.T, v *vm) {
 	fencing, holds := v.term.Holds(w.now)
@@ -155,12 +205,7 @@
 // and ask them, release, act, be suspended and start again in any order.
 func TestNoTwoHoldersActWithinTheHandOver(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := &world{}
-		for at := range 3 {
-			v := &vm{name: fmt.Sprint("vm", at)}
-			w.start(v)
-			w.vms = append(w.vms, v)
-		}
+		w := newWorld()
 		pick := func(t *rapid.T) *vm { return w.vms[rapid.IntRange(0, len(w.vms)-1).Draw(t, "vm")] }
 		send := func(t *rapid.T, v *vm, record lease.Record, expect table.Version, claim bool) {
 			w.writes = append(w.writes, write{
@@ -171,8 +216,7 @@
 				w.deliver(len(w.writes) - 1)
 			}
 		}
-		t.Repeat(map[string]func(*rapid.T){
-			"pass":  func(t *rapid.T) { w.now += time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond },
+		t.Repeat(with(w.deliveries(), map[string]func(*rapid.T){
 			"sleep": func(t *rapid.T) { w.now += time.Duration(rapid.IntRange(1, 12).Draw(t, "s")) * time.Second },
 			"look": func(t *rapid.T) {
 				pick(t).term.Seen(w.now, w.record, w.version)
@@ -193,24 +237,7 @@
 					send(t, v, record, expect, false)
 				}
 			},
-			"ask": func(t *rapid.T) {
-				v := pick(t)
-				deputy, record, version, found := v.term.Deputy()
-				if !found {
-					return
-				}
-				w.asks = append(w.asks, ask{by: v, node: v.term.Node, deputy: deputy, sent: w.now, record: record, version: version})
-				for range rapid.IntRange(0, 2).Draw(t, "steps") {
-					if len(w.asks) > 0 {
-						w.deliverAsk(len(w.asks) - 1)
-					}
-				}
-			},
-			"deliverAsk": func(t *rapid.T) {
-				if len(w.asks) > 0 {
-					w.deliverAsk(rapid.IntRange(0, len(w.asks)-1).Draw(t, "ask"))
-				}
-			},
+			"ask": func(t *rapid.T) { w.ask(t, pick(t)) },
 			"release": func(t *rapid.T) {
 				if v := pick(t); v.term.Mine() {
 					record, expect := v.term.Renewal(w.now, "")
@@ -219,14 +246,9 @@
 					w.start(v)
 				}
 			},
-			"deliver": func(t *rapid.T) {
-				if len(w.writes) > 0 {
-					w.deliver(rapid.IntRange(0, len(w.writes)-1).Draw(t, "write"))
-				}
-			},
 			"restart": func(t *rapid.T) { w.start(pick(t)) },
 			"act":     func(t *rapid.T) { w.act(t, pick(t)) },
-		})
+		}))
 	})
 }
 
@@ -234,12 +256,7 @@
 // deputy, and has everybody act whenever it may.
 func TestDeputyFollowsOnlyAHolderThatIsDone(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := &world{}
-		for at := range 3 {
-			v := &vm{name: fmt.Sprint("vm", at)}
-			w.start(v)
-			w.vms = append(w.vms, v)
-		}
+		w := newWorld()
 		holder := w.vms[0]
 		look := func() {
 			for _, v := range w.vms {
@@ -268,13 +285,12 @@
 			}
 		}
 		renew()
-		t.Repeat(map[string]func(*rapid.T){
+		t.Repeat(with(w.deliveries(), map[string]func(*rapid.T){
 			"": func(t *rapid.T) {
 				for _, v := range w.vms {
 					w.act(t, v)
 				}
 			},
-			"pass":  func(t *rapid.T) { w.now += time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond },
 			"pass2": func(t *rapid.T) { w.now += time.Duration(rapid.IntRange(900, 2800).Draw(t, "ms")) * time.Millisecond },
 			"renew": func(*rapid.T) { renew() },
 			"look": func(t *rapid.T) {
@@ -286,30 +302,7 @@
 					send(record, expect, v, true)
 				}
 			},
-			"ask": func(t *rapid.T) {
-				deputy, record, version, found := holder.term.Deputy()
-				if !found {
-					return
-				}
-				w.asks = append(w.asks, ask{
-					by: holder, node: holder.term.Node, deputy: deputy, sent: w.now, record: record, version: version,
-				})
-				for range rapid.IntRange(0, 2).Draw(t, "steps") {
-					if len(w.asks) > 0 {
-						w.deliverAsk(len(w.asks) - 1)
-					}
-				}
-			},
-			"deliverAsk": func(t *rapid.T) {
-				if len(w.asks) > 0 {
-					w.deliverAsk(rapid.IntRange(0, len(w.asks)-1).Draw(t, "ask"))
-				}
-			},
-			"deliver": func(t *rapid.T) {
-				if len(w.writes) > 0 {
-					w.deliver(rapid.IntRange(0, len(w.writes)-1).Draw(t, "write"))
-				}
-			},
-		})
+			"ask": func(t *rapid.T) { w.ask(t, holder) },
+		}))
 	})
 }
--- a/internal/roster/relay_test.go
+++ b/internal/roster/relay_test.go
@@ -97,6 +97,15 @@
 	return r.nodes[node]
 }
 
+// publish gives the store servers and the first manifest.
+func (r *readers) publish(servers int) {
+	r.servers.put(manyEntries(servers, "1")...)
+	r.manifests.put(&roster.Manifest{Version: 1})
+}
+
+// newest reports whether the second manifest is in force.
+func newest(view *roster.View) bool { return view.Manifest.Version == 2 }
+
 // all reports whether the view of every node fits, but for those left out.
 func (r *readers) all(fits func(*roster.View) bool, without ...fleet.NodeID) bool {
 	for node, controller := range r.nodes {
@@ -136,7 +145,7 @@
 		time.Sleep(8 * time.Second)
 		c.Check(r.all(hasServers(999)), qt.IsTrue)
 		c.Check(r.all(func(view *roster.View) bool { return view.Servers["e8"].Boot == "2" }), qt.IsTrue)
-		c.Check(r.all(func(view *roster.View) bool { return view.Manifest.Version == 2 }), qt.IsTrue)
+		c.Check(r.all(newest), qt.IsTrue)
 		time.Sleep(20 * time.Second)
 		reading := 0
 		for _, reads := range r.reads {
@@ -154,8 +163,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		r := startReaders(t, 12)
-		r.servers.put(manyEntries(20, "1")...)
-		r.manifests.put(&roster.Manifest{Version: 1})
+		r.publish(20)
 		time.Sleep(5 * time.Second)
 		for _, node := range r.ranked[:4] {
 			r.wires.Silence(node, true)
@@ -163,7 +171,6 @@
 		r.manifests.put(&roster.Manifest{Version: 2})
 		r.servers.put(roster.ServerEntry{ID: "e7"})
 		time.Sleep(2500 * time.Millisecond)
-		newest := func(view *roster.View) bool { return view.Manifest.Version == 2 }
 		c.Check(r.all(newest, r.ranked[:4]...), qt.IsTrue)
 		time.Sleep(time.Second)
 		c.Check(r.all(hasServers(19), r.ranked[:4]...), qt.IsTrue)
@@ -176,8 +183,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		r := startReaders(t, 12)
-		r.servers.put(manyEntries(20, "1")...)
-		r.manifests.put(&roster.Manifest{Version: 1})
+		r.publish(20)
 		time.Sleep(5 * time.Second)
 		for _, node := range r.ranked[:4] {
 			r.cuts[node].Store(true)
@@ -200,12 +206,11 @@
 			next := all[(own+1)%len(all)]
 			return []fleet.NodeID{next, next, next, next, all[own]}
 		})
-		r.servers.put(manyEntries(20, "1")...)
-		r.manifests.put(&roster.Manifest{Version: 1})
+		r.publish(20)
 		time.Sleep(6 * time.Second)
 		r.manifests.put(&roster.Manifest{Version: 2})
 		time.Sleep(2 * time.Second)
-		c.Check(r.all(func(view *roster.View) bool { return view.Manifest.Version == 2 }), qt.IsTrue)
+		c.Check(r.all(newest), qt.IsTrue)
 	})
 }
 
@@ -216,8 +221,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		r := startReaders(t, 6)
-		r.servers.put(manyEntries(5, "1")...)
-		r.manifests.put(&roster.Manifest{Version: 1})
+		r.publish(5)
 		time.Sleep(5 * time.Second)
 		last := r.ranked[5]
 		r.wires.Silence(last, true)
