Stand-ins give a node's settings, ask it, and read the pieces of its answers

Cause: the settings of a node on the stand-ins stood in the demo, the tests of hosted and the soak, and so did asking it and reading a stream's pieces. The soak read the pieces of streams that broke off and then did not compare them.

Change: Site.NodeSettings, Ask and Answer.Pieces for all three. The soak compares the pieces of every stream, as its comment said; a line that broke off is no piece.

--- a/cmd/guavatrack/demo/platform.go
+++ b/cmd/guavatrack/demo/platform.go
@@ -29,11 +29,10 @@
 	nodeMemory   = 256 * fleet.MiB
 	// nodeDescriptors is what a process may open.
 	nodeDescriptors = 4096
+	// retrySlack is the number of further attempts beyond the share of requests.
+	retrySlack = 50
 )
 
-// hostedPlace is where everything of the demonstration on a platform stands.
-var hostedPlace = fleet.Place{Region: "east", FailureDomain: "east-a"}
-
 // runHosted runs stand-ins of the users' platform and nodes on it.
 func runHosted(ctx context.Context, app *cli.App, given *options) error {
 	log := slog.New(slog.DiscardHandler)
@@ -47,7 +46,7 @@
 	defer site.Close()
 	var nodes []*hosted.Node
 	for at := range hostedNodes {
-		node := &hosted.Node{Settings: hostedSettings(at, site.StoreAddress), Log: log}
+		node := &hosted.Node{Settings: hostedSettings(site, at), Log: log}
 		if err := node.Start(ctx); err != nil {
 			return err
 		}
@@ -70,16 +69,11 @@
 }
 
 // hostedSettings returns the settings of a node on the stand-ins.
-func hostedSettings(at int, store string) settings.Settings {
-	given := settings.Defaults()
-	given.Node.Name, given.Node.Place = fmt.Sprint("vm", at), hostedPlace
-	given.Callers.Listen, given.Peers.Listen = anyPort, anyPort
-	given.Platform = &settings.Platform{
-		Store: store, Readiness: anyPort, Lookup: anyPort, Metrics: anyPort,
-		Regions: map[fleet.FailureDomain]fleet.Region{hostedPlace.FailureDomain: hostedPlace.Region},
-		KeepFor: fleet.Duration(keepFor), Grace: fleet.Duration(4 * keepFor), HandOver: fleet.Duration(handOver),
-		Retries: settings.Retries{Ratio: 0.2, Slack: 50}, Memory: nodeMemory, Descriptors: nodeDescriptors,
-	}
+func hostedSettings(site *standin.Site, at int) settings.Settings {
+	given := site.NodeSettings(fmt.Sprint("vm", at))
+	given.Platform.KeepFor, given.Platform.Grace = fleet.Duration(keepFor), fleet.Duration(4*keepFor)
+	given.Platform.HandOver, given.Platform.Retries.Slack = fleet.Duration(handOver), retrySlack
+	given.Platform.Memory, given.Platform.Descriptors = nodeMemory, nodeDescriptors
 	return given
 }
 
@@ -174,10 +168,6 @@
 
 // ask sends a request to a node and returns the answer's body.
 func ask(node *hosted.Node, path, model string) (string, error) {
-	request, err := standin.NewRequest(node.Addresses().Callers, http.MethodPost, path, model, "{}")
-	if err != nil {
-		return "", err
-	}
-	answer, err := standin.Send(request)
+	answer, err := standin.Ask(node.Addresses().Callers, http.MethodPost, path, model, "{}")
 	return answer.Body, err
 }
--- a/internal/hosted/hosted_test.go
+++ b/internal/hosted/hosted_test.go
@@ -1,7 +1,6 @@
 package hosted_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"log/slog"
@@ -15,8 +14,6 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/guavatrack/guavatrack/internal/hosted"
-	"github.com/guavatrack/guavatrack/internal/settings"
-	"github.com/guavatrack/guavatrack/pkg/fleet"
 	"github.com/guavatrack/guavatrack/platform/standin"
 )
 
@@ -38,7 +35,9 @@
 	r.Assert(site.Start(), qt.IsNil)
 	t.Cleanup(site.Close)
 	for at := range nodes {
-		node := &hosted.Node{Settings: r.settings(at), Log: slog.New(slog.DiscardHandler)}
+		given := site.NodeSettings(fmt.Sprint("vm", at))
+		r.Assert(given.Check().Err(), qt.IsNil)
+		node := &hosted.Node{Settings: given, Log: slog.New(slog.DiscardHandler)}
 		r.Assert(node.Start(context.Background()), qt.IsNil)
 		t.Cleanup(node.Stop)
 		r.nodes = append(r.nodes, node)
@@ -50,26 +49,6 @@
 	return r
 }
 
-// settings returns the settings of a node on free ports.
-func (r *rig) settings(at int) settings.Settings {
-	given := settings.Defaults()
-	given.Node = settings.Node{
-		Name: fmt.Sprint("vm", at), Place: fleet.Place{Region: "east", FailureDomain: "east-a"}, RegionLink: fleet.MiB,
-	}
-	given.Callers.Listen, given.Peers.Listen = anyPort, anyPort
-	given.Platform = &settings.Platform{
-		Store: r.site.StoreAddress, Readiness: anyPort, Lookup: anyPort, Metrics: anyPort,
-		Regions: map[fleet.FailureDomain]fleet.Region{"east-a": "east"}, KeepFor: fleet.Duration(time.Second),
-		Grace: fleet.Duration(4 * time.Second), HandOver: fleet.Duration(100 * time.Millisecond),
-		Retries: settings.Retries{Ratio: 0.2, Slack: 400}, Memory: 200 * fleet.MiB, Descriptors: 4000,
-	}
-	r.Assert(given.Check().Err(), qt.IsNil)
-	return given
-}
-
-// anyPort asks for a free port of the loopback address.
-const anyPort = "127.0.0.1:0"
-
 // until waits for a condition that must come about.
 func (r *rig) until(holds func() bool) {
 	r.Helper()
@@ -89,30 +68,17 @@
 
 // send sends a request to a node.
 func (r *rig) send(node int, method, path, model, body string) got {
-	request, err := standin.NewRequest(r.nodes[node].Addresses().Callers, method, path, model, body)
-	r.Assert(err, qt.IsNil)
-	answer, err := standin.Send(request)
+	answer, err := standin.Ask(r.nodes[node].Addresses().Callers, method, path, model, body)
 	return got{Answer: answer, err: err}
 }
 
-// pieces returns the numbers of the events of a stream.
-func pieces(body string) (numbers []string) {
-	scanner := bufio.NewScanner(strings.NewReader(body))
-	for scanner.Scan() {
-		if number, found := strings.CutPrefix(scanner.Text(), "data: piece "); found {
-			numbers = append(numbers, number)
-		}
-	}
-	return numbers
-}
-
 var allPieces = []string{"1", "2", "3", "4", "5", "6", "7", "8"}
 
 func (r *rig) wholeStream(answer got) {
 	r.Helper()
 	r.Check(answer.err, qt.IsNil)
 	r.Check(answer.Status, qt.Equals, http.StatusOK, qt.Commentf("%s", answer.Body))
-	r.Check(pieces(answer.Body), qt.DeepEquals, allPieces)
+	r.Check(answer.Pieces(), qt.DeepEquals, allPieces)
 	r.Check(answer.Signature, qt.Contains, "seal-")
 	r.Check(answer.AnswerID, qt.Equals, answer.ID)
 }
@@ -264,7 +230,7 @@
 	answer := r.send(0, http.MethodPost, standin.Streaming+"chat", "m1", "hello")
 	r.Check(answer.Status, qt.Equals, http.StatusOK)
 	r.Check(answer.err, qt.ErrorMatches, ".*unexpected EOF")
-	r.Check(pieces(answer.Body), qt.DeepEquals, allPieces[:4])
+	r.Check(answer.Pieces(), qt.DeepEquals, allPieces[:4])
 	r.Check(r.site.Ledger.Runs(answer.ID), qt.Equals, 1)
 }
 
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -1,14 +1,15 @@
 package soak
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"strings"
+	"strconv"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/guavatrack/guavatrack/platform/standin"
 )
 
@@ -64,19 +65,14 @@
 // checkPieces notes a stream whose pieces are not all there in order, up to where
 // it broke off.
 func (r *Run) checkPieces(answer standin.Answer, whole bool) {
-	count := 0
-	scanner := bufio.NewScanner(strings.NewReader(answer.Body))
-	for scanner.Scan() {
-		piece, found := strings.CutPrefix(scanner.Text(), "data: piece ")
-		if !found {
-			continue
-		}
-		if count++; piece != fmt.Sprint(count) && whole {
-			r.breach("%s: piece %s where %d belongs", answer.ID, piece, count)
+	pieces := answer.Pieces()
+	for at, piece := range pieces {
+		if want := strconv.Itoa(at + 1); piece != want {
+			r.breach("%s: piece %s where %s belongs", answer.ID, piece, want)
 			return
 		}
 	}
-	if whole && count != events {
+	if count := len(pieces); whole && count != events {
 		r.breach("%s: ended as whole after %d pieces", answer.ID, count)
 	}
 }
@@ -96,13 +92,9 @@
 func (r *Run) allServed() error {
 	for _, n := range r.nodes {
 		for at := range r.site.Models {
-			request, err := standin.NewRequest(n.given.Callers.Listen, http.MethodPost, standin.Resumable+"x", fmt.Sprint("m", at), "hello")
-			if err != nil {
-				return err
-			}
-			answer, err := standin.Send(request)
+			answer, err := standin.Ask(n.given.Callers.Listen, http.MethodPost, standin.Resumable+"x", fmt.Sprint("m", at), "hello")
 			if err != nil || answer.Status != http.StatusOK {
-				return fmt.Errorf("%s, m%d: status %d, %w", n.name, at, answer.Status, err)
+				return errors.Errorf("%s, m%d: status %d, error %v", n.name, at, answer.Status, err)
 			}
 		}
 	}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -16,6 +16,7 @@
 
 	"github.com/guavatrack/guavatrack/internal/settings"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
+	"github.com/guavatrack/guavatrack/platform/standin"
 )
 
 // node is one VM: an address book and, most of the time, a process.
@@ -62,22 +63,16 @@
 }
 
 // newNode chooses the addresses of a node, which stay over its processes.
-func newNode(name, binary, dir, store string) (n *node, err error) {
-	n = &node{name: name, binary: binary, dir: dir, store: &Proxy{Target: store, Delay: slowDelay}}
-	address, err := n.store.Listen()
-	if err != nil {
-		return nil, err
+func newNode(name, binary, dir string, site *standin.Site) (n *node, err error) {
+	n = &node{
+		name: name, binary: binary, dir: dir, given: site.NodeSettings(name),
+		store: &Proxy{Target: site.StoreAddress, Delay: slowDelay},
 	}
-	n.given = settings.Defaults()
-	n.given.Node = settings.Node{
-		Name: name, Place: fleet.Place{Region: "east", FailureDomain: "east-a"}, RegionLink: fleet.MiB,
+	if n.given.Platform.Store, err = n.store.Listen(); err != nil {
+		return nil, err
 	}
 	n.given.Log = settings.Log{Level: "info", Format: "json"}
-	n.given.Platform = &settings.Platform{
-		Store: address, Regions: map[fleet.FailureDomain]fleet.Region{"east-a": "east"},
-		KeepFor: fleet.Duration(time.Second), Grace: fleet.Duration(grace), HandOver: fleet.Duration(handOver),
-		Retries: settings.Retries{Ratio: 0.2, Slack: 400}, Memory: 200 * fleet.MiB, Descriptors: 2000,
-	}
+	n.given.Platform.Grace, n.given.Platform.HandOver = fleet.Duration(grace), fleet.Duration(handOver)
 	for _, listen := range []*string{
 		&n.given.Callers.Listen, &n.given.Peers.Listen, &n.given.Platform.Readiness, &n.given.Platform.Lookup,
 		&n.given.Platform.Metrics,
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -126,7 +126,7 @@
 		service.Register()
 	}
 	for at := range r.Nodes {
-		n, err := newNode(fmt.Sprint("vm", at), r.Binary, r.Dir, r.site.StoreAddress)
+		n, err := newNode(fmt.Sprint("vm", at), r.Binary, r.Dir, r.site)
 		if err != nil {
 			return err
 		}
