Derive lists of members once for each state of the view

Cause: at 295 VMs each node derived its live members, gateway candidates and the order of readers anew on each gossip message, each by a sort of all nodes that hashed two names for every comparison. The retry allowance copied and sorted all records for each call. "members changed" was logged 270 times by each node at the start.

Change: lists derived from the records are kept until a record changes; the hash of a node is computed once for each sort and allocates nothing; the number of members is logged once per interval; the allowance asks for the number of nodes.

--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -234,7 +234,7 @@
 // allowance returns the node's share of the fleet's retry allowance.
 func (n *Node) allowance(members *member.Controller) retry.Allowance {
 	retries := n.current.Load().Retries
-	nodes := max(minNodes, len(members.Records()))
+	nodes := max(minNodes, members.KnownNodes())
 	return retry.Allowance{Ratio: retryShare * retries.Ratio, Burst: retryShare * retries.Slack / float64(nodes)}
 }
 
--- a/internal/member/controller.go
+++ b/internal/member/controller.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -60,12 +59,13 @@
 	once         sync.Once
 	mu           sync.Mutex
 	view         *View
-	live         atomic.Pointer[[]Info]
 	background   run.Background
 	joinedOnce   sync.Once
 	joined       chan struct{}
 	counts       counters
 	registration registration
+	// reportedMembers is the number of live members that was logged last.
+	reportedMembers int
 }
 
 func (c *Controller) init() {
@@ -80,7 +80,7 @@
 		c.joined = make(chan struct{})
 		c.counts = newCounters(c.Metrics)
 		c.view = NewView(c.Self, c.Interval, c.Rand)
-		c.publishLive(time.Now())
+		c.reportMembers(time.Now())
 	})
 }
 
@@ -97,7 +97,10 @@
 	defer c.background.Begin(ctx)()
 	c.background.Go(c.keepRegistered)
 	for {
-		c.withView(func(now time.Time) []Action { return c.view.Tick(now) })
+		c.withView(func(now time.Time) []Action {
+			c.reportMembers(now)
+			return c.view.Tick(now)
+		})
 		if !wait.For(ctx, c.jitter(c.Interval)) {
 			return nil
 		}
@@ -120,19 +123,21 @@
 	now := time.Now()
 	actions := update(now)
 	actions = append(actions, c.view.ImmediateActions(now)...)
-	c.publishLive(now)
 	for _, action := range actions {
 		c.background.Go(func(ctx context.Context) { c.execute(ctx, action) })
 	}
 }
 
-// publishLive stores the live members so that they can be read without the lock.
-func (c *Controller) publishLive(now time.Time) {
-	live := c.view.Live(now)
-	if before := c.live.Swap(&live); before != nil && len(*before) != len(live) {
-		c.Log.Info("members changed", "members", len(live), "before", len(*before))
+// reportMembers logs a change of the number of live members and updates the gauge.
+// It is called once per interval, so that nodes that start at the same time are one
+// change and not one for each of them. The caller holds the lock.
+func (c *Controller) reportMembers(now time.Time) {
+	count, before := len(c.view.Live(now)), c.reportedMembers
+	if before != 0 && count != before {
+		c.Log.Info("members changed", slog.Int("members", count), slog.Int("before", before))
 	}
-	c.counts.members.Update(int64(len(live)))
+	c.reportedMembers = count
+	c.counts.members.Update(int64(count))
 }
 
 func (c *Controller) execute(ctx context.Context, action Action) {
@@ -308,7 +313,17 @@
 // slice must not be changed.
 func (c *Controller) Members() []Info {
 	c.init()
-	return *c.live.Load()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.Live(time.Now())
+}
+
+// KnownNodes returns the number of nodes in the view, dead ones included.
+func (c *Controller) KnownNodes() int {
+	c.init()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.view.entries) + 1
 }
 
 // Records returns the records of all nodes in the view, dead ones included.
--- a/internal/member/neighbor.go
+++ b/internal/member/neighbor.go
@@ -17,8 +17,15 @@
 // of members.
 const neighborOrders = 8
 
+// orderHash returns the position of a node in the order of a name.
 func orderHash(node fleet.NodeID, order string) uint64 {
-	return xxhash.Sum64String(order + "/" + string(node))
+	var digest xxhash.Digest
+	digest.Reset()
+	// A digest's writes return no error.
+	_, _ = digest.WriteString(order)
+	_, _ = digest.WriteString("/")
+	_, _ = digest.WriteString(string(node))
+	return digest.Sum64()
 }
 
 // Neighbors returns the nodes of the region that this node exchanges messages
@@ -53,18 +60,40 @@
 	return chosen
 }
 
+// hashedNode is a node with its position in an order.
+type hashedNode struct {
+	hash uint64
+	node fleet.NodeID
+}
+
 // ranked sorts the nodes by their hash for a purpose. All nodes with the same
 // view get the same order.
 func ranked(nodes []fleet.NodeID, purpose string) []fleet.NodeID {
-	slices.SortFunc(nodes, func(a, b fleet.NodeID) int {
-		return cmp.Or(cmp.Compare(orderHash(a, purpose), orderHash(b, purpose)), cmp.Compare(a, b))
+	hashed := make([]hashedNode, len(nodes))
+	for i, node := range nodes {
+		hashed[i] = hashedNode{hash: orderHash(node, purpose), node: node}
+	}
+	slices.SortFunc(hashed, func(a, b hashedNode) int {
+		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.node, b.node))
 	})
+	for i := range hashed {
+		nodes[i] = hashed[i].node
+	}
 	return nodes
 }
 
 // Ranked returns the nodes of the region, this one included, that are neither
-// suspected nor leaving, ordered by their hash for a purpose.
+// suspected nor leaving, ordered by their hash for a purpose. The slice must not
+// be changed.
 func (v *View) Ranked(purpose string) []fleet.NodeID {
+	return v.derived.cached(derivedKey{kind: rankedNodes, name: purpose}, v.version, func() []fleet.NodeID {
+		return ranked(v.healthyInRegion(), purpose)
+	})
+}
+
+// healthyInRegion returns the nodes of the region, this one included, that are
+// neither suspected nor leaving.
+func (v *View) healthyInRegion() []fleet.NodeID {
 	var nodes []fleet.NodeID
 	if v.self.Status == Alive && !v.self.Leaving {
 		nodes = append(nodes, v.self.Node)
@@ -74,5 +103,5 @@
 			nodes = append(nodes, node)
 		}
 	}
-	return ranked(nodes, purpose)
+	return nodes
 }
--- a/internal/member/regionlink.go
+++ b/internal/member/regionlink.go
@@ -58,10 +58,12 @@
 }
 
 // gatewayCandidates returns the nodes of this region that may act as the gateway
-// to another region, best first.
+// to another region, best first. The slice must not be changed.
 func (v *View) gatewayCandidates(other fleet.Region) []fleet.NodeID {
-	nodes := ranked(append(v.liveInRegion(v.self.Region), v.self.Node), string(other))
-	return nodes[:min(len(nodes), maxGatewayCandidates)]
+	return v.derived.cached(derivedKey{kind: gatewayNodes, name: string(other)}, v.version, func() []fleet.NodeID {
+		nodes := ranked(append(v.liveInRegion(v.self.Region), v.self.Node), string(other))
+		return nodes[:min(len(nodes), maxGatewayCandidates)]
+	})
 }
 
 // reportedUnreachable reports whether a candidate reports the region as unreachable.
@@ -111,7 +113,9 @@
 
 // linkTarget returns the node of the region to exchange messages with.
 func (v *View) linkTarget(region fleet.Region) fleet.NodeID {
-	nodes := ranked(v.liveInRegion(region), string(v.self.Region))
+	nodes := v.derived.cached(derivedKey{kind: targetNodes, name: string(region)}, v.version, func() []fleet.NodeID {
+		return ranked(v.liveInRegion(region), string(v.self.Region))
+	})
 	return nodes[v.linkTo(region).target%min(len(nodes), maxLinkTargets)]
 }
 
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -63,6 +63,12 @@
 	bucketDigests [digestBuckets]uint64
 	digest        uint64
 
+	// version counts the changes of records. derived and live are computed anew
+	// when it has changed.
+	version uint64
+	derived derivedLists
+	live    liveList
+
 	localQueues updateQueues
 	links       map[fleet.Region]*regionLink
 
@@ -98,6 +104,7 @@
 
 // addToDigest adds a record to the digests, or removes it if sign is negative.
 func (v *View) addToDigest(record Record, sign int) {
+	v.version++
 	hash := record.hash()
 	if sign < 0 {
 		hash = -hash
@@ -276,6 +283,7 @@
 			record.Status, record.Accuser = Dead, ""
 			v.putRecord(now, record)
 		case !e.live() && now.Sub(e.changed) >= deadRetention:
+			v.version++
 			delete(v.entries, node)
 		}
 	}
@@ -298,19 +306,45 @@
 	v.putRecord(now, record)
 }
 
+// liveList is the list of live members as of a version of the view, without those
+// of the regions that were unreachable.
+type liveList struct {
+	version     uint64
+	unreachable []fleet.Region
+	members     []Info
+}
+
 // Live returns the live members, this node included unless it has left, ordered
-// by id. Nodes of unreachable regions are left out.
+// by id. Nodes of unreachable regions are left out. The slice must not be changed.
 func (v *View) Live(now time.Time) []Info {
-	unreachable := make(map[fleet.Region]bool)
+	unreachable := v.unreachableRegions(now)
+	if v.live.members == nil || v.live.version != v.version || !slices.Equal(v.live.unreachable, unreachable) {
+		v.live = liveList{version: v.version, unreachable: unreachable, members: v.liveOutside(unreachable)}
+	}
+	return v.live.members
+}
+
+// unreachableRegions returns the regions that are unreachable, ordered by name.
+func (v *View) unreachableRegions(now time.Time) []fleet.Region {
+	var regions []fleet.Region
 	for region := range v.links {
-		unreachable[region] = v.RegionUnreachable(now, region)
+		if v.RegionUnreachable(now, region) {
+			regions = append(regions, region)
+		}
 	}
+	slices.Sort(regions)
+	return regions
+}
+
+// liveOutside returns the live members that are in none of the regions, ordered by
+// id.
+func (v *View) liveOutside(regions []fleet.Region) []Info {
 	list := make([]Info, 0, len(v.entries)+1)
 	if v.self.Status != Left {
 		list = append(list, v.self.Info)
 	}
 	for _, e := range v.entries {
-		if e.live() && !unreachable[e.Region] {
+		if e.live() && !slices.Contains(regions, e.Region) {
 			list = append(list, e.Info)
 		}
 	}
