A late load report counts the node's own calls of its time

Calls that were sent in between were taken off too, so a full server seemed to have room. Ruled out: the order in which the fake server reports; the fault needs no more than two calls of one node and an answer that travels.

Change: slots of a server are numbered, and a report takes off only the calls that took their slot no later than the call that it came with.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -163,7 +163,7 @@
 // RecordLoad records the load that the server reported with its answer: the
 // numbers of calls running and queued there, including this one.
 func (a *Attempt) RecordLoad(running, queued int) {
-	a.slot.server.recordLoad(time.Now(), running+queued)
+	a.slot.server.recordLoad(time.Now(), a.slot, running+queued)
 }
 
 // AddRequestSize records the size of the request in bytes.
--- a/internal/dispatch/servers.go
+++ b/internal/dispatch/servers.go
@@ -38,6 +38,8 @@
 	mu      sync.Mutex
 	health  route.Health
 	running map[*slot]struct{}
+	// slotsTaken is the number of slots that were taken so far.
+	slotsTaken uint64
 	groups  map[string]*slotGroup
 	// tokens is the number of tokens that the node's own calls occupy in the
 	// server's key-value cache.
@@ -175,11 +177,19 @@
 	return max(1, replica.Slots-int(weight*float64(others)))
 }
 
-// recordLoad records the number of calls of all nodes that the server reported.
-func (s *serverState) recordLoad(now time.Time, total int) {
+// recordLoad records the number of calls of all nodes that the server reported with
+// the answer to a call. Calls of this node that took their slot after that call are
+// not in the report: it may be received long after it was made.
+func (s *serverState) recordLoad(now time.Time, reporter *slot, total int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.others, s.othersAt = max(0, total-len(s.running)), now
+	own := 0
+	for taken := range s.running {
+		if taken.number <= reporter.number {
+			own++
+		}
+	}
+	s.others, s.othersAt = max(0, total-own), now
 }
 
 // unavailable reports whether the call must not be sent to the server now. The
@@ -216,6 +226,8 @@
 func (s *serverState) addSlot(now time.Time, taken *slot) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.slotsTaken++
+	taken.number = s.slotsTaken
 	s.running[taken] = struct{}{}
 	s.health.RecordStart(now)
 	if taken.call.exclusive {
--- a/internal/dispatch/slot.go
+++ b/internal/dispatch/slot.go
@@ -14,6 +14,9 @@
 	replica Replica
 	call    *Call
 	started time.Time
+	// number is the position of the slot in the order in which those of the server
+	// were taken.
+	number uint64
 	// firstByte is the time to the first byte of the answer.
 	firstByte time.Duration
 	// cause is why the request left the region; empty if the server is in the
