List only the replicas of engines that have changed

Change: placement.replicaIndex replaces the replicas of a changed server and keeps every other list. All are listed anew only after a new manifest, or when the scheduler's states had not been confirmed for long, since then other entries had taken precedence.

--- a/internal/placement/directory.go
+++ b/internal/placement/directory.go
@@ -23,8 +23,9 @@
 	// confirmedAt is when the scheduler last confirmed that no other engine has
 	// changed.
 	confirmedAt time.Time
-	// index lists the replicas by pool and item; nil if it has to be rebuilt.
-	index map[indexKey][]dispatch.Replica
+	index       replicaIndex
+	// manifest is the one that the index was built for.
+	manifest *roster.Manifest
 }
 
 var (
@@ -46,11 +47,6 @@
 	receivedAt time.Time
 }
 
-type indexKey struct {
-	pool fleet.PoolID
-	item fleet.Item
-}
-
 // entryLag is how much later than the scheduler's state a roster entry has to
 // arrive to take precedence: engines write their entries only at intervals.
 const entryLag = 2500 * time.Millisecond
@@ -64,15 +60,20 @@
 	for id, server := range view.Servers {
 		if d.rosterEntries[id].server != server {
 			d.rosterEntries[id] = rosterEntry{server: server, receivedAt: now}
+			d.index.markStale(id)
 		}
 	}
 	for id := range d.rosterEntries {
 		if view.Servers[id] == nil {
 			delete(d.rosterEntries, id)
 			delete(d.schedulerEntries, id)
+			d.index.markStale(id)
 		}
 	}
-	d.index = nil
+	if d.manifest != view.Manifest {
+		d.manifest = view.Manifest
+		d.index.markAllStale()
+	}
 }
 
 func (d *Directory) init() {
@@ -90,15 +91,20 @@
 	d.init()
 	for i := range engines {
 		d.schedulerEntries[engines[i].Server] = schedulerEntry{boot: engines[i].Boot, engine: engines[i].rosterEngine(), receivedAt: now}
+		d.index.markStale(engines[i].Server)
 	}
-	d.index = nil
 }
 
-// confirm records that the states sent by the scheduler are still current.
+// confirm records that the states sent by the scheduler are still current. After a
+// long time without a confirmation some roster entries have taken precedence.
 func (d *Directory) confirm() {
+	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.confirmedAt = time.Now()
+	if now.Sub(d.confirmedAt) > entryLag {
+		d.index.markAllStale()
+	}
+	d.confirmedAt = now
 }
 
 // AsOf implements [dispatch.TimestampedDirectory]. A confirmation that nothing has changed
@@ -117,54 +123,42 @@
 func (d *Directory) Replicas(item fleet.Item, pool fleet.PoolID) []dispatch.Replica {
 	key := indexKey{pool: pool, item: item}
 	d.mu.RLock()
-	if d.index != nil {
+	if d.index.current() {
 		defer d.mu.RUnlock()
-		return d.index[key]
+		return d.index.replicas[key]
 	}
 	d.mu.RUnlock()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.init()
-	if d.index == nil {
-		d.rebuildIndex()
-	}
-	return d.index[key]
+	d.index.update(d.View(), d.replicasOf)
+	return d.index.replicas[key]
 }
 
-// rebuildIndex lists the replicas of all servers anew. The caller holds the
-// lock.
-func (d *Directory) rebuildIndex() {
-	view := d.View()
-	d.index = make(map[indexKey][]dispatch.Replica)
-	for id, server := range view.Servers {
-		replica := dispatch.Replica{
-			Server: id, Boot: server.Boot, Address: server.Address, Place: server.Place, Pool: server.Pool,
-			Ready: true, Draining: server.Draining, Slots: server.Slots, FixedSlots: true,
-		}
-		if view.Manifest != nil && view.Manifest.Pools[server.Pool] != nil {
-			if spec := view.Manifest.Pools[server.Pool].Engine; spec != nil {
-				replica.Tokens = spec.CacheTokens
-			}
-		}
-		d.addReplica(server.Pool, replica)
-		engine := d.engineState(server)
-		if engine == nil {
-			continue
-		}
-		for _, held := range engine.LoadedModels {
-			replica.Item = fleet.Item{Model: held.Model}
-			d.addReplica(server.Pool, replica)
-			for _, adapter := range held.Adapters {
-				replica.Item.Adapter = adapter
-				d.addReplica(server.Pool, replica)
-			}
+// replicasOf returns the replicas of a server: one for the server itself and one
+// for each item that it holds. The caller holds the lock.
+func (d *Directory) replicasOf(view *roster.View, server *roster.Server) []dispatch.Replica {
+	replica := dispatch.Replica{
+		Server: server.ID, Boot: server.Boot, Address: server.Address, Place: server.Place, Pool: server.Pool,
+		Ready: true, Draining: server.Draining, Slots: server.Slots, FixedSlots: true,
+	}
+	if spec := view.Engine(server.Pool); spec != nil {
+		replica.Tokens = spec.CacheTokens
+	}
+	replicas := []dispatch.Replica{replica}
+	engine := d.engineState(server)
+	if engine == nil {
+		return replicas
+	}
+	for _, held := range engine.LoadedModels {
+		replica.Item = fleet.Item{Model: held.Model}
+		replicas = append(replicas, replica)
+		for _, adapter := range held.Adapters {
+			replica.Item.Adapter = adapter
+			replicas = append(replicas, replica)
 		}
 	}
-}
-
-func (d *Directory) addReplica(pool fleet.PoolID, replica dispatch.Replica) {
-	key := indexKey{pool: pool, item: replica.Item}
-	d.index[key] = append(d.index[key], replica)
+	return replicas
 }
 
 // engineState returns what an engine holds: the state that the scheduler sent
