Nodes share the updates that the scheduler and the readers send

Change: updates are prepared once for all nodes that have applied the same number of changes and sent for up to 1 ms per node, at most 0.2 s; they are compressed. Engines that a node's calls wait for are sent at once beside them. Each state has a version, so that a prepared one never replaces a newer one that the scheduler sent directly. Readers keep an encoded response until the next change.

Ruled out: reports at longer intervals, and updates only of models that a node uses. Both leave a node with engines that have given up a model, which costs one of two attempts of the callers that are worth most.

--- a/internal/dispatch/servers.go
+++ b/internal/dispatch/servers.go
@@ -40,7 +40,7 @@
 	running map[*slot]struct{}
 	// slotsTaken is the number of slots that were taken so far.
 	slotsTaken uint64
-	groups  map[string]*slotGroup
+	groups     map[string]*slotGroup
 	// tokens is the number of tokens that the node's own calls occupy in the
 	// server's key-value cache.
 	tokens int
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -167,7 +167,7 @@
 	if len(message.Waiting) > 0 {
 		s.triggerPlan()
 	}
-	answer := demandAnswer{Schedules: true, Update: s.updateSince(now, message)}
+	answer := demandAnswer{Schedules: true, Update: s.updateFor(now, message)}
 	for _, waiting := range message.Waiting {
 		readyIn := s.expectedReadyIn(now, waiting)
 		answer.Ready = append(answer.Ready, ReadyEstimate{Pool: waiting.Pool, Item: waiting.Item, InMs: readyIn.Milliseconds()})
@@ -175,18 +175,6 @@
 	return answer
 }
 
-// updateSince returns the engines that have changed since the last update that
-// the node has applied. The caller holds the lock.
-func (s *Scheduler) updateSince(now time.Time, message demandMessage) updateMessage {
-	update := updateMessage{Fencing: s.fencing, Number: s.version}
-	for _, e := range s.engines {
-		if e.stateKnown && (message.Fencing != s.fencing || e.version > message.Seen) {
-			update.Engines = append(update.Engines, e.update(now))
-		}
-	}
-	return update
-}
-
 // expectedReadyIn returns the expected time until an engine of the pool has the
 // item ready. The caller holds the lock.
 func (s *Scheduler) expectedReadyIn(now time.Time, waiting WaitingCalls) time.Duration {
--- a/internal/placement/directory.go
+++ b/internal/placement/directory.go
@@ -36,6 +36,9 @@
 // schedulerEntry is the state of one run of an engine as sent by the scheduler,
 // and when it was received.
 type schedulerEntry struct {
+	// fencing and version order the states of an engine.
+	fencing    fleet.FencingNumber
+	version    uint64
 	boot       fleet.BootID
 	engine     *roster.Engine
 	receivedAt time.Time
@@ -83,15 +86,26 @@
 	}
 }
 
-// applyUpdate stores the engine states of an update from the scheduler.
-func (d *Directory) applyUpdate(engines []engineUpdate) {
+// applyUpdate stores the engine states of an update from the scheduler under a
+// fencing number. A state older than the stored one is ignored: updates for all nodes
+// are prepared some time before they are sent.
+func (d *Directory) applyUpdate(fencing fleet.FencingNumber, engines []engineUpdate) {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.init()
 	for i := range engines {
-		d.schedulerEntries[engines[i].Server] = schedulerEntry{boot: engines[i].Boot, engine: engines[i].rosterEngine(), receivedAt: now}
-		d.index.markStale(engines[i].Server)
+		update := &engines[i]
+		stored, found := d.schedulerEntries[update.Server]
+		if found && (fencing < stored.fencing || fencing == stored.fencing && update.Version < stored.version) {
+			continue
+		}
+		d.schedulerEntries[update.Server] = schedulerEntry{
+			fencing: fencing, version: update.Version, boot: update.Boot, engine: update.rosterEngine(), receivedAt: now,
+		}
+		if !found || stored.boot != update.Boot || stored.fencing != fencing || stored.version != update.Version {
+			d.index.markStale(update.Server)
+		}
 	}
 }
 
--- a/internal/placement/directory_test.go
+++ b/internal/placement/directory_test.go
@@ -18,6 +18,8 @@
 type directoryFixture struct {
 	view      *roster.View
 	directory *Directory
+	// version is that of the last update.
+	version uint64
 }
 
 func newDirectoryFixture(servers int) *directoryFixture {
@@ -60,7 +62,8 @@
 
 // update applies an update of the scheduler that a server holds one model.
 func (f *directoryFixture) update(id fleet.ServerID, model fleet.ModelID) {
-	f.directory.applyUpdate([]engineUpdate{{Server: id, Boot: "b", Held: []modelUpdate{{Model: model}}}})
+	f.version++
+	f.directory.applyUpdate(1, []engineUpdate{{Server: id, Boot: "b", Version: f.version, Held: []modelUpdate{{Model: model}}}})
 }
 
 // listing returns the replicas of an item, ordered by server.
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -128,7 +128,7 @@
 
 // update lists the models and adapters that calls may be sent for.
 func (e *engine) update(now time.Time) engineUpdate {
-	update := engineUpdate{Server: e.server.ID, Boot: e.server.Boot}
+	update := engineUpdate{Server: e.server.ID, Boot: e.server.Boot, Version: e.version}
 	for id, model := range e.held {
 		if model.unloading {
 			continue
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/guavatrack/guavatrack/internal/packed"
 	"github.com/guavatrack/guavatrack/internal/roster"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
@@ -77,19 +78,24 @@
 	InMs int64        `json:"inMs"`
 }
 
-// updateMessage carries engine states from the scheduler to the nodes. Number
-// increases with each change under one fencing number.
+// updateMessage carries engine states from the scheduler to the nodes.
 type updateMessage struct {
 	Fencing fleet.FencingNumber `json:"fencing"`
-	Number  uint64              `json:"number"`
-	Engines []engineUpdate      `json:"engines,omitempty"`
+	// Number is the number of changes under the fencing number that the node has
+	// applied with this message; 0 if the message has only some of the engines.
+	Number uint64 `json:"number"`
+	// Engines are states for this node, Shared those that other nodes get too.
+	Engines []engineUpdate `json:"engines,omitempty"`
+	Shared  packed.List    `json:"shared"`
 }
 
-// engineUpdate lists what one run of an engine holds.
+// engineUpdate lists what one run of an engine holds. Version increases with each
+// change of an engine under one fencing number.
 type engineUpdate struct {
-	Server fleet.ServerID `json:"server"`
-	Boot   fleet.BootID   `json:"boot"`
-	Held   []modelUpdate  `json:"held"`
+	Server  fleet.ServerID `json:"server"`
+	Boot    fleet.BootID   `json:"boot"`
+	Version uint64         `json:"version"`
+	Held    []modelUpdate  `json:"held"`
 }
 
 // modelUpdate is a model that calls may be sent for, with its adapters.
--- a/internal/placement/reporter.go
+++ b/internal/placement/reporter.go
@@ -10,6 +10,7 @@
 
 	"github.com/guavatrack/guavatrack/internal/dispatch"
 	"github.com/guavatrack/guavatrack/internal/logs"
+	"github.com/guavatrack/guavatrack/internal/packed"
 	"github.com/guavatrack/guavatrack/internal/roster"
 	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
@@ -357,10 +358,14 @@
 	if update.Fencing > r.fencing {
 		r.fencing, r.seenVersion = update.Fencing, 0
 	}
+	shared, err := packed.Decode[engineUpdate](update.Shared)
+	if err != nil {
+		r.mu.Unlock()
+		r.Log.Warn("failed to read update of the scheduler", slog.Uint64("number", update.Number), slog.Any("error", err))
+		return
+	}
 	r.seenVersion = max(r.seenVersion, update.Number)
 	r.mu.Unlock()
 	r.Directory.confirm()
-	if len(update.Engines) > 0 {
-		r.Directory.applyUpdate(update.Engines)
-	}
+	r.Directory.applyUpdate(update.Fencing, append(shared, update.Engines...))
 }
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -66,6 +66,7 @@
 	fencing fleet.FencingNumber
 	// version counts the changes of engines in the current term of the lease.
 	version uint64
+	shared  sharedUpdates
 	// termBegan is when the current term of the lease began.
 	termBegan time.Time
 	// modelsBySpec holds the models of each pool's engines under the manifest.
--- /dev/null
+++ b/internal/placement/update.go
@@ -0,0 +1,97 @@
+package placement
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/guavatrack/guavatrack/internal/packed"
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+)
+
+// Prepared updates are sent for sharedUpdatePerNode times the number of nodes, at
+// most for maxSharedUpdateAge. The states that a node's calls wait for are sent at
+// once beside them.
+const (
+	sharedUpdatePerNode = time.Millisecond
+	maxSharedUpdateAge  = 200 * time.Millisecond
+)
+
+// sharedUpdates holds the updates that are sent to all nodes that have applied the
+// same number of changes: hundreds of nodes report several times a second, and the
+// engines that have changed since are the same for most of them.
+type sharedUpdates struct {
+	fencing    fleet.FencingNumber
+	preparedAt time.Time
+	// number is the number of changes that the updates contain at least.
+	number uint64
+	// after holds the updates by the number of changes that a node has applied.
+	after map[uint64]packed.List
+}
+
+// updateFor returns the engines that have changed since the last update that the
+// node has applied, and those that hold an item that its calls wait for. The caller
+// holds the lock.
+func (s *Scheduler) updateFor(now time.Time, message demandMessage) updateMessage {
+	seen := message.Seen
+	if message.Fencing != s.fencing {
+		seen = 0
+	}
+	shared := &s.shared
+	maxAge := min(maxSharedUpdateAge, time.Duration(len(s.nodes))*sharedUpdatePerNode)
+	if shared.after == nil || shared.fencing != s.fencing || now.Sub(shared.preparedAt) >= maxAge {
+		*shared = sharedUpdates{
+			fencing: s.fencing, preparedAt: now, number: s.version, after: make(map[uint64]packed.List),
+		}
+	}
+	return updateMessage{
+		Fencing: s.fencing, Number: shared.number, Shared: s.sharedUpdate(now, seen), Engines: s.updatesWaitedFor(now, message),
+	}
+}
+
+// sharedUpdate returns the engines that have changed after the first seen changes.
+// The caller holds the lock.
+func (s *Scheduler) sharedUpdate(now time.Time, seen uint64) packed.List {
+	if seen >= s.shared.number && seen > 0 {
+		return packed.List{}
+	}
+	if list, found := s.shared.after[seen]; found {
+		return list
+	}
+	var updates []engineUpdate
+	for _, e := range s.engines {
+		if e.stateKnown && e.version > seen {
+			updates = append(updates, e.update(now))
+		}
+	}
+	list, err := packed.Encode(updates)
+	if err != nil {
+		// An update always has a JSON form.
+		s.Log.Error("cannot encode update for nodes", slog.Any("error", err))
+	}
+	s.shared.after[seen] = list
+	return list
+}
+
+// updatesWaitedFor returns the engines that hold a model that calls of the node wait
+// for. The caller holds the lock.
+func (s *Scheduler) updatesWaitedFor(now time.Time, message demandMessage) (updates []engineUpdate) {
+	if len(message.Waiting) == 0 {
+		return nil
+	}
+	for _, e := range s.engines {
+		if e.stateKnown && e.holdsAny(message.Waiting) {
+			updates = append(updates, e.update(now))
+		}
+	}
+	return updates
+}
+
+// holdsAny reports whether the engine holds a model that calls wait for.
+func (e *engine) holdsAny(waiting []WaitingCalls) bool {
+	for i := range waiting {
+		if held := e.held[waiting[i].Item.Model]; held != nil && !held.unloading {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/roster/relay.go
+++ b/internal/roster/relay.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/guavatrack/guavatrack/internal/logs"
+	"github.com/guavatrack/guavatrack/internal/packed"
 	"github.com/guavatrack/guavatrack/internal/peer"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
@@ -88,7 +89,7 @@
 type changesResponse struct {
 	At Revision `json:"at"`
 	// Packed holds the entries.
-	Packed packed `json:"packed"`
+	Packed packed.List `json:"packed"`
 	// Gone reports that the changes are no longer kept, Lost that the reader can't
 	// reach the source, NotReading that it does not read the source.
 	Gone       bool `json:"gone,omitempty"`
@@ -204,7 +205,7 @@
 	if err := response.err(); err != nil {
 		return nil, 0, err
 	}
-	if entries, err = unpack[T](response.Packed); err != nil {
+	if entries, err = packed.Decode[T](response.Packed); err != nil {
 		return nil, 0, errors.Wrapf(err, "decode response of reader %s", reader)
 	}
 	return entries, response.At, nil
@@ -252,11 +253,10 @@
 	for {
 		r.mu.Lock()
 		r.readUntil = time.Now().Add(readDuration)
-		response, entries, ready := r.copy.respond(request)
+		response, ready, err := r.copy.respond(request)
 		changed := r.copy.changed
 		r.mu.Unlock()
-		if ready {
-			response.Packed, err = pack(entries)
+		if ready || err != nil {
 			return response, err
 		}
 		select {
--- a/internal/roster/replica.go
+++ b/internal/roster/replica.go
@@ -1,6 +1,10 @@
 package roster
 
-import "time"
+import (
+	"time"
+
+	"github.com/guavatrack/guavatrack/internal/packed"
+)
 
 // replica is a node's copy of a feed, from which other nodes read. It has no lock
 // of its own: the caller serialises access.
@@ -15,6 +19,10 @@
 	listed, direct, sourceLost bool
 	// changed is closed at the next change of the copy or of its state.
 	changed chan struct{}
+	// encoded holds the entries of responses by the revision after which they are,
+	// until the next change: many nodes request the same ones. Those of the whole
+	// list have the revision 0.
+	encoded map[Revision]packed.List
 	// prunedAt is when old removals were last deleted.
 	prunedAt time.Time
 }
@@ -47,6 +55,7 @@
 
 // notify wakes the requests that wait for a change.
 func (c *replica[T]) notify() {
+	c.encoded = nil
 	close(c.changed)
 	c.changed = make(chan struct{})
 }
@@ -92,25 +101,45 @@
 	}
 }
 
-// respond returns the response to another node's request, and its entries. ready
-// is false if there is nothing to respond with yet and the request allows
-// waiting.
-func (c *replica[T]) respond(request changesRequest) (response changesResponse, entries []T, ready bool) {
+// respond returns the response to another node's request. ready is false if there
+// is nothing to respond with yet and the request allows waiting.
+func (c *replica[T]) respond(request changesRequest) (response changesResponse, ready bool, err error) {
 	switch {
 	case c.sourceLost:
-		return changesResponse{Lost: true}, nil, true
+		return changesResponse{Lost: true}, true, nil
 	case request.List && !c.listed:
-		return changesResponse{NotReading: true}, nil, request.WaitMs == 0
+		return changesResponse{NotReading: true}, request.WaitMs == 0, nil
 	case request.List:
+		request.After = 0
 	case !c.direct:
-		return changesResponse{NotReading: true}, nil, true
+		return changesResponse{NotReading: true}, true, nil
 	case !c.listed || request.After < c.historyStart:
-		return changesResponse{Gone: true}, nil, true
+		return changesResponse{Gone: true}, true, nil
+	case request.After >= c.revision:
+		return changesResponse{At: c.revision}, request.WaitMs == 0, nil
 	}
+	list, err := c.encode(request.After)
+	empty := list.Plain == nil && list.Zipped == nil
+	return changesResponse{At: c.revision, Packed: list}, request.List || !empty || request.WaitMs == 0, err
+}
+
+// encode returns the entries after a revision for a response.
+func (c *replica[T]) encode(after Revision) (list packed.List, err error) {
+	if list, found := c.encoded[after]; found {
+		return list, nil
+	}
+	var entries []T
 	for _, entry := range c.entries {
-		if request.List || entry.revision > request.After {
+		if entry.revision > after {
 			entries = append(entries, entry.entry)
 		}
 	}
-	return changesResponse{At: c.revision}, entries, request.List || len(entries) > 0 || request.WaitMs == 0
+	if list, err = packed.Encode(entries); err != nil {
+		return packed.List{}, err
+	}
+	if c.encoded == nil {
+		c.encoded = make(map[Revision]packed.List)
+	}
+	c.encoded[after] = list
+	return list, nil
 }
