Waiting calls are woken by the directory, not by frequent checks

Cause: each queue with a waiting call was checked 200 times a second. With some 150 rarely used models waited for at a time (97 calls a second, about 1.5 s each) that is 30,000 wake-ups a second over the nodes, while the lists of replicas change a few times a second.

Change: a directory that reports its changes wakes the queues at once; they are checked by time each 20 ms, and whether loads have to be requested again each 100 ms, half of the time for which a request is valid. Directories that don't report changes are checked as before.

--- a/internal/dispatch/directory.go
+++ b/internal/dispatch/directory.go
@@ -55,6 +55,13 @@
 	AsOf(server fleet.ServerID) time.Time
 }
 
+// NotifyingDirectory is implemented by a [Directory] that reports when its lists
+// change.
+type NotifyingDirectory interface {
+	// Changed returns a channel that is closed at the next change.
+	Changed() <-chan struct{}
+}
+
 // Estimate is the expected course of a load, as estimated by a [Loader].
 type Estimate struct {
 	// ReadyIn is the time until the first replica is ready.
--- a/internal/dispatch/waitqueue.go
+++ b/internal/dispatch/waitqueue.go
@@ -18,11 +18,16 @@
 const (
 	// startInterval is the time between two attempts to start waiting requests
 	// on slots that were not freed by a request of the same queue, such as those
-	// of a replica that became ready.
-	startInterval = 5 * time.Millisecond
+	// of a replica that became ready. If the directory reports its changes, the
+	// time is notifiedStartInterval, since replicas that become ready are known.
+	startInterval         = 5 * time.Millisecond
+	notifiedStartInterval = 20 * time.Millisecond
 	// expireInterval is the time between two checks for waiting requests that
 	// can no longer end before their deadline.
 	expireInterval = 20 * time.Millisecond
+	// loadCheckInterval is the time between two checks whether loads have to be
+	// requested again for waiting requests.
+	loadCheckInterval = loadRequestInterval / 2
 )
 
 // queueShardCount is the number of shards of the wait queues.
@@ -271,21 +276,32 @@
 // serveWaiting periodically starts waiting requests, refuses those that would be
 // late and requests loads for the others, until no request waits.
 func (q *waitQueue) serveWaiting() {
-	ticker := time.NewTicker(startInterval)
+	interval, changed := startInterval, func() <-chan struct{} { return nil }
+	if directory, ok := q.dispatcher.Directory.(NotifyingDirectory); ok {
+		interval, changed = notifiedStartInterval, directory.Changed
+	}
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
-	lastExpiry := time.Now()
-	for range ticker.C {
+	var lastExpiry, lastLoadCheck time.Time
+	nextChange := changed()
+	for {
+		select {
+		case <-ticker.C:
+		case <-nextChange:
+			nextChange = changed()
+		}
 		now := time.Now()
 		q.startWaiting(now)
 		if now.Sub(lastExpiry) >= expireInterval {
 			lastExpiry = now
 			q.expire(now)
-			if q.requestingLoads.CompareAndSwap(false, true) {
-				go func() {
-					defer q.requestingLoads.Store(false)
-					q.requestLoads()
-				}()
-			}
+		}
+		if now.Sub(lastLoadCheck) >= loadCheckInterval && q.requestingLoads.CompareAndSwap(false, true) {
+			lastLoadCheck = now
+			go func() {
+				defer q.requestingLoads.Store(false)
+				q.requestLoads()
+			}()
 		}
 		q.mu.Lock()
 		if len(q.waiters) == 0 {
--- a/internal/placement/directory.go
+++ b/internal/placement/directory.go
@@ -26,11 +26,14 @@
 	index       replicaIndex
 	// manifest is the one that the index was built for.
 	manifest *roster.Manifest
+	// changed is closed at the next change; nil if nobody waits for it.
+	changed chan struct{}
 }
 
 var (
 	_ dispatch.Directory            = (*Directory)(nil)
 	_ dispatch.TimestampedDirectory = (*Directory)(nil)
+	_ dispatch.NotifyingDirectory   = (*Directory)(nil)
 )
 
 // schedulerEntry is the state of one run of an engine as sent by the scheduler,
@@ -59,6 +62,7 @@
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	defer d.notify()
 	d.init()
 	for id, server := range view.Servers {
 		if d.rosterEntries[id].server != server {
@@ -79,6 +83,24 @@
 	}
 }
 
+// Changed implements [dispatch.NotifyingDirectory].
+func (d *Directory) Changed() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.changed == nil {
+		d.changed = make(chan struct{})
+	}
+	return d.changed
+}
+
+// notify reports a change of the lists. The caller holds the lock.
+func (d *Directory) notify() {
+	if d.changed != nil && !d.index.current() {
+		close(d.changed)
+		d.changed = nil
+	}
+}
+
 func (d *Directory) init() {
 	if d.schedulerEntries == nil {
 		d.schedulerEntries = make(map[fleet.ServerID]schedulerEntry)
@@ -93,6 +115,7 @@
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	defer d.notify()
 	d.init()
 	for i := range engines {
 		update := &engines[i]
