Servers that say that they leave, or that they want rest, get no requests

Change: an answer that says that its server leaves makes that run of the server draining on this node at once, on the others by gossip, and keeps it so whatever the store lists later; a new run is served again. Reports and answers to orders count too.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -132,7 +132,8 @@
 	// Fresh is set if the attempt must use a new connection.
 	Fresh bool
 
-	slot *slot
+	dispatcher *Dispatcher
+	slot       *slot
 	// progress counts the reads that returned a part of the answer.
 	progress atomic.Uint64
 	ctx      context.Context //nolint:containedctx // an attempt lives as long as its context
@@ -141,8 +142,8 @@
 	err      error
 }
 
-func newAttempt(parent context.Context, taken *slot) *Attempt {
-	a := &Attempt{Replica: taken.replica, Fresh: taken.fresh, slot: taken}
+func (d *Dispatcher) newAttempt(parent context.Context, taken *slot) *Attempt {
+	a := &Attempt{Replica: taken.replica, Fresh: taken.fresh, dispatcher: d, slot: taken}
 	a.ctx, a.cancel = context.WithCancelCause(parent)
 	return a
 }
@@ -166,6 +167,21 @@
 	a.slot.server.recordLoad(time.Now(), a.slot, running+queued)
 }
 
+// RecordLeaving records that the server reported with its answer that it leaves, so
+// that it gets no further calls in this run of its process.
+func (a *Attempt) RecordLeaving() {
+	a.slot.server.recordLeaving(a.Replica.Boot)
+	if a.dispatcher.leaveRecorder != nil {
+		a.dispatcher.leaveRecorder.RecordLeaving(a.Replica.Server, a.Replica.Boot)
+	}
+}
+
+// RecordRest records that the server declined the call and wants no requests of this
+// node for a time.
+func (a *Attempt) RecordRest(duration time.Duration) {
+	a.dispatcher.RecordRest(a.Replica.Server, duration)
+}
+
 // AddRequestSize records the size of the request in bytes.
 func (a *Attempt) AddRequestSize(count int) { a.slot.bytes.Add(int64(count)) }
 
--- a/internal/dispatch/callrunner.go
+++ b/internal/dispatch/callrunner.go
@@ -78,7 +78,7 @@
 // connection was silent. It reports false if the server is no longer usable.
 func (r *callRunner) retakeSlot(last retry.Attempt) (*slot, bool) {
 	for _, replica := range r.replicas(r.call) {
-		if replica.Server == last.Server {
+		if replica.Server == last.Server && !r.servers.get(replica.Server).closedTo(time.Now(), replica.Boot) {
 			taken := r.takeSlotAt(r.call, replica, time.Now(), "")
 			taken.fresh = true
 			return taken, true
@@ -115,7 +115,7 @@
 // its first byte has been received or it has failed.
 func (r *callRunner) startAttempt(taken *slot, results chan<- *Attempt) *Attempt {
 	r.meters.sends.Inc(1)
-	a := newAttempt(r.call.Context, taken)
+	a := r.newAttempt(r.call.Context, taken)
 	r.Log.LogAttrs(a.ctx, slog.LevelInfo, "request sent",
 		slog.String("request", string(r.call.ID)), slog.String("server", string(taken.replica.Server)),
 		slog.String("item", taken.replica.Item.String()), slog.Int("attempt", len(r.call.failedAttempts)+1),
--- a/internal/dispatch/directory.go
+++ b/internal/dispatch/directory.go
@@ -62,6 +62,12 @@
 	Changed() <-chan struct{}
 }
 
+// LeaveRecorder is implemented by a [Directory] that lists a server as draining once
+// the server itself has reported that it leaves.
+type LeaveRecorder interface {
+	RecordLeaving(server fleet.ServerID, boot fleet.BootID)
+}
+
 // Estimate is the expected course of a load, as estimated by a [Loader].
 type Estimate struct {
 	// ReadyIn is the time until the first replica is ready.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -50,14 +50,16 @@
 	once         sync.Once
 	callObserver Observer
 	slotObserver SlotObserver
-	meters       meters
-	servers      serverShards
-	queues       queueShards
-	prefixes     prefixState
-	budgets      budgets
-	link         linkState
-	poison       *poison.Controller
-	background   sync.WaitGroup
+	// leaveRecorder is nil if the directory does not implement it.
+	leaveRecorder LeaveRecorder
+	meters        meters
+	servers       serverShards
+	queues        queueShards
+	prefixes      prefixState
+	budgets       budgets
+	link          linkState
+	poison        *poison.Controller
+	background    sync.WaitGroup
 }
 
 func (d *Dispatcher) setUp() {
@@ -71,6 +73,7 @@
 	}
 	d.callObserver, _ = d.Loader.(Observer)
 	d.slotObserver, _ = d.Loader.(SlotObserver)
+	d.leaveRecorder, _ = d.Directory.(LeaveRecorder)
 	d.Rand = SharedRand(d.Rand)
 	d.queues.setUp()
 	d.budgets.setUp()
@@ -99,7 +102,7 @@
 // A few requests are enough to rebuild it.
 func (d *Dispatcher) housekeep(ctx context.Context) error {
 	for wait.For(ctx, housekeepInterval) {
-		d.servers.removeIdle()
+		d.servers.removeIdle(time.Now())
 	}
 	return nil
 }
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -142,19 +142,24 @@
 // one replica.
 func (d *Dispatcher) capacity(call *Call, now time.Time, readyIn time.Duration) (capacity admission.Capacity) {
 	replicas := d.replicas(call)
+	var restLeft time.Duration
 	for i := range replicas {
 		if replicas[i].Region != d.Place.Region && len(replicas) > 1 && d.Place.Region != "" {
 			continue
 		}
-		candidate := d.servers.get(replicas[i].Server).candidate(now, &replicas[i], call)
+		state := d.servers.get(replicas[i].Server)
+		if left := state.restLeft(now); left > 0 && (restLeft == 0 || left < restLeft) {
+			restLeft = left
+		}
+		candidate := state.candidate(now, &replicas[i], call)
 		capacity.Slots += candidate.Limit
 		capacity.Free += max(0, candidate.Limit-candidate.InFlight)
 	}
 	if capacity.Slots == 0 {
 		// There is no replica, or none that accepts calls now: assume one that is
-		// ready after readyIn.
+		// ready after readyIn, or when the first server wants requests again.
 		slots := max(1, call.Concurrency)
-		return admission.Capacity{Slots: slots, Free: slots, ReadyIn: readyIn}
+		return admission.Capacity{Slots: slots, Free: slots, ReadyIn: max(readyIn, restLeft)}
 	}
 	return capacity
 }
--- a/internal/dispatch/servers.go
+++ b/internal/dispatch/servers.go
@@ -60,6 +60,10 @@
 	// unreachableCount how often in a row it was paused for that.
 	unreachableUntil time.Time
 	unreachableCount int
+	// restUntil is until when the server wants no requests of this node.
+	restUntil time.Time
+	// leavingBoot is the run of the server's process that reported that it leaves.
+	leavingBoot fleet.BootID
 	// endedBoot is the latest run of the server's process known to have ended.
 	endedBoot fleet.BootID
 	// crashRecorded is closed after the end of endedBoot has been recorded against
@@ -96,13 +100,14 @@
 	return state
 }
 
-// removeIdle removes the state of servers that run no request of this node.
-func (s *serverShards) removeIdle() {
+// removeIdle removes the state of servers that run no request of this node, except
+// of those that want no requests for some time or leave.
+func (s *serverShards) removeIdle(now time.Time) {
 	for i := range s.shards {
 		shard := &s.shards[i]
 		shard.mu.Lock()
 		for id, state := range shard.servers {
-			if state.runningCount() == 0 {
+			if state.idle(now) {
 				delete(shard.servers, id)
 			}
 		}
@@ -117,6 +122,13 @@
 	return len(s.running)
 }
 
+// idle reports whether the state holds nothing that is still needed.
+func (s *serverState) idle(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.running) == 0 && !now.Before(s.restUntil) && s.leavingBoot == ""
+}
+
 // slotGroup returns the slot group of a replica, with its bound updated. The
 // caller holds the lock.
 func (s *serverState) slotGroup(replica *Replica) *slotGroup {
@@ -195,8 +207,8 @@
 // unavailable reports whether the call must not be sent to the server now. The
 // caller holds the lock.
 func (s *serverState) unavailable(now time.Time, replica *Replica, call *Call) bool {
-	return s.exclusive != nil && s.exclusive != call || now.Before(s.unreachableUntil) ||
-		replica.Boot != "" && replica.Boot == s.endedBoot || s.lacksItem(now, replica.Item)
+	return s.exclusive != nil && s.exclusive != call || now.Before(s.unreachableUntil) || now.Before(s.restUntil) ||
+		replica.Boot != "" && (replica.Boot == s.endedBoot || replica.Boot == s.leavingBoot) || s.lacksItem(now, replica.Item)
 }
 
 // lacksItem reports whether the server is assumed not to hold an item, because it
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -67,6 +67,8 @@
 	Dispatcher    *dispatch.Dispatcher
 	Exchange      *platform.Exchange
 	Poison        *poison.Gossip
+	LeaveNotices  *roster.LeaveNotices
+	Engines       *platform.Engines
 	Endpoints     *endpoints
 }
 
@@ -117,7 +119,7 @@
 		{Name: "reporter", Run: n.components.Reporter.Run},
 		{Name: "scheduler", Run: n.components.Scheduler.Run},
 		{Name: "dispatcher", Run: n.components.Dispatcher.Run},
-		{Name: "poison", Run: n.receivePoisonNotices},
+		{Name: "notices", Run: n.receiveNotices},
 		{Name: "pauses", Run: n.watchPauses},
 	}
 }
@@ -151,14 +153,15 @@
 	return nil
 }
 
-// poisonGossipInterval is the time between two reads of the notices of other nodes,
-// received by gossip, about requests that crash backend servers.
-const poisonGossipInterval = time.Second
+// noticeInterval is the time between two reads of the notices of other nodes, received
+// by gossip, about requests that crash backend servers and about servers that leave.
+const noticeInterval = time.Second
 
-func (n *Node) receivePoisonNotices(ctx context.Context) error {
+func (n *Node) receiveNotices(ctx context.Context) error {
 	for ctx.Err() == nil {
-		wait.For(ctx, poisonGossipInterval)
+		wait.For(ctx, noticeInterval)
 		n.components.Poison.Receive()
+		n.components.LeaveNotices.Receive()
 	}
 	return nil
 }
--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -27,7 +27,7 @@
 // that depend on each other are set by connect.
 var providers = fx.Provide(
 	metrics.NewRegistry, newStore, newTable, newServerRelay, newManifestRelay, newRoster, newPeers, newMembers, newLease,
-	newDirectory, newReporter, newScheduler, newExchange, newDispatcher, newGossip, newEndpoints,
+	newDirectory, newReporter, platform.NewEngines, newScheduler, newExchange, newDispatcher, newGossip, newLeaveNotices, newEndpoints,
 )
 
 const (
@@ -190,11 +190,11 @@
 
 func newScheduler(
 	n *Node, rosterController *roster.Controller, leaseController *lease.Controller,
-	peers *peer.Peer, registry metrics.Registry,
+	engines *platform.Engines, peers *peer.Peer, registry metrics.Registry,
 ) *placement.Scheduler {
 	return &placement.Scheduler{
 		Holder: n.vmID(), View: rosterController.View, Lease: leaseController,
-		Engines: platform.NewEngines(), Peers: peers, Node: n.ID,
+		Engines: engines, Peers: peers, Node: n.ID,
 		StoreLoads: n.Settings.WeightStore.Concurrent, AdapterLoads: n.Settings.WeightStore.AdaptersInFlight,
 		Log: n.Log, Metrics: registry,
 	}
@@ -223,6 +223,10 @@
 	return &poison.Gossip{Node: n.ID, Facts: members, Log: n.Log}
 }
 
+func newLeaveNotices(n *Node, rosterController *roster.Controller, members *member.Controller) *roster.LeaveNotices {
+	return &roster.LeaveNotices{Node: n.ID, Roster: rosterController, Facts: members, Log: n.Log}
+}
+
 const (
 	// retryShare is the share of the fleet's retry allowance that the nodes use.
 	// minNodes is the minimum number of nodes by which the burst is divided: some
@@ -241,7 +245,8 @@
 // connect sets the references between components that depend on each other and
 // registers the methods that nodes call on each other, before any component runs.
 func connect(p components) {
-	p.Directory.View = p.Roster.View
+	p.Directory.View, p.Directory.Leaving = p.Roster.View, p.LeaveNotices
+	p.Engines.Leaving, p.Engines.Rests = p.LeaveNotices, p.Dispatcher
 	p.Peers.Resolve, p.Peers.InOtherRegion = p.Members.Resolve, p.Members.InOtherRegion
 	p.Members.Register()
 	p.Lease.Register()
--- a/internal/placement/directory.go
+++ b/internal/placement/directory.go
@@ -13,6 +13,8 @@
 // Its exported fields are set before use.
 type Directory struct {
 	View func() *roster.View
+	// Leaving records that a server leaves; it may be nil.
+	Leaving dispatch.LeaveRecorder
 
 	mu sync.RWMutex
 	// schedulerEntries holds the engine states that the scheduler sent,
@@ -34,6 +36,7 @@
 	_ dispatch.Directory            = (*Directory)(nil)
 	_ dispatch.TimestampedDirectory = (*Directory)(nil)
 	_ dispatch.NotifyingDirectory   = (*Directory)(nil)
+	_ dispatch.LeaveRecorder        = (*Directory)(nil)
 )
 
 // schedulerEntry is the state of one run of an engine as sent by the scheduler,
@@ -83,6 +86,13 @@
 	}
 }
 
+// RecordLeaving implements [dispatch.LeaveRecorder].
+func (d *Directory) RecordLeaving(server fleet.ServerID, boot fleet.BootID) {
+	if d.Leaving != nil {
+		d.Leaving.RecordLeaving(server, boot)
+	}
+}
+
 // Changed implements [dispatch.NotifyingDirectory].
 func (d *Directory) Changed() <-chan struct{} {
 	d.mu.Lock()
--- a/internal/roster/controller.go
+++ b/internal/roster/controller.go
@@ -83,6 +83,9 @@
 	// expiredAt holds, for each server that is kept although its entry expired, when
 	// that was noticed. Such servers are kept because the store was unreachable.
 	expiredAt map[fleet.ServerID]time.Time
+	// leaving holds the runs of servers that have themselves reported that they leave,
+	// whatever their entries say, and when that was recorded.
+	leaving map[fleet.BootID]time.Time
 	// recoveredAt is when the list of servers was last read again after a failure.
 	recoveredAt time.Time
 }
@@ -99,7 +102,9 @@
 func (c *Controller) Run(ctx context.Context) error {
 	c.Log = logs.OrDiscard(c.Log)
 	c.Metrics = metric.OrNew(c.Metrics)
-	c.expiredAt = make(map[fleet.ServerID]time.Time)
+	c.mu.Lock()
+	c.init()
+	c.mu.Unlock()
 	var group sync.WaitGroup
 	group.Go(func() {
 		watch := watcher[ServerEntry]{
@@ -173,6 +178,9 @@
 // setServer adds a server or replaces its description.
 func (c *Controller) setServer(servers map[fleet.ServerID]*Server, server *Server) {
 	old := servers[server.ID]
+	if _, leaves := c.leaving[server.Boot]; leaves {
+		server = server.asDraining()
+	}
 	servers[server.ID] = server
 	switch {
 	case old == nil || old.Boot != server.Boot:
@@ -183,6 +191,43 @@
 	}
 }
 
+func (c *Controller) init() {
+	if c.expiredAt == nil {
+		c.expiredAt = make(map[fleet.ServerID]time.Time)
+		c.leaving = make(map[fleet.BootID]time.Time)
+	}
+}
+
+// leavingRetention is how long it is kept that a run of a server leaves: longer than
+// any entry of that run can be read again.
+const leavingRetention = 10 * time.Minute
+
+// RecordLeaving records that a run of a server has itself reported that it leaves. From
+// then on it is draining, whatever its entries say, until it has another run. It
+// reports whether that was not recorded before.
+func (c *Controller) RecordLeaving(id fleet.ServerID, boot fleet.BootID) (recorded bool) {
+	if boot == "" {
+		return false
+	}
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.init()
+	if _, known := c.leaving[boot]; known {
+		return false
+	}
+	maps.DeleteFunc(c.leaving, func(_ fleet.BootID, at time.Time) bool { return now.Sub(at) > leavingRetention })
+	c.leaving[boot] = now
+	logs.OrDiscard(c.Log).Info("server leaves", slog.String("server", string(id)), slog.String("boot", string(boot)))
+	if server := c.View().Servers[id]; server != nil && server.Boot == boot && !server.Draining {
+		c.updateViewLocked(func(next *View) {
+			next.Servers = maps.Clone(next.Servers)
+			next.Servers[id] = server.asDraining()
+		})
+	}
+	return true
+}
+
 // removeServer removes a server. If the store has been unreachable until shortly
 // before, it only notes the time, since the server may register itself again.
 func (c *Controller) removeServer(now time.Time, servers map[fleet.ServerID]*Server, id fleet.ServerID) {
@@ -228,6 +273,11 @@
 func (c *Controller) updateView(apply func(next *View)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.updateViewLocked(apply)
+}
+
+// updateViewLocked publishes the next view. The caller holds the lock.
+func (c *Controller) updateViewLocked(apply func(next *View)) {
 	next := *c.View()
 	apply(&next)
 	c.view.Store(&next)
--- a/internal/roster/server.go
+++ b/internal/roster/server.go
@@ -26,6 +26,13 @@
 	Engine *Engine `json:"engine,omitempty"`
 }
 
+// asDraining returns a description of the server in which it is draining.
+func (s *Server) asDraining() *Server {
+	draining := *s
+	draining.Draining = true
+	return &draining
+}
+
 // Engine lists the models that an engine has loaded and the copies of weights on
 // its VM.
 type Engine struct {
