A store that comes back from an older copy begins a new era

Feeds, conditions, the lease and fencing numbers compared bare numbers.

Change: revisions, versions and fencing numbers have the era in their high bits. A feed of an earlier era is listed again, also if its number exists; answers of an earlier era are put aside. Nodes write their records again. A holder of the lease gives no order in a new era until it has claimed the lease again; others wait for the time for which a holder that knows nothing of it may act.

Ruled out: a holder that goes on with its fencing number; the restored record may name it with an older one.

--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -25,6 +25,7 @@
 	"github.com/guavatrack/guavatrack/internal/roster"
 	"github.com/guavatrack/guavatrack/internal/run"
 	"github.com/guavatrack/guavatrack/internal/settings"
+	"github.com/guavatrack/guavatrack/internal/table"
 	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 	"github.com/guavatrack/guavatrack/platform"
@@ -55,6 +56,7 @@
 	fx.In
 
 	Metrics       metrics.Registry
+	Store         *platform.Store
 	Roster        *roster.Controller
 	ServerRelay   *roster.Relay[roster.ServerEntry]
 	ManifestRelay *roster.Relay[*roster.Manifest]
@@ -231,6 +233,14 @@
 	_ = n.app.Stop(context.Background())
 }
 
+// storeRestored handles a store that was restored from an older copy: what this node has
+// written may be gone, and the lease is in doubt.
+func (n *Node) storeRestored(era table.Era) {
+	n.Log.Warn("store restored from an older copy", slog.Uint64("era", uint64(era)))
+	n.components.Members.RegisterAgain()
+	n.components.Lease.Suspect()
+}
+
 // Resources of requests. A request uses one connection to its caller and one to a
 // backend server. reservedDescriptors are left to the node itself. The bodies of
 // requests may take the node's memory divided by bodyMemoryDivisor.
--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -55,7 +55,9 @@
 	}}}
 }
 
-func newTable(store *platform.Store) table.Store { return &platform.Table{Store: store} }
+func newTable(store *platform.Store) table.Store {
+	return &platform.Table{Store: store, Guarded: map[string]bool{leaseKey.Partition: true}}
+}
 
 func newServerRelay(
 	n *Node, store *platform.Store, peers *peer.Peer, members *member.Controller, registry metrics.Registry,
@@ -113,14 +115,16 @@
 // that a VM that replaces another one under the same name has a different ID.
 func (n *Node) vmID() string { return n.Settings.Node.Name + "@" + n.Settings.Peers.Listen }
 
-func newLease(n *Node, store table.Store, members *member.Controller, peers *peer.Peer) *lease.Controller {
+func newLease(
+	n *Node, platformStore *platform.Store, store table.Store, members *member.Controller, peers *peer.Peer,
+) *lease.Controller {
 	return &lease.Controller{
 		State: lease.State{
 			VM: n.vmID(), Node: n.ID, LeaseDuration: leaseDuration,
 			HandoverDelay: n.Settings.Platform.HandOver.Std(), ShortLeaseDuration: shortLeaseDuration,
 		},
 		Deputies: func() []fleet.NodeID { return n.deputies(members) }, Peers: peers,
-		Store: store, Key: leaseKey, ClaimDelay: func() time.Duration { return n.claimDelay(members) }, Log: n.Log,
+		Store: store, Era: platformStore.Era, Key: leaseKey, ClaimDelay: func() time.Duration { return n.claimDelay(members) }, Log: n.Log,
 	}
 }
 
@@ -244,10 +248,11 @@
 
 // connect sets the references between components that depend on each other and
 // registers the methods that nodes call on each other, before any component runs.
-func connect(p components) {
+func connect(n *Node, p components) {
 	p.Directory.View, p.Directory.Leaving = p.Roster.View, p.LeaveNotices
 	p.Engines.Leaving, p.Engines.Rests = p.LeaveNotices, p.Dispatcher
 	p.Peers.Resolve, p.Peers.InOtherRegion = p.Members.Resolve, p.Members.InOtherRegion
+	p.Store.OnRestored = n.storeRestored
 	p.Members.Register()
 	p.Lease.Register()
 	p.ServerRelay.Register()
--- a/internal/lease/controller.go
+++ b/internal/lease/controller.go
@@ -35,6 +35,8 @@
 	State State
 	Store table.Store
 	Key   table.Key
+	// Era returns the latest era of the table that any answer has had; it may be nil.
+	Era func() table.Era
 	// Clock includes the time for which the VM was suspended; nil means [BootTime].
 	Clock func() time.Duration
 	// ClaimDelay returns the total time to wait before claiming a free lease, so that
@@ -77,9 +79,22 @@
 	c.init()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.syncEra()
 	return c.State.MayAct(c.Clock())
 }
 
+// syncEra updates the state with the era of the table. A holder that reads a new one
+// has to renew at once, since it may not act before. The caller holds the lock.
+func (c *Controller) syncEra() {
+	if c.Era == nil || !c.State.ObserveEra(c.Clock(), c.Era()) {
+		return
+	}
+	c.Log.Warn("lease in doubt, the table was restored", slog.Uint64("era", uint64(c.State.era)),
+		slog.Bool("held", c.State.heldThrough), slog.Uint64("fencing", uint64(c.State.record.Fencing)))
+	c.suspect = true
+	c.wake.Notify()
+}
+
 // IsHolder reports whether this process holds the lease. It may still have to wait for
 // the handover delay before it acts.
 func (c *Controller) IsHolder() bool {
@@ -139,6 +154,7 @@
 // step performs the action that is due and returns the time until the next step.
 func (c *Controller) step(ctx context.Context) time.Duration {
 	c.mu.Lock()
+	c.syncEra()
 	isHolder, suspect, released := c.State.isHolder, c.suspect || c.requestOverdue(), c.released
 	c.mu.Unlock()
 	switch {
--- a/internal/lease/state.go
+++ b/internal/lease/state.go
@@ -23,6 +23,8 @@
 	// Deputy is the process that may claim the lease before it expires; empty if
 	// there is none.
 	Deputy fleet.NodeID `json:"deputy,omitempty"`
+	// Era is the era of the table in which the record was written.
+	Era table.Era `json:"era,omitempty"`
 }
 
 // State is the lease protocol of one process, as a state machine. It decides
@@ -52,6 +54,7 @@
 	// isHolder reports whether this process is the holder.
 	isHolder bool
 	deputyState
+	eraState
 }
 
 // clockMargin is added to waits that must not be shorter than the same time
@@ -61,6 +64,9 @@
 // Observe updates the state with the record that was read at the given time. The
 // version is [table.Absent] if there is no record.
 func (s *State) Observe(now time.Duration, record Record, version table.Version) {
+	if version != table.Absent {
+		s.ObserveEra(now, version.Era())
+	}
 	if !s.observed || version != s.version {
 		s.changedAt = now
 	}
@@ -71,6 +77,9 @@
 		s.promiseEnd = 0
 	}
 	s.observed, s.record, s.version = true, record, version
+	if s.era > 0 && s.ofThisEra() && record.Node != s.Node {
+		s.heldThrough = false // Another process has claimed the lease since.
+	}
 	// A record that still names this process but that it did not expect was
 	// written by a renewal whose response was lost.
 	if s.isHolder && (record.Node != s.Node || record.Released) {
@@ -87,17 +96,20 @@
 	}
 	claimable := s.version == table.Absent || s.record.Released || s.record.Holder == s.VM ||
 		now-s.changedAt >= s.LeaseDuration+clockMargin || s.mayClaimAsDeputy(now)
-	if !claimable {
+	if !(claimable || s.heldThrough) || !s.earlierHoldersEnded(now) {
 		return Record{}, 0, false
 	}
 	s.claimPending = true
-	record = Record{Holder: s.VM, Node: s.Node, Fencing: fleet.FencingNumber(s.version) + 1, Acting: s.skipsHandover()}
+	record = Record{Holder: s.VM, Node: s.Node, Fencing: s.nextFencing(), Acting: s.skipsHandover(), Era: s.era}
 	return record, s.version, true
 }
 
 // skipsHandover reports whether a claim needs no handover delay, since no other
 // VM can have acted recently.
 func (s *State) skipsHandover() bool {
+	if !s.ofThisEra() {
+		return s.heldThrough
+	}
 	return s.version == table.Absent || s.record.Holder == s.VM && s.record.Acting
 }
 
@@ -107,12 +119,16 @@
 	record = s.record
 	record.Acting = record.Acting || now >= s.actFrom
 	record.Deputy = s.deputyToName(deputy)
+	record.Era = s.era
 	return record, s.version
 }
 
 // ClaimSucceeded updates the state after the claim sent at the given time took
 // effect, which was at now or before.
 func (s *State) ClaimSucceeded(sent, now time.Duration, record Record, version table.Version) {
+	if record.Era != s.era {
+		return // The table has been restored since.
+	}
 	s.actFrom = now
 	if !record.Acting {
 		s.actFrom = now + s.HandoverDelay + clockMargin
@@ -125,6 +141,9 @@
 // RenewalSucceeded updates the state after the renewal sent at the given time
 // took effect.
 func (s *State) RenewalSucceeded(sent time.Duration, record Record, version table.Version) {
+	if record.Era != s.era {
+		return // The table has been restored since.
+	}
 	if record.Deputy != s.record.Deputy {
 		s.promiseEnd = 0
 	}
--- a/internal/lease/state_test.go
+++ b/internal/lease/state_test.go
@@ -45,6 +45,9 @@
 	now     time.Duration
 	record  lease.Record
 	version table.Version
+	// era is that of the store, history its earlier states.
+	era     table.Era
+	history []storeState
 	vms     []*vm
 	// writes and promiseMessages are in flight.
 	writes          []write
@@ -53,6 +56,13 @@
 	lastAction action
 }
 
+// storeState is the record as of a time at which it was written.
+type storeState struct {
+	at      time.Duration
+	record  lease.Record
+	version table.Version
+}
+
 type vm struct {
 	name   string
 	term   lease.State
@@ -116,7 +126,11 @@
 	if delivered.expect != s.version {
 		return
 	}
-	s.record, s.version = delivered.record, s.version+1
+	s.history = append(s.history, storeState{at: s.now, record: s.record, version: s.version})
+	s.record, s.version = delivered.record, table.VersionIn(s.era, s.version.Writes()+1)
+	if delivered.record.Era != s.era {
+		return // The answer shows that the conditions were those of another era.
+	}
 	if delivered.lost || delivered.released || delivered.by.term.Node != delivered.node {
 		return
 	}
@@ -127,6 +141,28 @@
 	}
 }
 
+// restore replaces the record by an earlier one, at most as old as maxAge.
+func (s *simulation) restore(t *rapid.T, maxAge time.Duration) {
+	oldest := len(s.history)
+	for oldest > 0 && s.now-s.history[oldest-1].at < maxAge {
+		oldest--
+	}
+	s.era++
+	if back := rapid.IntRange(oldest, len(s.history)).Draw(t, "state"); back < len(s.history) {
+		s.record, s.version = s.history[back].record, s.history[back].version
+		s.history = s.history[:back]
+	}
+	if s.version != table.Absent {
+		s.version = table.VersionIn(s.era, s.version.Writes())
+	}
+}
+
+// read has a VM read the record.
+func (s *simulation) read(v *vm) {
+	v.term.ObserveEra(s.now, s.era)
+	v.term.Observe(s.now, s.record, s.version)
+}
+
 // deliverPromiseMessage delivers a request to the deputy, or a promise to the
 // holder.
 func (s *simulation) deliverPromiseMessage(i int) {
@@ -213,52 +249,76 @@
 func TestNoTwoVMsActWithinTheHandoverDelay(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation()
-		pick := func(t *rapid.T) *vm { return s.vms[rapid.IntRange(0, len(s.vms)-1).Draw(t, "vm")] }
-		send := func(t *rapid.T, v *vm, record lease.Record, expect table.Version, claim bool) {
-			s.writes = append(s.writes, write{
-				by: v, node: v.term.Node, sent: s.now, record: record, expect: expect, claim: claim,
-				lost: rapid.IntRange(0, 4).Draw(t, "lost") == 0,
-			})
-			if rapid.IntRange(0, 2).Draw(t, "late") > 0 {
-				s.deliver(len(s.writes) - 1)
-			}
-		}
-		t.Repeat(addSteps(s.deliveries(), map[string]func(*rapid.T){
-			"sleep": func(t *rapid.T) { s.now += time.Duration(rapid.IntRange(1, 12).Draw(t, "s")) * time.Second },
-			"look": func(t *rapid.T) {
-				pick(t).term.Observe(s.now, s.record, s.version)
-			},
-			"claim": func(t *rapid.T) {
-				v := pick(t)
-				if record, expect, ok := v.term.Claim(s.now); ok {
-					send(t, v, record, expect, true)
-				}
-			},
-			"renew": func(t *rapid.T) {
-				if v := pick(t); v.term.IsHolder() {
-					deputy := pick(t).term.Node
-					if deputy == v.term.Node {
-						deputy = ""
-					}
-					record, expect := v.term.Renewal(s.now, deputy)
-					send(t, v, record, expect, false)
-				}
-			},
-			"ask": func(t *rapid.T) { s.requestPromise(t, pick(t)) },
-			"release": func(t *rapid.T) {
-				if v := pick(t); v.term.IsHolder() {
-					record, expect := v.term.Renewal(s.now, "")
-					record.Released = true
-					s.writes = append(s.writes, write{by: v, record: record, expect: expect, released: true})
-					s.start(v)
-				}
+		t.Repeat(s.allSteps())
+	})
+}
+
+// TestNoTwoVMsActAfterTheTableIsRestored checks the same while the table is restored
+// from copies that are up to some seconds old, which VMs notice sooner or later, or
+// not at all.
+func TestNoTwoVMsActAfterTheTableIsRestored(t *testing.T) {
+	const maxAge = 10 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSimulation()
+		t.Repeat(addSteps(s.allSteps(), map[string]func(*rapid.T){
+			"restore": func(t *rapid.T) { s.restore(t, maxAge) },
+			"noticeEra": func(t *rapid.T) {
+				s.pick(t).term.ObserveEra(s.now, s.era)
 			},
-			"restart": func(t *rapid.T) { s.start(pick(t)) },
-			"act":     func(t *rapid.T) { s.tryAct(t, pick(t)) },
 		}))
 	})
 }
 
+func (s *simulation) pick(t *rapid.T) *vm {
+	return s.vms[rapid.IntRange(0, len(s.vms)-1).Draw(t, "vm")]
+}
+
+// send sends a write and delivers it at once or later.
+func (s *simulation) send(t *rapid.T, v *vm, record lease.Record, expect table.Version, claim bool) {
+	s.writes = append(s.writes, write{
+		by: v, node: v.term.Node, sent: s.now, record: record, expect: expect, claim: claim,
+		lost: rapid.IntRange(0, 4).Draw(t, "lost") == 0,
+	})
+	if rapid.IntRange(0, 2).Draw(t, "late") > 0 {
+		s.deliver(len(s.writes) - 1)
+	}
+}
+
+// allSteps returns the steps of VMs that do anything in any order.
+func (s *simulation) allSteps() map[string]func(*rapid.T) {
+	return addSteps(s.deliveries(), map[string]func(*rapid.T){
+		"sleep": func(t *rapid.T) { s.now += time.Duration(rapid.IntRange(1, 12).Draw(t, "s")) * time.Second },
+		"look":  func(t *rapid.T) { s.read(s.pick(t)) },
+		"claim": func(t *rapid.T) {
+			v := s.pick(t)
+			if record, expect, ok := v.term.Claim(s.now); ok {
+				s.send(t, v, record, expect, true)
+			}
+		},
+		"renew": func(t *rapid.T) {
+			if v := s.pick(t); v.term.IsHolder() {
+				deputy := s.pick(t).term.Node
+				if deputy == v.term.Node {
+					deputy = ""
+				}
+				record, expect := v.term.Renewal(s.now, deputy)
+				s.send(t, v, record, expect, false)
+			}
+		},
+		"ask": func(t *rapid.T) { s.requestPromise(t, s.pick(t)) },
+		"release": func(t *rapid.T) {
+			if v := s.pick(t); v.term.IsHolder() {
+				record, expect := v.term.Renewal(s.now, "")
+				record.Released = true
+				s.writes = append(s.writes, write{by: v, record: record, expect: expect, released: true})
+				s.start(v)
+			}
+		},
+		"restart": func(t *rapid.T) { s.start(s.pick(t)) },
+		"act":     func(t *rapid.T) { s.tryAct(t, s.pick(t)) },
+	})
+}
+
 // TestDeputyActsOnlyAfterTheHoldersRightEnded starts with a holder that has named
 // a deputy, and lets every VM act after each step if it may.
 func TestDeputyActsOnlyAfterTheHoldersRightEnded(t *testing.T) {
@@ -267,7 +327,7 @@
 		holder := s.vms[0]
 		readAll := func() {
 			for _, v := range s.vms {
-				v.term.Observe(s.now, s.record, s.version)
+				s.read(v)
 			}
 		}
 		send := func(record lease.Record, expect table.Version, by *vm, claim bool) {
@@ -301,7 +361,7 @@
 			"pass2": func(t *rapid.T) { s.now += time.Duration(rapid.IntRange(900, 2800).Draw(t, "ms")) * time.Millisecond },
 			"renew": func(*rapid.T) { renew() },
 			"look": func(t *rapid.T) {
-				s.vms[rapid.IntRange(0, 2).Draw(t, "vm")].term.Observe(s.now, s.record, s.version)
+				s.read(s.vms[rapid.IntRange(0, 2).Draw(t, "vm")])
 			},
 			"claim": func(t *rapid.T) {
 				v := s.vms[rapid.IntRange(1, 2).Draw(t, "vm")]
@@ -313,3 +373,58 @@
 		}))
 	})
 }
+
+// TestHolderThatIsMissingInARestoredTableEndsFirst restores the table to the state
+// before the holder's claim: there was no record, or it had been released, or belonged
+// to another VM or to an earlier process of the same. The holder notices late or not at
+// all, and every VM acts after each step if it may.
+func TestHolderThatIsMissingInARestoredTableEndsFirst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSimulation()
+		holder := s.vms[0]
+		former := s.vms[rapid.IntRange(0, 2).Draw(t, "former")]
+		if rapid.Bool().Draw(t, "record") {
+			s.version = 5
+			s.record = lease.Record{
+				Holder: former.name, Node: fleet.NodeID(former.name + "-0"), Fencing: 5, Acting: true,
+				Released: rapid.Bool().Draw(t, "released"), Deputy: s.vms[1].term.Node,
+			}
+		}
+		before := storeState{record: s.record, version: s.version}
+		for _, v := range s.vms {
+			s.read(v)
+		}
+		s.now += leaseDuration + time.Second
+		record, expect, _ := holder.term.Claim(s.now)
+		s.send(t, holder, record, expect, true)
+		for len(s.writes) > 0 {
+			s.deliver(0)
+		}
+		s.now += handoverDelay + time.Second
+		if holder.term.IsHolder() {
+			renewal, version := holder.term.Renewal(s.now, s.vms[2].term.Node)
+			s.send(t, holder, renewal, version, false)
+		}
+		s.era, s.record, s.version, s.history = 1, before.record, before.version, nil
+		if s.version != table.Absent {
+			s.version = table.VersionIn(s.era, s.version.Writes())
+		}
+		t.Repeat(addSteps(s.deliveries(), map[string]func(*rapid.T){
+			"": func(t *rapid.T) {
+				for _, v := range s.vms {
+					s.tryAct(t, v)
+				}
+			},
+			"pass2":     func(t *rapid.T) { s.now += time.Duration(rapid.IntRange(900, 2800).Draw(t, "ms")) * time.Millisecond },
+			"look":      func(t *rapid.T) { s.read(s.pick(t)) },
+			"noticeEra": func(t *rapid.T) { s.pick(t).term.ObserveEra(s.now, s.era) },
+			"claim": func(t *rapid.T) {
+				v := s.pick(t)
+				if record, expect, ok := v.term.Claim(s.now); ok {
+					s.send(t, v, record, expect, true)
+				}
+			},
+			"ask": func(t *rapid.T) { s.requestPromise(t, holder) },
+		}))
+	})
+}
--- a/internal/member/controller.go
+++ b/internal/member/controller.go
@@ -64,6 +64,8 @@
 	joined       chan struct{}
 	counts       counters
 	registration registration
+	// registerSignal has the node's record written again.
+	registerSignal wait.Signal
 	// reportedMembers is the number of live members that was logged last.
 	reportedMembers int
 }
@@ -78,6 +80,7 @@
 		}
 		c.Log = logs.OrDiscard(c.Log)
 		c.joined = make(chan struct{})
+		c.registerSignal = wait.NewSignal()
 		c.counts = newCounters(c.Metrics)
 		c.view = NewView(c.Self, c.Interval, c.Rand)
 		c.reportMembers(time.Now())
--- a/internal/member/registration.go
+++ b/internal/member/registration.go
@@ -73,12 +73,25 @@
 		interval := refreshInterval(len(c.Members()))
 		c.refreshRegistration(ctx, interval)
 		c.joinedOnce.Do(func() { close(c.joined) })
-		if !wait.For(ctx, c.jitter(interval)) {
+		if c.registerSignal.Wait(ctx, c.jitter(interval)) {
+			wait.For(ctx, c.jitter(maxRegisterDelay))
+		}
+		if ctx.Err() != nil {
 			return
 		}
 	}
 }
 
+// maxRegisterDelay is about how long a node waits before it registers again, so that
+// the nodes don't all write at once.
+const maxRegisterDelay = time.Second
+
+// RegisterAgain has the node write its record soon, because the table may have lost it.
+func (c *Controller) RegisterAgain() {
+	c.init()
+	c.registerSignal.Notify()
+}
+
 // refreshRegistration runs one round of keepRegistered. If the table does not
 // answer or there is none, only the seeds are tried.
 func (c *Controller) refreshRegistration(ctx context.Context, interval time.Duration) {
--- a/internal/roster/controller.go
+++ b/internal/roster/controller.go
@@ -86,6 +86,8 @@
 	// leaving holds the runs of servers that have themselves reported that they leave,
 	// whatever their entries say, and when that was recorded.
 	leaving map[fleet.BootID]time.Time
+	// gone holds the runs of servers whose entries were removed, and when.
+	gone map[fleet.BootID]time.Time
 	// recoveredAt is when the list of servers was last read again after a failure.
 	recoveredAt time.Time
 }
@@ -127,7 +129,7 @@
 
 // applyManifests applies manifests that were read. A version older than the one in
 // force is never applied.
-func (c *Controller) applyManifests(_ time.Time, manifests []*Manifest, _, _ bool) {
+func (c *Controller) applyManifests(_ time.Time, manifests []*Manifest, _ readKind) {
 	c.updateView(func(next *View) {
 		for _, manifest := range manifests {
 			if next.Manifest != nil && manifest.Version <= next.Manifest.Version {
@@ -142,10 +144,12 @@
 }
 
 // applyServers applies entries that were read. If they are the whole list, servers
-// without an entry are removed.
-func (c *Controller) applyServers(now time.Time, entries []ServerEntry, complete, recovered bool) {
+// without an entry are removed. In a restored store entries of servers may be missing
+// that have not registered again yet, and servers may be listed that have left: those
+// are not used until their entry is written again.
+func (c *Controller) applyServers(now time.Time, entries []ServerEntry, read readKind) {
 	c.updateView(func(next *View) {
-		if recovered {
+		if read.recovered || read.restored {
 			c.recoveredAt = now
 		}
 		next.ServersListed = true
@@ -160,10 +164,15 @@
 				c.removeServer(now, servers, entry.ID)
 				continue
 			}
+			if _, gone := c.gone[entry.Server.Boot]; gone && read.restored {
+				c.Log.Info("entry of a server that has left ignored", slog.String("server", string(entry.ID)))
+				continue
+			}
 			delete(c.expiredAt, entry.ID)
-			c.setServer(servers, entry.Server)
+			delete(c.gone, entry.Server.Boot)
+			c.setServer(now, servers, entry.Server)
 		}
-		if complete {
+		if read.complete {
 			for id := range next.Servers {
 				if !present[id] {
 					c.removeServer(now, servers, id)
@@ -175,11 +184,15 @@
 	})
 }
 
-// setServer adds a server or replaces its description.
-func (c *Controller) setServer(servers map[fleet.ServerID]*Server, server *Server) {
+// setServer adds a server or replaces its description. A run of a server that was
+// draining stays so.
+func (c *Controller) setServer(now time.Time, servers map[fleet.ServerID]*Server, server *Server) {
 	old := servers[server.ID]
-	if _, leaves := c.leaving[server.Boot]; leaves {
+	switch _, leaves := c.leaving[server.Boot]; {
+	case leaves:
 		server = server.asDraining()
+	case server.Draining && server.Boot != "":
+		remember(c.leaving, server.Boot, now)
 	}
 	servers[server.ID] = server
 	switch {
@@ -194,13 +207,20 @@
 func (c *Controller) init() {
 	if c.expiredAt == nil {
 		c.expiredAt = make(map[fleet.ServerID]time.Time)
+		c.gone = make(map[fleet.BootID]time.Time)
 		c.leaving = make(map[fleet.BootID]time.Time)
 	}
 }
 
-// leavingRetention is how long it is kept that a run of a server leaves: longer than
-// any entry of that run can be read again.
-const leavingRetention = 10 * time.Minute
+// bootRetention is how long it is kept that a run of a server leaves or is gone: longer
+// than an entry of that run can be read again.
+const bootRetention = 10 * time.Minute
+
+// remember records a time for a run of a server and drops those that are too old.
+func remember(boots map[fleet.BootID]time.Time, boot fleet.BootID, now time.Time) {
+	maps.DeleteFunc(boots, func(_ fleet.BootID, at time.Time) bool { return now.Sub(at) > bootRetention })
+	boots[boot] = now
+}
 
 // RecordLeaving records that a run of a server has itself reported that it leaves. From
 // then on it is draining, whatever its entries say, until it has another run. It
@@ -216,8 +236,7 @@
 	if _, known := c.leaving[boot]; known {
 		return false
 	}
-	maps.DeleteFunc(c.leaving, func(_ fleet.BootID, at time.Time) bool { return now.Sub(at) > leavingRetention })
-	c.leaving[boot] = now
+	remember(c.leaving, boot, now)
 	logs.OrDiscard(c.Log).Info("server leaves", slog.String("server", string(id)), slog.String("boot", string(boot)))
 	if server := c.View().Servers[id]; server != nil && server.Boot == boot && !server.Draining {
 		c.updateViewLocked(func(next *View) {
@@ -241,6 +260,9 @@
 		}
 		return
 	}
+	if boot := servers[id].Boot; boot != "" {
+		remember(c.gone, boot, now)
+	}
 	delete(servers, id)
 	delete(c.expiredAt, id)
 	c.Log.Info("server out", slog.String("server", string(id)))
--- a/internal/roster/feed.go
+++ b/internal/roster/feed.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/guavatrack/guavatrack/internal/table"
 	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
@@ -16,9 +17,25 @@
 // that the feed must be listed again.
 var ErrCompacted = errors.New("history is no longer kept")
 
-// Revision is a position in the store's sequence of changes.
+// Revision is a position in the store's sequence of changes. It holds the era of the
+// store in the high bits, so that each position of a store that was restored from an
+// older copy is after those of the time before.
 type Revision uint64
 
+// eraShift is the position of the era in a revision.
+const eraShift = 44
+
+// RevisionIn returns the revision of a number of changes in an era.
+func RevisionIn(era table.Era, changes uint64) Revision {
+	return Revision(uint64(era)<<eraShift | changes)
+}
+
+// Era returns the era of the store in which the revision was read.
+func (r Revision) Era() table.Era { return table.Era(r >> eraShift) }
+
+// Changes returns the number of changes in the store.
+func (r Revision) Changes() uint64 { return uint64(r) & (1<<eraShift - 1) }
+
 // ServerEntry is the entry of one server in the platform's list. Server is nil if
 // the entry was removed or describes no usable server.
 type ServerEntry struct {
@@ -26,6 +43,9 @@
 	Server *Server        `json:"server,omitempty"`
 }
 
+// errOldList reports a list that is older than what was read before.
+var errOldList = errors.New("list is older than what was read before")
+
 // Feed is a part of the platform's store that can be listed as a whole and watched
 // for changes.
 type Feed[T any] interface {
@@ -58,6 +78,11 @@
 	maxTimeoutPause = time.Second
 )
 
+// readKind says how entries were read: complete that they are all entries of the feed,
+// recovered that the read before failed, restored that they are the first since the
+// store was restored from an older copy.
+type readKind struct{ complete, recovered, restored bool }
+
 // watcher reads a feed and passes on its entries and their changes.
 type watcher[T any] struct {
 	name string
@@ -65,9 +90,8 @@
 	// minPause is the minimum pause between two reads, so that changes in quick
 	// succession are read together.
 	minPause time.Duration
-	// apply processes entries that were read. complete reports that they are all
-	// entries of the feed, recovered that the read before failed.
-	apply func(now time.Time, entries []T, complete, recovered bool)
+	// apply processes entries that were read.
+	apply func(now time.Time, entries []T, read readKind)
 	// maxTimeout is the maximum of timeout.
 	maxTimeout time.Duration
 	log        *slog.Logger
@@ -138,7 +162,7 @@
 	recovered := w.markRecovered()
 	w.revision = max(w.revision, revision)
 	if len(changes) > 0 || recovered {
-		w.apply(time.Now(), changes, false, recovered)
+		w.apply(time.Now(), changes, readKind{recovered: recovered})
 	}
 	return len(changes), nil
 }
@@ -147,11 +171,19 @@
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	entries, revision, err := w.feed.List(ctx)
-	if err != nil {
+	switch {
+	case err != nil:
 		return err
+	case revision < w.revision:
+		return errors.Wrapf(errOldList, "revision %d after %d", revision, w.revision)
+	}
+	restored := revision.Era() > w.revision.Era() && w.revision != 0
+	if restored {
+		w.log.Warn("store restored from an older copy", slog.String("feed", w.name),
+			slog.Uint64("era", uint64(revision.Era())), slog.Uint64("revision", revision.Changes()))
 	}
 	w.revision, w.listed = revision, true
-	w.apply(time.Now(), entries, true, w.markRecovered())
+	w.apply(time.Now(), entries, readKind{complete: true, recovered: w.markRecovered(), restored: restored})
 	return nil
 }
 
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -40,9 +40,28 @@
 	Sort      string
 }
 
-// Version is the number of writes to a record. The first write sets it to 1.
+// Version orders the states of a record. It is the number of writes to the record,
+// the first of which sets it to 1, plus the era of the store in the high bits: a store
+// that is restored from an older copy of itself begins a new era, in which it gives
+// out again numbers that it had given out before.
 type Version uint64
 
+// Era is the number of times that a store has been restored.
+type Era uint64
+
+// eraShift is the position of the era in a version. The number of writes to a record
+// fits below it.
+const eraShift = 40
+
+// VersionIn returns the version of a record with a number of writes in an era.
+func VersionIn(era Era, writes uint64) Version { return Version(uint64(era)<<eraShift | writes) }
+
+// Era returns the era in which the record was read or written.
+func (v Version) Era() Era { return Era(v >> eraShift) }
+
+// Writes returns the number of writes to the record.
+func (v Version) Writes() uint64 { return uint64(v) & (1<<eraShift - 1) }
+
 // Absent is the version of a record that doesn't exist.
 const Absent Version = 0
 
