Calls of a model that outgrow its copies bring a replica from the weight store

Cause: demand moves to models of which 3 or 4 VMs have copies.

Change: where the calls fill all replicas that a model has or is about to get and no engine with a copy can load it, one comes from the weight store.

--- a/internal/residence/plan.go
+++ b/internal/residence/plan.go
@@ -1,6 +1,7 @@
 package residence
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -43,6 +44,9 @@
 	// reservedStoreLoads is the number of loads from the weight store that
 	// preloads leave to waiting calls.
 	reservedStoreLoads = 2
+	// enginesPerStoreReplica is the number of engines for each of which one may load a
+	// further replica from the weight store, during which it swaps no models.
+	enginesPerStoreReplica = 64
 )
 
 // planner is the working state of one call of [Plan].
@@ -63,6 +67,9 @@
 	holders map[fleet.ModelID][]int
 	// ordered is the set of engines that this plan has an order for.
 	ordered map[fleet.ServerID]bool
+	// storeReplicas is the number of engines that load from the weight store, or make
+	// room for that, without those of this plan for models without a replica.
+	storeReplicas int
 	// largestAdapter is the size of the largest adapter of all models, maxSlots
 	// the largest number of calls that an engine runs at once.
 	largestAdapter fleet.Bytes
@@ -101,6 +108,9 @@
 		if engine.Loading != "" {
 			p.pending[engine.Loading]++
 		}
+		if next := cmp.Or(engine.Loading, engine.ReservedFor); next != "" && engine.Tier(next) == WeightStore {
+			p.storeReplicas++
+		}
 		if !engine.Unavailable {
 			p.countCopies(i, engine)
 		}
@@ -225,6 +235,9 @@
 func (p *planner) issue(option loadOption, model fleet.ModelID, reason string) {
 	p.ordered[option.engine.ID] = true
 	p.pending[model]++
+	if option.tier == WeightStore && reason == ReasonReplicate {
+		p.storeReplicas++
+	}
 	if option.victim != nil {
 		p.ready[option.victim.Model]--
 		p.orders = append(p.orders, Order{
--- a/internal/residence/replicas.go
+++ b/internal/residence/replicas.go
@@ -71,8 +71,9 @@
 }
 
 // placeReplica orders a load of a model, or the unload that makes room for it,
-// on the engine with the lowest cost. A model is loaded from the weight store
-// only if no available engine has a copy, and never for a further replica.
+// on the engine with the lowest cost. A model is loaded from the weight store only if
+// no available engine has a copy, and for a further replica only if its calls outgrow
+// the engines that have one.
 func (p *planner) placeReplica(demand *Demand, reason string) {
 	model := demand.Item.Model
 	best, found := loadOption{}, false
@@ -85,11 +86,14 @@
 			best, found = candidate, true
 		}
 	}
-	if p.hasCopy(model) || p.StoreLoads <= 0 || reason == ReasonReplicate {
+	needsStore := !p.hasCopy(model) && reason != ReasonReplicate
+	if !needsStore || p.StoreLoads <= 0 {
 		for _, at := range p.holders[model] {
 			consider(&p.Engines[at])
 		}
-	} else {
+		needsStore = !found && reason == ReasonReplicate && p.outgrowsCopies(model)
+	}
+	if needsStore && p.StoreLoads > 0 {
 		for i := range p.Engines {
 			consider(&p.Engines[i])
 		}
@@ -99,6 +103,15 @@
 	}
 }
 
+// outgrowsCopies reports whether a further replica of a model may be loaded from the
+// weight store: its calls fill all replicas that it has or is about to get, and few
+// engines are kept from other loads by that.
+func (p *planner) outgrowsCopies(model fleet.ModelID) bool {
+	replicas := p.ready[model] + p.pending[model]
+	return p.concurrency(model) >= float64(replicas*p.maxSlots) &&
+		p.storeReplicas < len(p.Engines)/enginesPerStoreReplica
+}
+
 // canLoad reports whether an engine may get an order to load a model.
 func (p *planner) canLoad(engine *Engine, model fleet.ModelID) bool {
 	return !engine.Unavailable && !engine.Busy && (engine.ReservedFor == "" || engine.ReservedFor == model) &&
--- /dev/null
+++ b/internal/residence/store_test.go
@@ -0,0 +1,76 @@
+package residence_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/guavatrack/guavatrack/internal/residence"
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+)
+
+// TestBusyModelOutgrowsItsCopies answers the pattern of demand that moves to a model of
+// which few VMs have copies. In a large fleet a further replica comes from the weight
+// store; in a small one an engine that swaps no models during the load costs more than
+// the replica is worth.
+func TestBusyModelOutgrowsItsCopies(t *testing.T) {
+	for _, test := range []struct {
+		name          string
+		engines       int
+		running       int
+		storeLoads    int
+		wantFromStore int
+	}{
+		{"large fleet", 128, 80, 2, 1},
+		{"calls fit the replicas", 128, 50, 2, 0},
+		{"no load may start", 128, 80, 0, 0},
+		{"small fleet", 18, 80, 2, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			state := newState(test.engines, 3*test.engines)
+			state.StoreLoads = test.storeLoads
+			for i := range state.Engines {
+				addIdleModels(&state.Engines[i], 3*i, 3*i+1, 3*i+2)
+				for j := range 3 {
+					state.Engines[i].OnDisk[modelID(3*i+j)] = true
+				}
+			}
+			for i := range 2 {
+				state.Engines[i].OnDisk[modelID(0)] = true
+				state.Engines[i].ResidentModels[0] = residence.ResidentModel{
+					Model: modelID(0), Running: test.running / 2, LastUsed: noon,
+				}
+			}
+			state.Demands = []residence.Demand{{Item: fleet.Item{Model: modelID(0)}, Rate: 60, ServiceTime: time.Second}}
+			makesRoom := 0
+			for _, order := range residence.Plan(state) {
+				if order.MakesRoomFor == modelID(0) {
+					makesRoom++
+				}
+			}
+			c.Check(makesRoom, qt.Equals, test.wantFromStore)
+		})
+	}
+}
+
+// TestLoadsOfFurtherReplicasFromTheStoreAreFew keeps engines from swapping models in one
+// of enginesPerStoreReplica engines at most.
+func TestLoadsOfFurtherReplicasFromTheStoreAreFew(t *testing.T) {
+	c := qt.New(t)
+	state := newState(128, 400)
+	state.StoreLoads = 4
+	for i := range state.Engines {
+		addIdleModels(&state.Engines[i], 3*i, 3*i+1, 3*i+2)
+	}
+	for model := range 4 {
+		state.Engines[model].ResidentModels[0] = residence.ResidentModel{Model: modelID(390 + model), Running: 80, LastUsed: noon}
+		state.Engines[model].OnDisk[modelID(390+model)] = true
+		state.Demands = append(state.Demands, residence.Demand{
+			Item: fleet.Item{Model: modelID(390 + model)}, Rate: 80, ServiceTime: time.Second,
+		})
+	}
+	state.Engines[100].Loading, state.Engines[100].Busy = modelID(395), true
+	c.Check(residence.Plan(state), qt.HasLen, 1)
+}
