Answers without end are cut off within the memory of a small VM

Cause: the users' pages now have engines that send bytes without end in a head or a body. Each answer was read up to 16 MiB, each header up to Go's 10 MiB and each event up to 1 MiB, however many there were at a time; a report or an answer of the store likewise.

--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -4,6 +4,7 @@
 package backend
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -20,6 +21,7 @@
 	// one sent.
 	ErrResponseMismatch = errors.New("answer belongs to another request")
 	errTooLarge         = errors.New("answer too large")
+	errNoMemory         = errors.New("no memory for the answer")
 )
 
 // Answer is an answer whose header has been received.
@@ -66,12 +68,37 @@
 // ReadWhole reads the whole answer, so that no part of an incomplete one reaches the
 // caller. It fails if the answer is larger than maxAnswerSize.
 func (a *Answer) ReadWhole() ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a, maxAnswerSize+1))
-	if err != nil {
-		return nil, errors.Wrap(err, "read answer")
-	}
-	if len(body) > maxAnswerSize {
-		return nil, errTooLarge
+	return a.ReadWithin(func(int64) bool { return true })
+}
+
+// ReadWithin is ReadWhole with a limit on the memory of several answers: reserve is
+// called with the size of each further piece, in bytes, before that is read, and
+// reports whether there is room for it.
+func (a *Answer) ReadWithin(reserve func(size int64) bool) (body []byte, err error) {
+	defer func() {
+		if err != nil {
+			err = errors.Wrap(err, "read answer")
+		}
+	}()
+	var buffer bytes.Buffer
+	for {
+		if !reserve(answerPiece) {
+			return nil, errNoMemory
+		}
+		read, err := io.CopyN(&buffer, a, answerPiece)
+		switch {
+		case buffer.Len() > maxAnswerSize:
+			return nil, errTooLarge
+		case errors.Is(err, io.EOF):
+			return buffer.Bytes(), nil
+		case err != nil:
+			return nil, err
+		case read == 0:
+			return nil, io.ErrNoProgress
+		}
 	}
-	return body, nil
 }
+
+// answerPiece is the size of the pieces in which memory for an answer is reserved, in
+// bytes.
+const answerPiece = 32 << 10
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"io"
 	"strconv"
 
@@ -10,7 +11,8 @@
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
-// MaxEventSize is the largest event that a [StreamDecoder] accepts, in bytes.
+// MaxEventSize is the size of the largest event that a [StreamDecoder] accepts unless
+// it has another limit, in bytes.
 const MaxEventSize = 1 << 20
 
 // initialBuffer is the initial size of a decoder's buffer, in bytes.
@@ -18,7 +20,7 @@
 
 // Errors of a [StreamDecoder].
 var (
-	// ErrEventTooLarge means that an event is longer than [MaxEventSize].
+	// ErrEventTooLarge means that an event is longer than the limit.
 	ErrEventTooLarge = errors.New("event too large")
 	// ErrCutOff means that the stream was truncated within an event.
 	ErrCutOff = errors.New("stream ended within an event")
@@ -81,6 +83,10 @@
 // StreamDecoder reads server-sent events. After its creation it allocates memory
 // only to grow its buffer.
 type StreamDecoder struct {
+	// MaxEvent is the size of the largest event accepted, in bytes; 0 means
+	// [MaxEventSize]. It is set before the first call to Next.
+	MaxEvent int
+
 	source io.Reader
 	buffer []byte
 	// Unread input is buffer[start:end]; its first scanned bytes contain no end
@@ -153,7 +159,7 @@
 }
 
 // fill reads from the source once, after making room in the buffer by moving
-// the unread input to its start or by doubling its size up to [MaxEventSize].
+// the unread input to its start or by doubling its size up to the limit.
 func (d *StreamDecoder) fill() error {
 	if d.start > 0 && (d.start == d.end || d.end == len(d.buffer)) {
 		copy(d.buffer, d.buffer[d.start:d.end])
@@ -161,10 +167,11 @@
 		d.start = 0
 	}
 	if d.end == len(d.buffer) {
-		if len(d.buffer) >= MaxEventSize {
+		limit := cmp.Or(d.MaxEvent, MaxEventSize)
+		if len(d.buffer) >= limit {
 			return ErrEventTooLarge
 		}
-		larger := make([]byte, 2*len(d.buffer))
+		larger := make([]byte, min(limit, 2*len(d.buffer)))
 		copy(larger, d.buffer[:d.end])
 		d.buffer = larger
 	}
--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -34,6 +34,8 @@
 	// storeDialTimeout bounds the time to connect to the store.
 	storeDialTimeout = 400 * time.Millisecond
 	storeIdleTimeout = 30 * time.Second
+	// maxStoreHeader is the maximum size of the header of the store's answers, in bytes.
+	maxStoreHeader = 64 << 10
 	// gossipInterval is the time between two messages to other nodes. A node that
 	// has failed is suspected within a few intervals.
 	gossipInterval = 500 * time.Millisecond
@@ -51,7 +53,7 @@
 func newStore(n *Node) *platform.Store {
 	return &platform.Store{Address: n.Settings.Platform.Store, HTTP: &http.Client{Transport: &http.Transport{
 		DialContext: (&net.Dialer{Timeout: storeDialTimeout}).DialContext, IdleConnTimeout: storeIdleTimeout,
-		MaxIdleConnsPerHost: 4, DisableCompression: true,
+		MaxIdleConnsPerHost: 4, DisableCompression: true, MaxResponseHeaderBytes: maxStoreHeader,
 	}}}
 }
 
