A stream that sends a byte now and then counts as stalled

Cause: every read that returned a byte counted as progress of a stream, so that a server which sends a byte now and then and never completes an event was never found silent; only the deadline ended it.

Change: whole events count, and each 256 bytes of an event that is not complete yet. A slow stream whose events are short or arrive in pieces is not cut.

Measured: TestStalledStreamIsToldFromASlowOne: its first case fails before (one attempt instead of two), the two slow but sound ones pass before and after.

--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "send to %s", attempt.Replica.Server)
 	}
-	attempt.AddReceived(0)
+	attempt.AddEvent()
 	return &Answer{Attempt: attempt, Response: response}, nil
 }
 
--- a/internal/caller/completion.go
+++ b/internal/caller/completion.go
@@ -142,6 +142,7 @@
 		if event, err = a.decoder.Next(); err != nil {
 			return errors.Wrap(err, "read stream")
 		}
+		a.Attempt.AddEvent()
 	}
 }
 
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -134,8 +134,9 @@
 
 	dispatcher *Dispatcher
 	slot       *slot
-	// progress counts the reads that returned a part of the answer.
+	// progress counts the events and the pieces of progressBytes that were received.
 	progress atomic.Uint64
+	received atomic.Int64
 	ctx      context.Context //nolint:containedctx // an attempt lives as long as its context
 	cancel   context.CancelCauseFunc
 	answer   Answer
@@ -155,12 +156,22 @@
 	}
 }
 
+// progressBytes is the number of bytes that count as progress of an answer. A byte now
+// and then does not: a server may stall without falling silent.
+const progressBytes = 256
+
 // AddReceived records that a read returned count bytes of the answer.
 func (a *Attempt) AddReceived(count int) {
-	a.progress.Add(1)
+	total := a.received.Add(int64(count))
+	if total/progressBytes != (total-int64(count))/progressBytes {
+		a.progress.Add(1)
+	}
 	a.slot.bytes.Add(int64(count))
 }
 
+// AddEvent records that a whole event or the header of the answer was received.
+func (a *Attempt) AddEvent() { a.progress.Add(1) }
+
 // RecordLoad records the load that the server reported with its answer: the
 // numbers of calls running and queued there, including this one.
 func (a *Attempt) RecordLoad(running, queued int) {
