--- a/internal/residence/store_test.go
+++ b/internal/residence/store_test.go
@@ -74,3 +74,28 @@
 	state.Engines[100].Loading, state.Engines[100].Busy = modelID(395), true
 	c.Check(residence.Plan(state), qt.HasLen, 1)
 }
+
+// TestRoomForAFurtherReplicaIsKept answers the pattern of a busy model whose calls never
+// wait, because they are sent to replicas that are full: the memory that was freed for a
+// further replica must not go to whichever model calls wait for.
+func TestRoomForAFurtherReplicaIsKept(t *testing.T) {
+	c := qt.New(t)
+	for _, rate := range []float64{60, 0.1} {
+		state := newState(3, 12)
+		addIdleModels(&state.Engines[0], 0, 1, 2)
+		addIdleModels(&state.Engines[1], 3, 4)
+		addIdleModels(&state.Engines[2], 5, 6, 7)
+		state.Engines[1].OnDisk[modelID(0)], state.Engines[1].OnDisk[modelID(9)] = true, true
+		state.Engines[1].ReservedFor = modelID(0)
+		state.Demands = []residence.Demand{{Item: fleet.Item{Model: modelID(0)}, Rate: rate, ServiceTime: time.Second}}
+		addWaitingCalls(&state, 9, 1)
+		want := modelID(0)
+		if rate < 1 {
+			want = modelID(9)
+		}
+		orders := residence.Plan(state)
+		c.Assert(orders, qt.HasLen, 1)
+		c.Check(orders[0].Load, qt.IsTrue)
+		c.Check(orders[0].Item.Model, qt.Equals, want)
+	}
+}
