Nodes that read from another node pause no longer than that takes

After each response a node paused for 6.5 ms per change, so that 34 nodes don't saturate the link of a region; since readers read for the others that is a pause for nothing, twice in a row: with 256 entries that change about once a second, 1.7 s at the reader and 1.7 s at the node behind it.

Change: a node that reads from a reader pauses 0.3 s whatever it read, a reader 1.5 ms per change. A node without readers pauses as before.

Measured: TestDrainingReachesAllNodesWhileManyEntriesChange (30 nodes, 256 entries that change once a second): 8 s until all nodes know before, within its bound of 2.5 s after.

--- a/internal/roster/feed.go
+++ b/internal/roster/feed.go
@@ -57,6 +57,12 @@
 	Follow(ctx context.Context, after Revision, wait time.Duration) (changes []T, revision Revision, err error)
 }
 
+// sharedFeed is a feed that few nodes of a region read for the others.
+type sharedFeed interface {
+	// ReadFromPeer reports whether the last response came from another node.
+	ReadFromPeer() bool
+}
+
 // Timing of a watcher.
 const (
 	// watchWait bounds one wait for changes, and with that the time until a
@@ -70,8 +76,12 @@
 	listTimeout     = 20 * time.Second
 	timeoutFactor   = 3
 	// pausePerChange is the pause for each change that was read: the nodes of a
-	// region share its link to the store, and the manifest has to pass it too.
-	pausePerChange = 6500 * time.Microsecond
+	// region share its link to the store, and the manifest has to pass it too. If few
+	// nodes of the region read the store, each pauses for readerPausePerChange, and the
+	// others, which read from those, for followerPause whatever they read.
+	pausePerChange       = 6500 * time.Microsecond
+	readerPausePerChange = 1500 * time.Microsecond
+	followerPause        = 300 * time.Millisecond
 	// maxRetryPause is the maximum pause after a failure, maxTimeoutPause that after
 	// a response that timed out.
 	maxRetryPause   = 250 * time.Millisecond
@@ -111,7 +121,7 @@
 	w.timeout = responseTimeout
 	for ctx.Err() == nil {
 		changes, err := w.readOnce(ctx)
-		pause := max(w.minPause, time.Duration(changes)*pausePerChange)
+		pause := w.pauseAfter(changes)
 		if err != nil && ctx.Err() == nil {
 			w.markFailed(err)
 			pause = w.backoff()
@@ -122,6 +132,18 @@
 	}
 }
 
+// pauseAfter returns the pause after a response with a number of changes.
+func (w *watcher[T]) pauseAfter(changes int) time.Duration {
+	perChange := pausePerChange
+	if shared, ok := w.feed.(sharedFeed); ok {
+		if shared.ReadFromPeer() {
+			return min(w.minPause, followerPause)
+		}
+		perChange = readerPausePerChange
+	}
+	return max(w.minPause, time.Duration(changes)*perChange)
+}
+
 // backoff returns the pause after a failure, with jitter, and adapts the timeout.
 // A response that timed out may be on a saturated link, one that reports an error
 // is not.
--- a/internal/roster/relay.go
+++ b/internal/roster/relay.go
@@ -46,6 +46,8 @@
 	// readUntil is until when this node reads the source because another node has
 	// requested changes from it.
 	readUntil time.Time
+	// fromPeer reports whether the last response came from a reader.
+	fromPeer bool
 	// avoidUntil holds, for each reader that failed, until when it is not used.
 	avoidUntil map[fleet.NodeID]time.Time
 }
@@ -110,7 +112,10 @@
 	}
 }
 
-var _ Feed[ServerEntry] = (*Relay[ServerEntry])(nil)
+var (
+	_ Feed[ServerEntry] = (*Relay[ServerEntry])(nil)
+	_ sharedFeed        = (*Relay[ServerEntry])(nil)
+)
 
 // method returns the name of the peer method that returns changes.
 func (r *Relay[T]) method() string { return "roster.changes." + r.Name }
@@ -237,10 +242,18 @@
 	}
 }
 
+// ReadFromPeer implements [sharedFeed].
+func (r *Relay[T]) ReadFromPeer() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fromPeer
+}
+
 func (r *Relay[T]) update(entries []T, revision Revision, flags readFlags) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
+	r.fromPeer = flags&fromSource == 0
 	r.copy.update(now, entries, r.Key, revision, flags)
 	r.copy.prune(now, r.IsRemoval)
 }
--- a/internal/roster/relay_test.go
+++ b/internal/roster/relay_test.go
@@ -244,3 +244,44 @@
 		c.Check(r.nodes[last].View().Servers, qt.HasLen, 4)
 	})
 }
+
+// TestDrainingReachesAllNodesWhileManyEntriesChange answers the pattern of hundreds of
+// engines whose models change all the time: a server that begins to drain is known at
+// every node of the region well within the 4 s after which no request may reach it.
+func TestDrainingReachesAllNodesWhileManyEntriesChange(t *testing.T) {
+	const (
+		servers = 256
+		bound   = 2500 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		r := startRelayRegion(t, 30)
+		r.servers.put(manyEntries(servers, "1")...)
+		time.Sleep(5 * time.Second)
+		for step := range 60 {
+			// Each entry changes about once a second.
+			r.servers.put(manyEntries(servers, fmt.Sprint("1", step))[step%4*servers/4:(step%4+1)*servers/4]...)
+			time.Sleep(250 * time.Millisecond)
+		}
+		leaving := manyEntries(1, "1")[0]
+		draining := *leaving.Server
+		draining.Draining = true
+		leaving.Server = &draining
+		r.servers.put(leaving)
+		began := time.Now()
+		known := func() int {
+			count := 0
+			for _, node := range r.nodes {
+				if server := node.View().Servers[draining.ID]; server != nil && server.Draining {
+					count++
+				}
+			}
+			return count
+		}
+		for step := 0; known() < len(r.nodes) && time.Since(began) < 10*time.Second; step++ {
+			r.servers.put(manyEntries(servers, fmt.Sprint("2", step))[servers/2:]...)
+			time.Sleep(250 * time.Millisecond)
+		}
+		c.Check(time.Since(began) <= bound, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
+	})
+}
