--- a/internal/hosted/hosted_test.go
+++ b/internal/hosted/hosted_test.go
@@ -24,10 +24,17 @@
 	nodes []*hosted.Node
 }
 
-// newFixture starts a platform and nodes, and waits until all nodes are ready.
+// newFixture starts a platform and nodes, and waits until all nodes are ready. The test
+// runs in parallel with others.
 func newFixture(t *testing.T, site *standin.Site, nodes int) *fixture {
 	t.Helper()
 	t.Parallel()
+	return newSerialFixture(t, site, nodes)
+}
+
+// newSerialFixture is newFixture for a test that keeps the processors busy. It runs alone.
+func newSerialFixture(t *testing.T, site *standin.Site, nodes int) *fixture {
+	t.Helper()
 	f := &fixture{C: qt.New(t), site: site}
 	if site.EventTime == 0 {
 		site.EventTime = 2 * time.Millisecond
