--- a/internal/lease/state.go
+++ b/internal/lease/state.go
@@ -94,9 +94,9 @@
 	if !s.observed || s.isHolder {
 		return Record{}, 0, false
 	}
-	claimable := s.version == table.Absent || s.record.Released || s.record.Holder == s.VM ||
+	claimable := s.version == table.Absent || s.record.Released || s.record.Holder == s.VM || s.heldThrough ||
 		now-s.changedAt >= s.LeaseDuration+clockMargin || s.mayClaimAsDeputy(now)
-	if !(claimable || s.heldThrough) || !s.earlierHoldersEnded(now) {
+	if !claimable || !s.earlierHoldersEnded(now) {
 		return Record{}, 0, false
 	}
 	s.claimPending = true
--- a/internal/roster/leaving_test.go
+++ b/internal/roster/leaving_test.go
@@ -48,7 +48,7 @@
 		r.servers.put(entryOf("first"))
 		time.Sleep(5 * time.Second)
 		var facts []member.Fact
-		var notices []*roster.LeaveNotices
+		notices := make([]*roster.LeaveNotices, 0, len(r.controllers))
 		for i, controller := range r.controllers {
 			node := fleet.NodeID(rune('a' + i))
 			notices = append(notices, &roster.LeaveNotices{
--- a/internal/roster/relay_test.go
+++ b/internal/roster/relay_test.go
@@ -260,7 +260,7 @@
 		time.Sleep(5 * time.Second)
 		for step := range 60 {
 			// Each entry changes about once a second.
-			r.servers.put(manyEntries(servers, fmt.Sprint("1", step))[step%4*servers/4:(step%4+1)*servers/4]...)
+			r.servers.put(manyEntries(servers, fmt.Sprint("1", step))[step%4*servers/4 : (step%4+1)*servers/4]...)
 			time.Sleep(250 * time.Millisecond)
 		}
 		leaving := manyEntries(1, "1")[0]
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -98,31 +98,38 @@
 // tiers returns the filters of the servers to choose from, most preferred
 // first.
 func (q *Query) tiers() []func(*Candidate) bool {
-	local := func(c *Candidate) bool { return c.Region == q.Place.Region }
-	notFailed := func(c *Candidate) bool { return !slices.Contains(q.AvoidServers, c.Server) }
-	otherDomain := func(c *Candidate) bool { return notFailed(c) && !slices.Contains(q.AvoidDomains, c.FailureDomain) }
 	healthy := func(c *Candidate) bool { return !c.Ejected }
 	free := func(c *Candidate) bool { return healthy(c) && !q.full(c) }
+	tiers := q.tiersAmong(free, q.AllowOverflow)
+	tiers = append(tiers, q.tiersAmong(healthy, q.AllowCrossRegion)...)
+	return append(tiers,
+		func(c *Candidate) bool { return q.local(c) && q.notFailed(c) },
+		func(c *Candidate) bool { return q.local(c) || q.AllowCrossRegion },
+	)
+}
+
+// tiersAmong returns the filters of the servers to choose from among those that match:
+// in failure domains where the request has not failed, others of the region, and those
+// of other regions if they are allowed.
+func (q *Query) tiersAmong(matches func(*Candidate) bool, otherRegions bool) []func(*Candidate) bool {
 	tiers := []func(*Candidate) bool{
-		func(c *Candidate) bool { return free(c) && local(c) && otherDomain(c) },
-		func(c *Candidate) bool { return free(c) && local(c) && notFailed(c) },
-	}
-	if q.AllowOverflow {
-		tiers = append(tiers, func(c *Candidate) bool { return free(c) && notFailed(c) })
+		func(c *Candidate) bool {
+			return matches(c) && q.local(c) && q.notFailed(c) && !slices.Contains(q.AvoidDomains, c.FailureDomain)
+		},
+		func(c *Candidate) bool { return matches(c) && q.local(c) && q.notFailed(c) },
 	}
-	tiers = append(tiers,
-		func(c *Candidate) bool { return healthy(c) && local(c) && otherDomain(c) },
-		func(c *Candidate) bool { return healthy(c) && local(c) && notFailed(c) },
-	)
-	if q.AllowCrossRegion {
-		tiers = append(tiers, func(c *Candidate) bool { return healthy(c) && notFailed(c) })
+	if otherRegions {
+		tiers = append(tiers, func(c *Candidate) bool { return matches(c) && q.notFailed(c) })
 	}
-	return append(tiers,
-		func(c *Candidate) bool { return local(c) && notFailed(c) },
-		func(c *Candidate) bool { return local(c) || q.AllowCrossRegion },
-	)
+	return tiers
 }
 
+// local reports whether the server is in the node's region.
+func (q *Query) local(c *Candidate) bool { return c.Region == q.Place.Region }
+
+// notFailed reports whether the server has not failed the request.
+func (q *Query) notFailed(c *Candidate) bool { return !slices.Contains(q.AvoidServers, c.Server) }
+
 // hasRoom reports whether the node may send the server another request.
 func (c *Candidate) hasRoom(now time.Time) bool {
 	limit := int(math.Ceil(float64(c.Limit) * c.share(now)))
