--- a/internal/residence/plan.go
+++ b/internal/residence/plan.go
@@ -208,8 +208,8 @@
 }
 
 // loadReserved orders loads of the models that memory was reserved for. A
-// reservation whose memory is still being freed counts as a pending replica, and one
-// for a model that no longer needs another replica is dropped.
+// reservation whose memory is still being freed counts as a pending replica,
+// and one without waiting calls is dropped.
 func (p *planner) loadReserved() {
 	for i := range p.Engines {
 		engine := &p.Engines[i]
@@ -217,7 +217,7 @@
 		demand := p.demand[model]
 		switch {
 		case model == "":
-		case demand == nil || !p.needsReplica(demand) || engine.Unavailable:
+		case demand == nil || demand.Waiting == 0 || engine.Unavailable:
 			engine.ReservedFor = ""
 		case engine.Busy:
 			p.pending[model]++
@@ -230,13 +230,6 @@
 	}
 }
 
-// needsReplica reports whether calls wait for a model or its replicas are too few. Calls
-// of a busy model don't wait: they are sent to replicas that are full.
-func (p *planner) needsReplica(demand *Demand) bool {
-	model := demand.Item.Model
-	return demand.Waiting > 0 || p.ready[model]+p.pending[model] < p.targetReplicas(model)
-}
-
 // issue appends the next order that a load option needs: the unload of its
 // victim, or the load.
 func (p *planner) issue(option loadOption, model fleet.ModelID, reason string) {
