One way to put an era before a number, one check of a server that is closed

Cause, on reading the change once more: revisions and versions each packed the era into their high bits, with shifts of 44 and 40; whether a server wants rest or leaves was checked in two places; a comment said that the holder renews in a new era, it claims.

Change: roster.Revision is packed by table.VersionIn, so that the era stands above 40 bits in both; both checks call one function. Nothing else changes.

--- a/internal/dispatch/rest.go
+++ b/internal/dispatch/rest.go
@@ -50,6 +50,11 @@
 func (s *serverState) closedTo(now time.Time, boot fleet.BootID) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.closedToLocked(now, boot)
+}
+
+// closedToLocked is closedTo for a caller that holds the lock.
+func (s *serverState) closedToLocked(now time.Time, boot fleet.BootID) bool {
 	return now.Before(s.restUntil) || boot != "" && boot == s.leavingBoot
 }
 
--- a/internal/dispatch/servers.go
+++ b/internal/dispatch/servers.go
@@ -216,8 +216,8 @@
 // unavailable reports whether the call must not be sent to the server now. The
 // caller holds the lock.
 func (s *serverState) unavailable(now time.Time, replica *Replica, call *Call) bool {
-	return s.exclusive != nil && s.exclusive != call || now.Before(s.unreachableUntil) || now.Before(s.restUntil) ||
-		replica.Boot != "" && (replica.Boot == s.endedBoot || replica.Boot == s.leavingBoot) || s.lacksItem(now, replica.Item)
+	return s.exclusive != nil && s.exclusive != call || now.Before(s.unreachableUntil) || s.closedToLocked(now, replica.Boot) ||
+		replica.Boot != "" && replica.Boot == s.endedBoot || s.lacksItem(now, replica.Item)
 }
 
 // lacksItem reports whether the server is assumed not to hold an item, because it
--- a/internal/lease/controller.go
+++ b/internal/lease/controller.go
@@ -84,7 +84,8 @@
 }
 
 // syncEra updates the state with the era of the table. A holder that reads a new one
-// has to renew at once, since it may not act before. The caller holds the lock.
+// has to claim the lease again at once, since it may not act before. The caller holds
+// the lock.
 func (c *Controller) syncEra() {
 	if c.Era == nil || !c.State.ObserveEra(c.Clock(), c.Era()) {
 		return
--- a/internal/roster/feed.go
+++ b/internal/roster/feed.go
@@ -22,19 +22,16 @@
 // older copy is after those of the time before.
 type Revision uint64
 
-// eraShift is the position of the era in a revision.
-const eraShift = 44
-
 // RevisionIn returns the revision of a number of changes in an era.
 func RevisionIn(era table.Era, changes uint64) Revision {
-	return Revision(uint64(era)<<eraShift | changes)
+	return Revision(table.VersionIn(era, changes))
 }
 
 // Era returns the era of the store in which the revision was read.
-func (r Revision) Era() table.Era { return table.Era(r >> eraShift) }
+func (r Revision) Era() table.Era { return table.Version(r).Era() }
 
 // Changes returns the number of changes in the store.
-func (r Revision) Changes() uint64 { return uint64(r) & (1<<eraShift - 1) }
+func (r Revision) Changes() uint64 { return table.Version(r).Writes() }
 
 // ServerEntry is the entry of one server in the platform's list. Server is nil if
 // the entry was removed or describes no usable server.
