One suspected request at a time is tried on a server

The log of a failing run shows that two nodes began the trials of two suspects on one server at one moment. When it crashed, each node blamed an arbitrary one of the two (a loop over a map), so an innocent request was refused for ten minutes. Nothing had ever prevented it; the least loaded server had been another one by luck of the order.

Change: the transaction that records a trial also writes a record that reserves this run of the server. A second suspect gets the verdict Occupied, and its attempt fails as "occupied" without a mark against the server: it is retried elsewhere. Among several trials (no table, or a caller who left) a node blames the one that runs.

--- a/internal/dispatch/callrunner.go
+++ b/internal/dispatch/callrunner.go
@@ -151,10 +151,10 @@
 		return retry.SilentConnection
 	case errors.Is(cause, ErrSilentServer):
 		return retry.SilentServer
-	case !a.slot.sent.Load():
-		return retry.Unreachable
 	case errors.As(a.err, &failure):
 		return failure.Kind
+	case !a.slot.sent.Load():
+		return retry.Unreachable
 	default:
 		return retry.ConnectionLost
 	}
@@ -213,6 +213,8 @@
 	case retry.SilentConnection, retry.ResponseMismatch:
 		r.silentConnections++
 		state.recordFailure(now)
+	case retry.Occupied:
+		state.recordAbandoned()
 	case retry.Crashed:
 	default:
 		state.recordFailure(now)
--- a/internal/dispatch/isolate.go
+++ b/internal/dispatch/isolate.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/guavatrack/guavatrack/internal/poison"
+	"github.com/guavatrack/guavatrack/internal/retry"
 	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/refusal"
 )
@@ -15,6 +16,10 @@
 // a server without other requests was cut short.
 var errNoExclusiveServer = errors.New("no server without other requests")
 
+// errTrialOfAnother is the cause of an attempt that was not made because another
+// suspected request is on trial on the server.
+var errTrialOfAnother = errors.New("another suspected request is on trial on the server")
+
 // checkPoison refuses requests that crash backend servers and marks those as
 // exclusive that are suspected of it.
 func (d *Dispatcher) checkPoison(call *Call) error {
@@ -115,6 +120,8 @@
 		return poisonRefusal(until)
 	case poison.Exclusive:
 		context.AfterFunc(ctx, func() { d.poison.EndTrial(digest) })
+	case poison.Occupied:
+		return &FailureError{Kind: retry.Occupied, Err: errTrialOfAnother}
 	case poison.Unrestricted:
 	}
 	return nil
--- a/internal/poison/controller.go
+++ b/internal/poison/controller.go
@@ -59,14 +59,14 @@
 	once                     sync.Once
 	mu                       sync.Mutex
 	notices                  NoticeSet
-	activeTrials             map[Digest]bool
+	activeTrials             map[Digest]Trial
 	crashes, refused, trials metrics.Counter
 }
 
 func (c *Controller) setUp() {
 	c.Log = logs.OrDiscard(c.Log)
 	c.Metrics = metric.OrNew(c.Metrics)
-	c.activeTrials = make(map[Digest]bool)
+	c.activeTrials = make(map[Digest]Trial)
 	c.crashes = metrics.GetOrRegisterCounter(crashesName, c.Metrics)
 	c.refused = metrics.GetOrRegisterCounter(refusedName, c.Metrics)
 	c.trials = metrics.GetOrRegisterCounter(trialsName, c.Metrics)
@@ -124,31 +124,43 @@
 }
 
 // BeginTrial requests a trial of a suspect on a server. While the table is
-// available, it is granted to one node at a time. Without the table it is
-// granted unless a notice of this node holds the trial of another node. If the
-// verdict is [Exclusive], the caller must call EndTrial after the run.
+// available, it is granted to one node at a time, and a server has one trial at
+// a time, so that a crash has one cause. Without the table it is granted unless
+// a notice of this node holds the trial of another node. If the verdict is
+// [Exclusive], the caller must call EndTrial after the run.
 func (c *Controller) BeginTrial(ctx context.Context, digest Digest, trial Trial) (Verdict, time.Time) {
 	trial.Node = c.Node
 	c.once.Do(c.setUp)
 	c.mu.Lock()
-	active := c.activeTrials[digest]
-	c.activeTrials[digest] = true
+	_, active := c.activeTrials[digest]
+	if !active {
+		c.activeTrials[digest] = trial
+	}
 	c.mu.Unlock()
 	if active {
 		return Refuse, trial.Deadline
 	}
 	verdict, until := c.requestTrial(ctx, digest, trial)
 	if verdict != Exclusive {
-		c.EndTrial(digest)
+		c.removeActive(digest)
 	}
 	return verdict, until
 }
 
-// EndTrial ends a trial that BeginTrial has granted.
+// EndTrial ends a trial that BeginTrial has granted. The server is released in the
+// background.
 func (c *Controller) EndTrial(digest Digest) {
+	trial := c.removeActive(digest)
+	go c.release(digest, trial)
+}
+
+// removeActive removes a trial from those of this node and returns it.
+func (c *Controller) removeActive(digest Digest) Trial {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	trial := c.activeTrials[digest]
 	delete(c.activeTrials, digest)
+	return trial
 }
 
 // requestTrial writes the trial to the table. If that fails it decides from the
@@ -168,8 +180,15 @@
 		if trialOnOtherNode(now, notice, c.Node) {
 			return Refuse, notice.Trial.Deadline
 		}
+		held, heldVersion, err := c.reservation(ctx, trial.Server)
+		if err != nil {
+			break
+		}
+		if held.excludes(now, digest, trial) {
+			return Occupied, held.Trial.Deadline
+		}
 		notice.Trial = trial
-		if err = c.put(ctx, notice, version); err == nil {
+		if err = c.put(ctx, notice, version, reservationWrite(digest, trial, heldVersion)); err == nil {
 			c.trials.Inc(1)
 			c.publishTrial(notice)
 			return Exclusive, notice.ExpiresAt
@@ -247,13 +266,14 @@
 
 func key(digest Digest) table.Key { return table.Key{Partition: partition, Sort: string(digest)} }
 
-func (c *Controller) put(ctx context.Context, notice Notice, version table.Version) error {
+// put writes a notice over a version of its record, along with other writes.
+func (c *Controller) put(ctx context.Context, notice Notice, version table.Version, others ...table.Write) error {
 	body, err := json.Marshal(notice)
 	if err != nil {
 		return errors.Wrapf(err, "encode poison notice %s", notice.Digest)
 	}
 	write := table.Write{Key: key(notice.Digest), Expect: version, Body: body}
-	if err := c.Store.Transact(ctx, table.Token(uuid.NewString()), []table.Write{write}); err != nil {
+	if err := c.Store.Transact(ctx, table.Token(uuid.NewString()), append(others, write)); err != nil {
 		return errors.Wrapf(err, "write poison notice %s", notice.Digest)
 	}
 	return nil
@@ -284,6 +304,10 @@
 	}
 	now := time.Now()
 	for _, record := range records {
+		if isReservation(record.Key) {
+			c.deleteOld(ctx, record, now)
+			continue
+		}
 		var notice Notice
 		if json.Unmarshal(record.Body, &notice) != nil {
 			continue
--- a/internal/poison/notice.go
+++ b/internal/poison/notice.go
@@ -91,6 +91,9 @@
 	Exclusive
 	// Refuse means that the request must not run.
 	Refuse
+	// Occupied means that another suspect is on trial on the server. The request
+	// may run on another one.
+	Occupied
 )
 
 // CrashCount returns the number of crashes after the last success.
@@ -104,6 +107,11 @@
 	return count
 }
 
+// crashedOn reports whether a crash of a run of a server counts against the digest.
+func (n Notice) crashedOn(server fleet.ServerID, boot fleet.BootID) bool {
+	return slices.ContainsFunc(n.Crashes, func(crash Crash) bool { return crash.Server == server && crash.Boot == boot })
+}
+
 // Merge returns the union of two notices of one digest. It is commutative and
 // idempotent.
 func (n Notice) Merge(other Notice) Notice {
@@ -157,23 +165,37 @@
 }
 
 // Suspects returns the digests that may have caused a crash. If a suspect was on
-// trial on the server, from any node, it is that one. Otherwise it returns the
+// trial on the server, from any node, it is that one, or the running one of several:
+// a trial whose caller left lasts until its deadline. Otherwise it returns the
 // suspects among the running requests, or all of them if none is a suspect.
 func (s *NoticeSet) Suspects(now time.Time, server fleet.ServerID, boot fleet.BootID, running []Digest) []Digest {
+	var tried []Digest
 	for digest, notice := range s.byDigest {
 		trial := notice.Trial
 		if trial.Server == server && trial.Boot == boot && now.Before(trial.Deadline) && notice.CrashCount() > 0 {
-			return []Digest{digest}
+			tried = append(tried, digest)
 		}
 	}
-	suspects := slices.DeleteFunc(slices.Clone(running), func(digest Digest) bool {
+	if len(tried) > 1 {
+		slices.Sort(tried)
+		tried = orAll(tried, func(digest Digest) bool { return slices.Contains(running, digest) })
+	}
+	if len(tried) > 0 {
+		return tried
+	}
+	return orAll(running, func(digest Digest) bool {
 		verdict, _ := s.Check(now, digest)
-		return verdict == Unrestricted
+		return verdict != Unrestricted
 	})
-	if len(suspects) > 0 {
-		return suspects
+}
+
+// orAll returns the digests that match, or all of them if none does.
+func orAll(digests []Digest, matches func(Digest) bool) []Digest {
+	matching := slices.DeleteFunc(slices.Clone(digests), func(digest Digest) bool { return !matches(digest) })
+	if len(matching) > 0 {
+		return matching
 	}
-	return running
+	return digests
 }
 
 // RecordCrash records a crash against a digest and returns the merged notice.
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -35,12 +35,16 @@
 	ResponseMismatch
 	// ServerError means that the server answered with an error of its own.
 	ServerError
+	// Occupied means that nothing was sent because the server is kept for another
+	// request for a while.
+	Occupied
 )
 
 // String returns the name of the failure as it is logged.
 func (f Failure) String() string {
 	names := [...]string{
 		"unreachable", "declined", "absent", "broken", "silentConnection", "silentServer", "crashed", "crossed", "faulty",
+		"occupied",
 	}
 	if f < 0 || int(f) >= len(names) {
 		return "unknown"
@@ -101,7 +105,7 @@
 		return Decision{}
 	}
 	decision := Decision{Retry: true, SameServer: last.Failure == SilentConnection && !p.silentTwice(state.FailedAttempts)}
-	if len(state.FailedAttempts) > 1 || last.Failure == Declined || last.Failure == ServerError {
+	if len(state.FailedAttempts) > 1 || last.Failure == Declined || last.Failure == ServerError || last.Failure == Occupied {
 		decision.Backoff = p.backoff(len(state.FailedAttempts), random)
 	}
 	if !state.Now.Add(decision.Backoff).Before(state.Deadline) {
