Nodes that do not read the store try it seldom while it is down

Change: a follower reads the source in place of its readers at once, as before, but after a failure not before a pause that doubles from half a second to eight, with jitter, and asks a reader again each second, which notices the end of the outage first. A reader's pause is 0.5 s from the second failure on (0.25 s before).

--- /dev/null
+++ b/internal/roster/fallback.go
@@ -0,0 +1,50 @@
+package roster
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// fallback paces the reads of the source by a node whose readers have failed. While
+// the source itself is down, all nodes of a region would otherwise read it as often as
+// its readers do, and still do so when it comes back.
+type fallback struct {
+	// nextRead is when the node may read the source again, retryAt when it may ask a
+	// reader again.
+	nextRead, retryAt time.Time
+	// pause is the pause after the next failure; 0 after a success.
+	pause time.Duration
+}
+
+const (
+	// minFallbackPause and maxFallbackPause bound the pause between two reads of the
+	// source that fail, which doubles with each one.
+	minFallbackPause = 500 * time.Millisecond
+	maxFallbackPause = 8 * time.Second
+	// readerRetryPause is the pause after a reader and the source have both failed. The
+	// readers notice the end of an outage first.
+	readerRetryPause = time.Second
+)
+
+// mayRead reports whether the node may read the source in place of a reader.
+func (f *fallback) mayRead(now time.Time) bool { return !now.Before(f.nextRead) }
+
+// mayTry reports whether the node may ask a reader, or read the source in its place.
+func (f *fallback) mayTry(now time.Time) bool { return !now.Before(f.retryAt) }
+
+// recordFailure records that the source could not be read, or that it was too early to
+// try.
+func (f *fallback) recordFailure(now time.Time) {
+	f.retryAt = now.Add(jitter(readerRetryPause))
+	if !f.mayRead(now) {
+		return
+	}
+	f.pause = min(max(minFallbackPause, 2*f.pause), maxFallbackPause)
+	f.nextRead = now.Add(jitter(f.pause))
+}
+
+// recordSuccess records that a reader or the source was read.
+func (f *fallback) recordSuccess() { *f = fallback{} }
+
+// jitter returns a random duration between a half and the whole of one.
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2) }
--- a/internal/roster/feed.go
+++ b/internal/roster/feed.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -79,9 +78,11 @@
 	pausePerChange       = 6500 * time.Microsecond
 	readerPausePerChange = 1500 * time.Microsecond
 	followerPause        = 300 * time.Millisecond
-	// maxRetryPause is the maximum pause after a failure, maxTimeoutPause that after
-	// a response that timed out.
-	maxRetryPause   = 250 * time.Millisecond
+	// minRetryPause is the maximum pause after the first of several failures,
+	// maxRetryPause that after the others, maxTimeoutPause that after a response that
+	// timed out.
+	minRetryPause   = 250 * time.Millisecond
+	maxRetryPause   = 500 * time.Millisecond
 	maxTimeoutPause = time.Second
 )
 
@@ -110,6 +111,8 @@
 	timeout time.Duration
 	// timedOut reports whether the last response timed out.
 	timedOut bool
+	// failures is the number of consecutive reads that failed.
+	failures int
 	// failingSince is when reads began to fail; zero if the last one succeeded.
 	failingSince time.Time
 }
@@ -145,12 +148,15 @@
 // A response that timed out may be on a saturated link, one that reports an error
 // is not.
 func (w *watcher[T]) backoff() time.Duration {
-	pause := maxRetryPause
+	pause := minRetryPause
+	if w.failures > 1 {
+		pause = maxRetryPause
+	}
 	if w.timedOut {
 		pause = min(w.timeout, maxTimeoutPause)
 		w.timeout = min(timeoutFactor*w.timeout, w.maxTimeout)
 	}
-	return pause/2 + rand.N(pause/2)
+	return jitter(pause)
 }
 
 // readOnce lists the feed or waits for changes once, and returns the number of
@@ -207,6 +213,7 @@
 }
 
 func (w *watcher[T]) markFailed(err error) {
+	w.failures++
 	if !w.failingSince.IsZero() {
 		return
 	}
@@ -217,6 +224,7 @@
 // markRecovered records a successful read and reports whether the one before
 // failed.
 func (w *watcher[T]) markRecovered() bool {
+	w.failures = 0
 	if w.failingSince.IsZero() {
 		return false
 	}
--- a/internal/roster/relay.go
+++ b/internal/roster/relay.go
@@ -50,6 +50,7 @@
 	fromPeer bool
 	// avoidUntil holds, for each reader that failed, until when it is not used.
 	avoidUntil map[fleet.NodeID]time.Time
+	fallback   fallback
 }
 
 // Timing and number of readers.
@@ -66,9 +67,11 @@
 	// maxRelayListWait bounds the wait for a reader that has not read the list yet.
 	maxRelayListWait = 1500 * time.Millisecond
 	// readDuration is how long a node reads the source after another node's request,
-	// avoidDuration how long a reader is not used after it failed.
+	// avoidDuration how long a reader is not used after it failed, lostDuration after it
+	// has said that it can't reach the source.
 	readDuration  = 10 * time.Second
 	avoidDuration = 5 * time.Second
+	lostDuration  = 2 * time.Second
 )
 
 // Errors in a reader's response.
@@ -129,28 +132,32 @@
 }
 
 // chooseReader returns the node to read from; empty if this node reads the source
-// itself.
-func (r *Relay[T]) chooseReader(now time.Time) fleet.NodeID {
+// itself. fallback reports that it does so only because its readers have failed.
+func (r *Relay[T]) chooseReader(now time.Time) (reader fleet.NodeID, fallback bool) {
 	ranked := r.Ranked()
 	readers := ranked[:min(len(ranked), max(minReaders, len(ranked)/nodesPerReader))]
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if now.Before(r.readUntil) || slices.Contains(readers, r.Node) {
-		return ""
+		return "", false
 	}
 	readers = slices.DeleteFunc(slices.Clone(readers), func(node fleet.NodeID) bool {
 		return now.Before(r.avoidUntil[node])
 	})
 	if len(readers) == 0 {
-		return ""
+		return "", true
 	}
 	// Nodes are spread over the readers by their position in the ranking.
-	return readers[max(0, slices.Index(ranked, r.Node))%len(readers)]
+	return readers[max(0, slices.Index(ranked, r.Node))%len(readers)], true
 }
 
 // List implements [Feed].
 func (r *Relay[T]) List(ctx context.Context) (entries []T, revision Revision, err error) {
-	if reader := r.chooseReader(time.Now()); reader != "" {
+	reader, fallback := r.chooseReader(time.Now())
+	if fallback && !r.mayTry() {
+		return nil, 0, errSourceUnreachable
+	}
+	if reader != "" {
 		entries, revision, err = r.requestChanges(ctx, reader, changesRequest{List: true, WaitMs: maxRelayListWait.Milliseconds()})
 		if err == nil {
 			r.update(entries, revision, completeList)
@@ -158,6 +165,9 @@
 		}
 		r.avoid(reader, err)
 	}
+	if fallback && !r.mayFallBack() {
+		return nil, 0, errSourceUnreachable
+	}
 	entries, revision, err = r.Source.List(ctx)
 	r.recordRead(entries, revision, completeList|fromSource, err)
 	return entries, revision, err
@@ -168,7 +178,11 @@
 	ctx context.Context, after Revision, wait time.Duration,
 ) (changes []T, revision Revision, err error) {
 	now := time.Now()
-	if reader := r.chooseReader(now); reader != "" {
+	reader, fallback := r.chooseReader(now)
+	if fallback && !r.mayTry() {
+		return nil, 0, errSourceUnreachable
+	}
+	if reader != "" {
 		request := changesRequest{After: after, WaitMs: min(wait, maxRelayWait).Milliseconds()}
 		changes, revision, err = r.requestChanges(ctx, reader, request)
 		switch {
@@ -179,11 +193,11 @@
 			return nil, 0, err
 		}
 		r.avoid(reader, err)
-		if errors.Is(err, errSourceUnreachable) {
-			return nil, 0, err
-		}
 		wait = 0 // Changes may have arrived during the wait for the reader.
 	}
+	if fallback && !r.mayFallBack() {
+		return nil, 0, errSourceUnreachable
+	}
 	if r.servesOthers(now) {
 		wait = min(wait, maxRelayWait)
 	}
@@ -192,6 +206,26 @@
 	return changes, revision, err
 }
 
+// mayTry reports whether the node may ask a reader, or read the source in its place.
+func (r *Relay[T]) mayTry() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fallback.mayTry(time.Now())
+}
+
+// mayFallBack reports whether the node may read the source in place of a reader. If
+// not, this counts as a failure.
+func (r *Relay[T]) mayFallBack() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	if !r.fallback.mayRead(now) {
+		r.fallback.recordFailure(now)
+		return false
+	}
+	return true
+}
+
 // servesOthers reports whether other nodes have recently read from this one.
 func (r *Relay[T]) servesOthers(now time.Time) bool {
 	r.mu.Lock()
@@ -219,13 +253,17 @@
 // avoid excludes a reader that failed for a while. One that does not read the
 // source yet is not excluded, since the request makes it start.
 func (r *Relay[T]) avoid(reader fleet.NodeID, err error) {
-	if errors.Is(err, errNotReading) {
+	duration := avoidDuration
+	switch {
+	case errors.Is(err, errNotReading):
 		return
+	case errors.Is(err, errSourceUnreachable):
+		duration = lostDuration
 	}
 	now := time.Now()
 	r.mu.Lock()
 	maps.DeleteFunc(r.avoidUntil, func(_ fleet.NodeID, until time.Time) bool { return !now.Before(until) })
-	r.avoidUntil[reader] = now.Add(avoidDuration)
+	r.avoidUntil[reader] = now.Add(duration)
 	r.mu.Unlock()
 	r.Log.Warn("reader unavailable", slog.String("feed", r.Name), slog.String("node", string(reader)), slog.Any("error", err))
 }
@@ -238,6 +276,7 @@
 	case !errors.Is(err, ErrCompacted):
 		r.mu.Lock()
 		r.copy.markSourceLost()
+		r.fallback.recordFailure(time.Now())
 		r.mu.Unlock()
 	}
 }
@@ -254,6 +293,7 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	r.fromPeer = flags&fromSource == 0
+	r.fallback.recordSuccess()
 	r.copy.update(now, entries, r.Key, revision, flags)
 	r.copy.prune(now, r.IsRemoval)
 }
--- a/internal/roster/relay_test.go
+++ b/internal/roster/relay_test.go
@@ -22,11 +22,14 @@
 	roster.Feed[T]
 	reads *atomic.Int64
 	cut   *atomic.Bool
+	// failures counts the reads that failed.
+	failures *atomic.Int64
 }
 
 func (f *countedFeed[T]) List(ctx context.Context) ([]T, roster.Revision, error) {
 	f.reads.Add(1)
 	if f.cut.Load() {
+		f.failures.Add(1)
 		return nil, 0, errDown
 	}
 	return f.Feed.List(ctx)
@@ -34,6 +37,7 @@
 
 func (f *countedFeed[T]) Follow(ctx context.Context, after roster.Revision, wait time.Duration) ([]T, roster.Revision, error) {
 	if f.cut.Load() {
+		f.failures.Add(1)
 		return nil, 0, errDown
 	}
 	entries, revision, err := f.Feed.Follow(ctx, after, wait)
@@ -50,6 +54,7 @@
 	nodes     map[fleet.NodeID]*roster.Controller
 	reads     map[fleet.NodeID]*atomic.Int64
 	cuts      map[fleet.NodeID]*atomic.Bool
+	failures  atomic.Int64
 }
 
 // startRelayRegion starts nodes. Without order all nodes rank the nodes in the
@@ -81,13 +86,13 @@
 func (r *relayRegion) controller(node fleet.NodeID, ranked func() []fleet.NodeID) *roster.Controller {
 	r.reads[node], r.cuts[node] = &atomic.Int64{}, &atomic.Bool{}
 	servers := &roster.Relay[roster.ServerEntry]{
-		Name: "servers", Source: &countedFeed[roster.ServerEntry]{&r.servers, r.reads[node], r.cuts[node]},
+		Name: "servers", Source: &countedFeed[roster.ServerEntry]{&r.servers, r.reads[node], r.cuts[node], &r.failures},
 		Key:       func(entry roster.ServerEntry) string { return string(entry.ID) },
 		IsRemoval: func(entry roster.ServerEntry) bool { return entry.Server == nil },
 		Node:      node, Ranked: ranked, Peers: peertest.Endpoint{Network: &r.network, Node: node},
 	}
 	manifests := &roster.Relay[*roster.Manifest]{
-		Name: "manifest", Source: &countedFeed[*roster.Manifest]{&r.manifests, r.reads[node], r.cuts[node]},
+		Name: "manifest", Source: &countedFeed[*roster.Manifest]{&r.manifests, r.reads[node], r.cuts[node], &r.failures},
 		Key:       func(*roster.Manifest) string { return "" },
 		IsRemoval: func(*roster.Manifest) bool { return false },
 		Node:      node, Ranked: ranked, Peers: peertest.Endpoint{Network: &r.network, Node: node},
@@ -200,6 +205,38 @@
 	})
 }
 
+// TestOutageOfTheStoreIsTriedByFewReads guards against a fleet that all reads a store
+// that is down, as often as its readers do, and checks that the nodes still notice its
+// end within the time in which a manifest must be in force.
+func TestOutageOfTheStoreIsTriedByFewReads(t *testing.T) {
+	const (
+		outage = 8 * time.Second
+		// Four readers try both feeds about five times a second, the others both feeds at
+		// a pause that doubles from half a second.
+		maxReaderReads   = 4 * 2 * 8 * 8
+		maxFollowerReads = 28 * 2 * 6
+	)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		r := startRelayRegion(t, 32)
+		r.publish(20)
+		time.Sleep(5 * time.Second)
+		for _, cut := range r.cuts {
+			cut.Store(true)
+		}
+		time.Sleep(outage)
+		failures := r.failures.Load()
+		t.Logf("%d failed reads by 32 nodes in %v", failures, outage)
+		c.Check(failures <= maxReaderReads+maxFollowerReads, qt.IsTrue, qt.Commentf("%d", failures))
+		for _, cut := range r.cuts {
+			cut.Store(false)
+		}
+		r.manifests.put(&roster.Manifest{Version: 2})
+		time.Sleep(2 * time.Second)
+		c.Check(r.allViews(hasSecondManifest), qt.IsTrue)
+	})
+}
+
 // TestNodesThatDisagreeOnReadersReadChanges guards against nodes of which none
 // reads the store: each ranks another one as the only reader.
 func TestNodesThatDisagreeOnReadersReadChanges(t *testing.T) {
