Processes read the lease less often while the table is down

Change: after a failed read the pause doubles from 0.5 s to 2 s, with jitter, but not for the deputy and the former holder. After an outage a process that would have to wait for the claim delay anyway reads the record once more before it claims.

--- a/internal/lease/controller.go
+++ b/internal/lease/controller.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -23,6 +24,10 @@
 	// retryInterval is the time between two reads of the record while its holder is
 	// suspected to have failed, and between two renewals while they fail.
 	retryInterval = 500 * time.Millisecond
+	// maxRetryDoublings is how often retryInterval is doubled while a process fails to
+	// read the record, unless it may claim without a delay: all processes of the fleet
+	// read it at once while the table is down.
+	maxRetryDoublings = 2
 	// claimDelayInterval is the time between two evaluations of the claim delay.
 	claimDelayInterval = 50 * time.Millisecond
 	// callTimeout bounds one call to the table.
@@ -55,6 +60,8 @@
 	suspect  bool
 	wake     wait.Signal
 	released bool
+	// failedReads counts the consecutive failures to read the record.
+	failedReads int
 	// failedRequests counts the consecutive requests on which the deputy gave no
 	// promise. lastRequestAt is when this process, as the deputy, received the last
 	// request.
@@ -167,21 +174,40 @@
 		}
 	case suspect:
 		c.tryClaim(ctx)
+		return c.retryPause()
 	default:
 		return time.Second
 	}
 	return retryInterval
 }
 
+// retryPause returns the time until the next read of the record while its holder is
+// suspected to have failed.
+func (c *Controller) retryPause() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failedReads == 0 || c.State.isHolder || c.mayClaimAtOnce() {
+		return retryInterval
+	}
+	pause := retryInterval << min(c.failedReads-1, maxRetryDoublings)
+	return pause/2 + rand.N(pause/2)
+}
+
 // tryClaim reads the record and claims the lease if it can be claimed.
 func (c *Controller) tryClaim(ctx context.Context) {
+	c.mu.Lock()
+	failed := c.failedReads > 0
+	c.mu.Unlock()
 	if !c.refresh(ctx) {
 		return
 	}
 	c.mu.Lock()
-	skipDelay := c.State.record.Holder == c.State.VM || c.State.IsDeputy()
+	skipDelay := c.mayClaimAtOnce()
 	record, expect, ok := c.State.Claim(c.Clock())
 	c.mu.Unlock()
+	if failed && !skipDelay {
+		return // The former holder reads the record within retryInterval, and claims first.
+	}
 	if !ok || !skipDelay && !c.waitClaimDelay(ctx, expect) {
 		return
 	}
@@ -204,6 +230,12 @@
 	c.Log.Info("lease gained", slog.Uint64("fencing", uint64(record.Fencing)), slog.Duration("actsIn", max(0, handoverLeft)))
 }
 
+// mayClaimAtOnce reports whether this process may claim the lease without the claim
+// delay. The caller holds the lock.
+func (c *Controller) mayClaimAtOnce() bool {
+	return c.State.record.Holder == c.State.VM || c.State.IsDeputy()
+}
+
 // waitClaimDelay waits for the claim delay, so that better suited VMs can claim
 // first, and reports whether the lease can still be claimed after it.
 func (c *Controller) waitClaimDelay(ctx context.Context, expect table.Version) bool {
@@ -274,6 +306,13 @@
 // record could be read.
 func (c *Controller) refresh(ctx context.Context) bool {
 	record, version, err := c.readRecord(ctx)
+	c.mu.Lock()
+	if err != nil {
+		c.failedReads++
+	} else {
+		c.failedReads = 0
+	}
+	c.mu.Unlock()
 	if err != nil {
 		return false
 	}
--- a/internal/lease/controller_test.go
+++ b/internal/lease/controller_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -308,3 +309,42 @@
 	}
 	return s.Store.Transact(ctx, token, writes)
 }
+
+// countedReads is a table that counts the reads of it.
+type countedReads struct {
+	table.Store
+	reads *atomic.Int64
+}
+
+func (s countedReads) Get(ctx context.Context, key table.Key) (table.Record, error) {
+	s.reads.Add(1)
+	return s.Store.Get(ctx, key)
+}
+
+// TestOutageOfTheTableIsTriedByFewReads guards against a fleet that all reads the
+// record of the lease twice a second while the table is down.
+func TestOutageOfTheTableIsTriedByFewReads(t *testing.T) {
+	const (
+		processes = 20
+		outage    = 8 * time.Second
+		// The pauses double from half a second to two, with jitter.
+		maxReads = 8 * processes
+	)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store, reads := standin.NewTable(), &atomic.Int64{}
+		store.SetFaults(standin.TableFaults{Down: true})
+		controllers := make([]*lease.Controller, processes)
+		for i := range controllers {
+			var stop func()
+			controllers[i], stop = startController(t, countedReads{store, reads}, string(rune('a'+i)))
+			defer stop()
+		}
+		time.Sleep(outage)
+		t.Logf("%d reads by %d processes in %v", reads.Load(), processes, outage)
+		c.Check(reads.Load() <= maxReads, qt.IsTrue, qt.Commentf("%d", reads.Load()))
+		store.SetFaults(standin.TableFaults{})
+		time.Sleep(2 * time.Second)
+		c.Check(slices.ContainsFunc(controllers, mayAct), qt.IsTrue)
+	})
+}
