--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -178,7 +178,7 @@
 				return entries, nil
 			}
 		}
-		if len(records) == 0 {
+		if keyRange.IsLast(len(records)) {
 			return entries, nil
 		}
 	}
--- a/internal/batch/controller.go
+++ b/internal/batch/controller.go
@@ -202,7 +202,7 @@
 	span := table.Range{Partition: jobPartition + shardName(c.Rand.IntN(shardCount)), Limit: expiryLimit}
 	for {
 		records, err := c.Store.Query(ctx, span)
-		if err != nil || len(records) == 0 {
+		if err != nil {
 			return
 		}
 		for _, record := range records {
@@ -212,6 +212,9 @@
 				_ = c.Store.Transact(ctx, table.Token(uuid.NewString()), writes)
 			}
 		}
+		if span.IsLast(len(records)) {
+			return
+		}
 		span.After = records[len(records)-1].Key.Sort
 	}
 }
--- a/internal/claim/settle.go
+++ b/internal/claim/settle.go
@@ -122,7 +122,7 @@
 	c.sweeps++
 	for {
 		records, err := c.Store.Query(ctx, page)
-		if err != nil || len(records) == 0 {
+		if err != nil {
 			return
 		}
 		now := time.Now()
@@ -135,6 +135,9 @@
 				c.swept.Inc(1)
 			}
 		}
+		if page.IsLast(len(records)) {
+			return
+		}
 		page.After = records[len(records)-1].Key.Sort
 	}
 }
--- a/internal/config/record.go
+++ b/internal/config/record.go
@@ -170,9 +170,6 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "objects")
 		}
-		if len(records) == 0 {
-			return entries, nil
-		}
 		for _, record := range records {
 			span.After = record.Key.Sort
 			var entry ticket.Entry
@@ -181,5 +178,8 @@
 			}
 			entries = append(entries, entry)
 		}
+		if span.IsLast(len(records)) {
+			return entries, nil
+		}
 	}
 }
--- a/internal/dynamo/dynamo.go
+++ b/internal/dynamo/dynamo.go
@@ -31,10 +31,6 @@
 	expectValue        = ":expect"
 )
 
-// defaultLimit is the maximum number of records that a query without a limit
-// returns.
-const defaultLimit = 1000
-
 // Store is a table in a service that implements the DynamoDB protocol. Set its
 // fields before passing it to [New].
 type Store struct {
@@ -91,10 +87,7 @@
 // Query implements [table.Store].
 func (s *Store) Query(ctx context.Context, keyRange table.Range) (records []table.Record, err error) {
 	defer annotate(&err, "query", table.Key{Partition: keyRange.Partition, Sort: keyRange.Prefix})
-	limit := keyRange.Limit
-	if limit == 0 {
-		limit = defaultLimit
-	}
+	limit := keyRange.MaxRecords()
 	input := s.queryInput(keyRange)
 	for len(records) < limit {
 		input.Limit = aws.Int32(int32(limit - len(records)))
--- a/internal/grant/follow.go
+++ b/internal/grant/follow.go
@@ -241,7 +241,7 @@
 				return err
 			}
 		}
-		if len(records) < queryPageSize {
+		if span.IsLast(len(records)) {
 			return nil
 		}
 		span.After = records[len(records)-1].Key.Sort
--- a/internal/member/registration.go
+++ b/internal/member/registration.go
@@ -203,7 +203,7 @@
 				c.removeRegistration(ctx, other, record)
 			}
 		}
-		if len(records) == 0 {
+		if span.IsLast(len(records)) {
 			return list, nil
 		}
 	}
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -95,10 +95,6 @@
 	return clone(record), nil
 }
 
-// defaultQueryLimit is the number of records that a query without a limit
-// returns at most.
-const defaultQueryLimit = 1000
-
 // Query implements [table.Store].
 func (t *Table) Query(ctx context.Context, span table.Range) ([]table.Record, error) {
 	if err := t.enter(ctx); err != nil {
@@ -107,10 +103,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.counts.Queries++
-	limit := span.Limit
-	if limit == 0 {
-		limit = defaultQueryLimit
-	}
+	limit := span.MaxRecords()
 	sorted := t.sorted[span.Partition]
 	start, exact := slices.BinarySearch(sorted, max(span.After, span.Prefix))
 	if exact && span.After != "" && sorted[start] == span.After {
--- a/internal/standin/tableserver.go
+++ b/internal/standin/tableserver.go
@@ -213,12 +213,8 @@
 	for _, record := range records {
 		answer.Items = append(answer.Items, encodeRecord(record))
 	}
-	limit := span.Limit
-	if limit == 0 {
-		limit = defaultQueryLimit
-	}
-	if len(records) == limit {
-		last := encodeRecord(records[limit-1])
+	if !span.IsLast(len(records)) {
+		last := encodeRecord(records[len(records)-1])
 		answer.LastEvaluatedKey = attributes{
 			partitionAttribute: last[partitionAttribute], sortAttribute: last[sortAttribute],
 		}
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -99,17 +99,34 @@
 	Prefix string
 	// After excludes sort keys up to and including this one.
 	After string
-	// Limit is the maximum number of records to return; 0 means 1000.
+	// Limit is the maximum number of records to return; 0 means [DefaultLimit].
 	Limit int
 }
 
+// DefaultLimit is the maximum number of records that a query returns if its range has
+// no limit.
+const DefaultLimit = 1000
+
+// MaxRecords returns the maximum number of records that a query of the range returns.
+func (r Range) MaxRecords() int {
+	if r.Limit == 0 {
+		return DefaultLimit
+	}
+	return r.Limit
+}
+
+// IsLast reports whether a result of the given number of records is the end of the
+// range: a query returns fewer records than it may only if there are no more.
+func (r Range) IsLast(records int) bool { return records < r.MaxRecords() }
+
 // Store is a table service. Its methods may be called concurrently.
 type Store interface {
 	// Get reads one record with strong consistency. It fails with ErrNotFound or
 	// ErrUnavailable.
 	Get(ctx context.Context, key Key) (Record, error)
-	// Query reads a range. Each record is read with strong consistency, but the
-	// result is not a snapshot. It fails with ErrUnavailable.
+	// Query reads a range. It returns fewer records than the range allows only if
+	// there are no more. Each record is read with strong consistency, but the result
+	// is not a snapshot. It fails with ErrUnavailable.
 	Query(ctx context.Context, span Range) ([]Record, error)
 	// Transact applies all writes or none. It fails with ErrConflict,
 	// ErrUnavailable or ErrOutcomeUnknown.
