--- a/internal/poison/reservation.go
+++ b/internal/poison/reservation.go
@@ -92,5 +92,6 @@
 		return
 	}
 	write := table.Write{Key: record.Key, Expect: record.Version}
+	// A later poll tries again.
 	_ = c.Store.Transact(ctx, table.Token(uuid.NewString()), []table.Write{write})
 }
--- a/internal/roster/fallback.go
+++ b/internal/roster/fallback.go
@@ -5,10 +5,10 @@
 	"time"
 )
 
-// fallback paces the reads of the source by a node whose readers have failed. While
+// fallbackLimiter paces the reads of the source by a node whose readers have failed. While
 // the source itself is down, all nodes of a region would otherwise read it as often as
 // its readers do, and still do so when it comes back.
-type fallback struct {
+type fallbackLimiter struct {
 	// nextRead is when the node may read the source again, retryAt when it may ask a
 	// reader again.
 	nextRead, retryAt time.Time
@@ -27,24 +27,24 @@
 )
 
 // mayRead reports whether the node may read the source in place of a reader.
-func (f *fallback) mayRead(now time.Time) bool { return !now.Before(f.nextRead) }
+func (l *fallbackLimiter) mayRead(now time.Time) bool { return !now.Before(l.nextRead) }
 
 // mayTry reports whether the node may ask a reader, or read the source in its place.
-func (f *fallback) mayTry(now time.Time) bool { return !now.Before(f.retryAt) }
+func (l *fallbackLimiter) mayTry(now time.Time) bool { return !now.Before(l.retryAt) }
 
 // recordFailure records that the source could not be read, or that it was too early to
 // try.
-func (f *fallback) recordFailure(now time.Time) {
-	f.retryAt = now.Add(jitter(readerRetryPause))
-	if !f.mayRead(now) {
+func (l *fallbackLimiter) recordFailure(now time.Time) {
+	l.retryAt = now.Add(jitter(readerRetryPause))
+	if !l.mayRead(now) {
 		return
 	}
-	f.pause = min(max(minFallbackPause, 2*f.pause), maxFallbackPause)
-	f.nextRead = now.Add(jitter(f.pause))
+	l.pause = min(max(minFallbackPause, 2*l.pause), maxFallbackPause)
+	l.nextRead = now.Add(jitter(l.pause))
 }
 
 // recordSuccess records that a reader or the source was read.
-func (f *fallback) recordSuccess() { *f = fallback{} }
+func (l *fallbackLimiter) recordSuccess() { *l = fallbackLimiter{} }
 
 // jitter returns a random duration between a half and the whole of one.
 func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2) }
--- a/internal/roster/relay.go
+++ b/internal/roster/relay.go
@@ -50,7 +50,7 @@
 	fromPeer bool
 	// avoidUntil holds, for each reader that failed, until when it is not used.
 	avoidUntil map[fleet.NodeID]time.Time
-	fallback   fallback
+	limiter    fallbackLimiter
 }
 
 // Timing and number of readers.
@@ -210,7 +210,7 @@
 func (r *Relay[T]) mayTry() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.fallback.mayTry(time.Now())
+	return r.limiter.mayTry(time.Now())
 }
 
 // mayFallBack reports whether the node may read the source in place of a reader. If
@@ -219,8 +219,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	if !r.fallback.mayRead(now) {
-		r.fallback.recordFailure(now)
+	if !r.limiter.mayRead(now) {
+		r.limiter.recordFailure(now)
 		return false
 	}
 	return true
@@ -276,7 +276,7 @@
 	case !errors.Is(err, ErrCompacted):
 		r.mu.Lock()
 		r.copy.markSourceLost()
-		r.fallback.recordFailure(time.Now())
+		r.limiter.recordFailure(time.Now())
 		r.mu.Unlock()
 	}
 }
@@ -293,7 +293,7 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	r.fromPeer = flags&fromSource == 0
-	r.fallback.recordSuccess()
+	r.limiter.recordSuccess()
 	r.copy.update(now, entries, r.Key, revision, flags)
 	r.copy.prune(now, r.IsRemoval)
 }
