--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -58,7 +58,10 @@
 		start("third", 10*time.Millisecond)
 		time.Sleep(31 * time.Millisecond)
 		start("fourth", 0)
-		c.Check(s.peak, qt.Equals, 3)
+		s.mu.Lock()
+		peak := s.peak
+		s.mu.Unlock()
+		c.Check(peak, qt.Equals, 3)
 		time.Sleep(time.Second)
 	})
 }
