One jitter for the pauses after failed reads

Cause: the lease and the fallback to the store each wrote again the formula that the watcher of a feed had (a half to the whole of a pause).

Change: wait.Jitter serves all three. Config, grants and members keep their own, which spread around the pause.

Measured: nothing to measure; tests of wait, roster and lease pass as they were.

--- a/internal/lease/controller.go
+++ b/internal/lease/controller.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"log/slog"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -189,8 +188,7 @@
 	if c.failedReads == 0 || c.State.isHolder || c.mayClaimAtOnce() {
 		return retryInterval
 	}
-	pause := retryInterval << min(c.failedReads-1, maxRetryDoublings)
-	return pause/2 + rand.N(pause/2)
+	return wait.Jitter(retryInterval << min(c.failedReads-1, maxRetryDoublings))
 }
 
 // tryClaim reads the record and claims the lease if it can be claimed.
--- a/internal/roster/fallback.go
+++ b/internal/roster/fallback.go
@@ -1,8 +1,9 @@
 package roster
 
 import (
-	"math/rand/v2"
 	"time"
+
+	"github.com/guavatrack/guavatrack/internal/wait"
 )
 
 // fallbackLimiter paces the reads of the source by a node whose readers have failed. While
@@ -35,16 +36,13 @@
 // recordFailure records that the source could not be read, or that it was too early to
 // try.
 func (l *fallbackLimiter) recordFailure(now time.Time) {
-	l.retryAt = now.Add(jitter(readerRetryPause))
+	l.retryAt = now.Add(wait.Jitter(readerRetryPause))
 	if !l.mayRead(now) {
 		return
 	}
 	l.pause = min(max(minFallbackPause, 2*l.pause), maxFallbackPause)
-	l.nextRead = now.Add(jitter(l.pause))
+	l.nextRead = now.Add(wait.Jitter(l.pause))
 }
 
 // recordSuccess records that a reader or the source was read.
 func (l *fallbackLimiter) recordSuccess() { *l = fallbackLimiter{} }
-
-// jitter returns a random duration between a half and the whole of one.
-func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2) }
--- a/internal/roster/feed.go
+++ b/internal/roster/feed.go
@@ -156,7 +156,7 @@
 		pause = min(w.timeout, maxTimeoutPause)
 		w.timeout = min(timeoutFactor*w.timeout, w.maxTimeout)
 	}
-	return jitter(pause)
+	return wait.Jitter(pause)
 }
 
 // readOnce lists the feed or waits for changes once, and returns the number of
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 )
 
@@ -22,6 +23,10 @@
 	}
 }
 
+// Jitter returns a random duration of at least a half of d and less than d, so that
+// nodes that wait at the same time don't all go on at the same time. d is at least 2 ns.
+func Jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2) }
+
 // Until waits until the condition is true, checking it at the interval, and
 // reports whether it is. It stops waiting after the timeout and when the
 // context ends.
