One loop over the pages of a range of the table

Change: table.All, an iterator over the records of a range, serves the audit trail, claims, batch jobs, configuration and members. The reader of the grants keeps its own loop, since it limits each page in time and notes when each was asked for.

--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -160,26 +160,20 @@
 	if from.After(day) {
 		keyRange.After = from.Add(-time.Nanosecond).Format(sortKeyTimeFormat) + "0"
 	}
-	for {
-		records, err := l.Store.Query(ctx, keyRange)
+	for record, err := range table.All(ctx, l.Store, keyRange) {
 		if err != nil {
 			return nil, err
 		}
-		for _, record := range records {
-			var entry Entry
-			if err := json.Unmarshal(record.Body, &entry); err != nil {
-				return nil, errors.Wrap(err, record.Key.Sort)
-			}
-			keyRange.After = record.Key.Sort
-			if entry.At.Before(from) || !entry.At.Before(to) {
-				continue
-			}
-			if entries = append(entries, entry); len(entries) >= limit {
-				return entries, nil
-			}
+		var entry Entry
+		if err := json.Unmarshal(record.Body, &entry); err != nil {
+			return nil, errors.Wrap(err, record.Key.Sort)
 		}
-		if keyRange.IsLast(len(records)) {
+		if entry.At.Before(from) || !entry.At.Before(to) {
+			continue
+		}
+		if entries = append(entries, entry); len(entries) >= limit {
 			return entries, nil
 		}
 	}
+	return entries, nil
 }
--- a/internal/batch/controller.go
+++ b/internal/batch/controller.go
@@ -200,22 +200,15 @@
 // deleteExpired deletes the expired jobs of one random shard.
 func (c *Controller) deleteExpired(ctx context.Context) {
 	span := table.Range{Partition: jobPartition + shardName(c.Rand.IntN(shardCount)), Limit: expiryLimit}
-	for {
-		records, err := c.Store.Query(ctx, span)
+	for record, err := range table.All(ctx, c.Store, span) {
 		if err != nil {
 			return
 		}
-		for _, record := range records {
-			var job Job
-			if json.Unmarshal(record.Body, &job) == nil && time.Now().After(job.ExpiresAt) {
-				writes := []table.Write{{Key: record.Key, Expect: record.Version}}
-				_ = c.Store.Transact(ctx, table.Token(uuid.NewString()), writes)
-			}
-		}
-		if span.IsLast(len(records)) {
-			return
+		var job Job
+		if json.Unmarshal(record.Body, &job) == nil && time.Now().After(job.ExpiresAt) {
+			writes := []table.Write{{Key: record.Key, Expect: record.Version}}
+			_ = c.Store.Transact(ctx, table.Token(uuid.NewString()), writes)
 		}
-		span.After = records[len(records)-1].Key.Sort
 	}
 }
 
--- a/internal/claim/settle.go
+++ b/internal/claim/settle.go
@@ -116,28 +116,20 @@
 // sweep deletes the expired claims of one partition. Successive calls cycle
 // through the partitions.
 func (c *Controller) sweep(ctx context.Context) {
-	page := table.Range{
+	span := table.Range{
 		Partition: partition((c.sweepOffset + c.sweeps) % partitions), Limit: sweepPageSize,
 	}
 	c.sweeps++
-	for {
-		records, err := c.Store.Query(ctx, page)
+	for found, err := range table.All(ctx, c.Store, span) {
 		if err != nil {
 			return
 		}
-		now := time.Now()
-		for _, found := range records {
-			var claim Record
-			if json.Unmarshal(found.Body, &claim) != nil || now.Before(claim.ExpiresAt) {
-				continue
-			}
-			if c.writer.write(ctx, table.Write{Key: found.Key, Expect: found.Version}) == nil {
-				c.swept.Inc(1)
-			}
+		var claim Record
+		if json.Unmarshal(found.Body, &claim) != nil || time.Now().Before(claim.ExpiresAt) {
+			continue
 		}
-		if page.IsLast(len(records)) {
-			return
+		if c.writer.write(ctx, table.Write{Key: found.Key, Expect: found.Version}) == nil {
+			c.swept.Inc(1)
 		}
-		page.After = records[len(records)-1].Key.Sort
 	}
 }
--- a/internal/config/record.go
+++ b/internal/config/record.go
@@ -164,22 +164,15 @@
 // readObjects reads the entries of all objects from the table.
 func (c *Controller) readObjects(ctx context.Context) ([]ticket.Entry, error) {
 	var entries []ticket.Entry
-	span := table.Range{Partition: objectPartition}
-	for {
-		records, err := c.Store.Query(ctx, span)
+	for record, err := range table.All(ctx, c.Store, table.Range{Partition: objectPartition}) {
 		if err != nil {
 			return nil, errors.Wrap(err, "objects")
 		}
-		for _, record := range records {
-			span.After = record.Key.Sort
-			var entry ticket.Entry
-			if err := json.Unmarshal(record.Body, &entry); err != nil {
-				return nil, errors.Wrapf(err, "object %s", record.Key.Sort)
-			}
-			entries = append(entries, entry)
-		}
-		if span.IsLast(len(records)) {
-			return entries, nil
+		var entry ticket.Entry
+		if err := json.Unmarshal(record.Body, &entry); err != nil {
+			return nil, errors.Wrapf(err, "object %s", record.Key.Sort)
 		}
+		entries = append(entries, entry)
 	}
+	return entries, nil
 }
--- a/internal/member/registration.go
+++ b/internal/member/registration.go
@@ -182,31 +182,24 @@
 // nodes that are gone.
 func (c *Controller) readRegistrations(ctx context.Context) ([]registrationRecord, error) {
 	var list []registrationRecord
-	span := table.Range{Partition: partition}
-	for {
-		records, err := c.Store.Query(ctx, span)
+	for record, err := range table.All(ctx, c.Store, table.Range{Partition: partition}) {
 		if err != nil {
 			return nil, err
 		}
-		for _, record := range records {
-			span.After = record.Key.Sort
-			var other registrationRecord
-			if json.Unmarshal(record.Body, &other) != nil || other.Node == c.Self.Node {
-				continue
-			}
-			switch {
-			case other.PeerAddress == c.Self.PeerAddress:
-				c.removePredecessor(ctx, record)
-			case !other.stale(time.Now()) || c.inUnreachableRegion(other):
-				list = append(list, other)
-			default:
-				c.removeRegistration(ctx, other, record)
-			}
+		var other registrationRecord
+		if json.Unmarshal(record.Body, &other) != nil || other.Node == c.Self.Node {
+			continue
 		}
-		if span.IsLast(len(records)) {
-			return list, nil
+		switch {
+		case other.PeerAddress == c.Self.PeerAddress:
+			c.removePredecessor(ctx, record)
+		case !other.stale(time.Now()) || c.inUnreachableRegion(other):
+			list = append(list, other)
+		default:
+			c.removeRegistration(ctx, other, record)
 		}
 	}
+	return list, nil
 }
 
 // inUnreachableRegion reports whether a stale record belongs to a node of an
