One way to read a JSON record that may not exist

Cause: the reservation of a server read its record like the notice beside it, the lease and the head of the configuration do: get, absent if not found, decode. Deletes of records in poison stood three times.

Change: table.ReadJSON serves all four; Controller.delete the three. The grants keep theirs, which limits the call in time and counts errors, and the claims theirs, which tells a missing record by an error.

--- a/internal/config/record.go
+++ b/internal/config/record.go
@@ -105,17 +105,9 @@
 // readHead reads the head record. It returns an empty head if no ticket has
 // been accepted yet.
 func (c *Controller) readHead(ctx context.Context) (latest head, err error) {
-	record, err := c.Store.Get(ctx, headKey)
-	if errors.Is(err, table.ErrNotFound) {
-		return head{}, nil
-	}
-	if err != nil {
-		return head{}, errors.Wrap(err, "head of the configuration")
-	}
-	if err := json.Unmarshal(record.Body, &latest); err != nil {
+	if latest.version, err = table.ReadJSON(ctx, c.Store, headKey, &latest); err != nil {
 		return head{}, errors.Wrap(err, "head of the configuration")
 	}
-	latest.version = record.Version
 	return latest, nil
 }
 
--- a/internal/lease/controller.go
+++ b/internal/lease/controller.go
@@ -336,17 +336,8 @@
 func (c *Controller) readRecord(ctx context.Context) (record Record, version table.Version, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	found, err := c.Store.Get(ctx, c.Key)
-	switch {
-	case errors.Is(err, table.ErrNotFound):
-		return Record{}, table.Absent, nil
-	case err != nil:
-		return Record{}, 0, err
-	}
-	if err := json.Unmarshal(found.Body, &record); err != nil {
-		return Record{}, 0, errors.Wrap(err, "decode lease record")
-	}
-	return record, found.Version, nil
+	version, err = table.ReadJSON(ctx, c.Store, c.Key, &record)
+	return record, version, err
 }
 
 func (c *Controller) writeRecord(ctx context.Context, record Record, expect table.Version) error {
--- a/internal/poison/controller.go
+++ b/internal/poison/controller.go
@@ -248,20 +248,16 @@
 // mergeStored merges the table's notice of a digest into the notices of this
 // node and returns the result with the version of the table record.
 func (c *Controller) mergeStored(ctx context.Context, digest Digest) (notice Notice, version table.Version, err error) {
-	record, err := c.Store.Get(ctx, key(digest))
-	if err != nil && !errors.Is(err, table.ErrNotFound) {
-		return notice, 0, errors.Wrapf(err, "read poison notice %s", digest)
+	var stored Notice
+	if version, err = table.ReadJSON(ctx, c.Store, key(digest), &stored); err != nil {
+		return notice, version, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if err == nil {
-		var found Notice
-		if err := json.Unmarshal(record.Body, &found); err != nil {
-			return notice, 0, errors.Wrapf(err, "decode poison notice %s", digest)
-		}
-		return c.notices.Merge(time.Now(), found), record.Version, nil
+	if version == table.Absent {
+		return c.notices.Get(digest), version, nil
 	}
-	return c.notices.Get(digest), table.Absent, nil
+	return c.notices.Merge(time.Now(), stored), version, nil
 }
 
 func key(digest Digest) table.Key { return table.Key{Partition: partition, Sort: string(digest)} }
@@ -279,6 +275,11 @@
 	return nil
 }
 
+// delete deletes a record that has a version.
+func (c *Controller) delete(ctx context.Context, key table.Key, version table.Version) error {
+	return c.Store.Transact(ctx, table.Token(uuid.NewString()), []table.Write{{Key: key, Expect: version}})
+}
+
 // Run polls the table until the context ends. It merges the notices into those
 // of this node and deletes those that expired more than [NoticeLifetime] ago.
 func (c *Controller) Run(ctx context.Context) error {
@@ -313,8 +314,7 @@
 			continue
 		}
 		if now.After(notice.ExpiresAt.Add(NoticeLifetime)) {
-			write := table.Write{Key: record.Key, Expect: record.Version}
-			_ = c.Store.Transact(ctx, table.Token(uuid.NewString()), []table.Write{write})
+			_ = c.delete(ctx, record.Key, record.Version)
 			continue
 		}
 		c.Merge(notice)
--- a/internal/poison/reservation.go
+++ b/internal/poison/reservation.go
@@ -7,9 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/go-faster/errors"
-	"github.com/google/uuid"
-
 	"github.com/guavatrack/guavatrack/internal/table"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
@@ -41,17 +38,8 @@
 // reservation reads the reservation of a server, which is empty if there is none, and
 // the version of its record.
 func (c *Controller) reservation(ctx context.Context, server fleet.ServerID) (held reservation, version table.Version, err error) {
-	record, err := c.Store.Get(ctx, reservationKey(server))
-	if errors.Is(err, table.ErrNotFound) {
-		return held, table.Absent, nil
-	}
-	if err != nil {
-		return held, 0, errors.Wrapf(err, "read reservation of server %s", server)
-	}
-	if err := json.Unmarshal(record.Body, &held); err != nil {
-		return held, 0, errors.Wrapf(err, "decode reservation of server %s", server)
-	}
-	return held, record.Version, nil
+	version, err = table.ReadJSON(ctx, c.Store, reservationKey(server), &held)
+	return held, version, err
 }
 
 // reservationWrite returns the write that reserves a server for a trial.
@@ -77,8 +65,7 @@
 	defer cancel()
 	held, version, err := c.reservation(ctx, trial.Server)
 	if err == nil && held.Digest == digest && held.Trial.Node == c.Node {
-		write := table.Write{Key: reservationKey(trial.Server), Expect: version}
-		err = c.Store.Transact(ctx, table.Token(uuid.NewString()), []table.Write{write})
+		err = c.delete(ctx, reservationKey(trial.Server), version)
 	}
 	if err != nil {
 		c.Log.Warn("server not released after a trial", slog.String("server", string(trial.Server)), slog.Any("error", err))
@@ -91,7 +78,6 @@
 	if json.Unmarshal(record.Body, &held) == nil && now.Before(held.Trial.Deadline.Add(NoticeLifetime)) {
 		return
 	}
-	write := table.Write{Key: record.Key, Expect: record.Version}
 	// A later poll tries again.
-	_ = c.Store.Transact(ctx, table.Token(uuid.NewString()), []table.Write{write})
+	_ = c.delete(ctx, record.Key, record.Version)
 }
