One exchange of notices between nodes

Cause: LeaveNotices was a copy of poison.Gossip with small variations: the same interface of facts, encoding, skipping of own facts, decoding and two log lines.

--- a/internal/roster/leaving.go
+++ b/internal/roster/leaving.go
@@ -1,7 +1,6 @@
 package roster
 
 import (
-	"encoding/json"
 	"log/slog"
 	"time"
 
@@ -16,47 +15,31 @@
 	leavingLifetime = time.Minute
 )
 
-// Facts publishes facts, which expire, to other nodes and returns those received.
-type Facts interface {
-	Publish(fact member.Fact, lifetime time.Duration) bool
-	Facts(kind string) []member.Fact
-}
-
 // LeaveNotices exchanges between nodes which servers have reported that they leave: a
 // server says so in its answers, which may reach one node long before the store lists
 // it as draining. The exported fields are set before use.
 type LeaveNotices struct {
 	Node   fleet.NodeID
 	Roster *Controller
-	Facts  Facts
+	Facts  member.FactStore
 	Log    *slog.Logger
 }
 
+func (l *LeaveNotices) notices() *member.Notices[fleet.BootID] {
+	return &member.Notices[fleet.BootID]{Kind: leavingKind, Node: l.Node, Facts: l.Facts, Log: l.Log}
+}
+
 // RecordLeaving records that a run of a server leaves and, if that is new, publishes it
 // to the other nodes.
 func (l *LeaveNotices) RecordLeaving(server fleet.ServerID, boot fleet.BootID) {
-	if !l.Roster.RecordLeaving(server, boot) {
-		return
-	}
-	value, err := json.Marshal(boot)
-	if err != nil {
-		l.Log.Error("leaving server not published, encoding failed", slog.Any("error", err))
-		return
+	if l.Roster.RecordLeaving(server, boot) {
+		l.notices().Publish(string(server), boot, leavingLifetime)
 	}
-	l.Facts.Publish(member.Fact{Kind: leavingKind, Key: string(server), CrossRegion: true, Value: value}, leavingLifetime)
 }
 
 // Receive records what other nodes have published.
 func (l *LeaveNotices) Receive() {
-	for _, fact := range l.Facts.Facts(leavingKind) {
-		if fact.Owner == l.Node {
-			continue
-		}
-		var boot fleet.BootID
-		if err := json.Unmarshal(fact.Value, &boot); err != nil {
-			l.Log.Warn("failed to decode notice of a leaving server", slog.String("node", string(fact.Owner)), slog.Any("error", err))
-			continue
-		}
-		l.Roster.RecordLeaving(fleet.ServerID(fact.Key), boot)
-	}
+	l.notices().Receive(func(server string, boot fleet.BootID) {
+		l.Roster.RecordLeaving(fleet.ServerID(server), boot)
+	})
 }
