Client and command line bound what they read

Cause: the client read a line of a stream, and the command line the standard input, without a limit. A line without end would have filled the caller's memory.

Change: a line of a stream has at most 1 MiB; a longer one ends the stream for good, since resuming it would bring the same. The standard input is read up to 1 MiB; ticket.Parse refuses any text of more than 300 KiB with its own error, as before.

--- a/internal/cli/ticket.go
+++ b/internal/cli/ticket.go
@@ -21,10 +21,14 @@
 	File string `positional-arg-name:"FILE" required:"true" description:"ticket file, - for standard input"`
 }
 
+// maxInput bounds what is read of the standard input, in bytes. A ticket of that size is
+// refused by [ticket.Parse].
+const maxInput = 1 << 20
+
 // read returns the content of the file.
 func (f fileArgument) read() (text []byte, err error) {
 	if f.File == "-" {
-		text, err = io.ReadAll(os.Stdin)
+		text, err = io.ReadAll(io.LimitReader(os.Stdin, maxInput))
 	} else {
 		text, err = os.ReadFile(f.File)
 	}
--- a/pkg/guavatrack/client_test.go
+++ b/pkg/guavatrack/client_test.go
@@ -126,3 +126,29 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(text, qt.Equals, "abc")
 }
+
+// TestClientEndsAStreamWithALineWithoutEnd checks that the memory of a client is bounded
+// and that it does not resume such a stream.
+func TestClientEndsAStreamWithALineWithoutEnd(t *testing.T) {
+	c := qt.New(t)
+	var lookups, calls, sent atomic.Int64
+	var address string
+	address = startFakeNode(t, &lookups, func() []string { return []string{address} }, func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		piece := strings.Repeat("x", 16<<10)
+		for sent.Load() < 64<<20 {
+			count, err := io.WriteString(w, piece)
+			if err != nil {
+				return
+			}
+			sent.Add(int64(count))
+		}
+	})
+	client := &guavatrack.Client{Nodes: []string{address}, Scheme: "http"}
+	err := client.Stream(t.Context(), guavatrack.Request{
+		Method: http.MethodPost, Path: "/v1/chat/completions", Model: "hop", Body: []byte(`{"stream":true}`),
+	}, func(string) error { return nil })
+	c.Assert(err, qt.ErrorMatches, "(?s).*line too long.*")
+	c.Assert(calls.Load(), qt.Equals, int64(1))
+	c.Assert(sent.Load() < 64<<20, qt.IsTrue)
+}
--- a/pkg/guavatrack/stream.go
+++ b/pkg/guavatrack/stream.go
@@ -63,11 +63,13 @@
 func (s *streamReader) readEvents(source *bufio.Reader) error {
 	var id, eventType, data string
 	for {
-		line, err := source.ReadString('\n')
+		line, err := readLine(source)
+		if errors.Is(err, errLineTooLong) {
+			s.permanentErr = err
+		}
 		if err != nil {
 			return errors.Wrap(err, "stream broke off")
 		}
-		line = strings.TrimRight(line, "\r\n")
 		name, value, _ := strings.Cut(line, ":")
 		value = strings.TrimPrefix(value, " ")
 		switch name {
@@ -87,6 +89,29 @@
 	}
 }
 
+// maxLineBytes bounds a line of a stream, in bytes.
+const maxLineBytes = 1 << 20
+
+// errLineTooLong means that a line of a stream is longer than maxLineBytes.
+var errLineTooLong = errors.New("line too long")
+
+// readLine reads a line and removes its end.
+func readLine(source *bufio.Reader) (string, error) {
+	var line []byte
+	for {
+		piece, err := source.ReadSlice('\n')
+		line = append(line, piece...)
+		switch {
+		case len(line) > maxLineBytes:
+			return "", errLineTooLong
+		case err == nil:
+			return strings.TrimRight(string(line), "\r\n"), nil
+		case !errors.Is(err, bufio.ErrBufferFull):
+			return "", err
+		}
+	}
+}
+
 // handleEvent passes one event to onData and reports whether it was the last.
 func (s *streamReader) handleEvent(id, eventType, data string) (done bool, err error) {
 	switch {
