--- a/internal/route/load_test.go
+++ b/internal/route/load_test.go
@@ -1,9 +1,9 @@
 package route_test
 
 import (
-	"container/heap"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -20,7 +20,7 @@
 	random *rand.Rand
 	// reported is the number of calls on each replica as of the last report to the nodes.
 	running, reported []int
-	ends              endHeap
+	ends              []ending
 	// shared is set if the nodes get the reports.
 	shared bool
 }
@@ -41,18 +41,6 @@
 	replica int
 }
 
-type endHeap []ending
-
-func (h endHeap) Len() int           { return len(h) }
-func (h endHeap) Less(i, j int) bool { return h[i].at < h[j].at }
-func (h endHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *endHeap) Push(x any)        { *h = append(*h, x.(ending)) }
-func (h *endHeap) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
-}
-
 func regionOf(i int) fleet.Region { return fleet.Region(rune('a' + i%2)) }
 
 // choose returns the replica that a node of a region chooses.
@@ -81,9 +69,7 @@
 	now, reportedAt, misplaced := time.Duration(0), time.Duration(0), 0
 	for range busyCalls {
 		now += time.Duration(m.random.ExpFloat64() / rate * float64(time.Second))
-		for len(m.ends) > 0 && m.ends[0].at <= now {
-			m.running[heap.Pop(&m.ends).(ending).replica]--
-		}
+		m.endCalls(now)
 		if now-reportedAt >= reportEvery {
 			reportedAt = now
 			copy(m.reported, m.running)
@@ -98,11 +84,22 @@
 		}
 		m.running[chosen]++
 		ends := now + time.Duration(m.random.ExpFloat64()*float64(busyService))
-		heap.Push(&m.ends, ending{at: ends, replica: chosen})
+		m.ends = append(m.ends, ending{at: ends, replica: chosen})
 	}
 	return float64(misplaced) / busyCalls
 }
 
+// endCalls ends the calls whose time has come.
+func (m *busyModel) endCalls(now time.Duration) {
+	m.ends = slices.DeleteFunc(m.ends, func(call ending) bool {
+		if call.at > now {
+			return false
+		}
+		m.running[call.replica]--
+		return true
+	})
+}
+
 func (m *busyModel) anyFree() bool {
 	for _, count := range m.running {
 		if count < busySlots {
