A silent attempt is ended only once another one answers

Callers saw a stream end in the middle, or a 502 before their time limit, although their server was sound and only silent for a while: neither an answer nor a refusal if the stream had begun.

Cause: an attempt without progress for a second was cancelled on suspicion, and only then did the node look for something to take its place. No attempt left, an empty retry budget, a full server, an unloaded model or a second silence each turned the suspicion into a lost answer. Class: what still works is given up before its replacement is secured.

Change: a silent attempt is only suspected. If the call and the policy allow it, another attempt is made beside it: before the first event at another server that has a free slot, else at the same server over a new connection; an answer that has begun goes on at the same server first, so that no two servers work on it. The silent attempt is ended when the other one answers, the other one when the silent one goes on, and where nothing may take its place the call waits for it. A retry that was granted and not made goes back to the budget. State of a message that concurrent attempts use has a lock in both edges.

--- a/internal/caller/completion.go
+++ b/internal/caller/completion.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"sync"
 
 	"github.com/go-faster/errors"
 
@@ -19,7 +20,10 @@
 // its stream across attempts.
 type completion struct {
 	*Server
-	call     *Call
+	call *Call
+
+	// mu guards position, since an attempt may be made while a silent one goes on.
+	mu       sync.Mutex
 	position retry.Position
 }
 
@@ -36,7 +40,25 @@
 }
 
 // Resumable implements [dispatch.Message].
-func (c *completion) Resumable() bool { return c.position.Resumable() }
+func (c *completion) Resumable() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.position.Resumable()
+}
+
+// accept returns what to do with an event and advances the position if it is forwarded.
+func (c *completion) accept(event engine.Event) retry.Verdict {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.position.Accept(event)
+}
+
+// nextEvent returns the offset of the first event that the caller has not received.
+func (c *completion) nextEvent() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.position.Next
+}
 
 // Open implements [dispatch.Message].
 func (c *completion) Open(ctx context.Context, attempt *dispatch.Attempt) (dispatch.Answer, error) {
@@ -75,8 +97,8 @@
 	header.Set(engine.RequestIDHeader, string(c.call.ID))
 	header.Set(engine.PriorityHeader, strconv.Itoa(c.call.Rank))
 	header.Set(engine.DeadlineHeader, strconv.FormatInt(max(1, c.call.TimeLeft().Milliseconds()), 10))
-	if c.position.Next > 0 {
-		header.Set(engine.LastEventIDHeader, engine.EventID(c.call.ID, c.position.Next-1))
+	if next := c.nextEvent(); next > 0 {
+		header.Set(engine.LastEventIDHeader, engine.EventID(c.call.ID, next-1))
 	}
 	return request, nil
 }
@@ -119,7 +141,7 @@
 func (a *completionAnswer) relayStream() (err error) {
 	event := a.first
 	for {
-		verdict := a.completion.position.Accept(event)
+		verdict := a.completion.accept(event)
 		switch verdict {
 		case retry.Foreign:
 			a.transports.closeIdle()
--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -63,7 +63,7 @@
 // twice and retries use new connections, since the server may close a pooled
 // connection while the call is sent.
 func (c *serviceCall) transport(attempt *dispatch.Attempt) http.RoundTripper {
-	if !c.call.Idempotent || attempt.Fresh || c.call.FailedAttempts() > 0 {
+	if !c.call.Idempotent || attempt.Fresh || attempt.Retry {
 		return c.transports.fresh
 	}
 	return c.transports.pooled
--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -60,6 +60,15 @@
 	return d.budgets.hedges.Withdraw(now)
 }
 
+// refundRetry returns the attempt that a retry decision took from the budget and that
+// was not made.
+func (d *Dispatcher) refundRetry(call *Call) {
+	allowance := d.Allowance()
+	d.budgets.Lock()
+	defer d.budgets.Unlock()
+	d.budgets.forPool(call.Pool, allowance).Refund()
+}
+
 // retryDecision applies the retry policy to a call whose last attempt failed.
 func (d *Dispatcher) retryDecision(call *Call) retry.Decision {
 	state := retry.State{
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -84,9 +84,6 @@
 // TimeLeft returns the time remaining until the deadline.
 func (c *Call) TimeLeft() time.Duration { return time.Until(c.Deadline) }
 
-// FailedAttempts returns the number of failed attempts.
-func (c *Call) FailedAttempts() int { return len(c.failedAttempts) }
-
 // Message is implemented by the edge. It sends a call to a server and forwards
 // the answer.
 type Message interface {
@@ -131,6 +128,8 @@
 	Replica Replica
 	// Fresh is set if the attempt must use a new connection.
 	Fresh bool
+	// Retry is set if an earlier attempt of the call has failed or is silent.
+	Retry bool
 
 	dispatcher *Dispatcher
 	slot       *slot
@@ -141,10 +140,20 @@
 	cancel   context.CancelCauseFunc
 	answer   Answer
 	err      error
+	// silence is the reason to end the attempt once another one answers; nil if it is
+	// not silent.
+	silence error
+	// probing is set while the server is probed because the attempt makes no progress.
+	probing bool
+	// failedNumber is its position among the failed attempts of the call, from 1; 0 if
+	// it is none of them.
+	failedNumber int
 }
 
 func (d *Dispatcher) newAttempt(parent context.Context, taken *slot) *Attempt {
-	a := &Attempt{Replica: taken.replica, Fresh: taken.fresh, dispatcher: d, slot: taken}
+	a := &Attempt{
+		Replica: taken.replica, Fresh: taken.fresh, Retry: len(taken.call.failedAttempts) > 0, dispatcher: d, slot: taken,
+	}
 	a.ctx, a.cancel = context.WithCancelCause(parent)
 	return a
 }
--- a/internal/dispatch/callrunner.go
+++ b/internal/dispatch/callrunner.go
@@ -19,6 +19,8 @@
 	// silentConnections counts the connections of the call that were found
 	// silent or brought pieces of another answer.
 	silentConnections int
+	// keptLogged is set once it was logged why a silent attempt is not replaced.
+	keptLogged bool
 }
 
 // runCall sends a call to the replica that it was admitted to and forwards the
@@ -66,7 +68,7 @@
 			return taken, nil
 		}
 	}
-	taken, err := call.queue.acquire(call)
+	taken, err := call.queue.acquire(call.Context, call)
 	if err != nil {
 		return nil, err
 	}
@@ -88,27 +90,42 @@
 }
 
 // runAttempt makes an attempt, with a hedge if the first byte is late, and
-// forwards the answer. Failed attempts are recorded in the call.
+// forwards the answer. An attempt that is made beside a silent one continues its
+// answer. Failed attempts are recorded in the call.
 func (r *callRunner) runAttempt(taken *slot) error {
-	winner, err := r.race(taken)
-	if err != nil {
-		return err
+	next, err := r.race(taken)
+	for next != nil {
+		next, err = r.relay(next)
 	}
-	defer r.releaseSlot(winner.slot)
-	defer winner.close(nil)
-	stop := r.watchForSilence(winner)
-	err = winner.answer.Relay()
-	stop()
-	if _, refused := refusal.As(err); refused {
-		return err
+	return err
+}
+
+// relay forwards the answer of an attempt. It returns the attempt that continues the
+// answer, if one was made since this one is silent.
+func (r *callRunner) relay(a *Attempt) (next *Attempt, err error) {
+	defer r.releaseSlot(a.slot)
+	defer a.close(nil)
+	watch := r.watchForSilence(a)
+	err = a.answer.Relay()
+	next = watch.end(err)
+	_, refused := refusal.As(err)
+	switch {
+	case err != nil && !refused && next != nil:
+		return next, nil
+	case next != nil:
+		next.close(errNotNeeded)
+		r.releaseSlot(next.slot)
 	}
-	if err != nil {
-		winner.err = err
-		r.recordFailure(winner)
-		return err
+	switch {
+	case refused:
+		return nil, err
+	case err != nil:
+		a.err = err
+		r.recordFailure(a)
+		return nil, err
 	}
-	winner.slot.server.recordSuccess(winner.slot)
-	return nil
+	a.slot.server.recordSuccess(a.slot)
+	return nil, nil
 }
 
 // startAttempt starts an attempt in the background and sends it to results when
@@ -122,8 +139,9 @@
 		slog.Duration("waited", taken.started.Sub(r.call.Started)),
 		slog.Int("running", taken.replica.Running), slog.Int("queued", taken.replica.Queued),
 		slog.Duration("reportAge", reportAge(taken.replica.AsOf, taken.started)))
+	exclusive := r.call.exclusive
 	go func() {
-		if r.call.exclusive {
+		if exclusive {
 			a.err = r.beginTrial(a.ctx, taken)
 		}
 		if a.err == nil {
@@ -191,9 +209,28 @@
 		slog.String("request", string(r.call.ID)), slog.String("server", string(a.Replica.Server)),
 		slog.String("failure", kind.String()), slog.Bool("sent", a.slot.sent.Load()),
 		slog.Duration("after", now.Sub(a.slot.started)), slog.Any("error", a.err))
-	r.call.failedAttempts = append(r.call.failedAttempts, retry.Attempt{
-		Server: a.Replica.Server, Domain: a.Replica.FailureDomain, Failure: kind,
-	})
+	r.addFailedAttempt(a, kind)
+}
+
+// recordSilence records an attempt that is silent but goes on.
+func (r *callRunner) recordSilence(a *Attempt, kind retry.Failure) {
+	r.Log.LogAttrs(r.call.Context, slog.LevelWarn, "attempt silent",
+		slog.String("request", string(r.call.ID)), slog.String("server", string(a.Replica.Server)),
+		slog.String("failure", kind.String()), slog.Duration("after", time.Since(a.slot.started)),
+		slog.Uint64("events", a.progress.Load()))
+	r.addFailedAttempt(a, kind)
+}
+
+// addFailedAttempt adds an attempt to the failed ones of the call, once, and records the
+// failure in the state of its server.
+func (r *callRunner) addFailedAttempt(a *Attempt, kind retry.Failure) {
+	if a.failedNumber == 0 {
+		r.call.failedAttempts = append(r.call.failedAttempts, retry.Attempt{
+			Server: a.Replica.Server, Domain: a.Replica.FailureDomain,
+		})
+		a.failedNumber = len(r.call.failedAttempts)
+	}
+	r.call.failedAttempts[a.failedNumber-1].Failure = kind
 	r.recordServerFailure(a, kind)
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -128,7 +128,7 @@
 		defer func() { d.callObserver.Finished(call.Item, call.Pool, time.Now()) }()
 	}
 	call.queue = d.queueFor(call)
-	if call.slot, err = call.queue.acquire(call); err != nil {
+	if call.slot, err = call.queue.acquire(call.Context, call); err != nil {
 		return err
 	}
 	return d.runCall(call)
--- a/internal/dispatch/race.go
+++ b/internal/dispatch/race.go
@@ -1,7 +1,7 @@
 package dispatch
 
 import (
-	"context"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -9,7 +9,8 @@
 	"github.com/guavatrack/guavatrack/internal/retry"
 )
 
-// Causes for which the context of an attempt is cancelled.
+// Causes for which the context of an attempt is cancelled. For the first two another
+// attempt has taken its place.
 var (
 	// ErrSilentConnection is the cause if no data arrives over the connection
 	// although the server answers over a new one.
@@ -20,46 +21,114 @@
 	errNotNeeded    = errors.New("another attempt was faster")
 )
 
-// race starts an attempt and, if its first byte is late and the budget allows,
-// a hedge at another replica. It returns the first attempt that is answered and
-// releases the slots of the others.
+// raceState holds the attempts of a race that have not failed.
+type raceState struct {
+	running []*Attempt
+	results chan *Attempt
+	// suspicions receives the results of probes.
+	suspicions chan suspicion
+	// search is the search for another attempt while all are silent; nil if there is
+	// none.
+	search *replacementSearch
+}
+
+// race starts an attempt and, if its first byte is late and the budget allows, a hedge
+// at another replica. While all attempts are silent it makes another one beside them.
+// It returns the first attempt that is answered and releases the slots of the others.
 func (r *callRunner) race(taken *slot) (winner *Attempt, err error) {
-	results := make(chan *Attempt, 2)
-	running := []*Attempt{r.startAttempt(taken, results)}
+	s := &raceState{results: make(chan *Attempt, maxRaceAttempts), suspicions: make(chan suspicion, maxRaceAttempts)}
+	defer func() { r.stopSearch(s.search) }()
+	r.join(s, taken)
 	hedgeAfter, silentAfter := r.call.queue.firstByteTimeouts(r.call.Stream)
 	hedgeTimer := newTimer(hedgeAfter, hedgeAfter > 0 && r.mayHedge())
 	defer hedgeTimer.Stop()
-	silentAfter = min(silentAfter, r.call.TimeLeft()/silenceDivisor) << min(r.silentConnections, maxSilenceDoublings)
-	silenceTimer := newTimer(silentAfter, r.call.Idempotent)
+	silenceTimer := newTimer(r.silenceTimeout(silentAfter), r.call.Idempotent)
 	defer silenceTimer.Stop()
-	for pending := 1; pending > 0; {
+	for len(s.running) > 0 {
 		select {
-		case a := <-results:
-			pending--
+		case a := <-s.results:
 			if a.err == nil {
-				r.recordWinner(a, running)
-				r.releaseLosers(results, pending)
+				r.recordWinner(a, s.running)
+				r.releaseLosers(s.results, len(s.running)-1)
 				return a, nil
 			}
 			err = a.err
-			r.recordFailure(a)
-			a.close(nil)
-			r.releaseSlot(a.slot)
+			r.drop(s, a)
 		case <-hedgeTimer.C:
+			if s.search != nil || !r.mayHedge() {
+				continue
+			}
 			if second, found := r.takeHedgeSlot(); found {
-				running = append(running, r.startAttempt(second, results))
-				pending++
+				r.join(s, second)
 			}
 		case <-silenceTimer.C:
-			for _, a := range running {
-				go r.checkSilence(a, a.progress.Load())
+			r.checkSilence(s)
+			silenceTimer.Reset(r.silenceTimeout(silentAfter))
+		case found := <-s.suspicions:
+			found.attempt.probing = false
+			if r.suspect(found) {
+				r.seekReplacement(s)
+			}
+		case second := <-s.search.results():
+			s.search = nil
+			if second != nil {
+				r.join(s, second)
 			}
-			silenceTimer.Reset(silentAfter)
 		}
 	}
 	return nil, err
 }
 
+// maxRaceAttempts bounds the attempts of a race, so that no send of a result blocks.
+const maxRaceAttempts = 16
+
+// join starts an attempt of a race.
+func (r *callRunner) join(s *raceState, taken *slot) {
+	s.running = append(s.running, r.startAttempt(taken, s.results))
+}
+
+// drop removes a failed attempt from a race.
+func (r *callRunner) drop(s *raceState, a *Attempt) {
+	r.stopSearch(s.search)
+	s.search = nil
+	s.running = slices.DeleteFunc(s.running, func(running *Attempt) bool { return running == a })
+	r.recordFailure(a)
+	a.close(nil)
+	r.releaseSlot(a.slot)
+}
+
+// silenceTimeout returns the time after which an attempt without a first byte is checked
+// for silence. It doubles with each silence of the call.
+func (r *callRunner) silenceTimeout(silentAfter time.Duration) time.Duration {
+	bound := max(minSilenceCheck, r.call.TimeLeft()/silenceDivisor)
+	return min(silentAfter, bound) << min(r.silentConnections, maxSilenceDoublings)
+}
+
+// checkSilence probes the servers of the attempts that are not known to be silent. If
+// all are, it seeks another attempt.
+func (r *callRunner) checkSilence(s *raceState) {
+	for _, a := range s.running {
+		if a.silence == nil && !a.probing {
+			a.probing = true
+			go func() { s.suspicions <- r.probe(a) }()
+		}
+	}
+	r.seekReplacement(s)
+}
+
+// seekReplacement starts the search for another attempt if all attempts of a race are
+// silent and another one may be made.
+func (r *callRunner) seekReplacement(s *raceState) {
+	sound := slices.ContainsFunc(s.running, func(a *Attempt) bool { return a.silence == nil })
+	if s.search != nil || sound || len(s.running) == maxRaceAttempts {
+		return
+	}
+	s.search = r.startSearch()
+}
+
+// minSilenceCheck is the shortest time between two checks for silence.
+const minSilenceCheck = 20 * time.Millisecond
+
 // silenceDivisor bounds the silence timeout: a connection without a first byte is
 // checked at the latest after the time left divided by silenceDivisor.
 const silenceDivisor = 3
@@ -111,22 +180,35 @@
 
 // recordWinner records the time to the first byte and cancels the other
 // attempts. For each of those the time since its start is recorded as a lower
-// bound of its time to the first byte.
+// bound of its time to the first byte; those that started earlier have failed.
 func (r *callRunner) recordWinner(winner *Attempt, running []*Attempt) {
+	r.recordOpened(winner)
 	now := time.Now()
-	elapsed := now.Sub(winner.slot.started)
-	winner.slot.firstByte = elapsed
-	r.call.queue.recordFirstByte(r.call.Stream, elapsed)
-	winner.slot.server.recordFirstByte(now, elapsed)
 	for _, a := range running {
-		if a != winner {
-			a.slot.server.recordFirstByte(now, now.Sub(a.slot.started))
+		if a == winner {
+			continue
+		}
+		a.slot.server.recordFirstByte(now, now.Sub(a.slot.started))
+		if a.slot.started.Before(winner.slot.started) {
 			a.slot.server.recordFailure(now)
-			a.cancel(errNotNeeded)
 		}
+		if a.silence != nil {
+			a.cancel(a.silence)
+			continue
+		}
+		a.cancel(errNotNeeded)
 	}
 }
 
+// recordOpened records the time to the first byte of an attempt.
+func (r *callRunner) recordOpened(a *Attempt) {
+	now := time.Now()
+	elapsed := now.Sub(a.slot.started)
+	a.slot.firstByte = elapsed
+	r.call.queue.recordFirstByte(r.call.Stream, elapsed)
+	a.slot.server.recordFirstByte(now, elapsed)
+}
+
 // releaseLosers closes the attempts that are still pending and releases their
 // slots in the background.
 func (r *callRunner) releaseLosers(results <-chan *Attempt, pending int) {
@@ -141,48 +223,3 @@
 		}
 	})
 }
-
-// checkSilence cancels an attempt that has received no data since the given
-// progress: with [ErrSilentServer] if the server does not answer over a new
-// connection either, with [ErrSilentConnection] otherwise.
-func (r *callRunner) checkSilence(a *Attempt, progress uint64) {
-	ctx, cancel := context.WithTimeout(a.ctx, probeTimeout)
-	defer cancel()
-	alive := r.Prober.Alive(ctx, a.Replica)
-	if a.progress.Load() != progress || a.ctx.Err() != nil {
-		return
-	}
-	if alive {
-		r.meters.silentConnections.Inc(1)
-		a.cancel(ErrSilentConnection)
-		return
-	}
-	r.meters.silentServers.Inc(1)
-	a.cancel(ErrSilentServer)
-}
-
-// watchForSilence checks the attempt for silence whenever its answer has made no
-// progress for a timeout. The timeout doubles with each silent connection of the
-// call, so that a slow model is not mistaken for a silent connection for ever.
-func (r *callRunner) watchForSilence(a *Attempt) (stop func()) {
-	if !r.call.Stream || !r.call.Idempotent {
-		return func() {}
-	}
-	timeout := minSilenceTimeout << min(r.silentConnections, maxSilenceDoublings)
-	seen := a.progress.Load()
-	var timer *time.Timer
-	ready := make(chan struct{})
-	timer = time.AfterFunc(timeout, func() {
-		<-ready
-		if now := a.progress.Load(); now != seen {
-			seen = now
-		} else {
-			r.checkSilence(a, seen)
-		}
-		if a.ctx.Err() == nil {
-			timer.Reset(timeout)
-		}
-	})
-	close(ready)
-	return func() { timer.Stop() }
-}
--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -24,7 +24,12 @@
 }
 
 // pausingState counts what has become of the attempts of a pausingMessage.
-type pausingState struct{ attempts, whole int }
+type pausingState struct {
+	attempts, whole int
+	// ended is the number of ended first attempts, endedBefore that when the second
+	// attempt began to answer.
+	ended, endedBefore int
+}
 
 func (m pausingMessage) Resumable() bool { return true }
 
@@ -32,9 +37,12 @@
 	attempt.MarkSent()
 	m.state.attempts++
 	if m.state.attempts > 1 {
-		return m.next(ctx)
+		answer, err := m.next(ctx)
+		m.state.endedBefore = m.state.ended
+		return answer, err
 	}
 	if err := sleep(ctx, m.before); err != nil {
+		m.state.ended++
 		return nil, err
 	}
 	attempt.AddEvent()
@@ -51,6 +59,7 @@
 
 func (a *pausingAnswer) Relay() error {
 	if err := sleep(a.ctx, a.message.within); err != nil {
+		a.message.state.ended++
 		return err
 	}
 	a.attempt.AddEvent()
@@ -176,6 +185,7 @@
 				c.Assert(err, qt.IsNil)
 				c.Check(state.attempts, qt.Equals, 2)
 				c.Check(state.whole, qt.Equals, 0)
+				c.Check(state.endedBefore, qt.Equals, 0)
 			})
 		})
 	}
--- a/internal/dispatch/waitqueue.go
+++ b/internal/dispatch/waitqueue.go
@@ -108,9 +108,9 @@
 	err  error
 }
 
-// acquire waits for a slot at a replica. It fails with a refusal as soon as the
-// call can no longer end before its deadline.
-func (q *waitQueue) acquire(call *Call) (*slot, error) {
+// acquire waits for a slot at a replica until the context ends. It fails with a refusal
+// as soon as the call can no longer end before its deadline.
+func (q *waitQueue) acquire(ctx context.Context, call *Call) (*slot, error) {
 	waiting, taken, err := q.admit(call)
 	if waiting == nil {
 		return taken, err
@@ -118,9 +118,9 @@
 	select {
 	case result := <-waiting.result:
 		return result.slot, result.err
-	case <-call.Context.Done():
+	case <-ctx.Done():
 		q.withdraw(waiting)
-		return nil, context.Cause(call.Context)
+		return nil, context.Cause(ctx)
 	}
 }
 
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -40,6 +40,9 @@
 	return true
 }
 
+// Refund returns an attempt that was withdrawn and not made.
+func (b *Budget) Refund() { b.spent = max(0, b.spent-1) }
+
 // refill adds the attempts for the time since the last refill.
 func (b *Budget) refill(now time.Time) {
 	if !b.refilledAt.IsZero() && now.After(b.refilledAt) {
