--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -10,6 +10,7 @@
 // the backend servers that it was sent to.
 func (t *Timeline) Causes() (causes []string) {
 	causes = append(causes, t.outcome())
+	causes = append(causes, t.callersView()...)
 	causes = append(causes, t.failedAttempts()...)
 	if t.Own[0].Text == "request queued" {
 		causes = append(causes, t.loadOrders()...)
@@ -36,15 +37,56 @@
 // outcome describes how the request ended and whether a backend server may have
 // run it.
 func (t *Timeline) outcome() string {
-	last := &t.Own[len(t.Own)-1]
-	if last.Text != "request ended" {
-		return "the end of the request is in none of the logs: its node stopped, or its log is missing"
+	if last := t.lastOwn("request ended"); last != nil {
+		return fmt.Sprintf("ended after %v: %s; %s", last.duration("took"), last.field("outcome"), last.ran())
 	}
-	ran := "it has not run"
-	if mayHaveRun, _ := last.Fields["mayHaveRun"].(bool); mayHaveRun {
-		ran = "a server may have run it"
+	if refused := t.lastOwn("request refused at the edge"); refused != nil {
+		return fmt.Sprintf("refused before dispatch with status %v, manifest %v: %s; it has not run",
+			refused.Fields["status"], refused.Fields["manifest"], refused.field("reason"))
 	}
-	return fmt.Sprintf("ended after %v: %s; %s", last.duration("took"), last.field("outcome"), ran)
+	return "the end of the request is in none of the logs: its node stopped, or its log is missing"
+}
+
+// lastOwn returns the request's last line with a message; nil if there is none.
+func (t *Timeline) lastOwn(text string) *Line {
+	for i := len(t.Own) - 1; i >= 0; i-- {
+		if t.Own[i].Text == text {
+			return &t.Own[i]
+		}
+	}
+	return nil
+}
+
+// ran describes whether a backend server may have run the request.
+func (l *Line) ran() string {
+	if mayHaveRun, _ := l.Fields["mayHaveRun"].(bool); mayHaveRun {
+		return "a server may have run it"
+	}
+	return "it has not run"
+}
+
+// callersView describes what the caller got if that was neither a complete answer nor a
+// refusal.
+func (t *Timeline) callersView() (causes []string) {
+	if line := t.lastOwn("answer cut off"); line != nil {
+		end := "its connection was closed"
+		if signalled, _ := line.Fields["signalled"].(bool); signalled {
+			end = "the stream ended with an error event"
+		}
+		got := "no part of an answer"
+		if begun, _ := line.Fields["begun"].(bool); begun {
+			got = fmt.Sprintf("%v bytes of an answer (last event %q)", line.Fields["bytes"], line.field("lastEvent"))
+		}
+		causes = append(causes, fmt.Sprintf("the caller got %s, then %s with %v left: %s", got, end, line.duration("left"), line.field("cause")))
+		if line.Fields["manifestAtArrival"] != line.Fields["manifest"] {
+			causes = append(causes, fmt.Sprintf("the manifest changed meanwhile from %v to %v, the last time %v before the cut",
+				line.Fields["manifestAtArrival"], line.Fields["manifest"], line.duration("manifestAge")))
+		}
+	}
+	if line := t.lastOwn("answer not written"); line != nil {
+		causes = append(causes, fmt.Sprintf("an answer with status %v could not be written: %s", line.Fields["status"], line.field("error")))
+	}
+	return causes
 }
 
 // failedAttempts describes each failed attempt: server, duration and error.
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"flag"
+	"io"
 	"os"
 	"strings"
 	"testing"
@@ -15,25 +16,38 @@
 var update = flag.Bool("update", false, "write the golden file anew")
 
 func TestWriteMatchesGoldenFile(t *testing.T) {
+	checkStory(t, "testdata/story.want", "testdata/scheduler.log", "testdata/node.log")
+}
+
+// checkStory compares the story of the request r1 in logs with a golden file.
+func checkStory(t *testing.T, golden string, logs ...string) {
+	t.Helper()
 	c := qt.New(t)
-	node, err := os.Open("testdata/node.log")
-	c.Assert(err, qt.IsNil)
-	defer node.Close()
-	scheduler, err := os.Open("testdata/scheduler.log")
-	c.Assert(err, qt.IsNil)
-	defer scheduler.Close()
-	timeline, err := explain.Read("r1", scheduler, node)
+	var readers []io.Reader
+	for _, name := range logs {
+		log, err := os.Open(name)
+		c.Assert(err, qt.IsNil)
+		defer log.Close()
+		readers = append(readers, log)
+	}
+	timeline, err := explain.Read("r1", readers...)
 	c.Assert(err, qt.IsNil)
 	var out bytes.Buffer
 	timeline.Write(&out)
 	if *update {
-		c.Assert(os.WriteFile("testdata/story.want", out.Bytes(), 0o600), qt.IsNil)
+		c.Assert(os.WriteFile(golden, out.Bytes(), 0o600), qt.IsNil)
 	}
-	want, err := os.ReadFile("testdata/story.want")
+	want, err := os.ReadFile(golden)
 	c.Assert(err, qt.IsNil)
 	c.Assert(out.String(), qt.Equals, string(want))
 }
 
+// TestCutOffMatchesGoldenFile checks the story of a request whose caller got a part of
+// its answer, beside a change of the manifest.
+func TestCutOffMatchesGoldenFile(t *testing.T) {
+	checkStory(t, "testdata/cutoff.want", "testdata/cutoff.log")
+}
+
 func TestReadFailsForUnknownRequest(t *testing.T) {
 	_, err := explain.Read("r9", strings.NewReader("{}\n"))
 	qt.Assert(t, err, qt.ErrorMatches, `request "r9" is in none of the logs`)
@@ -69,6 +83,13 @@
 			"ended after 9s: deadlineUnreachable; it has not run", "while it waited no order about m7 was given",
 			"the process on v2 was paused for 7s until 8.000s", "at 3.000s by v1: its node could not reach the scheduler",
 		}},
+		{"it was refused before dispatch", []string{
+			`{"time":"2026-03-01T10:00:00Z","msg":"request refused at the edge","vm":"v1","request":"r1","status":404,"reason":"unknownPath: no route","manifest":7}`,
+			`{"time":"2026-03-01T10:00:00Z","msg":"answer not written","vm":"v1","request":"r1","status":404,"error":"broken pipe"}`,
+		}, []string{
+			"refused before dispatch with status 404, manifest 7: unknownPath: no route; it has not run",
+			"an answer with status 404 could not be written: broken pipe",
+		}},
 		{"the node stopped", []string{queued}, []string{
 			"the end of the request is in none of the logs: its node stopped, or its log is missing",
 			"while it waited no order about m7 was given",
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -212,7 +212,7 @@
 // end in time and were cut off.
 func (n *Node) Drain(ctx context.Context) (cutOff int) {
 	grace := n.current.Load().Grace.Std()
-	startedAt := time.Now()
+	startedAt, cutOffBefore := time.Now(), n.edge.CutOffs()
 	n.Log.Info("drain begins", slog.Duration("grace", grace), slog.Int("running", n.activeRequests.Running()))
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(cutOffShare*float64(grace)))
 	defer cancel()
@@ -221,14 +221,22 @@
 	n.background.Go(func() { n.components.Lease.Release(ctx) })
 	wait.For(ctx, time.Duration(acceptShare*float64(grace)))
 	n.draining.Store(true)
-	n.components.Endpoints.closeCallers()
-	cutOff = n.activeRequests.Drain(ctx)
+	cutOff = n.finishRequests(ctx, n.components.Endpoints)
 	n.components.Members.AnnounceLeft(ctx)
-	n.Log.Info("drain ends", slog.Int("cutOff", cutOff), slog.Duration("took", time.Since(startedAt)))
+	n.Log.Info("drain ends", slog.Int("cutOff", cutOff), slog.Int64("answersCutOff", n.edge.CutOffs()-cutOffBefore),
+		slog.Duration("took", time.Since(startedAt)))
 	n.Stop()
 	return cutOff
 }
 
+// finishRequests stops accepting connections from callers and waits for the requests in
+// progress. When the context ends, it cuts off the remaining ones and returns their
+// number.
+func (n *Node) finishRequests(ctx context.Context, sockets *endpoints) (cutOff int) {
+	sockets.closeCallers()
+	return n.activeRequests.Drain(ctx)
+}
+
 // Stop stops the node immediately and cuts off its connections.
 func (n *Node) Stop() {
 	n.components.Endpoints.close()
