--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -23,7 +23,7 @@
 func checkStory(t *testing.T, golden string, logs ...string) {
 	t.Helper()
 	c := qt.New(t)
-	var readers []io.Reader
+	readers := make([]io.Reader, 0, len(logs))
 	for _, name := range logs {
 		log, err := os.Open(name)
 		c.Assert(err, qt.IsNil)
