--- /dev/null
+++ b/internal/hosted/drain_test.go
@@ -0,0 +1,85 @@
+package hosted
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// oneConnection is a listener that accepts one connection.
+type oneConnection struct {
+	connections chan net.Conn
+	once        sync.Once
+}
+
+func (l *oneConnection) Accept() (net.Conn, error) {
+	if connection, open := <-l.connections; open {
+		return connection, nil
+	}
+	return nil, net.ErrClosed
+}
+
+func (l *oneConnection) Close() error {
+	l.once.Do(func() { close(l.connections) })
+	return nil
+}
+
+func (l *oneConnection) Addr() net.Addr { return &net.TCPAddr{} }
+
+// slowConn is a connection on which each write takes a time.
+type slowConn struct {
+	net.Conn
+	writeTime time.Duration
+}
+
+func (c *slowConn) Write(piece []byte) (int, error) {
+	time.Sleep(c.writeTime)
+	return c.Conn.Write(piece)
+}
+
+// TestDrainDeliversTheEndOfAnAnswer stops a node whose last request writes a stream to a
+// slow connection. The end of the stream is written by net/http after the handler has
+// returned, and must reach the caller.
+func TestDrainDeliversTheEndOfAnAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		n := &Node{}
+		caller, end := net.Pipe()
+		listener := &oneConnection{connections: make(chan net.Conn, 1)}
+		listener.connections <- &slowConn{end, 100 * time.Millisecond}
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			defer n.activeRequests.Begin(func(error) {})()
+			_, err := io.WriteString(w, "data: 1\n\n")
+			c.Check(err, qt.IsNil)
+			c.Check(http.NewResponseController(w).Flush(), qt.IsNil)
+		})}
+		sockets := &endpoints{callers: server, servers: []*http.Server{server}}
+		served := make(chan error, 1)
+		go func() { served <- server.Serve(listener) }()
+		go func() { _, _ = io.WriteString(caller, "GET / HTTP/1.1\r\nHost: a\r\n\r\n") }()
+		received := make(chan string, 1)
+		go func() {
+			text, _ := io.ReadAll(caller)
+			received <- string(text)
+		}()
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		c.Check(n.finishRequests(ctx, sockets), qt.Equals, 0)
+		sockets.close()
+		answer := <-received
+		c.Check(strings.HasSuffix(answer, "data: 1\n\n\r\n0\r\n\r\n"), qt.IsTrue, qt.Commentf("%q", answer))
+		c.Check(<-served, qt.Equals, http.ErrServerClosed)
+		c.Check(caller.Close(), qt.IsNil)
+		// The shutdown in the background ends.
+		time.Sleep(time.Minute)
+	})
+}
