A drain waits until the callers' connections are idle

Cause: a request counts as ended when its handler returns, but net/http writes the end of its answer afterwards; Drain then closed the connections. It now waits for Shutdown of the callers' server, which knows when an answer is written, bounded by the drain's context, and logs if that was not enough. A drain may take up to about 0.5 s longer (the poll interval of Shutdown), or 5 s if a caller has opened a connection and sent nothing.

--- a/internal/hosted/endpoints.go
+++ b/internal/hosted/endpoints.go
@@ -117,9 +117,12 @@
 	return nodes
 }
 
-// closeCallers stops accepting connections from callers and closes idle ones.
-func (e *endpoints) closeCallers() {
-	go func() { _ = e.callers.Shutdown(context.Background()) }()
+// closeCallers stops accepting connections from callers and closes each one once it is
+// idle. The returned channel gets the result when all are closed or the context ends.
+func (e *endpoints) closeCallers(ctx context.Context) <-chan error {
+	closed := make(chan error, 1)
+	go func() { closed <- e.callers.Shutdown(ctx) }()
+	return closed
 }
 
 // close closes all listeners and connections at once.
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -230,11 +230,16 @@
 }
 
 // finishRequests stops accepting connections from callers and waits for the requests in
-// progress. When the context ends, it cuts off the remaining ones and returns their
-// number.
+// progress, and then for their connections: net/http writes the end of an answer after
+// the request has ended. When the context ends, it cuts off the remaining requests and
+// returns their number.
 func (n *Node) finishRequests(ctx context.Context, sockets *endpoints) (cutOff int) {
-	sockets.closeCallers()
-	return n.activeRequests.Drain(ctx)
+	closed := sockets.closeCallers(ctx)
+	cutOff = n.activeRequests.Drain(ctx)
+	if err := <-closed; err != nil {
+		n.Log.Warn("callers' connections not closed in time", slog.String("error", err.Error()))
+	}
+	return cutOff
 }
 
 // Stop stops the node immediately and cuts off its connections.
