Test of bounded lines does not depend on the order of timers

The summary and the next line may be due at the same moment of virtual time; with the race detector the summaries held other counts than 990 each. The test now checks the sum of the lines left out, and that there are at most four summaries in three seconds.

go test -race -cpu 1 -count=20 ./internal/logs -run TestLimit passes, also without the race detector.

--- a/internal/logs/limit_test.go
+++ b/internal/logs/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"log/slog"
 	"strings"
 	"testing"
@@ -31,7 +32,19 @@
 		c.Check(admitted, qt.Equals, 30)
 		time.Sleep(2 * time.Second)
 		synctest.Wait()
-		c.Check(strings.Count(out.String(), `"msg":"log lines left out","of":"refused","lines":990}`), qt.Equals, 3)
+		// A line and the summary may be due at the same moment, in either order.
+		summaries, counted := 0, 0
+		for text := range strings.Lines(out.String()) {
+			var line struct {
+				Of    string `json:"of"`
+				Lines int    `json:"lines"`
+			}
+			c.Assert(json.Unmarshal([]byte(text), &line), qt.IsNil)
+			c.Check(line.Of, qt.Equals, "refused")
+			summaries, counted = summaries+1, counted+line.Lines
+		}
+		c.Check(counted, qt.Equals, 3000-30)
+		c.Check(summaries <= 4, qt.IsTrue, qt.Commentf("%d", summaries))
 		out.Reset()
 		for range 10 {
 			c.Check(limit.Admit(), qt.IsTrue)
