Calls name the parts of their prompts

A request may list the parts of its prompt, of which it shares all but the last one with others. Nothing reads them yet; that a part crashes servers can't be recognised without them.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -54,6 +54,9 @@
 	// prompt; 0 if there is none.
 	Digest poison.Digest
 	Prefix uint64
+	// Parts identifies the parts of the prompt that other requests may share, in order;
+	// empty if they are unknown.
+	Parts []poison.Digest
 	// Message encodes the call and forwards its answer.
 	Message Message
 
