A prompt part that crashes servers is recognised and refused

A part has a digest, a notice, trials and refusals as a whole request has; table, gossip and merge are the same. A crash counts against the parts of the requests whose answers hadn't begun, or had less than 1 s before. An answer that began clears its parts of the crashes before, once it is complete or has been written for 1 s. Two crashes: trials, one at a time; from three: refused, with a trial after 10 s, 30 s, 90 s and so on. Crashes that a stronger refused part had too don't count. Calls are checked right before each attempt, so that waiting, repeated and hedged ones aren't sent. All notices of a crash are sent to the other nodes before the first is written to the table.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -63,6 +63,8 @@
 	// exclusive is set if the call must run on a server without other calls of
 	// this node, because its content is suspected of crashing servers.
 	exclusive bool
+	// suspect is the digest that exclusive is due to.
+	suspect poison.Digest
 	// failedAttempts lists the failed attempts, the last one last.
 	failedAttempts []retry.Attempt
 	queue          *waitQueue
--- a/internal/dispatch/callrunner.go
+++ b/internal/dispatch/callrunner.go
@@ -34,7 +34,6 @@
 		err := r.runAttempt(taken)
 		if err == nil {
 			call.queue.recordServed(time.Since(taken.started), call.Work)
-			r.clearSuspicion(call)
 			return nil
 		}
 		if _, refused := refusal.As(err); refused || call.Context.Err() != nil || len(call.failedAttempts) == 0 {
@@ -106,7 +105,9 @@
 	defer r.releaseSlot(a.slot)
 	defer a.close(nil)
 	watch := r.watchForSilence(a)
+	stopClearing := r.clearParts(a)
 	err = a.answer.Relay()
+	stopClearing()
 	next = watch.end(err)
 	_, refused := refusal.As(err)
 	switch {
@@ -125,28 +126,36 @@
 		return nil, err
 	}
 	a.slot.server.recordSuccess(a.slot)
+	r.recordAnswered(r.call, a.slot.answered())
 	return nil, nil
 }
 
 // startAttempt starts an attempt in the background and sends it to results when
 // its first byte has been received or it has failed.
 func (r *callRunner) startAttempt(taken *slot, results chan<- *Attempt) *Attempt {
-	r.meters.sends.Inc(1)
 	a := r.newAttempt(r.call.Context, taken)
+	if a.err = r.checkBeforeSend(r.call); a.err != nil {
+		results <- a
+		return a
+	}
+	r.meters.sends.Inc(1)
 	r.Log.LogAttrs(a.ctx, slog.LevelInfo, "request sent",
 		slog.String("request", string(r.call.ID)), slog.String("server", string(taken.replica.Server)),
 		slog.String("item", taken.replica.Item.String()), slog.Int("attempt", len(r.call.failedAttempts)+1),
 		slog.Duration("waited", taken.started.Sub(r.call.Started)),
 		slog.Int("running", taken.replica.Running), slog.Int("queued", taken.replica.Queued),
 		slog.Duration("reportAge", reportAge(taken.replica.AsOf, taken.started)))
-	exclusive := r.call.exclusive
+	exclusive, suspect := r.call.exclusive, r.call.suspect
 	go func() {
 		if exclusive {
-			a.err = r.beginTrial(a.ctx, taken)
+			a.err = r.beginTrial(a.ctx, taken, suspect)
 		}
 		if a.err == nil {
 			a.answer, a.err = r.call.Message.Open(a.ctx, a)
 		}
+		if a.err == nil {
+			taken.answeredAt.Store(time.Now().UnixNano())
+		}
 		results <- a
 	}()
 	return a
--- a/internal/dispatch/isolate.go
+++ b/internal/dispatch/isolate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -20,17 +21,30 @@
 // suspected request is on trial on the server.
 var errTrialOfAnother = errors.New("another suspected request is on trial on the server")
 
-// checkPoison refuses requests that crash backend servers and marks those as
-// exclusive that are suspected of it.
+// checkPoison refuses requests that crash backend servers, or share a part with such, and
+// marks those as exclusive that are suspected of it.
 func (d *Dispatcher) checkPoison(call *Call) error {
-	verdict, until := d.poison.Check(call.Digest)
-	if verdict == poison.Refuse {
-		return poisonRefusal(until)
+	finding := d.judge(call)
+	if finding.Verdict == poison.Refuse {
+		return poisonRefusal(finding.Until)
 	}
-	call.exclusive = verdict == poison.Exclusive
 	return nil
 }
 
+// judge sets whether a call must run exclusively, according to its content and the parts
+// of its prompt, and logs if it must not run.
+func (d *Dispatcher) judge(call *Call) poison.Finding {
+	finding := d.poison.Check(call.Digest, call.Parts)
+	call.exclusive = finding.Verdict == poison.Exclusive
+	call.suspect = finding.Digest
+	if finding.Verdict == poison.Refuse {
+		d.Log.LogAttrs(context.Background(), slog.LevelWarn, "request refused for crashes",
+			slog.String("request", string(call.ID)), slog.String("digest", string(finding.Digest)),
+			slog.Int("crashes", finding.Crashes), slog.Duration("for", time.Until(finding.Until)))
+	}
+	return finding
+}
+
 // poisonRefusal returns the refusal of a request whose content crashes servers.
 func poisonRefusal(until time.Time) *refusal.Refusal {
 	return &refusal.Refusal{
@@ -42,25 +56,47 @@
 // recheckPoison checks a call again after a failed attempt. It fails if the call
 // must not run again because it has crashed servers.
 func (d *Dispatcher) recheckPoison(call *Call) error {
-	verdict, until := d.poison.Check(call.Digest)
-	call.exclusive = verdict == poison.Exclusive
-	if verdict != poison.Refuse {
+	finding := d.judge(call)
+	if finding.Verdict != poison.Refuse {
 		return nil
 	}
 	return &refusal.Refusal{
 		Reason: refusal.CrashedServers, Message: "backend servers crashed while they ran the request",
-		RetryAfter: max(time.Second, time.Until(until)),
+		RetryAfter: max(time.Second, time.Until(finding.Until)),
 	}
 }
 
-// clearSuspicion withdraws the suspicion against a request that was answered.
-func (d *Dispatcher) clearSuspicion(call *Call) {
+// checkBeforeSend checks a call right before each attempt, since it may have waited while
+// a part of its prompt was found to crash servers.
+func (d *Dispatcher) checkBeforeSend(call *Call) error {
+	if call.Sent() {
+		return d.recheckPoison(call)
+	}
+	return d.checkPoison(call)
+}
+
+// recordAnswered records that a request was answered: it clears the parts of its prompt,
+// and the request itself if it was suspected.
+func (d *Dispatcher) recordAnswered(call *Call, began time.Time) {
+	d.poison.RecordCompletion(began, call.Parts)
 	if call.exclusive {
 		digest, ctx := call.Digest, context.WithoutCancel(call.Context)
 		d.background.Go(func() { d.poison.RecordSuccess(ctx, digest) })
 	}
 }
 
+// clearParts clears the parts of a call's prompt once its answer has been written for
+// longer than a part takes to crash a server: a stream may last for long.
+func (d *Dispatcher) clearParts(a *Attempt) (stop func()) {
+	call := a.slot.call
+	if !call.Stream || len(call.Parts) == 0 {
+		return func() {}
+	}
+	began := a.slot.answered()
+	timer := time.AfterFunc(partCrashWindow, func() { d.poison.RecordCompletion(began, call.Parts) })
+	return func() { timer.Stop() }
+}
+
 // probeTimeout is the timeout of a probe of a server over a new connection.
 const probeTimeout = 500 * time.Millisecond
 
@@ -73,9 +109,9 @@
 	if !d.Prober.Crashed(ctx, taken.replica) {
 		return false
 	}
-	taken.server.recordCrash(time.Now(), taken.replica.Boot, func(digests []poison.Digest) {
+	taken.server.recordCrash(time.Now(), taken.replica.Boot, func(runs []poison.Run) {
 		if !d.isDraining(taken) {
-			d.poison.RecordCrash(taken.replica.Server, taken.replica.Boot, digests)
+			d.poison.RecordCrash(taken.replica.Server, taken.replica.Boot, runs)
 		}
 	})
 	return true
@@ -102,16 +138,15 @@
 )
 
 // beginTrial waits until the server runs no other request of this node, while
-// it is sent no new ones, and then requests a trial of the suspected call. The
-// trial ends with the call.
-func (d *Dispatcher) beginTrial(ctx context.Context, taken *slot) error {
+// it is sent no new ones, and then requests a trial of the digest that the call
+// is suspected for. The trial ends with the call.
+func (d *Dispatcher) beginTrial(ctx context.Context, taken *slot, digest poison.Digest) error {
 	waitUntil := time.Now().Add(min(exclusiveMaxWait, taken.call.TimeLeft()/exclusiveWaitDivisor))
 	for taken.server.runningCount() > 1 && time.Now().Before(waitUntil) {
 		if !wait.For(ctx, exclusivePollInterval) {
 			return errNoExclusiveServer
 		}
 	}
-	digest := taken.call.Digest
 	verdict, until := d.poison.BeginTrial(ctx, digest, poison.Trial{
 		Server: taken.replica.Server, Boot: taken.replica.Boot, Deadline: taken.call.Deadline,
 	})
--- a/internal/dispatch/parts_test.go
+++ b/internal/dispatch/parts_test.go
@@ -72,13 +72,14 @@
 
 func (s *partServer) boot() fleet.BootID { return fleet.BootID(fmt.Sprint(s.id, "-", s.boots)) }
 
-func newPartFleet(ctx context.Context) *partFleet {
+func newPartFleet(ctx context.Context, nodes int) *partFleet {
 	f := &partFleet{table: standin.NewTable(), rand: dispatch.SharedRand(rand.New(rand.NewPCG(1, 2)))}
 	for i := range partServers {
 		f.servers = append(f.servers, &partServer{id: fleet.ServerID(fmt.Sprint("s", i)), up: true, ended: make(chan struct{})})
 	}
-	for i := range partNodes {
-		f.nodes = append(f.nodes, f.newNode(ctx, i))
+	f.nodes = make([]*dispatch.Dispatcher, nodes)
+	for i := range f.nodes {
+		f.nodes[i] = f.newNode(ctx, i)
 	}
 	return f
 }
@@ -91,7 +92,10 @@
 	}
 	node.PublishPoisonNotice = func(notice poison.Notice) {
 		time.AfterFunc(gossipDelay, func() {
-			for _, other := range f.nodes {
+			f.mu.Lock()
+			others := slices.Clone(f.nodes)
+			f.mu.Unlock()
+			for _, other := range others {
 				if other != node {
 					other.MergePoisonNotice(notice)
 				}
@@ -234,7 +238,10 @@
 	}
 	message := &partMessage{partFleet: f, call: call}
 	call.Message = message
-	return message, f.nodes[f.rand.IntN(len(f.nodes))].Do(call)
+	f.mu.Lock()
+	node := f.nodes[f.rand.IntN(len(f.nodes))]
+	f.mu.Unlock()
+	return message, node.Do(call)
 }
 
 // firstPart is the part with which all prompts of the route begin.
@@ -316,7 +323,7 @@
 	runInBubble(t, func(c *qt.C) {
 		ctx, cancel := context.WithCancel(c.Context())
 		defer cancel()
-		f := newPartFleet(ctx)
+		f := newPartFleet(ctx, partNodes)
 		start := time.Now()
 		f.play("", 20*time.Second)
 		calm := f.began(start, time.Now())
@@ -329,3 +336,108 @@
 		c.Check(troubled >= calm/2, qt.IsTrue, qt.Commentf("%.3f of %.3f", troubled, calm))
 	})
 }
+
+// TestPartIsRefusedInOtherFleets has the part crash servers in fleets and at times that
+// make it harder to recognise. The case "sound before" guards against a part that goes
+// unblamed since it was answered shortly before it first crashed a server.
+func TestPartIsRefusedInOtherFleets(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		nodes int
+		bad   poison.Digest
+		// disturb is called as the part begins to crash servers.
+		disturb func(ctx context.Context, f *partFleet)
+	}{
+		{"table away", partNodes, poison.PartDigest("bad"), func(_ context.Context, f *partFleet) {
+			f.table.SetFaults(standin.TableFaults{Down: true})
+		}},
+		{"slow table", partNodes, poison.PartDigest("bad"), func(_ context.Context, f *partFleet) {
+			f.table.SetFaults(standin.TableFaults{Delay: 700 * time.Millisecond})
+		}},
+		{"nodes restarted", partNodes, poison.PartDigest("bad"), func(ctx context.Context, f *partFleet) {
+			for i := range f.nodes {
+				time.AfterFunc(time.Duration(3+4*i)*time.Second, func() {
+					node := f.newNode(ctx, i)
+					f.mu.Lock()
+					defer f.mu.Unlock()
+					f.nodes[i] = node
+				})
+			}
+		}},
+		{"many nodes", 100, poison.PartDigest("bad"), func(context.Context, *partFleet) {}},
+		{"sound before", partNodes, poison.PartDigest("0007"), func(context.Context, *partFleet) {}},
+		{"first part", partNodes, poison.PartDigest("f2"), func(context.Context, *partFleet) {}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			runInBubble(t, func(c *qt.C) {
+				ctx, cancel := context.WithCancel(c.Context())
+				defer cancel()
+				f := newPartFleet(ctx, test.nodes)
+				start := time.Now()
+				f.play("", 20*time.Second)
+				calm := f.began(start, time.Now())
+				test.disturb(ctx, f)
+				f.play(test.bad, time.Minute)
+				fifth := f.fifthCrash()
+				troubled := f.began(f.crashes[0].Add(2*contact), time.Now())
+				c.Logf("%d crashes, %d sends, %d of them after the fifth crash; sound requests that began: %.3f before, %.3f beside",
+					len(f.crashes), len(f.sends), f.sendsAfter(fifth), calm, troubled)
+				c.Check(f.sendsAfter(fifth) <= maxSends, qt.IsTrue, qt.Commentf("%d", f.sendsAfter(fifth)))
+				c.Check(troubled >= calm/2, qt.IsTrue, qt.Commentf("%.3f of %.3f", troubled, calm))
+			})
+		})
+	}
+}
+
+// TestMendedPartIsFreeAgain guards against a part that stays refused after it no longer
+// crashes servers.
+func TestMendedPartIsFreeAgain(t *testing.T) {
+	runInBubble(t, func(c *qt.C) {
+		ctx, cancel := context.WithCancel(c.Context())
+		defer cancel()
+		f := newPartFleet(ctx, partNodes)
+		bad := poison.PartDigest("bad")
+		f.play(bad, 10*time.Second)
+		_, err := f.do(firstPart, bad)
+		c.Assert(err, qt.ErrorMatches, ".*crashed backend servers.*")
+		f.crashing = ""
+		for range 300 {
+			time.Sleep(time.Second)
+			_, _ = f.do(firstPart, bad)
+		}
+		_, err = f.do(firstPart, bad)
+		c.Check(err, qt.IsNil)
+	})
+}
+
+// TestWaitingCallOfARefusedPartIsNotSent guards against a request that was admitted before
+// a part of its prompt was found to crash servers, and sent afterwards.
+func TestWaitingCallOfARefusedPartIsNotSent(t *testing.T) {
+	runInBubble(t, func(c *qt.C) {
+		s := newFakeServers(1)
+		s.serviceTime = time.Second
+		d := s.dispatcher()
+		var group sync.WaitGroup
+		for i := range 4 {
+			group.Go(func() { c.Check(d.Do(s.call(fmt.Sprint(i), nil)), qt.IsNil) })
+		}
+		time.Sleep(100 * time.Millisecond)
+		bad := poison.PartDigest("bad")
+		waiting := s.call("waiting", func(call *dispatch.Call) { call.Parts = []poison.Digest{bad} })
+		group.Go(func() {
+			err := d.Do(waiting)
+			refused, found := refusal.As(err)
+			c.Check(found, qt.IsTrue, qt.Commentf("%v", err))
+			c.Check(refused.Reason, qt.Equals, refusal.Poisonous)
+			c.Check(refused.RetryAfter > time.Second, qt.IsTrue)
+		})
+		time.Sleep(100 * time.Millisecond)
+		var notices poison.NoticeSet
+		for i := range poison.MaxPartCrashes {
+			d.MergePoisonNotice(notices.RecordCrash(time.Now(), bad, fleet.ServerID(fmt.Sprint("x", i)), "b"))
+		}
+		group.Wait()
+		c.Check(s.runs["waiting"], qt.HasLen, 0)
+		c.Check(waiting.Sent(), qt.IsFalse)
+	})
+}
--- a/internal/dispatch/servers.go
+++ b/internal/dispatch/servers.go
@@ -289,10 +289,10 @@
 }
 
 // recordCrash records the end of a run of the server's process and calls record
-// with the digests of the requests that ran on it, once for each run. It returns
+// with the requests that ran on it, once for each run. It returns
 // after record has returned, so that no request that ran there is checked for a
 // retry before the crash has been recorded.
-func (s *serverState) recordCrash(now time.Time, boot fleet.BootID, record func(digests []poison.Digest)) {
+func (s *serverState) recordCrash(now time.Time, boot fleet.BootID, record func(runs []poison.Run)) {
 	s.mu.Lock()
 	if boot != "" && s.endedBoot == boot {
 		recorded := s.crashRecorded
@@ -304,15 +304,19 @@
 	recorded := make(chan struct{})
 	s.crashRecorded = recorded
 	s.health.RecordCrash(now)
-	var digests []poison.Digest
+	var runs []poison.Run
 	for taken := range s.running {
 		if taken.replica.Boot == boot && taken.sent.Load() {
-			digests = append(digests, taken.call.Digest)
+			run := poison.Run{Digest: taken.call.Digest}
+			if taken.mayHaveBegun(now) {
+				run.Parts = taken.call.Parts
+			}
+			runs = append(runs, run)
 		}
 	}
 	s.mu.Unlock()
 	defer close(recorded)
-	record(digests)
+	record(runs)
 }
 
 // recordSuccess records that a call was answered.
--- a/internal/dispatch/slot.go
+++ b/internal/dispatch/slot.go
@@ -26,10 +26,25 @@
 	fresh bool
 	// sent is set before the first byte is sent to the server.
 	sent atomic.Bool
+	// answeredAt is when the answer began, in nanoseconds of the Unix time; 0 if it
+	// hasn't.
+	answeredAt atomic.Int64
 	// bytes is the size of the request and of the answer so far.
 	bytes atomic.Int64
 }
 
+// partCrashWindow is the time after the beginning of an answer in which a part of the
+// prompt may have caused a crash, with the time until the crash is noticed.
+const partCrashWindow = time.Second
+
+// answered returns when the answer began.
+func (s *slot) answered() time.Time { return time.Unix(0, s.answeredAt.Load()) }
+
+// mayHaveBegun reports whether the server may have begun to write the answer just now.
+func (s *slot) mayHaveBegun(now time.Time) bool {
+	return s.answeredAt.Load() == 0 || now.Sub(s.answered()) < partCrashWindow
+}
+
 // takeSlot chooses a replica with a free slot for a call and takes the slot. It
 // considers other regions only if the local one has no replica, after a failure,
 // or with lateLocally, which is set if the call would miss its deadline in the
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -12,6 +12,7 @@
 	causes = append(causes, t.outcome())
 	causes = append(causes, t.callersView()...)
 	causes = append(causes, t.failedAttempts()...)
+	causes = append(causes, t.crashRefusals()...)
 	if t.Own[0].Text == "request queued" {
 		causes = append(causes, t.loadOrders()...)
 	}
@@ -100,6 +101,21 @@
 	return causes
 }
 
+// crashRefusals describes each refusal because the request's content, or a part of its
+// prompt, crashed servers.
+func (t *Timeline) crashRefusals() (causes []string) {
+	for i := range t.Own {
+		line := &t.Own[i]
+		if line.Text != "request refused for crashes" {
+			continue
+		}
+		crashes, _ := line.Fields["crashes"].(float64)
+		causes = append(causes, fmt.Sprintf("it was refused for %v since %d crashes of servers are held against %s",
+			line.duration("for"), int(crashes), line.field("digest")))
+	}
+	return causes
+}
+
 // loadOrders counts the orders about the request's model after the request was
 // queued, by their result.
 func (t *Timeline) loadOrders() []string {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -66,6 +66,13 @@
 		{"nothing was ordered", []string{queued, ended}, []string{
 			"ended after 9s: deadlineUnreachable; it has not run", "while it waited no order about m7 was given",
 		}},
+		{"refused for a part of its prompt", []string{
+			`{"time":"2026-03-01T10:00:08Z","msg":"request refused for crashes","vm":"v1","request":"r1","digest":"part-5c1e",` +
+				`"crashes":3,"for":9500000000}`, ended,
+		}, []string{
+			"ended after 9s: deadlineUnreachable; it has not run",
+			"it was refused for 9.5s since 3 crashes of servers are held against part-5c1e",
+		}},
 		{"orders were rejected", []string{
 			queued, ended,
 			`{"time":"2026-03-01T10:00:01Z","msg":"order sent","vm":"v2","load":false,"item":"m2","for":"m7","server":"e1"}`,
--- a/internal/poison/controller.go
+++ b/internal/poison/controller.go
@@ -4,8 +4,11 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -59,6 +62,8 @@
 	once                     sync.Once
 	mu                       sync.Mutex
 	notices                  NoticeSet
+	completed                completions
+	known                    atomic.Int64 // the number of notices
 	activeTrials             map[Digest]Trial
 	crashes, refused, trials metrics.Counter
 }
@@ -72,53 +77,201 @@
 	c.trials = metrics.GetOrRegisterCounter(trialsName, c.Metrics)
 }
 
-// Check returns the verdict on a request and the time until which it is valid.
-// The time is zero for [Unrestricted].
-func (c *Controller) Check(digest Digest) (Verdict, time.Time) {
+// trialRetryAfter is when requests that share a part with one on trial are to be
+// repeated, at the latest.
+const trialRetryAfter = 2 * time.Second
+
+// Check returns the strictest verdict on a request and the parts of its prompt.
+func (c *Controller) Check(digest Digest, parts []Digest) (finding Finding) {
 	c.once.Do(c.setUp)
+	if c.known.Load() == 0 {
+		return Finding{}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	verdict, until := c.notices.Check(time.Now(), digest)
-	if verdict == Refuse {
+	now := time.Now()
+	for _, part := range parts {
+		finding = stricter(finding, c.find(now, part))
+	}
+	finding = stricter(finding, c.find(now, digest))
+	if finding.Verdict == Refuse {
 		c.refused.Inc(1)
 	}
-	return verdict, until
+	return finding
 }
 
-// Merge merges a notice of another node.
+// find returns the verdict on a digest. Requests with a part that is on trial are
+// refused, so that they don't wait for a server of their own in vain. The caller holds
+// the lock.
+func (c *Controller) find(now time.Time, digest Digest) Finding {
+	verdict, until := c.notices.Check(now, digest)
+	if verdict == Unrestricted {
+		return Finding{}
+	}
+	if verdict == Exclusive && digest.IsPart() {
+		if _, active := c.activeTrials[digest]; active || trialOnOtherNode(now, c.notices.Get(digest), c.Node) {
+			verdict, until = Refuse, now.Add(trialRetryAfter)
+		}
+	}
+	return Finding{Verdict: verdict, Until: until, Digest: digest, Crashes: c.notices.crashCount(now, digest)}
+}
+
+// Merge merges a notice of another node. A part is cleared of its crashes if an answer
+// to a request with it has begun later.
 func (c *Controller) Merge(notice Notice) {
+	c.once.Do(c.setUp)
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.notices.Merge(time.Now(), notice)
+	now := time.Now()
+	c.merge(now, notice)
+	cleared := c.clearCompleted(now, notice.Digest)
+	c.mu.Unlock()
+	c.replicateAll(cleared)
+}
+
+// merge merges a notice and logs if it changes the verdict on a part. The caller holds
+// the lock.
+func (c *Controller) merge(now time.Time, notice Notice) Notice {
+	before := c.partVerdict(now, notice.Digest)
+	merged := c.notices.Merge(now, notice)
+	c.known.Store(int64(len(c.notices.byDigest)))
+	c.logPart(now, before, merged)
+	return merged
+}
+
+// partVerdict returns the verdict on a part; that on a request is not needed. The caller
+// holds the lock.
+func (c *Controller) partVerdict(now time.Time, digest Digest) Verdict {
+	if !digest.IsPart() {
+		return Unrestricted
+	}
+	verdict, _ := c.notices.Check(now, digest)
+	return verdict
+}
+
+// partVerdictNames names the verdicts on a part in the log.
+var partVerdictNames = map[Verdict]string{Unrestricted: "cleared", Exclusive: "suspected", Refuse: "refused"}
+
+// logPart logs a change of the verdict on a part. The caller holds the lock.
+func (c *Controller) logPart(now time.Time, before Verdict, notice Notice) {
+	verdict := c.partVerdict(now, notice.Digest)
+	if verdict == before {
+		return
+	}
+	c.Log.Warn("prompt part judged", slog.String("part", string(notice.Digest)), slog.String("verdict", partVerdictNames[verdict]),
+		slog.Int("crashes", notice.CrashCount()), slog.Int("unexplained", c.notices.crashCount(now, notice.Digest)),
+		slog.Time("lastSuccess", notice.ClearedAt))
+}
+
+// clearCompleted clears digests of the crashes before the latest completed answer of this
+// node began. It returns the notices that this changed. The caller holds the lock.
+func (c *Controller) clearCompleted(now time.Time, digests ...Digest) (cleared []Notice) {
+	for _, digest := range digests {
+		began := c.completed.last(digest)
+		notice := c.notices.Get(digest)
+		if began.IsZero() || !slices.ContainsFunc(notice.Crashes, func(crash Crash) bool {
+			return crash.At.After(notice.ClearedAt) && !crash.At.After(began)
+		}) {
+			continue
+		}
+		success := Notice{Digest: digest, ClearedAt: began, ExpiresAt: now.Add(NoticeLifetime)}
+		cleared = append(cleared, c.merge(now, success))
+	}
+	return cleared
+}
+
+// RecordCompletion records that a request with parts was answered, and when the answer
+// began. Parts that crash servers do so as an answer begins, so it clears them of the
+// crashes before.
+func (c *Controller) RecordCompletion(began time.Time, parts []Digest) {
+	if len(parts) == 0 {
+		return
+	}
+	c.once.Do(c.setUp)
+	c.mu.Lock()
+	now := time.Now()
+	for _, part := range parts {
+		c.completed.record(now, began, part)
+	}
+	var cleared []Notice
+	if c.known.Load() > 0 {
+		cleared = c.clearCompleted(now, parts...)
+	}
+	c.mu.Unlock()
+	c.replicateAll(cleared)
 }
 
 // RecordCrash records the crash of a server against the requests that ran on
-// it. The notices are replicated in the background; a trial writes its notice
-// to the table before it begins.
-func (c *Controller) RecordCrash(server fleet.ServerID, boot fleet.BootID, running []Digest) {
+// it and the parts of their prompts. The notices are replicated in the background; a
+// trial writes its notice to the table before it begins.
+func (c *Controller) RecordCrash(server fleet.ServerID, boot fleet.BootID, runs []Run) {
 	c.once.Do(c.setUp)
 	c.catchUp()
 	now := time.Now()
+	running := make([]Digest, len(runs))
+	for i := range runs {
+		running[i] = runs[i].Digest
+	}
 	c.mu.Lock()
+	parts := blamedParts(now, runs, &c.completed)
 	suspects := c.notices.Suspects(now, server, boot, running)
-	notices := make([]Notice, 0, len(suspects))
-	for _, digest := range suspects {
-		notices = append(notices, c.notices.RecordCrash(now, digest, server, boot))
+	notices := make([]Notice, 0, len(parts)+len(suspects))
+	described := make([]string, 0, maxLoggedParts)
+	for _, digest := range slices.Concat(parts, suspects) {
+		before, verdict := c.notices.Get(digest), c.partVerdict(now, digest)
+		notice := c.notices.RecordCrash(now, digest, server, boot)
+		notices = append(notices, notice)
+		c.logPart(now, verdict, notice)
+		if digest.IsPart() && len(described) < maxLoggedParts {
+			described = append(described, describeBlame(now, before, notice, c.completed.last(digest)))
+		}
 	}
+	c.known.Store(int64(len(c.notices.byDigest)))
 	c.mu.Unlock()
 	c.crashes.Inc(int64(len(notices)))
-	c.Log.Warn("backend server crashed", slog.String("server", string(server)), slog.Int("suspects", len(notices)))
+	c.Log.Warn("backend server crashed", slog.String("server", string(server)), slog.Int("suspects", len(suspects)),
+		slog.Int("parts", len(parts)), slog.Any("blamed", described))
+	c.replicateAll(notices)
+}
+
+// maxLoggedParts bounds the parts that the log line of a crash describes.
+const maxLoggedParts = 8
+
+// describeBlame describes a crash that was recorded against a part.
+func describeBlame(now time.Time, before, after Notice, completed time.Time) string {
+	answered := "never"
+	if !completed.IsZero() {
+		answered = now.Sub(completed).Round(time.Millisecond).String() + " ago"
+	}
+	return fmt.Sprintf("%s: crashes %d to %d, answered %s", after.Digest, before.CrashCount(), after.CrashCount(), answered)
+}
+
+// replicateAll replicates notices in the background. All are sent to the other nodes
+// before the first is written to the table, which may be slow.
+func (c *Controller) replicateAll(notices []Notice) {
+	if len(notices) == 0 {
+		return
+	}
 	go func() {
+		if c.Publish != nil {
+			for _, notice := range notices {
+				c.Publish(notice)
+			}
+		}
 		for _, notice := range notices {
-			c.replicate(context.Background(), notice)
+			c.store(context.Background(), notice)
 		}
 	}()
 }
 
-// RecordSuccess records that a suspect succeeded.
+// RecordSuccess records that a request succeeded, if it is suspected.
 func (c *Controller) RecordSuccess(ctx context.Context, digest Digest) {
 	c.mu.Lock()
+	if c.notices.crashCount(time.Now(), digest) == 0 {
+		c.mu.Unlock()
+		return
+	}
 	notice := c.notices.RecordSuccess(time.Now(), digest)
+	c.known.Store(int64(len(c.notices.byDigest)))
 	c.mu.Unlock()
 	c.replicate(ctx, notice)
 }
@@ -174,7 +327,7 @@
 			break
 		}
 		now := time.Now()
-		if verdict, until := c.Check(digest); verdict != Exclusive {
+		if verdict, until := c.verdict(now, digest); verdict != Exclusive {
 			return verdict, until
 		}
 		if trialOnOtherNode(now, notice, c.Node) {
@@ -197,12 +350,30 @@
 			break
 		}
 	}
+	return c.grantAlone(digest)
+}
+
+// grantAlone decides on a trial without the table. A refused part has none, since each
+// node would grant one.
+func (c *Controller) grantAlone(digest Digest) (Verdict, time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if notice := c.notices.Get(digest); trialOnOtherNode(time.Now(), notice, c.Node) {
+	now := time.Now()
+	notice := c.notices.Get(digest)
+	if trialOnOtherNode(now, notice, c.Node) {
 		return Refuse, notice.Trial.Deadline
 	}
-	return c.notices.Check(time.Now(), digest)
+	if digest.IsPart() && c.notices.crashCount(now, digest) >= MaxPartCrashes {
+		return Refuse, now.Add(firstPartBackoff)
+	}
+	return c.notices.Check(now, digest)
+}
+
+// verdict returns the verdict on a digest from the notices of this node.
+func (c *Controller) verdict(now time.Time, digest Digest) (Verdict, time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.notices.Check(now, digest)
 }
 
 // publishTrial merges the notice of a new trial and sends it to the other nodes.
@@ -232,6 +403,12 @@
 	if c.Publish != nil {
 		c.Publish(notice)
 	}
+	c.store(ctx, notice)
+}
+
+// store merges a notice into the table. If that fails, the table gets it with the next
+// notice of the digest.
+func (c *Controller) store(ctx context.Context, notice Notice) {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	for range maxAttempts {
@@ -257,7 +434,7 @@
 	if version == table.Absent {
 		return c.notices.Get(digest), version, nil
 	}
-	return c.notices.Merge(time.Now(), stored), version, nil
+	return c.merge(time.Now(), stored), version, nil
 }
 
 func key(digest Digest) table.Key { return table.Key{Partition: partition, Sort: string(digest)} }
@@ -303,6 +480,14 @@
 	if err != nil {
 		return
 	}
+	if len(records) == pollPageSize {
+		// Notices of parts are needed most, and sort last.
+		parts, err := c.Store.Query(ctx, table.Range{Partition: partition, Prefix: partPrefix, Limit: pollPageSize})
+		if err != nil {
+			return
+		}
+		records = append(records, parts...)
+	}
 	now := time.Now()
 	for _, record := range records {
 		if isReservation(record.Key) {
--- a/internal/poison/controller_test.go
+++ b/internal/poison/controller_test.go
@@ -20,8 +20,8 @@
 		store := standin.NewTable()
 		first := &poison.Controller{Store: store, Node: "n1"}
 		second := &poison.Controller{Store: store, Node: "n2"}
-		first.RecordCrash("s0", "b", []poison.Digest{"d1"})
-		second.RecordCrash("s0", "b", []poison.Digest{"d2"})
+		first.RecordCrash("s0", "b", []poison.Run{{Digest: "d1"}})
+		second.RecordCrash("s0", "b", []poison.Run{{Digest: "d2"}})
 		synctest.Wait()
 		request := func(node *poison.Controller, digest poison.Digest, boot fleet.BootID) poison.Verdict {
 			trial := poison.Trial{Server: "s1", Boot: boot, Deadline: time.Now().Add(time.Minute)}
@@ -36,7 +36,7 @@
 		c.Assert(request(second, "d2", "b"), qt.Equals, poison.Occupied)
 		end(first, "d1")
 		c.Assert(request(second, "d2", "b"), qt.Equals, poison.Exclusive, qt.Commentf("the server was released"))
-		second.RecordCrash("s1", "b", []poison.Digest{"d2"})
+		second.RecordCrash("s1", "b", []poison.Run{{Digest: "d2"}})
 		end(second, "d2")
 		c.Assert(request(first, "d1", "b"), qt.Equals, poison.Occupied, qt.Commentf("the server crashed"))
 		c.Assert(request(first, "d1", "restarted"), qt.Equals, poison.Exclusive)
--- a/internal/poison/notice.go
+++ b/internal/poison/notice.go
@@ -8,6 +8,11 @@
 // crashes too, every node refuses the request until its notice expires. If the
 // request succeeds it is no longer a suspect.
 //
+// Requests may also share a part of their prompts that crashes each server that begins
+// to answer. A part has a digest and a notice as a request has. Several crashes are
+// needed to refuse it, since sound requests share most parts and run beside, and a
+// refused part has a further trial now and then, since other requests may need it.
+//
 // Nodes exchange notices, which are merged as sets of crashes. The merge is
 // commutative and idempotent, so notices may arrive from peers and from the
 // table in any order and more than once.
@@ -72,6 +77,9 @@
 // MaxCrashes is the number of crashes from which a request is refused.
 const MaxCrashes = 2
 
+// maxNoticeCrashes is the number of crashes that a notice holds, the latest ones.
+const maxNoticeCrashes = 16
+
 // NoticeLifetime is the time after the last crash or success for which a notice
 // is valid. An expired notice stays in the table for as long again.
 const NoticeLifetime = 10 * time.Minute
@@ -148,15 +156,37 @@
 // NoticeSet holds the notices of one node. It is not safe for concurrent use.
 type NoticeSet struct {
 	byDigest map[Digest]Notice
+	// refusedParts holds the parts with so many crashes that they may be refused.
+	refusedParts map[Digest]struct{}
 }
 
-// Check returns the verdict on a request and the time until which it is valid.
-// The time is zero for [Unrestricted].
+// crashCount returns the number of crashes that count against a digest.
+func (s *NoticeSet) crashCount(now time.Time, digest Digest) int {
+	notice, found := s.byDigest[digest]
+	if !found || now.After(notice.ExpiresAt) {
+		return 0
+	}
+	if !digest.IsPart() {
+		return notice.CrashCount()
+	}
+	var refused []Notice
+	for part := range s.refusedParts {
+		if other := s.byDigest[part]; part != digest && !now.After(other.ExpiresAt) {
+			refused = append(refused, other)
+		}
+	}
+	return notice.unexplained(refused)
+}
+
+// Check returns the verdict on a request, or on those with a part, and the time until
+// which it is valid. The time is zero for [Unrestricted].
 func (s *NoticeSet) Check(now time.Time, digest Digest) (verdict Verdict, until time.Time) {
 	notice, found := s.byDigest[digest]
 	switch {
 	case !found, now.After(notice.ExpiresAt), notice.CrashCount() == 0:
 		return Unrestricted, time.Time{}
+	case digest.IsPart():
+		return notice.partVerdict(now, s.crashCount(now, digest))
 	case notice.CrashCount() >= MaxCrashes:
 		return Refuse, notice.ExpiresAt
 	default:
@@ -172,7 +202,7 @@
 	var tried []Digest
 	for digest, notice := range s.byDigest {
 		trial := notice.Trial
-		if trial.Server == server && trial.Boot == boot && now.Before(trial.Deadline) && notice.CrashCount() > 0 {
+		if !digest.IsPart() && trial.Server == server && trial.Boot == boot && now.Before(trial.Deadline) && notice.CrashCount() > 0 {
 			tried = append(tried, digest)
 		}
 	}
@@ -200,14 +230,23 @@
 
 // RecordCrash records a crash against a digest and returns the merged notice.
 func (s *NoticeSet) RecordCrash(now time.Time, digest Digest, server fleet.ServerID, boot fleet.BootID) Notice {
+	lifetime := NoticeLifetime
+	if digest.IsPart() {
+		lifetime = max(lifetime, partLifetimeBackoffs*partBackoff(s.Get(digest).CrashCount()+1))
+	}
 	return s.Merge(now, Notice{
-		Digest: digest, Crashes: []Crash{{Server: server, Boot: boot, At: now}}, ExpiresAt: now.Add(NoticeLifetime),
+		Digest: digest, Crashes: []Crash{{Server: server, Boot: boot, At: now}}, ExpiresAt: now.Add(lifetime),
 	})
 }
 
 // RecordSuccess records that a suspect succeeded and returns the merged notice.
 func (s *NoticeSet) RecordSuccess(now time.Time, digest Digest) Notice {
-	return s.Merge(now, Notice{Digest: digest, ClearedAt: now, ExpiresAt: now.Add(NoticeLifetime)})
+	return s.recordSuccessAt(now, now, digest)
+}
+
+// recordSuccessAt records a success that proves nothing about crashes after a time.
+func (s *NoticeSet) recordSuccessAt(now, at time.Time, digest Digest) Notice {
+	return s.Merge(now, Notice{Digest: digest, ClearedAt: at, ExpiresAt: now.Add(NoticeLifetime)})
 }
 
 // Merge merges a notice into the set and returns the result. An expired notice
@@ -215,16 +254,23 @@
 // evicted.
 func (s *NoticeSet) Merge(now time.Time, notice Notice) Notice {
 	if s.byDigest == nil {
-		s.byDigest = make(map[Digest]Notice)
+		s.byDigest, s.refusedParts = make(map[Digest]Notice), make(map[Digest]struct{})
 	}
 	known, found := s.byDigest[notice.Digest]
 	if !found && len(s.byDigest) >= maxNotices {
 		s.evict(now)
 	}
-	if found && !now.After(known.ExpiresAt) {
-		notice = known.Merge(notice)
+	if now.After(known.ExpiresAt) {
+		known = Notice{Digest: notice.Digest}
 	}
+	notice = known.Merge(notice)
+	notice.Crashes = notice.Crashes[max(0, len(notice.Crashes)-maxNoticeCrashes):]
 	s.byDigest[notice.Digest] = notice
+	if notice.Digest.IsPart() && notice.CrashCount() >= MaxPartCrashes {
+		s.refusedParts[notice.Digest] = struct{}{}
+	} else {
+		delete(s.refusedParts, notice.Digest)
+	}
 	return notice
 }
 
@@ -237,7 +283,13 @@
 
 // evict removes the expired notices, or the one that expires first if none has.
 func (s *NoticeSet) evict(now time.Time) {
-	maps.DeleteFunc(s.byDigest, func(_ Digest, notice Notice) bool { return now.After(notice.ExpiresAt) })
+	maps.DeleteFunc(s.byDigest, func(digest Digest, notice Notice) bool {
+		expired := now.After(notice.ExpiresAt)
+		if expired {
+			delete(s.refusedParts, digest)
+		}
+		return expired
+	})
 	if len(s.byDigest) < maxNotices {
 		return
 	}
@@ -248,4 +300,5 @@
 		}
 	}
 	delete(s.byDigest, first.Digest)
+	delete(s.refusedParts, first.Digest)
 }
