--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -90,12 +90,19 @@
 	return causes
 }
 
-// failedAttempts describes each failed attempt: server, duration and error.
+// failedAttempts describes each attempt that failed or was silent: server, duration, error,
+// and why nothing took the place of a silent one.
 func (t *Timeline) failedAttempts() (causes []string) {
 	for i := range t.Own {
-		if line := &t.Own[i]; line.Text == "attempt failed" {
+		switch line := &t.Own[i]; line.Text {
+		case "attempt failed":
 			causes = append(causes, fmt.Sprintf("server %s failed it after %v (%s): %s",
 				line.field("server"), line.duration("after"), line.field("failure"), line.field("error")))
+		case "attempt silent":
+			causes = append(causes, fmt.Sprintf("server %s was silent after %v (%s)",
+				line.field("server"), line.duration("after"), line.field("failure")))
+		case "silent attempt kept":
+			causes = append(causes, "nothing took the place of the silent attempt: "+line.field("reason"))
 		}
 	}
 	return causes
