--- a/internal/hosted/silence_test.go
+++ b/internal/hosted/silence_test.go
@@ -31,16 +31,17 @@
 }
 
 // watcher sees the body of an answer as it arrives and calls begin once, when it has seen
-// piecesBeforeSilence pieces.
+// a number of pieces.
 type watcher struct {
-	seen  bytes.Buffer
-	begin func()
+	seen   bytes.Buffer
+	pieces int
+	begin  func()
 }
 
 // Write implements [io.Writer].
 func (w *watcher) Write(data []byte) (int, error) {
 	count, err := w.seen.Write(data)
-	if w.begin != nil && bytes.Count(w.seen.Bytes(), []byte("data: piece ")) >= piecesBeforeSilence {
+	if w.begin != nil && bytes.Count(w.seen.Bytes(), []byte("data: piece ")) >= w.pieces {
 		w.begin()
 		w.begin = nil
 	}
@@ -52,7 +53,7 @@
 func (f *fixture) sendBesideSilence(path string) response {
 	request, err := standin.NewRequest(f.nodes[0].Addresses().Callers, http.MethodPost, path, "m1", "hello")
 	f.Assert(err, qt.IsNil)
-	answer, err := standin.SendObserved(request, &watcher{begin: f.muteEngines})
+	answer, err := standin.SendObserved(request, &watcher{pieces: piecesBeforeSilence, begin: f.muteEngines})
 	return response{Answer: answer, err: err}
 }
 
