The soak plays silences that end and answers without framing

It also took half of a plain answer for a whole one, since it did not look at the body.

Change: a second list of kinds of faults, drawn from a random stream of its own, so that the seeds of the old list play the same faults as before.

With ErrCutOff of internal/engine taken for an end, TestPromisesHoldUnderFaultsOfServers fails ("ended as whole after 4 pieces").

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -13,6 +14,9 @@
 	"github.com/guavatrack/guavatrack/platform/standin"
 )
 
+// requestBody is the body of each request.
+const requestBody = "hello"
+
 // sendRequest sends a randomly drawn request to a random node and checks its
 // answer.
 func (r *Run) sendRequest(random *rand.Rand) {
@@ -26,7 +30,7 @@
 	case 2:
 		method, path = http.MethodGet, standin.Repeatable
 	}
-	request, err := standin.NewRequest(n.config.Callers.Listen, method, path+"x", model, "hello")
+	request, err := standin.NewRequest(n.config.Callers.Listen, method, path+"x", model, requestBody)
 	r.recordError(err)
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 	defer cancel()
@@ -42,7 +46,8 @@
 
 // checkAnswer records a violation if the answer breaks a guarantee: a request that
 // must run at most once ran again, one reported as not run did run, the answer
-// belongs to another request, no server signed it, or its stream has a gap.
+// belongs to another request, no server signed it, its stream has a gap, or a part of it
+// looks like all.
 func (r *Run) checkAnswer(answer standin.Answer, err error, path string, stream bool) {
 	runs := r.site.Ledger.Runs(answer.ID)
 	if path == standin.Once && runs > 1 {
@@ -62,6 +67,11 @@
 	}
 	if stream {
 		r.checkPieces(answer, err == nil)
+		return
+	}
+	// A service ends its answer with the body of the request.
+	if err == nil && !strings.HasSuffix(answer.Body, ": "+requestBody) {
+		r.recordBreach("%s: ended as whole with %q", answer.ID, answer.Body)
 	}
 }
 
@@ -97,7 +107,7 @@
 func (r *Run) allServed() error {
 	for _, n := range r.nodes {
 		for at := range r.site.Models {
-			answer, err := standin.Ask(n.config.Callers.Listen, http.MethodPost, standin.Resumable+"x", fmt.Sprint("m", at), "hello")
+			answer, err := standin.Ask(n.config.Callers.Listen, http.MethodPost, standin.Resumable+"x", fmt.Sprint("m", at), requestBody)
 			if err != nil || answer.Status != http.StatusOK {
 				return errors.Errorf("%s, m%d: status %d, error %v", n.name, at, answer.Status, err)
 			}
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -3,8 +3,12 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/guavatrack/guavatrack/platform/standin"
 )
 
 // fault is a fault that begins at start, counted from the start of the injection,
@@ -102,12 +106,72 @@
 	}},
 }
 
+// silence is the time for which a server is silent and then goes on.
+const silence = 1500 * time.Millisecond
+
+// unframedFaults are the faults that servers play in turn in the fault of that name.
+var unframedFaults = []standin.Fault{
+	standin.Unframed, standin.UnframedCut, standin.UnframedClose, standin.UnframedReset,
+}
+
+// serverFaultKinds lists the kinds of faults that servers play themselves. They are apart
+// from faultKinds so that a seed selects the same faults there as before.
+var serverFaultKinds = []faultKind{
+	{"silence", func(r *Run, index int) func() {
+		servers := r.standIns()
+		servers[index%len(servers)].Mute(silence)
+		return func() {}
+	}},
+	{"silence of all", func(r *Run, _ int) func() {
+		for _, server := range r.standIns() {
+			server.Mute(silence)
+		}
+		return func() {}
+	}},
+	{"unframed", func(r *Run, _ int) func() {
+		var count atomic.Uint64
+		for _, server := range r.standIns() {
+			server.SetFault(func(*http.Request) standin.Fault {
+				return unframedFaults[count.Add(1)%uint64(len(unframedFaults))]
+			})
+		}
+		return func() {
+			for _, server := range r.standIns() {
+				server.SetFault(nil)
+			}
+		}
+	}},
+}
+
+// standIns returns all backend servers.
+func (r *Run) standIns() (servers []*standin.Server) {
+	for _, engine := range r.site.EngineList {
+		servers = append(servers, &engine.Server)
+	}
+	for _, service := range r.site.ServiceList {
+		servers = append(servers, &service.Server)
+	}
+	return servers
+}
+
+// Streams of the random numbers of a seed. Those from 2 on are the callers'.
+const (
+	faultStream       = 1
+	serverFaultStream = 1 << 32
+)
+
 // drawFaults returns the faults of a seed. Each begins and ends within the span.
-func drawFaults(seed uint64, count int, span time.Duration) []fault {
-	random := rand.New(rand.NewPCG(seed, 1))
+func (r *Run) drawFaults() []fault {
+	return append(drawKinds(faultKinds, rand.NewPCG(r.Seed, faultStream), r.Faults, r.Span),
+		drawKinds(serverFaultKinds, rand.NewPCG(r.Seed, serverFaultStream), r.ServerFaults, r.Span)...)
+}
+
+// drawKinds draws faults of some kinds.
+func drawKinds(kinds []faultKind, source rand.Source, count int, span time.Duration) []fault {
+	random := rand.New(source)
 	faults := make([]fault, count)
 	for at := range faults {
-		f := fault{kind: faultKinds[random.IntN(len(faultKinds))], index: random.IntN(60)}
+		f := fault{kind: kinds[random.IntN(len(kinds))], index: random.IntN(60)}
 		f.duration = time.Duration(random.Float64() * float64(span) / 3)
 		f.start = time.Duration(random.Float64() * float64(span-f.duration))
 		faults[at] = f
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -43,9 +43,11 @@
 	Seed        uint64
 	// Nodes, Engines and Callers are their numbers.
 	Nodes, Engines, Callers int
-	// Faults is the number of faults, all of which begin and end within Span.
-	Faults int
-	Span   time.Duration
+	// Faults is the number of faults of processes and links, ServerFaults that of faults
+	// that backend servers play themselves: silences that end, and answers without
+	// framing. All begin and end within Span.
+	Faults, ServerFaults int
+	Span                 time.Duration
 	// Log is called once for each fault.
 	Log func(format string, args ...any)
 
@@ -160,7 +162,7 @@
 // the nodes that overlapping faults left paused or ended.
 func (r *Run) inject() {
 	began := time.Now()
-	faults := drawFaults(r.Seed, r.Faults, r.Span)
+	faults := r.drawFaults()
 	slices.SortFunc(faults, func(a, b fault) int { return int(a.start - b.start) })
 	var group sync.WaitGroup
 	for _, next := range faults {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -20,18 +20,33 @@
 // models that are not served again after faults. It runs the real program under
 // the faults of a few seeds; cmd/guavasoak does longer runs.
 func TestPromisesHoldUnderFaults(t *testing.T) {
+	for _, seed := range seeds {
+		runSeed(t, &soak.Run{Seed: seed, Faults: 6})
+	}
+}
+
+// serverSeeds lists the seeds of the short run with faults that servers play.
+var serverSeeds = []uint64{1}
+
+// TestPromisesHoldUnderFaultsOfServers adds silences that end and answers with neither a
+// length nor chunks.
+func TestPromisesHoldUnderFaultsOfServers(t *testing.T) {
+	for _, seed := range serverSeeds {
+		runSeed(t, &soak.Run{Seed: seed, Faults: 3, ServerFaults: 4})
+	}
+}
+
+// runSeed builds the program and does a run, of which the seed and faults are set.
+func runSeed(t *testing.T, run *soak.Run) {
+	t.Helper()
 	c := qt.New(t)
 	binary := filepath.Join(t.TempDir(), "guavatrack")
 	build, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "../../cmd/guavatrack").CombinedOutput()
 	c.Assert(err, qt.IsNil, qt.Commentf("%s", build))
-	for _, seed := range seeds {
-		run := &soak.Run{
-			Binary: binary, Dir: t.TempDir(), Seed: seed, Nodes: 3, Engines: 2, Callers: 4, Faults: 6,
-			Span: 5 * time.Second, Log: t.Logf,
-		}
-		outcome, err := run.Do()
-		c.Check(err, qt.IsNil, qt.Commentf("seed %d", seed))
-		c.Check(outcome.Breaches, qt.HasLen, 0, qt.Commentf("seed %d: %s", seed, strings.Join(outcome.Breaches, "\n")))
-		c.Check(outcome.Served > 0, qt.IsTrue)
-	}
+	run.Binary, run.Dir, run.Nodes, run.Engines, run.Callers = binary, t.TempDir(), 3, 2, 4
+	run.Span, run.Log = 5*time.Second, t.Logf
+	outcome, err := run.Do()
+	c.Check(err, qt.IsNil, qt.Commentf("seed %d", run.Seed))
+	c.Check(outcome.Breaches, qt.HasLen, 0, qt.Commentf("seed %d: %s", run.Seed, strings.Join(outcome.Breaches, "\n")))
+	c.Check(outcome.Served > 0, qt.IsTrue)
 }
