Notices of prompt parts reach all nodes within a second

Facts may be urgent, as changes of members are: a node sends them on to three neighbours, at most every tenth of a second at the platform's interval.

--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -159,15 +159,21 @@
 	return nil
 }
 
-// noticeInterval is the time between two reads of the notices of other nodes, received
-// by gossip, about requests that crash backend servers and about servers that leave.
-const noticeInterval = time.Second
+// Times between two reads of the notices of other nodes, received by gossip: those about
+// requests that crash backend servers are read poisonReads times as often as those about
+// servers that leave.
+const (
+	poisonNoticeInterval = 250 * time.Millisecond
+	poisonReads          = 4
+)
 
 func (n *Node) receiveNotices(ctx context.Context) error {
-	for ctx.Err() == nil {
-		wait.For(ctx, noticeInterval)
+	for read := 1; ctx.Err() == nil; read++ {
+		wait.For(ctx, poisonNoticeInterval)
 		n.components.Poison.Receive()
-		n.components.LeaveNotices.Receive()
+		if read%poisonReads == 0 {
+			n.components.LeaveNotices.Receive()
+		}
 	}
 	return nil
 }
--- a/internal/member/controller.go
+++ b/internal/member/controller.go
@@ -365,11 +365,13 @@
 
 // Publish publishes a fact of this node to the other nodes for the lifetime. It
 // returns false if the value is too long.
-func (c *Controller) Publish(fact Fact, lifetime time.Duration) bool {
+func (c *Controller) Publish(fact Fact, lifetime time.Duration) (published bool) {
 	c.init()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.view.Publish(time.Now(), fact, lifetime)
+	c.withView(func(now time.Time) []Action {
+		published = c.view.Publish(now, fact, lifetime)
+		return nil
+	})
+	return published
 }
 
 const (
--- a/internal/member/exchange.go
+++ b/internal/member/exchange.go
@@ -46,7 +46,7 @@
 )
 
 // ImmediateActions returns exchanges that are due before the next tick because a node was
-// added or its liveness, Leaving or Starting changed. It returns nil if there is
+// added, its liveness, Leaving or Starting changed, or an urgent fact is new. It returns nil if there is
 // no such change or the previous such exchanges are too recent.
 func (v *View) ImmediateActions(now time.Time) []Action {
 	if !v.immediateDue || now.Sub(v.immediateAt) < v.interval/immediateIntervalDivisor {
--- a/internal/member/fact.go
+++ b/internal/member/fact.go
@@ -51,6 +51,7 @@
 func (v *View) storeFact(fact Fact) {
 	v.facts[fact.id()] = fact
 	v.localQueues.facts.add(fact.id())
+	v.immediateDue = v.immediateDue || fact.Urgent
 	if !fact.CrossRegion || fact.Region != v.self.Region {
 		return
 	}
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -106,6 +106,8 @@
 	Region fleet.Region `json:"region"`
 	// CrossRegion is set if the fact is also sent to the other regions.
 	CrossRegion bool `json:"wide,omitempty"`
+	// Urgent is set if the fact is sent on before the next tick.
+	Urgent bool `json:"urgent,omitempty"`
 	// TTLMillis is the remaining time to live in milliseconds when sent.
 	TTLMillis int64           `json:"ttl"`
 	Value     json.RawMessage `json:"value,omitempty"`
--- a/internal/poison/notice.go
+++ b/internal/poison/notice.go
@@ -77,8 +77,9 @@
 // MaxCrashes is the number of crashes from which a request is refused.
 const MaxCrashes = 2
 
-// maxNoticeCrashes is the number of crashes that a notice holds, the latest ones.
-const maxNoticeCrashes = 16
+// maxNoticeCrashes is the number of crashes that a notice holds, the latest ones. A notice
+// with as many fits into a fact.
+const maxNoticeCrashes = 8
 
 // NoticeLifetime is the time after the last crash or success for which a notice
 // is valid. An expired notice stays in the table for as long again.
