A refused part has its first trial after 30 s

A part that was sound before was sent more than three times after the fifth crash in some plays: nodes that have answered it lately don't blame it for a crash or two, so they know fewer crashes than there were, and trials came after 10 s and 30 s. Now they come after 30 s, 90 s and so on.

--- a/internal/dispatch/parts_test.go
+++ b/internal/dispatch/parts_test.go
@@ -437,6 +437,8 @@
 			d.MergePoisonNotice(notices.RecordCrash(time.Now(), bad, fleet.ServerID(fmt.Sprint("x", i)), "b"))
 		}
 		group.Wait()
+		// The queue is served until its next tick.
+		time.Sleep(time.Second)
 		c.Check(s.runs["waiting"], qt.HasLen, 0)
 		c.Check(waiting.Sent(), qt.IsFalse)
 	})
--- a/internal/poison/part.go
+++ b/internal/poison/part.go
@@ -34,7 +34,7 @@
 // notice is valid for partLifetimeBackoffs such times, so that it doesn't expire before
 // the trial.
 const (
-	firstPartBackoff     = 10 * time.Second
+	firstPartBackoff     = 30 * time.Second
 	partBackoffFactor    = 3
 	maxPartBackoff       = time.Hour
 	partLifetimeBackoffs = 2
