Parts answered in the last 3 s are exempt from blame, not 10 s

A part that was sound and then crashed servers was exempt for too long at nodes that had answered it.

--- a/internal/poison/part.go
+++ b/internal/poison/part.go
@@ -126,7 +126,7 @@
 const (
 	// latelyCompleted is the time for which the parts of a completed answer are
 	// blamed after others only.
-	latelyCompleted = 10 * time.Second
+	latelyCompleted = 3 * time.Second
 	// maxCompletions bounds each of the two generations of the record.
 	maxCompletions = 2048
 )
