Only a stream continues an answer that has begun

A caller got the event of a broken stream and then the text of an error, as if the answer were complete: the attempt that was to continue the stream got a whole answer (409, say), whose body was written into the stream.

--- a/internal/caller/completion.go
+++ b/internal/caller/completion.go
@@ -112,6 +112,9 @@
 	first   engine.Event
 }
 
+// errNoStream is the error of an attempt that was to continue a stream.
+var errNoStream = errors.New("backend server answered without a stream")
+
 // readStart reads the first event of a streamed answer, or the whole of any other
 // answer.
 func (a *completionAnswer) readStart() (err error) {
@@ -122,6 +125,10 @@
 		}
 		return nil
 	}
+	if a.call.AnswerStarted() {
+		// Only a stream can continue an answer that has begun.
+		return &dispatch.FailureError{Kind: retry.ServerError, Err: errNoStream}
+	}
 	a.body, err = a.ReadWhole()
 	return err
 }
