Attempts beside a silent stream are watched, counted and kept to one server

Change: an attempt beside a silent one that is silent too makes room for the next if one is allowed; each attempt that was sent counts; a stream stays at a server that takes connections until two attempts there were silent; the next search follows at once; probes end with the answer; silence is judged over a whole interval without progress.

--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -79,6 +79,7 @@
 	if call.MaxAttempts > 0 {
 		policy.MaxAttempts = call.MaxAttempts
 	}
+	policy.MaxAttempts -= call.abandonedAttempts
 	allowance := d.Allowance()
 	d.budgets.Lock()
 	defer d.budgets.Unlock()
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -67,8 +67,11 @@
 	suspect poison.Digest
 	// failedAttempts lists the failed attempts, the last one last.
 	failedAttempts []retry.Attempt
-	queue          *waitQueue
-	slot           *slot
+	// abandonedAttempts counts the attempts that were made beside a silent one that went
+	// on.
+	abandonedAttempts int
+	queue             *waitQueue
+	slot              *slot
 	// sent counts the attempts of which any byte may have reached a server,
 	// without those that the server is known not to have run.
 	sent atomic.Int32
@@ -148,6 +151,10 @@
 	// silence is the reason to end the attempt once another one answers; nil if it is
 	// not silent.
 	silence error
+	// checkedProgress is the progress at the last check for silence.
+	checkedProgress uint64
+	// silentProgress is the progress at which it fell silent.
+	silentProgress uint64
 	// probing is set while the server is probed because the attempt makes no progress.
 	probing bool
 	// failedNumber is its position among the failed attempts of the call, from 1; 0 if
@@ -210,6 +217,9 @@
 // AddRequestSize records the size of the request in bytes.
 func (a *Attempt) AddRequestSize(count int) { a.slot.bytes.Add(int64(count)) }
 
+// silent reports whether the attempt is known to be silent and has made no progress since.
+func (a *Attempt) silent() bool { return a.silence != nil && a.progress.Load() == a.silentProgress }
+
 // close ends the exchange with the server. It does not release the slot.
 func (a *Attempt) close(cause error) {
 	a.cancel(cause)
--- a/internal/dispatch/race.go
+++ b/internal/dispatch/race.go
@@ -54,6 +54,7 @@
 			}
 			err = a.err
 			r.drop(s, a)
+			r.seekReplacement(s)
 		case <-hedgeTimer.C:
 			if s.search != nil || !r.mayHedge() {
 				continue
@@ -104,13 +105,17 @@
 	return min(silentAfter, bound) << min(r.silentConnections, maxSilenceDoublings)
 }
 
-// checkSilence probes the servers of the attempts that are not known to be silent. If
-// all are, it seeks another attempt.
+// checkSilence probes the servers of the attempts that have made no progress since the
+// last check. If all are silent, it seeks another attempt.
 func (r *callRunner) checkSilence(s *raceState) {
 	for _, a := range s.running {
+		if now := a.progress.Load(); now != a.checkedProgress {
+			a.checkedProgress, a.silence = now, nil
+			continue
+		}
 		if a.silence == nil && !a.probing {
 			a.probing = true
-			go func() { s.suspicions <- r.probe(a) }()
+			go func() { s.suspicions <- r.probe(a.ctx, a) }()
 		}
 	}
 	r.seekReplacement(s)
@@ -119,8 +124,8 @@
 // seekReplacement starts the search for another attempt if all attempts of a race are
 // silent and another one may be made.
 func (r *callRunner) seekReplacement(s *raceState) {
-	sound := slices.ContainsFunc(s.running, func(a *Attempt) bool { return a.silence == nil })
-	if s.search != nil || sound || len(s.running) == maxRaceAttempts {
+	sound := slices.ContainsFunc(s.running, func(a *Attempt) bool { return !a.silent() })
+	if len(s.running) == 0 || s.search != nil || sound || len(s.running) == maxRaceAttempts {
 		return
 	}
 	s.search = r.startSearch()
--- a/internal/dispatch/replacement.go
+++ b/internal/dispatch/replacement.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/guavatrack/guavatrack/internal/retry"
 	"github.com/guavatrack/guavatrack/internal/wait"
 )
@@ -26,7 +28,7 @@
 func (r *callRunner) startSearch() *replacementSearch {
 	ctx, cancel := context.WithCancel(r.call.Context)
 	search := &replacementSearch{cancel: cancel, found: make(chan *slot, 1)}
-	go func() { search.found <- r.findReplacementSlot(ctx) }()
+	go func() { search.found <- r.findReplacementSlot(ctx, nil) }()
 	return search
 }
 
@@ -49,9 +51,10 @@
 	}
 }
 
-// findReplacementSlot takes a slot for an attempt beside the silent ones. It returns
-// nil if no such attempt is allowed, or if no slot is free before the context ends.
-func (r *callRunner) findReplacementSlot(ctx context.Context) *slot {
+// findReplacementSlot takes a slot for an attempt beside the silent ones, or beside the
+// one whose answer has begun. It returns nil if no such attempt is allowed, or if no slot
+// is free before the context ends.
+func (r *callRunner) findReplacementSlot(ctx context.Context, begun *Attempt) *slot {
 	call := r.call
 	if err := r.recheckPoison(call); err != nil || call.exclusive {
 		r.logKept("the request is suspected of crashing servers")
@@ -67,6 +70,14 @@
 		return nil
 	}
 	last := call.failedAttempts[len(call.failedAttempts)-1]
+	if begun != nil && r.staysAt(begun, decision) {
+		taken, found := r.retakeSlot(retry.Attempt{Server: begun.Replica.Server})
+		if !found {
+			r.refundRetry(call)
+			return nil
+		}
+		return taken
+	}
 	if taken, found := r.takeFreeSlot(last, decision.SameServer); found {
 		return taken
 	}
@@ -80,14 +91,19 @@
 	return taken
 }
 
+// staysAt reports whether an answer that has begun is to be continued at its server, over
+// a new connection, so that no two servers work on it: the server takes connections, and
+// no second attempt there was silent.
+func (r *callRunner) staysAt(begun *Attempt, decision retry.Decision) bool {
+	last := r.call.failedAttempts[len(r.call.failedAttempts)-1]
+	reachable := errors.Is(begun.silence, ErrSilentConnection)
+	return reachable && last.Server == begun.Replica.Server && (decision.SameServer || last.Failure != retry.SilentConnection)
+}
+
 // takeFreeSlot takes a slot for an attempt beside a silent one without waiting. If only
-// the connection is suspected, a call without an answer goes to another server that has
-// a free slot, since the server may be silent as well. An answer that has begun is
-// continued at the same server, so that no two servers work on it.
+// the connection is suspected, it prefers another server that has a free slot, since the
+// server may be silent as well.
 func (r *callRunner) takeFreeSlot(silent retry.Attempt, sameServer bool) (taken *slot, found bool) {
-	if sameServer && r.call.AnswerStarted() {
-		return r.retakeSlot(silent)
-	}
 	if taken, found = r.takeSlot(r.call, time.Now(), false); found {
 		if taken.replica.Server != silent.Server {
 			taken.fresh = true
@@ -121,9 +137,9 @@
 }
 
 // probe probes the server of an attempt over a new connection.
-func (r *callRunner) probe(a *Attempt) suspicion {
+func (r *callRunner) probe(ctx context.Context, a *Attempt) suspicion {
 	progress := a.progress.Load()
-	ctx, cancel := context.WithTimeout(a.ctx, probeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	return suspicion{attempt: a, progress: progress, alive: r.Prober.Alive(ctx, a.Replica)}
 }
@@ -136,7 +152,7 @@
 		return false
 	}
 	kind := retry.SilentConnection
-	a.silence = ErrSilentConnection
+	a.silence, a.silentProgress = ErrSilentConnection, s.progress
 	r.meters.silentConnections.Inc(1)
 	if !s.alive {
 		kind, a.silence = retry.SilentServer, ErrSilentServer
@@ -194,8 +210,11 @@
 			seen, w.silent.silence = now, nil
 			continue
 		}
-		if w.silent.silence == nil && !r.suspect(r.probe(w.silent)) {
-			continue
+		if w.silent.silence == nil {
+			found := r.probe(w.ended, w.silent)
+			if w.ended.Err() != nil || !r.suspect(found) {
+				continue
+			}
 		}
 		if next := w.replace(seen); next != nil {
 			return next
@@ -204,40 +223,64 @@
 	return nil
 }
 
-// replace makes an attempt beside the silent one. It returns the attempt once it has
-// begun to answer, and ends the silent one. It returns nil if there is no such attempt,
-// or if the silent one goes on first.
+// replace makes attempts beside the silent one, one after another, until one begins to
+// answer. It returns that one and ends the silent one. It returns nil if no further attempt
+// is allowed, or if the silent one goes on or ends first.
 func (w *silenceWatch) replace(seen uint64) *Attempt {
 	r := w.runner
-	taken := r.findReplacementSlot(w.ended)
-	if taken == nil {
-		return nil
-	}
-	if w.silent.progress.Load() != seen || w.ended.Err() != nil {
-		r.releaseSlot(taken)
-		return nil
+	for {
+		taken := r.findReplacementSlot(w.ended, w.silent)
+		if taken == nil {
+			return nil
+		}
+		if w.goesOn(seen) || w.ended.Err() != nil {
+			r.refundRetry(r.call)
+			r.releaseSlot(taken)
+			return nil
+		}
+		a := w.try(taken, seen)
+		if a.err == nil && !w.goesOn(seen) && r.call.Context.Err() == nil {
+			r.recordOpened(a)
+			w.silent.cancel(w.silent.silence)
+			return a
+		}
+		w.drop(a)
+		if w.goesOn(seen) || w.ended.Err() != nil {
+			return nil
+		}
 	}
+}
+
+// goesOn reports whether the silent attempt has made progress.
+func (w *silenceWatch) goesOn(seen uint64) bool { return w.silent.progress.Load() != seen }
+
+// try makes an attempt and waits for its result.
+func (w *silenceWatch) try(taken *slot, seen uint64) *Attempt {
 	results := make(chan *Attempt, 1)
-	other := r.startAttempt(taken, results)
-	a := w.await(other, results, seen)
-	switch {
-	case a.err == nil && w.silent.progress.Load() == seen && r.call.Context.Err() == nil:
-		r.recordOpened(a)
-		w.silent.cancel(w.silent.silence)
-		return a
-	case a.err != nil && other.ctx.Err() == nil:
+	other := w.runner.startAttempt(taken, results)
+	return w.await(other, results, seen)
+}
+
+// drop ends an attempt that is not needed or has failed. It counts as an attempt of the
+// call if it was sent.
+func (w *silenceWatch) drop(a *Attempt) {
+	r := w.runner
+	if a.err != nil && a.ctx.Err() == nil {
 		r.recordFailure(a)
+	} else if a.failedNumber == 0 && a.slot.sent.Load() {
+		r.call.abandonedAttempts++
 	}
 	a.close(errNotNeeded)
-	r.releaseSlot(taken)
-	return nil
+	r.releaseSlot(a.slot)
 }
 
-// await waits for the result of an attempt. It cancels the attempt if the silent one
-// makes progress.
+// await waits for the result of an attempt. It cancels the attempt if the silent one makes
+// progress, or if this one is silent too and another one is allowed.
 func (w *silenceWatch) await(other *Attempt, results <-chan *Attempt, seen uint64) *Attempt {
 	ticker := time.NewTicker(progressCheckInterval)
 	defer ticker.Stop()
+	silence := time.NewTimer(w.runner.silenceTimeout(minSilenceTimeout))
+	defer silence.Stop()
 	complete := w.complete
 	for {
 		select {
@@ -247,13 +290,29 @@
 			complete = nil
 			other.cancel(errNotNeeded)
 		case <-ticker.C:
-			if w.silent.progress.Load() != seen {
+			if w.goesOn(seen) {
 				other.cancel(errNotNeeded)
 			}
+		case <-silence.C:
+			w.giveUp(other)
 		}
 	}
 }
 
+// giveUp records that an attempt beside a silent one is silent too. It ends the attempt
+// only if another one is allowed.
+func (w *silenceWatch) giveUp(other *Attempt) {
+	r := w.runner
+	if other.ctx.Err() != nil || other.progress.Load() > 0 {
+		return
+	}
+	r.recordSilence(other, retry.SilentConnection)
+	if r.retryDecision(r.call).Retry {
+		r.refundRetry(r.call)
+		other.cancel(ErrSilentConnection)
+	}
+}
+
 // progressCheckInterval is the time between two checks whether a silent attempt goes
 // on while another one is made beside it.
 const progressCheckInterval = 50 * time.Millisecond
