A replacement that is not needed gives its retry back to the budget

The slot of a search that ended too late was released, but its retry stayed spent (review, by reading). go test -race -cpu 1 ./internal/dispatch passes.

--- a/internal/dispatch/replacement.go
+++ b/internal/dispatch/replacement.go
@@ -40,13 +40,15 @@
 	return s.found
 }
 
-// stopSearch ends a search, if there is one, and releases the slot that it has found.
+// stopSearch ends a search, if there is one, and gives back the slot that it has found and
+// the retry.
 func (r *callRunner) stopSearch(search *replacementSearch) {
 	if search == nil {
 		return
 	}
 	search.cancel()
 	if taken := <-search.found; taken != nil {
+		r.refundRetry(r.call)
 		r.releaseSlot(taken)
 	}
 }
