An attempt beside one that answers first counts as an attempt

A call whose first attempt was silent, answered after all and then broke was sent once more than its limit, since the attempt beside it was not counted. TestAttemptBesideABrokenStreamCounts: 3 sends before, 2 now (limit 2).

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -67,8 +67,8 @@
 	suspect poison.Digest
 	// failedAttempts lists the failed attempts, the last one last.
 	failedAttempts []retry.Attempt
-	// abandonedAttempts counts the attempts that were made beside a silent one that went
-	// on.
+	// abandonedAttempts counts the attempts that were made beside another one, which went
+	// on or answered first.
 	abandonedAttempts int
 	queue             *waitQueue
 	slot              *slot
--- a/internal/dispatch/race.go
+++ b/internal/dispatch/race.go
@@ -193,6 +193,9 @@
 		if a == winner {
 			continue
 		}
+		if a.failedNumber == 0 {
+			r.call.abandonedAttempts++
+		}
 		a.slot.server.recordFirstByte(now, now.Sub(a.slot.started))
 		if a.slot.started.Before(winner.slot.started) {
 			a.slot.server.recordFailure(now)
--- a/internal/dispatch/replacement_open_test.go
+++ b/internal/dispatch/replacement_open_test.go
@@ -69,6 +69,20 @@
 	}
 }
 
+// TestAttemptBesideABrokenStreamCounts guards against more sends than are allowed: a stream
+// begins after a silence, the attempt beside it is ended, and then the stream breaks.
+func TestAttemptBesideABrokenStreamCounts(t *testing.T) {
+	runInBubble(t, func(c *qt.C) {
+		broken := scriptedAttempt{
+			opening: []time.Duration{7 * time.Second}, pauses: []time.Duration{0, 100 * time.Millisecond}, fails: true,
+		}
+		s := resumableStream(true, 2, broken, scriptedAttempt{pauses: []time.Duration{time.Hour}}, answers())
+		outcome := s.run()
+		c.Check(outcome.err, qt.IsNotNil)
+		c.Check(s.message.sends, qt.Equals, 2, qt.Commentf("%v", outcome.err))
+	})
+}
+
 // TestCompleteAnswerEndsAtOnce guards against answers whose end is held back by a probe
 // of their server.
 func TestCompleteAnswerEndsAtOnce(t *testing.T) {
