--- a/internal/hosted/crash_test.go
+++ b/internal/hosted/crash_test.go
@@ -55,7 +55,7 @@
 	f.site.SetCrashingPart(crashingPart, time.Second)
 	request, err := standin.NewRequest(f.nodes[0].Addresses().Callers, http.MethodPost, standin.Streaming+"chat", "m0", "hello")
 	f.Assert(err, qt.IsNil)
-	request.Header.Set("Guavatrack-Prompt-Prefix", soundPart+":800,"+crashingPart+":410")
+	standin.SetPrompt(request, soundPart, crashingPart)
 	answer, err := standin.Send(request)
 	f.checkCompleteStream(response{Answer: answer, err: err})
 	f.Check(f.site.Ledger.Crashes(crashingPart), qt.Equals, 0)
