--- a/internal/caller/cluster_test.go
+++ b/internal/caller/cluster_test.go
@@ -30,36 +30,13 @@
 // can run in virtual time.
 type memoryNet struct {
 	mu        sync.Mutex
-	listeners map[string]*memoryListener
+	listeners map[string]*standin.Listener
 }
 
-type memoryListener struct {
-	address string
-	accept  chan net.Conn
-	closed  chan struct{}
-	once    sync.Once
-}
-
-func (l *memoryListener) Accept() (net.Conn, error) {
-	select {
-	case connection := <-l.accept:
-		return connection, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *memoryListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
-}
-
-func (l *memoryListener) Addr() net.Addr { return &net.TCPAddr{} }
-
 func (m *memoryNet) listen(address string) net.Listener {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	listener := &memoryListener{address: address, accept: make(chan net.Conn), closed: make(chan struct{})}
+	listener := standin.NewListener()
 	m.listeners[address] = listener
 	return listener
 }
@@ -73,14 +50,10 @@
 		return nil, errors.New("connection refused")
 	}
 	near, far := net.Pipe()
-	select {
-	case listener.accept <- far:
-		return near, nil
-	case <-listener.closed:
-		return nil, errors.New("connection refused")
-	case <-ctx.Done():
-		return nil, ctx.Err()
+	if err := listener.Deliver(ctx, far); err != nil {
+		return nil, err
 	}
+	return near, nil
 }
 
 // testCluster consists of simulated backend servers and of nodes that use them.
@@ -117,7 +90,7 @@
 func newCluster(t *testing.T, config clusterConfig) *testCluster {
 	t.Helper()
 	s := &testCluster{
-		t: t, c: qt.New(t), net: &memoryNet{listeners: make(map[string]*memoryListener)},
+		t: t, c: qt.New(t), net: &memoryNet{listeners: make(map[string]*standin.Listener)},
 		table: standin.NewTable(), ledger: standin.NewLedger(), runs: standin.NewRuns(),
 		hidden: make(map[fleet.ServerID]bool), reports: make(map[fleet.ServerID]engine.Report),
 		draining: make(map[fleet.ServerID]bool),
--- a/internal/dispatch/callrunner.go
+++ b/internal/dispatch/callrunner.go
@@ -9,6 +9,7 @@
 
 	"github.com/guavatrack/guavatrack/internal/retry"
 	"github.com/guavatrack/guavatrack/internal/wait"
+	"github.com/guavatrack/guavatrack/pkg/fleet"
 	"github.com/guavatrack/guavatrack/pkg/refusal"
 )
 
@@ -63,7 +64,7 @@
 		return nil, attemptErr
 	}
 	if decision.SameServer {
-		if taken, found := r.retakeSlot(last); found {
+		if taken, found := r.retakeSlot(last.Server); found {
 			return taken, nil
 		}
 	}
@@ -77,9 +78,9 @@
 
 // retakeSlot takes another slot, with a new connection, at the server whose
 // connection was silent. It reports false if the server is no longer usable.
-func (r *callRunner) retakeSlot(last retry.Attempt) (*slot, bool) {
+func (r *callRunner) retakeSlot(server fleet.ServerID) (*slot, bool) {
 	for _, replica := range r.replicas(r.call) {
-		if replica.Server == last.Server && !r.servers.get(replica.Server).closedTo(time.Now(), replica.Boot) {
+		if replica.Server == server && !r.servers.get(replica.Server).closedTo(time.Now(), replica.Boot) {
 			taken := r.takeSlotAt(r.call, replica, time.Now(), "")
 			taken.fresh = true
 			return taken, true
--- a/internal/dispatch/replacement.go
+++ b/internal/dispatch/replacement.go
@@ -9,6 +9,7 @@
 
 	"github.com/guavatrack/guavatrack/internal/retry"
 	"github.com/guavatrack/guavatrack/internal/wait"
+	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
 // An attempt whose server is silent may still go on. So it is only suspected, and
@@ -73,14 +74,14 @@
 	}
 	last := call.failedAttempts[len(call.failedAttempts)-1]
 	if begun != nil && r.staysAt(begun, decision) {
-		taken, found := r.retakeSlot(retry.Attempt{Server: begun.Replica.Server})
+		taken, found := r.retakeSlot(begun.Replica.Server)
 		if !found {
 			r.refundRetry(call)
 			return nil
 		}
 		return taken
 	}
-	if taken, found := r.takeFreeSlot(last, decision.SameServer); found {
+	if taken, found := r.takeFreeSlot(last.Server, decision.SameServer); found {
 		return taken
 	}
 	taken, err := call.queue.acquire(ctx, call)
@@ -105,9 +106,9 @@
 // takeFreeSlot takes a slot for an attempt beside a silent one without waiting. If only
 // the connection is suspected, it prefers another server that has a free slot, since the
 // server may be silent as well.
-func (r *callRunner) takeFreeSlot(silent retry.Attempt, sameServer bool) (taken *slot, found bool) {
+func (r *callRunner) takeFreeSlot(silent fleet.ServerID, sameServer bool) (taken *slot, found bool) {
 	if taken, found = r.takeSlot(r.call, time.Now(), false); found {
-		if taken.replica.Server != silent.Server {
+		if taken.replica.Server != silent {
 			taken.fresh = true
 			return taken, true
 		}
--- a/internal/hosted/drain_test.go
+++ b/internal/hosted/drain_test.go
@@ -6,33 +6,14 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
-)
-
-// oneConnection is a listener that accepts one connection.
-type oneConnection struct {
-	connections chan net.Conn
-	once        sync.Once
-}
-
-func (l *oneConnection) Accept() (net.Conn, error) {
-	if connection, open := <-l.connections; open {
-		return connection, nil
-	}
-	return nil, net.ErrClosed
-}
-
-func (l *oneConnection) Close() error {
-	l.once.Do(func() { close(l.connections) })
-	return nil
-}
 
-func (l *oneConnection) Addr() net.Addr { return &net.TCPAddr{} }
+	"github.com/guavatrack/guavatrack/internal/standin"
+)
 
 // slowConn is a connection on which each write takes a time.
 type slowConn struct {
@@ -53,8 +34,7 @@
 		c := qt.New(t)
 		n := &Node{}
 		caller, end := net.Pipe()
-		listener := &oneConnection{connections: make(chan net.Conn, 1)}
-		listener.connections <- &slowConn{end, 100 * time.Millisecond}
+		listener := standin.NewListener()
 		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			defer n.activeRequests.Begin(func(error) {})()
 			_, err := io.WriteString(w, "data: 1\n\n")
@@ -64,6 +44,7 @@
 		sockets := &endpoints{callers: server, servers: []*http.Server{server}}
 		served := make(chan error, 1)
 		go func() { served <- server.Serve(listener) }()
+		c.Check(listener.Deliver(context.Background(), &slowConn{end, 100 * time.Millisecond}), qt.IsNil)
 		go func() { _, _ = io.WriteString(caller, "GET / HTTP/1.1\r\nHost: a\r\n\r\n") }()
 		received := make(chan string, 1)
 		go func() {
