Log the software version of servers and the stream that a rest belongs to

Cause: the logs could not tell apart whether a stream was joined over a caller's requests, within one request, or by a server that came back with another version: the version of a server was not decoded and the first request of a stream not read.

No decision uses them. explain finds the wait of a request wherever its line stands.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -50,6 +50,11 @@
 	// Stream is set if the answer is streamed, so that the time to its first
 	// byte does not predict when it ends.
 	Stream bool
+	// Continued is set if the caller has received events of the answer with an earlier
+	// request and asks for the rest. Resumes is the ID of the request that brought the
+	// first event; empty if the caller does not name it.
+	Continued bool
+	Resumes   fleet.RequestID
 	// Digest identifies the content of the request, Prefix the beginning of the
 	// prompt; 0 if there is none.
 	Digest poison.Digest
--- a/internal/dispatch/directory.go
+++ b/internal/dispatch/directory.go
@@ -17,6 +17,8 @@
 	Address string
 	fleet.Place
 	Pool fleet.PoolID
+	// Software is the version of the software of the server's process.
+	Software fleet.SoftwareVersion
 	// Item is the loaded model or adapter; empty for plain services.
 	Item fleet.Item
 	// Ready is set if the replica accepts calls, Draining if the server is about
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -123,6 +123,7 @@
 	if err := d.checkPoison(call); err != nil {
 		return err
 	}
+	d.logContinued(call)
 	if d.callObserver != nil && call.Item.Model != "" {
 		d.callObserver.Arrived(call.Item, call.Pool, call.Started)
 		defer func() { d.callObserver.Finished(call.Item, call.Pool, time.Now()) }()
@@ -134,6 +135,14 @@
 	return d.runCall(call)
 }
 
+// logContinued logs that a call asks for the rest of a stream.
+func (d *Dispatcher) logContinued(call *Call) {
+	if call.Continued {
+		d.Log.LogAttrs(call.Context, slog.LevelInfo, "rest of a stream requested",
+			slog.String("request", string(call.ID)), slog.String("resumes", string(call.Resumes)))
+	}
+}
+
 // logEnd logs the end of a call.
 func (d *Dispatcher) logEnd(call *Call, err error) {
 	level, outcome := slog.LevelInfo, "answered"
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -13,8 +13,8 @@
 	causes = append(causes, t.callersView()...)
 	causes = append(causes, t.failedAttempts()...)
 	causes = append(causes, t.crashRefusals()...)
-	if t.Own[0].Text == "request queued" {
-		causes = append(causes, t.loadOrders()...)
+	if queued := t.lastOwn("request queued"); queued != nil {
+		causes = append(causes, t.loadOrders(queued.field("item"))...)
 	}
 	causes = append(causes, t.pauses()...)
 	causes = append(causes, t.losses()...)
@@ -123,10 +123,9 @@
 	return causes
 }
 
-// loadOrders counts the orders about the request's model after the request was
-// queued, by their result.
-func (t *Timeline) loadOrders() []string {
-	item := t.Own[0].field("item")
+// loadOrders counts the orders about the item that the request waited for, by their
+// result.
+func (t *Timeline) loadOrders(item string) []string {
 	ordered, accepted, done, rejected := 0, 0, 0, 0
 	for i := range t.Related {
 		line := &t.Related[i]
--- a/internal/placement/directory.go
+++ b/internal/placement/directory.go
@@ -216,7 +216,7 @@
 func (d *Directory) replicasOf(view *roster.View, server *roster.Server) []dispatch.Replica {
 	replica := dispatch.Replica{
 		Server: server.ID, Boot: server.Boot, Address: server.Address, Place: server.Place, Pool: server.Pool,
-		Ready: true, Draining: server.Draining, Slots: server.Slots, FixedSlots: true,
+		Software: server.Software, Ready: true, Draining: server.Draining, Slots: server.Slots, FixedSlots: true,
 	}
 	if spec := view.Engine(server.Pool); spec != nil {
 		replica.Tokens = spec.CacheTokens
--- a/internal/roster/controller.go
+++ b/internal/roster/controller.go
@@ -200,7 +200,8 @@
 	switch {
 	case old == nil || old.Boot != server.Boot:
 		c.Log.Info("server registered", slog.String("server", string(server.ID)), slog.String("boot", string(server.Boot)),
-			slog.String("pool", string(server.Pool)), slog.String("address", server.Address))
+			slog.String("pool", string(server.Pool)), slog.String("software", string(server.Software)),
+			slog.String("address", server.Address))
 	case server.Draining && !old.Draining:
 		c.Log.Info("server draining", slog.String("server", string(server.ID)), slog.Duration("goneIn", server.TerminatesIn))
 	}
--- a/internal/roster/server.go
+++ b/internal/roster/server.go
@@ -12,6 +12,8 @@
 	// Boot identifies the run: it differs between two runs under the same ID.
 	Boot fleet.BootID `json:"boot,omitempty"`
 	Pool fleet.PoolID `json:"pool,omitempty"`
+	// Software is the version of the software of the run.
+	Software fleet.SoftwareVersion `json:"software,omitempty"`
 	// Address is the host and port of the server.
 	Address string `json:"address,omitempty"`
 	fleet.Place
--- a/pkg/fleet/ids.go
+++ b/pkg/fleet/ids.go
@@ -49,6 +49,12 @@
 // orders of one run do not carry over to the next.
 type BootID string
 
+// SoftwareVersion is the version of the software that a backend server runs; empty if
+// the server does not state it. Versions have no order. A stream that was begun by one
+// version must not be continued by another one. It is unrelated to the version of the
+// weights of a model.
+type SoftwareVersion string
+
 // TicketNumber orders configuration changes. The highest accepted number wins
 // for each object that it touches.
 type TicketNumber uint64
