Demand names the software version that its calls need

Cause: a stream can go on only at servers of the version that began it, so the loads that its calls wait for must be asked for there.

Change: the field alone, empty everywhere.

--- a/internal/dispatch/directory.go
+++ b/internal/dispatch/directory.go
@@ -90,6 +90,9 @@
 type Demand struct {
 	Item fleet.Item
 	Pool fleet.PoolID
+	// Software restricts the servers that may run the calls to those of a software
+	// version; empty if any may.
+	Software fleet.SoftwareVersion
 	// Waiting is the number of waiting calls, Since the arrival time of the
 	// first of them.
 	Waiting int
