Calls can be restricted to the servers of a software version

Cause: a stream can go on only at the version that began it; both the attempts of one call and those of a caller's later requests need a restriction of the choice of server.

Measured: go test ./internal/dispatch: ok.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -75,8 +75,10 @@
 	// abandonedAttempts counts the attempts that were made beside another one, which went
 	// on or answered first.
 	abandonedAttempts int
-	queue             *waitQueue
-	slot              *slot
+	// software is the only software version at which the call may run; nil if any may.
+	software atomic.Pointer[fleet.SoftwareVersion]
+	queue    *waitQueue
+	slot     *slot
 	// sent counts the attempts of which any byte may have reached a server,
 	// without those that the server is known not to have run.
 	sent atomic.Int32
--- a/internal/dispatch/directory.go
+++ b/internal/dispatch/directory.go
@@ -150,5 +150,5 @@
 
 // replicas returns the replicas that a call may be sent to.
 func (d *Dispatcher) replicas(call *Call) []Replica {
-	return usable(d.Directory.Replicas(call.Item, call.Pool))
+	return call.permitted(usable(d.Directory.Replicas(call.Item, call.Pool)))
 }
