Package origin: which software version began a stream

Change: a record in the store names the base version of each pool. A stream of another version gets a record before its first event is passed on, many in one transaction; a stream without a record was begun by the base version. So nothing is written while one version serves, and what is needed outlives all nodes. The base version is replaced once none of its servers was listed for two minutes. A node that lost the store has others read and write; if none reaches it, streams begin at the base version only. Nothing uses the package yet.

--- /dev/null
+++ b/internal/origin/base.go
@@ -0,0 +1,222 @@
+package origin
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"log/slog"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/guavatrack/guavatrack/internal/table"
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+)
+
+// base is the base version of a pool, as this node last read it.
+type base struct {
+	baseRecord
+	version table.Version
+	readAt  time.Time
+	// listedAt is when a server of the base version was last listed. othersAt is when one
+	// of another version was, or when this node began to watch the pool.
+	listedAt, othersAt time.Time
+	// mixed is set if servers of another version are listed.
+	mixed bool
+}
+
+// baseRecord is the body of the record of a pool's base version.
+type baseRecord struct {
+	Software fleet.SoftwareVersion `json:"software"`
+}
+
+// Places of the records in the store.
+const (
+	partition    = "streams"
+	basePrefix   = "base/"
+	streamPrefix = "begun/"
+)
+
+func baseKey(pool fleet.PoolID) table.Key {
+	return table.Key{Partition: partition, Sort: basePrefix + string(pool)}
+}
+
+const (
+	// mixedReadInterval is the time between two reads of the base versions while servers
+	// of several versions are listed, singleReadInterval that while a single one is.
+	mixedReadInterval  = 5 * time.Second
+	singleReadInterval = time.Minute
+	readTimeout        = 700 * time.Millisecond
+)
+
+// checkBases reads, creates and replaces the base versions as necessary.
+func (c *Controller) checkBases(ctx context.Context, now time.Time) {
+	listed := c.listedVersions()
+	c.recordListed(now, listed)
+	if !c.mustRead(now, listed) {
+		return
+	}
+	if err := c.readBases(ctx); err != nil {
+		c.Log.Warn("base versions not read", slog.Any("error", err))
+		return
+	}
+	for pool, versions := range listed {
+		if err := c.updateBase(ctx, now, pool, versions); err != nil && !errors.Is(err, table.ErrConflict) {
+			c.Log.Warn("base version not written", slog.String("pool", string(pool)), slog.Any("error", err))
+		}
+	}
+}
+
+// listedVersions counts the servers of each version in each pool whose streams may be
+// continued and that has servers.
+func (c *Controller) listedVersions() map[fleet.PoolID]map[fleet.SoftwareVersion]int {
+	view := c.View()
+	listed := make(map[fleet.PoolID]map[fleet.SoftwareVersion]int)
+	if !view.ServersListed {
+		return listed
+	}
+	for _, route := range resumableRoutes(view.Manifest) {
+		for _, target := range route.Targets {
+			listed[target.Pool] = make(map[fleet.SoftwareVersion]int)
+		}
+	}
+	for _, server := range view.Servers {
+		if versions := listed[server.Pool]; versions != nil {
+			versions[server.Software]++
+		}
+	}
+	for pool, versions := range listed {
+		if len(versions) == 0 {
+			delete(listed, pool)
+		}
+	}
+	return listed
+}
+
+// recordListed records which pools list servers of their base version and of others.
+func (c *Controller) recordListed(now time.Time, listed map[fleet.PoolID]map[fleet.SoftwareVersion]int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for pool, versions := range listed {
+		known := c.bases[pool]
+		if known == nil {
+			continue
+		}
+		_, listsBase := versions[known.Software]
+		known.mixed = !listsBase || len(versions) > 1
+		if listsBase {
+			known.listedAt = now
+		}
+		if known.mixed {
+			known.othersAt = now
+		}
+	}
+}
+
+// mustRead reports whether the base versions must be read now.
+func (c *Controller) mustRead(now time.Time, listed map[fleet.PoolID]map[fleet.SoftwareVersion]int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(listed) > 0 && !c.unwritableSince.IsZero() {
+		return true
+	}
+	for pool := range listed {
+		known := c.bases[pool]
+		if known == nil || now.Sub(known.readAt) >= known.readInterval() {
+			return true
+		}
+	}
+	return false
+}
+
+// readInterval returns the time between two reads of the base version.
+func (b *base) readInterval() time.Duration {
+	if b.mixed {
+		return mixedReadInterval
+	}
+	return singleReadInterval
+}
+
+// readBases reads the base versions of all pools from the store.
+func (c *Controller) readBases(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	now := time.Now()
+	for record, err := range table.All(ctx, c.Store, table.Range{Partition: partition, Prefix: basePrefix}) {
+		if err != nil {
+			c.recordStoreCall(err)
+			return err
+		}
+		var body baseRecord
+		if err := json.Unmarshal(record.Body, &body); err != nil {
+			return errors.Wrapf(err, "decode record %s", record.Key.Sort)
+		}
+		c.setBase(now, fleet.PoolID(strings.TrimPrefix(record.Key.Sort, basePrefix)), body, record.Version)
+	}
+	c.recordStoreCall(nil)
+	return nil
+}
+
+// setBase records the base version of a pool as read or written at a time.
+func (c *Controller) setBase(now time.Time, pool fleet.PoolID, body baseRecord, version table.Version) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := c.bases[pool]
+	if known == nil || known.baseRecord != body {
+		known = &base{baseRecord: body, listedAt: now, othersAt: now}
+		c.bases[pool] = known
+		c.Log.Info("base version of a pool", slog.String("pool", string(pool)), slog.String("software", string(body.Software)))
+	}
+	known.version, known.readAt = version, now
+}
+
+// updateBase creates the base version of a pool that has none, or replaces one of which
+// no server has been listed for the retention time.
+func (c *Controller) updateBase(
+	ctx context.Context, now time.Time, pool fleet.PoolID, versions map[fleet.SoftwareVersion]int,
+) error {
+	c.mu.Lock()
+	known, expect := c.bases[pool], table.Absent
+	if known != nil {
+		expect = known.version
+	}
+	c.mu.Unlock()
+	if known != nil && (versions[known.Software] > 0 || now.Sub(known.listedAt) <= c.retention()) {
+		return nil
+	}
+	next := baseRecord{Software: mostListed(versions)}
+	body, err := json.Marshal(next)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	if err := c.Store.Transact(ctx, "", []table.Write{{Key: baseKey(pool), Expect: expect, Body: body}}); err != nil {
+		return err
+	}
+	return c.readBases(ctx)
+}
+
+// mostListed returns the version of the most servers.
+func mostListed(versions map[fleet.SoftwareVersion]int) fleet.SoftwareVersion {
+	names := make([]fleet.SoftwareVersion, 0, len(versions))
+	for software := range versions {
+		names = append(names, software)
+	}
+	return slices.MinFunc(names, func(a, b fleet.SoftwareVersion) int {
+		return cmp.Or(cmp.Compare(versions[b], versions[a]), cmp.Compare(a, b))
+	})
+}
+
+// baseOf returns the base version of a pool, if it was read within maxAge.
+func (c *Controller) baseOf(pool fleet.PoolID, now time.Time, maxAge time.Duration) (software fleet.SoftwareVersion, known bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	found := c.bases[pool]
+	if found == nil || now.Sub(found.readAt) > maxAge {
+		return "", false
+	}
+	return found.Software, true
+}
--- /dev/null
+++ b/internal/origin/controller.go
@@ -0,0 +1,197 @@
+package origin
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/guavatrack/guavatrack/internal/logs"
+	"github.com/guavatrack/guavatrack/internal/metric"
+	"github.com/guavatrack/guavatrack/internal/roster"
+	"github.com/guavatrack/guavatrack/internal/table"
+	"github.com/guavatrack/guavatrack/internal/wait"
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+)
+
+// Errors of a [Controller], to be tested with errors.Is.
+var (
+	// ErrUnknown reports that the version that began a stream cannot be determined.
+	ErrUnknown = errors.New("software version that began the stream is unknown")
+	// ErrNotRecorded reports that the version of a stream could not be recorded.
+	ErrNotRecorded = errors.New("software version of the stream could not be recorded")
+)
+
+// Peers sends calls to other nodes.
+type Peers interface {
+	Call(ctx context.Context, node fleet.NodeID, method string, in, out any) error
+}
+
+// Controller records and finds the versions that began streams. Its exported fields are
+// set before Run.
+type Controller struct {
+	Store table.Store
+	// Era returns the era of the store; nil if the store is never restored.
+	Era  func() table.Era
+	View func() *roster.View
+	// Peers and Nodes are used while the store is unreachable. Nodes returns the other
+	// nodes that are alive.
+	Peers Peers
+	Nodes func() []fleet.NodeID
+	// Sweeps reports whether this node removes the records that have expired.
+	Sweeps  func() bool
+	Log     *slog.Logger
+	Metrics metrics.Registry
+
+	once   sync.Once
+	counts counters
+
+	mu sync.Mutex
+	// bases holds the base version of each pool.
+	bases map[fleet.PoolID]*base
+	// own holds the streams that this node began, and when.
+	own map[streamKey]ownStream
+	// pending holds the records that are to be written, writing is set while that is done.
+	pending []*pendingRecord
+	writing bool
+	writers sync.WaitGroup
+	// unwritableSince is when writes began to fail; zero if the last call succeeded.
+	unwritableSince time.Time
+	// era is the newest era of the store, eraSince when this node first saw it.
+	era      table.Era
+	eraSince time.Time
+	// firstListed holds when a sweep first saw each record.
+	firstListed map[string]time.Time
+	sweptAt     time.Time
+}
+
+// streamKey identifies a stream by the request that brought its first event.
+type streamKey struct {
+	pool    fleet.PoolID
+	request fleet.RequestID
+}
+
+// ownStream is a stream that this node began.
+type ownStream struct {
+	software fleet.SoftwareVersion
+	begun    time.Time
+	// recorded is set if the stream has a record in the store.
+	recorded bool
+}
+
+// Timing of a [Controller].
+const (
+	// checkInterval is the time between two checks of the base versions.
+	checkInterval = 500 * time.Millisecond
+	// minRetention is the minimum time for which it must be known which version began a
+	// stream; timeoutsPerRetention is the same in timeouts of the longest route.
+	minRetention         = 2 * time.Minute
+	timeoutsPerRetention = 3
+	// maxOwnStreams bounds the streams that this node remembers.
+	maxOwnStreams = 20_000
+)
+
+func (c *Controller) init() {
+	c.once.Do(func() {
+		c.Log = logs.OrDiscard(c.Log)
+		c.counts = newCounters(metric.OrNew(c.Metrics))
+		c.bases = make(map[fleet.PoolID]*base)
+		c.own = make(map[streamKey]ownStream)
+		c.firstListed = make(map[string]time.Time)
+		if c.Era == nil {
+			c.Era = func() table.Era { return 0 }
+		}
+		c.era, c.eraSince = c.Era(), time.Now()
+	})
+}
+
+// Run keeps the base versions up to date until the context ends.
+func (c *Controller) Run(ctx context.Context) error {
+	c.init()
+	defer c.writers.Wait()
+	for ctx.Err() == nil {
+		now := time.Now()
+		c.checkEra(now)
+		c.forgetOwn(now)
+		c.checkBases(ctx, now)
+		if c.Sweeps != nil && c.Sweeps() {
+			c.sweep(ctx, now)
+		}
+		wait.For(ctx, checkInterval)
+	}
+	return nil
+}
+
+// retention returns how long it must be known which version began a stream.
+func (c *Controller) retention() time.Duration {
+	longest := minRetention
+	for _, route := range resumableRoutes(c.View().Manifest) {
+		longest = max(longest, timeoutsPerRetention*route.Timeout)
+	}
+	return longest
+}
+
+// resumableRoutes returns the routes whose streams may be continued.
+func resumableRoutes(manifest *roster.Manifest) (routes []*roster.Route) {
+	if manifest == nil {
+		return nil
+	}
+	for _, hosted := range manifest.Hosts {
+		for _, route := range hosted {
+			if route.Kind == roster.Stream && route.Resumable {
+				routes = append(routes, route)
+			}
+		}
+	}
+	return routes
+}
+
+// remember keeps a stream that this node began.
+func (c *Controller) remember(key streamKey, stream ownStream) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, known := c.own[key]; known || len(c.own) < maxOwnStreams {
+		c.own[key] = stream
+	}
+}
+
+// forgetOwn removes the streams of this node that are no longer asked for.
+func (c *Controller) forgetOwn(now time.Time) {
+	retention := c.retention()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for key, stream := range c.own {
+		if now.Sub(stream.begun) > retention {
+			delete(c.own, key)
+		}
+	}
+}
+
+// checkEra notices that the store was restored from an older copy, which may lack the
+// newest records, and has those of this node written again.
+func (c *Controller) checkEra(now time.Time) {
+	era := c.Era()
+	c.mu.Lock()
+	if era == c.era {
+		c.mu.Unlock()
+		return
+	}
+	c.era, c.eraSince = era, now
+	for _, known := range c.bases {
+		known.readAt = time.Time{} // The record may have gone back with the store.
+	}
+	var again []*pendingRecord
+	for key, stream := range c.own {
+		if stream.recorded {
+			again = append(again, newPending(key, stream.software))
+		}
+	}
+	c.mu.Unlock()
+	c.Log.Info("records of streams are written again", slog.Uint64("era", uint64(era)), slog.Int("records", len(again)))
+	for _, record := range again {
+		c.enqueue(record)
+	}
+}
--- /dev/null
+++ b/internal/origin/peer.go
@@ -0,0 +1,161 @@
+package origin
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/guavatrack/guavatrack/internal/peer"
+	"github.com/guavatrack/guavatrack/internal/table"
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+)
+
+// Methods of calls between nodes, made by a node that cannot reach the store.
+const (
+	methodFind  = "origin.find"
+	methodWrite = "origin.write"
+)
+
+const (
+	// maxPeers is the number of nodes that are asked, one after the other.
+	maxPeers    = 3
+	peerTimeout = 600 * time.Millisecond
+)
+
+// findRequest asks which version began a stream.
+type findRequest struct {
+	Pool    fleet.PoolID    `json:"pool"`
+	Request fleet.RequestID `json:"request"`
+}
+
+// findResponse is the answer to a findRequest.
+type findResponse struct {
+	Found    bool                  `json:"found"`
+	Software fleet.SoftwareVersion `json:"software"`
+	// Single is set if the node cannot reach the store either, and Software is the only
+	// version that has served the pool for the retention time.
+	Single bool `json:"single,omitempty"`
+}
+
+// writeRequest asks a node to write the records of streams.
+type writeRequest struct {
+	Streams []streamWrite `json:"streams"`
+}
+
+// writeResponse is the answer to a writeRequest.
+type writeResponse struct {
+	Written bool `json:"written"`
+	// Conflict is set if one of the streams was begun by another version before.
+	Conflict bool `json:"conflict,omitempty"`
+}
+
+// Handler registers the methods that nodes call on each other.
+type Handler interface {
+	Handle(method string, handler peer.Handler)
+}
+
+// Register registers the methods that nodes call on each other.
+func (c *Controller) Register(handler Handler) {
+	c.init()
+	handler.Handle(methodFind, peer.Typed(c.handleFind))
+	handler.Handle(methodWrite, peer.Typed(c.handleWrite))
+}
+
+func (c *Controller) handleFind(ctx context.Context, request findRequest) (response findResponse, err error) {
+	key := streamKey{pool: request.Pool, request: request.Request}
+	if response.Software, response.Found = c.findOwn(key); response.Found {
+		return response, nil
+	}
+	software, _, err := c.findInStore(ctx, key)
+	if err == nil {
+		return findResponse{Found: true, Software: software}, nil
+	}
+	software, single := c.singleVersion(request.Pool)
+	return findResponse{Software: software, Single: single}, nil
+}
+
+func (c *Controller) handleWrite(ctx context.Context, request writeRequest) (response writeResponse, err error) {
+	if len(request.Streams) > table.MaxWrites {
+		return writeResponse{}, errors.Errorf("streams: must be at most %d, found %d", table.MaxWrites, len(request.Streams))
+	}
+	err = c.transact(ctx, request.Streams)
+	if errors.Is(err, table.ErrConflict) {
+		err = c.writeMissing(ctx, request.Streams)
+	}
+	c.recordStoreCall(err)
+	return writeResponse{Written: err == nil, Conflict: errors.Is(err, table.ErrConflict)}, nil
+}
+
+// writeMissing writes those of the records that don't exist, such as after an earlier
+// answer was lost. It fails with [table.ErrConflict] if one names another version.
+func (c *Controller) writeMissing(ctx context.Context, streams []streamWrite) error {
+	var missing []streamWrite
+	for _, stream := range streams {
+		found, exists, err := c.readStream(ctx, table.Key{Partition: partition, Sort: stream.Key})
+		switch {
+		case err != nil:
+			return err
+		case !exists:
+			missing = append(missing, stream)
+		case found.Software != stream.Software:
+			return table.ErrConflict
+		}
+	}
+	if len(missing) == 0 {
+		return nil
+	}
+	return c.transact(ctx, missing)
+}
+
+// peers returns the nodes to ask while the store is unreachable.
+func (c *Controller) peers() []fleet.NodeID {
+	if c.Peers == nil || c.Nodes == nil {
+		return nil
+	}
+	nodes := c.Nodes()
+	return nodes[:min(len(nodes), maxPeers)]
+}
+
+// call calls a method at a node.
+func (c *Controller) call(ctx context.Context, node fleet.NodeID, method string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	return c.Peers.Call(ctx, node, method, in, out)
+}
+
+// findByPeer asks other nodes for the version of a stream. If none of them reaches the
+// store, and a single version has served the pool for this node and for all of them, that
+// version has begun the stream.
+func (c *Controller) findByPeer(ctx context.Context, key streamKey) (software fleet.SoftwareVersion, found bool) {
+	software, single := c.singleVersion(key.pool)
+	for _, node := range c.peers() {
+		var response findResponse
+		if err := c.call(ctx, node, methodFind, findRequest{Pool: key.pool, Request: key.request}, &response); err != nil {
+			continue // Its answer would only confirm what this node has seen.
+		}
+		if response.Found {
+			return response.Software, true
+		}
+		single = single && response.Single && response.Software == software
+	}
+	return software, single
+}
+
+// writeByPeer has other nodes write records. It returns the error of this node's attempt
+// if none of them can.
+func (c *Controller) writeByPeer(ctx context.Context, streams []streamWrite, ownErr error) error {
+	for _, node := range c.peers() {
+		var response writeResponse
+		if err := c.call(ctx, node, methodWrite, writeRequest{Streams: streams}, &response); err != nil {
+			continue // The node may be gone as well; the next one is asked.
+		}
+		switch {
+		case response.Written:
+			return nil
+		case response.Conflict:
+			return table.ErrConflict
+		}
+	}
+	return ownErr
+}
--- /dev/null
+++ b/internal/origin/record.go
@@ -0,0 +1,243 @@
+package origin
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/guavatrack/guavatrack/internal/poison"
+	"github.com/guavatrack/guavatrack/internal/table"
+	"github.com/guavatrack/guavatrack/internal/wait"
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+)
+
+// streamRecord is the body of the record of a stream.
+type streamRecord struct {
+	Software fleet.SoftwareVersion `json:"software"`
+}
+
+// tableKey returns the key of the record of a stream. The ID of a request may be longer
+// than a key.
+func (k streamKey) tableKey() table.Key {
+	digest := poison.DigestOf([]byte(k.pool), []byte(k.request))
+	return table.Key{Partition: partition, Sort: streamPrefix + string(digest)}
+}
+
+// pendingRecord is a record that is to be written.
+type pendingRecord struct {
+	key      table.Key
+	software fleet.SoftwareVersion
+	// done receives the result.
+	done chan error
+	// expires is when nobody waits for the result any more.
+	expires time.Time
+}
+
+const (
+	writeTimeout = 700 * time.Millisecond
+	// writeRetryPause is the time between two attempts to write a record.
+	writeRetryPause = 100 * time.Millisecond
+	// maxRecordTime bounds the time to write the record of a stream, during which its
+	// first event is held back.
+	maxRecordTime = 2 * time.Second
+)
+
+func newPending(key streamKey, software fleet.SoftwareVersion) *pendingRecord {
+	return &pendingRecord{
+		key: key.tableKey(), software: software, done: make(chan error, 1), expires: time.Now().Add(maxRecordTime),
+	}
+}
+
+// Record records that a request began a stream at a server of a version. It returns once
+// every node can find that out, and fails with [ErrNotRecorded] if that is not possible
+// soon; the caller must then not receive any event.
+func (c *Controller) Record(ctx context.Context, pool fleet.PoolID, request fleet.RequestID, software fleet.SoftwareVersion) (err error) {
+	c.init()
+	key := streamKey{pool: pool, request: request}
+	if c.isBase(pool, software) {
+		c.remember(key, ownStream{software: software, begun: time.Now()})
+		return nil
+	}
+	record := newPending(key, software)
+	c.enqueue(record)
+	select {
+	case err = <-record.done:
+	case <-ctx.Done():
+		err = context.Cause(ctx)
+	}
+	if err != nil {
+		c.counts.notRecorded.Inc(1)
+		return errors.Wrapf(ErrNotRecorded, "%v", err)
+	}
+	c.counts.recorded.Inc(1)
+	c.remember(key, ownStream{software: software, begun: time.Now(), recorded: true})
+	return nil
+}
+
+// isBase reports whether a version is the base version of a pool, however long ago that
+// was read: it is not replaced while servers of it are listed.
+func (c *Controller) isBase(pool fleet.PoolID, software fleet.SoftwareVersion) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := c.bases[pool]
+	return known != nil && known.Software == software
+}
+
+// enqueue adds a record to those that are to be written.
+func (c *Controller) enqueue(record *pendingRecord) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pending = append(c.pending, record)
+	if !c.writing {
+		c.writing = true
+		c.writers.Go(c.writePending)
+	}
+}
+
+// writePending writes the pending records, all that came during one transaction with the
+// next one, until there are none.
+func (c *Controller) writePending() {
+	for {
+		batch := c.takeBatch(time.Now())
+		if batch == nil {
+			return
+		}
+		err := c.write(context.Background(), batch)
+		if err == nil {
+			for _, record := range batch {
+				record.done <- nil
+			}
+			continue
+		}
+		if errors.Is(err, table.ErrConflict) {
+			batch = c.settle(batch)
+		}
+		if len(batch) > 0 {
+			c.putBack(batch)
+			wait.For(context.Background(), writeRetryPause)
+		}
+	}
+}
+
+// takeBatch takes the records for one transaction from the pending ones, without those
+// for which nobody waits any more. It returns nil if there are none.
+func (c *Controller) takeBatch(now time.Time) []*pendingRecord {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pending = slices.DeleteFunc(c.pending, func(record *pendingRecord) bool {
+		expired := now.After(record.expires)
+		if expired {
+			record.done <- table.ErrUnavailable
+		}
+		return expired
+	})
+	if len(c.pending) == 0 {
+		c.writing = false
+		return nil
+	}
+	size := min(len(c.pending), table.MaxWrites)
+	batch := slices.Clone(c.pending[:size])
+	c.pending = slices.Delete(c.pending, 0, size)
+	return batch
+}
+
+func (c *Controller) putBack(records []*pendingRecord) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pending = append(records, c.pending...)
+}
+
+// write writes records in one transaction, by another node if the store is unreachable.
+func (c *Controller) write(ctx context.Context, batch []*pendingRecord) error {
+	writes := make([]streamWrite, len(batch))
+	for i, record := range batch {
+		writes[i] = streamWrite{Key: record.key.Sort, Software: record.software}
+	}
+	err := c.transact(ctx, writes)
+	c.recordStoreCall(err)
+	if err == nil || errors.Is(err, table.ErrConflict) {
+		return err
+	}
+	return c.writeByPeer(ctx, writes, err)
+}
+
+// streamWrite is the record of a stream that is to be written.
+type streamWrite struct {
+	// Key is the sort key of the record.
+	Key      string                `json:"key"`
+	Software fleet.SoftwareVersion `json:"software"`
+}
+
+// transact writes records in one transaction, none of which may exist.
+func (c *Controller) transact(ctx context.Context, records []streamWrite) error {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	writes := make([]table.Write, len(records))
+	for i, record := range records {
+		body, err := json.Marshal(streamRecord{Software: record.Software})
+		if err != nil {
+			return err
+		}
+		writes[i] = table.Write{Key: table.Key{Partition: partition, Sort: record.Key}, Expect: table.Absent, Body: body}
+	}
+	return c.Store.Transact(ctx, "", writes)
+}
+
+// settle reads the records of a transaction of which some exist, such as after an answer
+// of the store was lost. It sends the results of those and returns the others.
+func (c *Controller) settle(batch []*pendingRecord) (missing []*pendingRecord) {
+	for _, record := range batch {
+		ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
+		found, exists, err := c.readStream(ctx, record.key)
+		cancel()
+		switch {
+		case err != nil || !exists:
+			missing = append(missing, record)
+		case found.Software == record.software:
+			record.done <- nil
+		default:
+			record.done <- errors.Errorf("the request began a stream of version %q before", found.Software)
+		}
+	}
+	return missing
+}
+
+// readStream reads the record of a stream from the store.
+func (c *Controller) readStream(ctx context.Context, key table.Key) (body streamRecord, exists bool, err error) {
+	version, err := table.ReadJSON(ctx, c.Store, key, &body)
+	c.recordStoreCall(err)
+	return body, version != table.Absent, err
+}
+
+// recordStoreCall records whether the store could be reached.
+func (c *Controller) recordStoreCall(err error) {
+	now := time.Now()
+	failed := err != nil && !errors.Is(err, table.ErrConflict)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case failed && c.unwritableSince.IsZero():
+		c.unwritableSince = now
+		c.Log.Warn("records of streams cannot be reached", slog.Any("error", err))
+	case !failed && !c.unwritableSince.IsZero():
+		c.Log.Info("records of streams reached again", slog.Duration("after", now.Sub(c.unwritableSince)))
+		c.unwritableSince = time.Time{}
+	}
+}
+
+// Restriction returns the version to which new streams of a pool must be restricted,
+// since those of other versions cannot be recorded now.
+func (c *Controller) Restriction(pool fleet.PoolID) (software fleet.SoftwareVersion, restricted bool) {
+	c.init()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := c.bases[pool]
+	if known == nil || c.unwritableSince.IsZero() {
+		return "", false
+	}
+	return known.Software, true
+}
