--- a/internal/hosted/hosted_test.go
+++ b/internal/hosted/hosted_test.go
@@ -41,19 +41,27 @@
 	}
 	f.Assert(site.Start(), qt.IsNil)
 	t.Cleanup(site.Close)
-	for i := range nodes {
-		nodeSettings := site.NodeSettings(fmt.Sprint("vm", i))
+	f.startNodes(nodes)
+	t.Cleanup(func() { f.Check(site.Ledger.Breaches(), qt.HasLen, 0) })
+	return f
+}
+
+// startNodes adds nodes, named from vm0 on, and waits until all are ready.
+func (f *fixture) startNodes(count int) {
+	f.Helper()
+	started := make([]*hosted.Node, 0, count)
+	for i := range count {
+		nodeSettings := f.site.NodeSettings(fmt.Sprint("vm", i))
 		f.Assert(nodeSettings.Check().Err(), qt.IsNil)
 		node := &hosted.Node{Settings: nodeSettings, Log: slog.New(slog.DiscardHandler)}
 		f.Assert(node.Start(context.Background()), qt.IsNil)
-		t.Cleanup(node.Stop)
-		f.nodes = append(f.nodes, node)
+		f.Cleanup(node.Stop)
+		started = append(started, node)
 	}
-	for _, node := range f.nodes {
+	for _, node := range started {
 		f.waitFor(func() bool { return node.Ready() == nil })
 	}
-	t.Cleanup(func() { f.Check(site.Ledger.Breaches(), qt.HasLen, 0) })
-	return f
+	f.nodes = append(f.nodes, started...)
 }
 
 // waitFor waits until the condition is true and fails the test after 20 s.
