A stream goes on within its call at the version that began it

Cause: the attempts of a call choose among all servers that hold the model; nothing ties them to the version that wrote the first event.

Change: callRunner.relay restricts a stream to the version of the server whose answer it is about to pass on. The filter of the replicas (Call.permitted) then holds for every later choice: retries, attempts beside a silent one, another connection to the same server. An attempt that was sought before can't win afterwards: race releases the losers and ends its search before it returns its winner, the hedge is taken in race alone, and the watch for silence starts after the restriction. Answers that are read whole restrict nothing.

--- a/internal/dispatch/callrunner.go
+++ b/internal/dispatch/callrunner.go
@@ -103,6 +103,7 @@
 // relay forwards the answer of an attempt. It returns the attempt that continues the
 // answer, if one was made since this one is silent.
 func (r *callRunner) relay(a *Attempt) (next *Attempt, err error) {
+	r.call.restrictStream(a.Replica.Software)
 	defer r.releaseSlot(a.slot)
 	defer a.close(nil)
 	watch := r.watchForSilence(a)
--- a/internal/dispatch/software.go
+++ b/internal/dispatch/software.go
@@ -9,6 +9,16 @@
 // restrict has the call run only at servers of a software version from now on.
 func (c *Call) restrict(software fleet.SoftwareVersion) { c.software.Store(&software) }
 
+// restrictStream restricts a stream that begins at a server of a software version to that
+// version: what two versions write does not fit together. It precedes the first event
+// that is passed on, when the other attempts of the race have ended and those at which
+// the stream goes on have not yet been sought.
+func (c *Call) restrictStream(software fleet.SoftwareVersion) {
+	if _, restricted := c.restriction(); c.Stream && !restricted {
+		c.restrict(software)
+	}
+}
+
 // restriction returns the only software version at which the call may run; restricted is
 // false if any may.
 func (c *Call) restriction() (software fleet.SoftwareVersion, restricted bool) {
