A stream ends at once when no server of its version is left

What callers saw: a stream that broke off after the last server of its version had left hung until shortly before its deadline, and so would a request for the rest of a stream.

Cause: a call that is restricted to a version and finds no replica waits for a load of its model; no load can bring one at that version.

Change: a call whose pool lists no usable server (ready, not draining) of its version, whatever the servers hold, fails when it asks for a slot, before a retry is made, and while it waits, at the next tick of its queue. Before the answer that is a refusal that names the version; after it the answer breaks off with the error of the attempt. No server's health is charged. A silent stream goes on at its own server and spends no retries. The line "no server of the version of a stream" names the version and those in service.

Measured: go test ./internal/dispatch (virtual time). Without the check in the queue TestWaitingStreamEndsOnceItsVersionHasLeft fails; without the error of the attempt that one, TestBrokenStreamEndsAtOnceWithoutServersOfItsVersion and TestLackOfAVersionIsLogged. Also ok: the package with -race -cpu 1, ./internal/caller, ./internal/hosted.

--- a/internal/dispatch/callrunner.go
+++ b/internal/dispatch/callrunner.go
@@ -48,7 +48,8 @@
 
 // nextSlot decides whether a call is retried after a failed attempt and takes a
 // slot for the retry. If there is to be none, it returns the error of the failed
-// attempt, or a refusal.
+// attempt, or a refusal. A stream that has begun ends with the error of the attempt, at
+// once, if no server of its version is left.
 func (r *callRunner) nextSlot(attemptErr error) (*slot, error) {
 	call := r.call
 	if err := r.recheckPoison(call); err != nil {
@@ -59,6 +60,10 @@
 	if !decision.Retry {
 		return nil, attemptErr
 	}
+	if err := r.checkVersion(call); err != nil {
+		r.refundRetry(call)
+		return nil, r.endWithoutSlot(attemptErr, err)
+	}
 	r.meters.retries.Inc(1)
 	if !wait.For(call.Context, decision.Backoff) {
 		return nil, attemptErr
@@ -70,12 +75,22 @@
 	}
 	taken, err := call.queue.acquire(call.Context, call)
 	if err != nil {
-		return nil, err
+		return nil, r.endWithoutSlot(attemptErr, err)
 	}
 	taken.fresh = last.Failure == retry.SilentConnection
 	return taken, nil
 }
 
+// endWithoutSlot returns the error of a call that gets no slot for a retry: the reason for
+// that, or the error of the failed attempt if that broke off a stream of which no server
+// of its version is left.
+func (r *callRunner) endWithoutSlot(attemptErr, reason error) error {
+	if r.logAbsentVersion(r.call, reason) && r.call.AnswerStarted() {
+		return attemptErr
+	}
+	return reason
+}
+
 // retakeSlot takes another slot, with a new connection, at the server whose
 // connection was silent. It reports false if the server is no longer usable.
 func (r *callRunner) retakeSlot(server fleet.ServerID) (*slot, bool) {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -130,6 +130,7 @@
 	}
 	call.queue = d.queueFor(call)
 	if call.slot, err = call.queue.acquire(call.Context, call); err != nil {
+		d.logAbsentVersion(call, err)
 		return err
 	}
 	return d.runCall(call)
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -43,6 +43,9 @@
 	if len(q.dispatcher.replicas(call)) > 0 {
 		return 0, nil
 	}
+	if err := q.dispatcher.checkVersion(call); err != nil {
+		return 0, err
+	}
 	if !q.dispatcher.canLoad(call) {
 		return 0, &refusal.Refusal{
 			Reason: refusal.NoServer, Message: "no server is there to run the request", RetryAfter: noServerRetryAfter,
--- a/internal/dispatch/replacement.go
+++ b/internal/dispatch/replacement.go
@@ -63,6 +63,10 @@
 		r.logKept("the request is suspected of crashing servers")
 		return nil
 	}
+	if err := r.checkVersion(call); err != nil {
+		r.logKept(err.Error())
+		return nil
+	}
 	decision := r.retryDecision(call)
 	if !decision.Retry {
 		r.logKept("no further attempt is allowed")
--- a/internal/dispatch/waitqueue.go
+++ b/internal/dispatch/waitqueue.go
@@ -292,6 +292,7 @@
 		}
 		now := time.Now()
 		q.startWaiting(now)
+		q.refuseAbsentVersions()
 		if now.Sub(lastExpiry) >= expireInterval {
 			lastExpiry = now
 			q.expire(now)
