Loads for the rest of a stream are asked for at its version

What callers saw: a stream that may go on only at one version waited for a load of its model that could come up at any version, and that other calls of the model made needless in the eyes of their queue.

Cause: load requests, their estimates and their demands were kept by item: one demand for all its waiting calls, without a version.

Change: the waiting calls are grouped by the replicas that may run them: the item and the version to which they are restricted (eligibility). Each group has its own load request, estimate and demand; Demand.Software names the version. The scheduler doesn't use it yet.

--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -10,14 +10,16 @@
 
 // Timing of load requests.
 const (
-	// loadRequestInterval is the time between two load requests for one item.
+	// loadRequestInterval is the time between two load requests for one item, or for one
+	// at a software version.
 	loadRequestInterval = 200 * time.Millisecond
 	// loadFailureTimeout bounds how long a request waits while load requests
 	// fail.
 	loadFailureTimeout = 2 * time.Second
 )
 
-// loadState is the result of the last load request for an item.
+// loadState is the result of the last load request for an item, or for one at a software
+// version.
 type loadState struct {
 	// requestedAt is the time of the request.
 	requestedAt time.Time
@@ -79,14 +81,15 @@
 	return max(0, remaining), nil
 }
 
-// requestLoad requests a load of the call's item, unless a request is in progress
-// or was made within loadRequestInterval, and returns the last result.
+// requestLoad requests a load of the call's item where the call may run, unless a request
+// is in progress or was made within loadRequestInterval, and returns the last result.
 func (q *waitQueue) requestLoad(call *Call, now time.Time) loadState {
 	q.mu.Lock()
-	state := q.loads[call.Item]
+	wanted := call.eligibility()
+	state := q.loads[wanted]
 	if state == nil {
 		state = &loadState{}
-		q.loads[call.Item] = state
+		q.loads[wanted] = state
 	}
 	if state.requesting || now.Sub(state.requestedAt) < loadRequestInterval && !state.requestedAt.IsZero() {
 		defer q.mu.Unlock()
@@ -105,16 +108,17 @@
 	return *state
 }
 
-// demand summarises the calls that wait for the item of a call, including the
+// demand summarises the calls that wait for the same replicas as a call, including the
 // call itself. The caller holds the lock.
 func (q *waitQueue) demand(call *Call) Demand {
+	wanted := call.eligibility()
 	demand := Demand{
-		Item: call.Item, Pool: call.Pool, Since: call.Started, Rank: call.Rank,
+		Item: call.Item, Pool: call.Pool, Software: wanted.software, Since: call.Started, Rank: call.Rank,
 		Objective: call.Objective, Deadline: call.Deadline,
 	}
 	counted := false
 	for _, waiting := range q.waiters {
-		if waiting.call.Item == call.Item {
+		if waiting.eligibility == wanted {
 			demand.add(waiting.call)
 			counted = counted || waiting.call == call
 		}
--- a/internal/dispatch/software.go
+++ b/internal/dispatch/software.go
@@ -38,3 +38,17 @@
 	}
 	return slices.DeleteFunc(slices.Clone(replicas), foreign)
 }
+
+// eligibility identifies the replicas that may run a call: those of an item, or only those
+// at servers of a software version.
+type eligibility struct {
+	item       fleet.Item
+	software   fleet.SoftwareVersion
+	restricted bool
+}
+
+// eligibility returns which replicas may run the call.
+func (c *Call) eligibility() eligibility {
+	software, restricted := c.restriction()
+	return eligibility{item: c.Item, software: software, restricted: restricted}
+}
--- a/internal/dispatch/waitqueue.go
+++ b/internal/dispatch/waitqueue.go
@@ -67,7 +67,7 @@
 	queue := shard.queues[key]
 	if queue == nil {
 		queue = &waitQueue{
-			dispatcher: d, waiters: make(map[admission.Ticket]*waiter), loads: make(map[fleet.Item]*loadState),
+			dispatcher: d, waiters: make(map[admission.Ticket]*waiter), loads: make(map[eligibility]*loadState),
 		}
 		shard.queues[key] = queue
 	}
@@ -82,7 +82,7 @@
 	mu         sync.Mutex
 	pending    admission.Queue
 	waiters    map[admission.Ticket]*waiter
-	loads      map[fleet.Item]*loadState
+	loads      map[eligibility]*loadState
 	lastTicket admission.Ticket
 	// serving is set while serveWaiting runs.
 	serving bool
@@ -96,9 +96,10 @@
 
 // waiter is a request in the queue. One result at most is sent to it.
 type waiter struct {
-	call    *Call
-	request admission.Request
-	result  chan admissionResult
+	call        *Call
+	eligibility eligibility
+	request     admission.Request
+	result      chan admissionResult
 }
 
 // admissionResult is the slot that a waiting request got, or the error with which
@@ -160,7 +161,7 @@
 			Outcome: admission.Full, RetryAfter: q.pending.MeanServiceTime(),
 		})})
 	}
-	waiting := &waiter{call: call, request: request, result: make(chan admissionResult, 1)}
+	waiting := &waiter{call: call, eligibility: call.eligibility(), request: request, result: make(chan admissionResult, 1)}
 	q.waiters[request.Ticket] = waiting
 	if !q.serving {
 		q.serving = true
@@ -232,7 +233,7 @@
 		}
 		seen[waiting.call.Item] = true
 		readyIn := time.Duration(0)
-		if load := q.loads[waiting.call.Item]; load != nil && load.err == nil {
+		if load := q.loads[waiting.eligibility]; load != nil && load.err == nil {
 			readyIn = max(0, load.estimate.ReadyIn-now.Sub(load.requestedAt))
 		}
 		found := q.dispatcher.capacity(waiting.call, now, readyIn)
@@ -314,16 +315,16 @@
 	}
 }
 
-// requestLoads requests the loads of the items that requests wait for, and
-// refuses the requests whose item will not be ready in time.
+// requestLoads requests the loads of the items that requests wait for, where they may
+// run, and refuses the requests whose item will not be ready in time.
 func (q *waitQueue) requestLoads() {
 	q.mu.Lock()
-	byItem := make(map[fleet.Item][]*waiter)
+	grouped := make(map[eligibility][]*waiter)
 	for _, waiting := range q.waiters {
-		byItem[waiting.call.Item] = append(byItem[waiting.call.Item], waiting)
+		grouped[waiting.eligibility] = append(grouped[waiting.eligibility], waiting)
 	}
 	q.mu.Unlock()
-	for _, waiters := range byItem {
+	for _, waiters := range grouped {
 		if !q.dispatcher.canLoad(waiters[0].call) {
 			continue
 		}
