A call that waits for one version does not hold back the others

What callers saw: while the rest of a stream waited for a load or a slot at its version, other calls of the model waited with it although a server had a free slot, or were refused by the estimate of a load that they need not wait for.

Cause: the wait queue marks a whole item as full once one of its calls finds no slot, and takes the capacity of one call of an item for that of all.

Change: startWaiting and expire group the waiting calls by the replicas that may run them. Where several groups are ready at the same time, requests expire by the one with the most slots; which of them it was depended on the order of a map.

Measured: go test -run 'WaitForAVersion|LoadForAVersion|SlotsOfAVersion' ./internal/dispatch (virtual time). Before: a call with a free server waited 59.83 s, until the restricted one was refused; one with 2 s left was refused "the answer would come after the deadline", and so were 9 of 30 that 17 slots serve in time. After: all are served, the first ones within 100 ms. Grouped, but without the most slots on a tie, the 9 are refused as well. go test ./internal/dispatch (15 runs of the tests of versions, one of all with -race -cpu 1), ./internal/admission, ./internal/caller: ok.

Open: the position of a call in the queue still counts the restricted calls before it, so that under overload some calls may be refused that a slot of another version would have served in time.

--- a/internal/dispatch/waitqueue.go
+++ b/internal/dispatch/waitqueue.go
@@ -225,27 +225,34 @@
 func (q *waitQueue) expire(now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	capacity := admission.Capacity{}
-	seen := make(map[fleet.Item]bool)
+	capacity := q.bestCapacity(now)
+	for _, request := range q.pending.Expire(now, capacity) {
+		q.resolve(q.waiters[request.Ticket], admissionResult{err: admissionRefusal(admission.Decision{
+			Outcome: admission.Late, RetryAfter: max(q.pending.MeanServiceTime(), capacity.ReadyIn),
+		})})
+	}
+}
+
+// bestCapacity returns the capacity of the replicas that are ready first among those that
+// requests wait for, and of the most slots if several are. The caller holds the lock.
+func (q *waitQueue) bestCapacity(now time.Time) (best admission.Capacity) {
+	seen := make(map[eligibility]bool)
 	for _, waiting := range q.waiters {
-		if seen[waiting.call.Item] {
+		if seen[waiting.eligibility] {
 			continue
 		}
-		seen[waiting.call.Item] = true
+		seen[waiting.eligibility] = true
 		readyIn := time.Duration(0)
 		if load := q.loads[waiting.eligibility]; load != nil && load.err == nil {
 			readyIn = max(0, load.estimate.ReadyIn-now.Sub(load.requestedAt))
 		}
 		found := q.dispatcher.capacity(waiting.call, now, readyIn)
-		if capacity.Slots == 0 || found.ReadyIn < capacity.ReadyIn {
-			capacity = found
+		sooner := found.ReadyIn < best.ReadyIn || found.ReadyIn == best.ReadyIn && found.Slots > best.Slots
+		if best.Slots == 0 || sooner {
+			best = found
 		}
 	}
-	for _, request := range q.pending.Expire(now, capacity) {
-		q.resolve(q.waiters[request.Ticket], admissionResult{err: admissionRefusal(admission.Decision{
-			Outcome: admission.Late, RetryAfter: max(q.pending.MeanServiceTime(), capacity.ReadyIn),
-		})})
-	}
+	return best
 }
 
 // startWaiting starts waiting requests as long as there are free slots.
@@ -255,17 +262,19 @@
 	if q.pending.Len() == 0 {
 		return
 	}
-	fullItems := make(map[fleet.Item]bool)
+	full := make(map[eligibility]bool)
 	skipped := make(map[admission.Ticket]bool)
 	for {
-		request, found := q.pending.Next(func(r admission.Request) bool { return !fullItems[r.Item] && !skipped[r.Ticket] })
+		request, found := q.pending.Next(func(r admission.Request) bool {
+			return !skipped[r.Ticket] && !full[q.waiters[r.Ticket].eligibility]
+		})
 		if !found {
 			return
 		}
 		waiting := q.waiters[request.Ticket]
 		taken, found := q.dispatcher.takeSlot(waiting.call, now, false)
 		if !found {
-			fullItems[request.Item] = !waiting.call.exclusive
+			full[waiting.eligibility] = !waiting.call.exclusive
 			skipped[request.Ticket] = true
 			continue
 		}
