Plan loads for calls that need a software version

What callers saw: nothing yet, no demand names a version. Once a stream may go on only at the version that began it, its calls would wait in vain: the plan took a model that any engine held, or was about to hold, for served, and could load it at an engine that may not run them.

Cause: package residence knew no versions.

Change: Engine.Software and Demand.Software. Demand that names a version is kept apart (restriction): its replicas are those at engines of the version, its loads go only there, from copies there before the weight store, with the costs and victims of all loads. If no engine has the model, one load serves these calls and the others. Its calls that fill the replicas at the version get another one there from a copy, never from the store, and ask for none elsewhere. A replica that the version needs is no surplus because of replicas elsewhere, and isn't unloaded while calls wait for it. Reservations and adapters follow. Demand that names no version is planned as before.

TestVersionsAloneChangeNoPlan shows that versions without such demand change no plan.

--- a/internal/residence/adapters.go
+++ b/internal/residence/adapters.go
@@ -32,7 +32,7 @@
 	for i := range p.Engines {
 		engine := &p.Engines[i]
 		resident := engine.residentModel(demand.Item.Model)
-		if engine.Unavailable || resident == nil || resident.Unloading || p.ordered[engine.ID] {
+		if engine.Unavailable || !engine.mayRun(demand) || resident == nil || resident.Unloading || p.ordered[engine.ID] {
 			continue
 		}
 		if resident.adapter(demand.Item.Adapter) != nil {
--- a/internal/residence/bench_test.go
+++ b/internal/residence/bench_test.go
@@ -41,9 +41,9 @@
 	}
 }
 
-// BenchmarkPlanForManyRareModels plans for hundreds of rarely used models that calls
-// wait for, each with a copy on the disks of a few engines.
-func BenchmarkPlanForManyRareModels(b *testing.B) {
+// newRareState returns a state with hundreds of rarely used models that calls wait for,
+// each with a copy on the disks of a few engines.
+func newRareState() residence.State {
 	const engines, models, copies, waiting = 256, 1375, 18, 300
 	state := newState(engines, models)
 	for i := range engines {
@@ -55,6 +55,29 @@
 	for i := range waiting {
 		addWaitingCalls(&state, models-1-i, 1)
 	}
+	return state
+}
+
+// BenchmarkPlanForManyRareModels plans for hundreds of rarely used models that calls
+// wait for.
+func BenchmarkPlanForManyRareModels(b *testing.B) {
+	state := newRareState()
+	for b.Loop() {
+		residence.Plan(state)
+	}
+}
+
+// BenchmarkPlanForVersions plans for hundreds of rarely used models that calls wait for,
+// each at one of two software versions.
+func BenchmarkPlanForVersions(b *testing.B) {
+	state := newRareState()
+	versions := []fleet.SoftwareVersion{older, newer}
+	for i := range state.Engines {
+		state.Engines[i].Software = versions[i%2]
+	}
+	for i := range state.Demands {
+		state.Demands[i].Software = versions[i%2]
+	}
 	for b.Loop() {
 		residence.Plan(state)
 	}
--- a/internal/residence/cost.go
+++ b/internal/residence/cost.go
@@ -25,7 +25,7 @@
 		if free+p.Models[victim.Model].Size < model.Size {
 			continue
 		}
-		evictionCost, allowed := p.unloadCost(victim, demand)
+		evictionCost, allowed := p.unloadCost(engine, victim, demand)
 		if !allowed {
 			continue
 		}
@@ -43,11 +43,15 @@
 
 // unloadCost returns the cost of unloading a model in favour of a demand, as a
 // time, and false if the model must not be unloaded.
-func (p *planner) unloadCost(victim *ResidentModel, demand *Demand) (cost time.Duration, allowed bool) {
+func (p *planner) unloadCost(engine *Engine, victim *ResidentModel, demand *Demand) (cost time.Duration, allowed bool) {
 	if victim.Unloading || p.Models[victim.Model].Size <= 0 {
 		return 0, false
 	}
-	surplus := p.RatesSettled && p.ready[victim.Model] > p.targetReplicas(victim.Model)
+	needed := p.neededAtVersion(engine, victim.Model)
+	if needed != nil && needed.Waiting > 0 {
+		return 0, false
+	}
+	surplus := needed == nil && p.RatesSettled && p.ready[victim.Model] > p.targetReplicas(victim.Model)
 	if !p.mayUnload(victim, demand, surplus) {
 		return 0, false
 	}
--- a/internal/residence/plan.go
+++ b/internal/residence/plan.go
@@ -58,8 +58,12 @@
 	// ready counts the loaded replicas of each model, pending those that are
 	// being loaded or that memory is being freed for.
 	ready, pending map[fleet.ModelID]int
-	// calls is the number of calls that run on or wait for each model.
+	// calls is the number of calls that run on or wait for each model, without waiting
+	// calls of restrictions.
 	calls map[fleet.ModelID]int
+	// restrictions holds the demand that names a software version, which demand does not
+	// contain; nil if there is none.
+	restrictions map[restrictionKey]*restriction
 	// diskCopies counts the available engines whose VM has a copy of each model
 	// on its disk.
 	diskCopies map[fleet.ModelID]int
@@ -117,6 +121,10 @@
 	}
 	for i := range p.Demands {
 		demand := &p.Demands[i]
+		if demand.Software != "" {
+			p.restrict(demand)
+			continue
+		}
 		model := demand.Item.Model
 		p.calls[model] += demand.Waiting
 		merged := p.demand[model]
@@ -128,6 +136,7 @@
 		}
 		merged.merge(demand)
 	}
+	p.countRestricted()
 }
 
 // countCopies adds the copies of weights on the VM of the engine at a position.
@@ -157,7 +166,7 @@
 	}
 	if d.Waiting == 0 {
 		sum := *other
-		sum.Item, sum.Rate, sum.ServiceTime = d.Item, d.Rate, d.ServiceTime
+		sum.Item, sum.Software, sum.Rate, sum.ServiceTime = d.Item, d.Software, d.Rate, d.ServiceTime
 		*d = sum
 		return
 	}
@@ -214,13 +223,12 @@
 	for i := range p.Engines {
 		engine := &p.Engines[i]
 		model := engine.ReservedFor
-		demand := p.demand[model]
 		switch {
 		case model == "":
-		case demand == nil || demand.Waiting == 0 || engine.Unavailable:
+		case engine.Unavailable || !p.waitsAt(engine, model):
 			engine.ReservedFor = ""
 		case engine.Busy:
-			p.pending[model]++
+			p.addPending(engine, model)
 		case p.freeMemory(engine) < p.Models[model].Size, engine.residentModel(model) != nil,
 			engine.Tier(model) == WeightStore && p.StoreLoads <= 0:
 			engine.ReservedFor = ""
@@ -234,12 +242,12 @@
 // victim, or the load.
 func (p *planner) issue(option loadOption, model fleet.ModelID, reason string) {
 	p.ordered[option.engine.ID] = true
-	p.pending[model]++
+	p.addPending(option.engine, model)
 	if option.tier == WeightStore && reason == ReasonReplicate {
 		p.storeReplicas++
 	}
 	if option.victim != nil {
-		p.ready[option.victim.Model]--
+		p.removeReady(option.engine, option.victim.Model)
 		p.orders = append(p.orders, Order{
 			Server: option.engine.ID, Item: fleet.Item{Model: option.victim.Model}, MakesRoomFor: model, Reason: ReasonMakeRoom,
 		})
--- a/internal/residence/replicas.go
+++ b/internal/residence/replicas.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
 // replicaRequest is a request for another replica of a model.
@@ -16,8 +14,19 @@
 	// demandHorizon that another replica would serve.
 	benefit float64
 	// lateness is 0 if a load can still meet the objective, 1 if it cannot,
-	// and 2 for a further replica.
+	// and furtherReplica if a replica is ready or pending.
 	lateness int
+	// pending is the number of pending replicas that may run its calls.
+	pending int
+}
+
+// furtherReplica is the lateness of a request for a further replica.
+const furtherReplica = 2
+
+// expectedCalls returns the number of calls that wait now or are expected within
+// demandHorizon.
+func expectedCalls(demand *Demand) float64 {
+	return float64(demand.Waiting) + demand.Rate*demandHorizon.Seconds()
 }
 
 // planReplicas places replicas for waiting calls: first models with a benefit
@@ -25,32 +34,41 @@
 // with those that can still meet their objective before the others, and then
 // further replicas.
 func (p *planner) planReplicas() {
-	var requests []replicaRequest
+	requests := p.restrictedRequests()
 	for model, demand := range p.demand {
 		replicas := p.ready[model] + p.pending[model]
-		expected := float64(demand.Waiting) + demand.Rate*demandHorizon.Seconds()
+		expected := expectedCalls(demand)
 		switch target := p.targetReplicas(model); {
 		case replicas == 0 && demand.Waiting > 0:
 			requests = append(requests,
 				replicaRequest{Demand: demand, reason: ReasonWaiting, benefit: expected, lateness: p.lateness(demand)})
 		case replicas > 0 && replicas < target:
 			benefit := expected * float64(target-replicas) / float64(target)
-			requests = append(requests,
-				replicaRequest{Demand: demand, reason: ReasonReplicate, benefit: benefit, lateness: 2})
+			requests = append(requests, replicaRequest{
+				Demand: demand, reason: ReasonReplicate, benefit: benefit, lateness: furtherReplica, pending: p.pending[model],
+			})
 		}
 	}
 	slices.SortFunc(requests, func(a, b replicaRequest) int {
 		if a.benefit >= highBenefit || b.benefit >= highBenefit {
-			return cmp.Or(cmp.Compare(b.benefit, a.benefit), cmp.Compare(a.Item.Model, b.Item.Model))
+			return cmp.Or(cmp.Compare(b.benefit, a.benefit), compareCalls(a.Demand, b.Demand))
 		}
-		return cmp.Or(cmp.Compare(a.lateness, b.lateness), a.Objective.Compare(b.Objective),
-			cmp.Compare(a.Item.Model, b.Item.Model))
+		return cmp.Or(cmp.Compare(a.lateness, b.lateness), a.Objective.Compare(b.Objective), compareCalls(a.Demand, b.Demand))
 	})
 	for _, request := range requests {
-		p.placeReplica(request.Demand, request.reason)
+		// A replica for an earlier request may run the calls of this one.
+		if p.pendingFor(request.Demand) == request.pending {
+			p.placeReplica(request.Demand, request.reason)
+		}
 	}
 }
 
+// compareCalls orders demands by model; calls that need a version go first, since their
+// replica serves the others too.
+func compareCalls(a, b *Demand) int {
+	return cmp.Or(cmp.Compare(a.Item.Model, b.Item.Model), cmp.Compare(b.Software, a.Software))
+}
+
 // lateness returns 1 if even a load from the disk would miss the objective of
 // the demand, and 0 otherwise, so that demands that can be met sort first.
 func (p *planner) lateness(demand *Demand) int {
@@ -71,14 +89,14 @@
 }
 
 // placeReplica orders a load of a model, or the unload that makes room for it,
-// on the engine with the lowest cost. A model is loaded from the weight store only if
-// no available engine has a copy, and for a further replica only if its calls outgrow
-// the engines that have one.
+// on the engine with the lowest cost that may run the calls. A model is loaded from the
+// weight store only if none of these engines has a copy, and for a further replica only if
+// its calls outgrow the engines that have one.
 func (p *planner) placeReplica(demand *Demand, reason string) {
 	model := demand.Item.Model
 	best, found := loadOption{}, false
 	consider := func(engine *Engine) {
-		if !p.canLoad(engine, model) {
+		if !p.canLoad(engine, demand) {
 			return
 		}
 		candidate, fits := p.cheapestLoad(engine, demand, engine.Tier(model))
@@ -86,12 +104,12 @@
 			best, found = candidate, true
 		}
 	}
-	needsStore := !p.hasCopy(model) && reason != ReasonReplicate
+	needsStore := !p.hasCopy(demand) && reason != ReasonReplicate
 	if !needsStore || p.StoreLoads <= 0 {
 		for _, at := range p.holders[model] {
 			consider(&p.Engines[at])
 		}
-		needsStore = !found && reason == ReasonReplicate && p.outgrowsCopies(model)
+		needsStore = !found && reason == ReasonReplicate && p.outgrowsCopies(demand)
 	}
 	if needsStore && p.StoreLoads > 0 {
 		for i := range p.Engines {
@@ -105,22 +123,38 @@
 
 // outgrowsCopies reports whether a further replica of a model may be loaded from the
 // weight store: its calls fill all replicas that it has or is about to get, and few
-// engines are kept from other loads by that.
-func (p *planner) outgrowsCopies(model fleet.ModelID) bool {
+// engines are kept from other loads by that. Calls that need a version have no such load.
+func (p *planner) outgrowsCopies(demand *Demand) bool {
+	model := demand.Item.Model
 	replicas := p.ready[model] + p.pending[model]
-	return p.concurrency(model) >= float64(replicas*p.maxSlots) &&
+	return demand.Software == "" && p.concurrency(model) >= float64(replicas*p.maxSlots) &&
 		p.storeReplicas < len(p.Engines)/enginesPerStoreReplica
 }
 
-// canLoad reports whether an engine may get an order to load a model.
-func (p *planner) canLoad(engine *Engine, model fleet.ModelID) bool {
-	return !engine.Unavailable && !engine.Busy && (engine.ReservedFor == "" || engine.ReservedFor == model) &&
+// canLoad reports whether an engine may get an order to load a model for its calls.
+func (p *planner) canLoad(engine *Engine, demand *Demand) bool {
+	model := demand.Item.Model
+	return engine.mayRun(demand) && !engine.Unavailable && !engine.Busy &&
+		(engine.ReservedFor == "" || engine.ReservedFor == model) &&
 		!p.ordered[engine.ID] && engine.residentModel(model) == nil
 }
 
-// hasCopy reports whether the VM of any available engine has the weights of a
-// model on its disk.
-func (p *planner) hasCopy(model fleet.ModelID) bool { return p.diskCopies[model] > 0 }
+// mayRun reports whether the engine may run the calls of a demand.
+func (e *Engine) mayRun(demand *Demand) bool {
+	return demand.Software == "" || e.Software == demand.Software
+}
+
+// hasCopy reports whether the VM of any available engine that may run the calls of a
+// demand has the weights of its model on its disk.
+func (p *planner) hasCopy(demand *Demand) bool {
+	model := demand.Item.Model
+	if demand.Software == "" {
+		return p.diskCopies[model] > 0
+	}
+	return slices.ContainsFunc(p.holders[model], func(at int) bool {
+		return p.Engines[at].mayRun(demand) && p.Engines[at].OnDisk[model]
+	})
+}
 
 // evictsOnlyCopy reports whether a load from the weight store would evict the
 // only copy of a model from the engine's disk.
--- a/internal/residence/state.go
+++ b/internal/residence/state.go
@@ -37,6 +37,8 @@
 type Engine struct {
 	ID fleet.ServerID
 	fleet.Place
+	// Software is the version of the engine's software; empty if unknown.
+	Software fleet.SoftwareVersion
 	// Memory is the accelerator memory.
 	Memory fleet.Bytes
 	// AdapterSlots is the number of adapters that fit at once, Slots the number
@@ -84,6 +86,10 @@
 // Demand is the demand for an item, over the calls of all nodes.
 type Demand struct {
 	Item fleet.Item
+	// Software restricts the engines that may run the calls to those of a software
+	// version; empty if any may. Such a demand has no rate: arrivals are counted over all
+	// versions.
+	Software fleet.SoftwareVersion
 	// Waiting is the number of calls that wait for a replica or for a free slot
 	// of one, WaitingSince the arrival time of the oldest of them.
 	Waiting      int
