Loads follow the software version that waiting calls need

What callers saw: nothing yet, no call waits for a version. Such calls would have waited in vain: nodes reported what calls wait for by item alone, so that one demand replaced another for the same model; the scheduler planned without versions, told the node that the model is ready since an engine of another version held it, and filled room that it had made at an engine that may not run the calls.

Cause: demand, estimates and engines had no version on the way from the calls to the plan.

Change: a node's wants and their estimates are kept by item and version (wantKey); WaitingCalls and ReadyEstimate name the version, and without one mean any, as from nodes that don't know the field. The scheduler sums demand by item and version, plans engines with theirs, and estimates and fills room only where the calls may run; a server that drains is not counted for calls that need its version. For 10 s after calls last waited for a version the plan still has regard to them, since they run then and reports of runs name no version.

--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -29,6 +29,9 @@
 	usageTTL       = 3 * time.Second
 	// rateWindow is the time constant of the averages of call rates.
 	rateWindow = 6 * time.Second
+	// restrictionTTL is how long a plan has regard to calls that need a version after the
+	// last of them has waited, since they run then.
+	restrictionTTL = 10 * time.Second
 )
 
 // trafficRate holds decaying averages of an item's traffic: calls that arrived
@@ -93,19 +96,19 @@
 
 // aggregateDemands sums the demand of all nodes for the items of a pool.
 func (s *Scheduler) aggregateDemands(now time.Time, pool fleet.PoolID) []residence.Demand {
-	sums := make(map[fleet.Item]*residence.Demand)
-	sumFor := func(item fleet.Item) *residence.Demand {
-		found := sums[item]
+	sums := make(map[wantKey]*residence.Demand)
+	sumFor := func(want wantKey) *residence.Demand {
+		found := sums[want]
 		if found == nil {
-			found = &residence.Demand{Item: item}
-			sums[item] = found
+			found = &residence.Demand{Item: want.item, Software: want.software}
+			sums[want] = found
 		}
 		return found
 	}
 	for key, rate := range s.rates {
 		if key.pool == pool {
 			rate.decay(now)
-			sum := sumFor(key.item)
+			sum := sumFor(wantKey{indexKey: key})
 			sum.Rate, sum.ServiceTime = rate.arrived, rate.serviceTime()
 		}
 	}
@@ -115,10 +118,18 @@
 		}
 		for _, waiting := range node.Waiting {
 			if waiting.Pool == pool {
-				addWaiting(sumFor(waiting.Item), waiting, node)
+				addWaiting(sumFor(waiting.want()), waiting, node)
 			}
 		}
 	}
+	for want, lastWaited := range s.restricted {
+		switch {
+		case now.Sub(lastWaited) > restrictionTTL:
+			delete(s.restricted, want)
+		case want.pool == pool:
+			sumFor(want)
+		}
+	}
 	demands := make([]residence.Demand, 0, len(sums))
 	for _, demand := range sums {
 		demands = append(demands, *demand)
@@ -172,14 +183,19 @@
 	}
 	answer := demandAnswer{Schedules: true, Update: s.updateFor(now, message)}
 	for _, waiting := range message.Waiting {
+		if waiting.Software != "" {
+			s.restricted[waiting.want()] = now
+		}
 		readyIn := s.expectedReadyIn(now, waiting)
-		answer.Ready = append(answer.Ready, ReadyEstimate{Pool: waiting.Pool, Item: waiting.Item, InMs: readyIn.Milliseconds()})
+		answer.Ready = append(answer.Ready, ReadyEstimate{
+			Pool: waiting.Pool, Item: waiting.Item, Software: waiting.Software, InMs: readyIn.Milliseconds(),
+		})
 	}
 	return answer
 }
 
-// expectedReadyIn returns the expected time until an engine of the pool has the
-// item ready. The caller holds the lock.
+// expectedReadyIn returns the expected time until an engine of the pool that may run the
+// calls has the item ready. The caller holds the lock.
 func (s *Scheduler) expectedReadyIn(now time.Time, waiting WaitingCalls) time.Duration {
 	model := s.View().Model(waiting.Pool, waiting.Item.Model)
 	if model == nil {
@@ -187,7 +203,8 @@
 	}
 	readyIn := model.FromStore
 	for _, e := range s.engines {
-		if e.server.Pool == waiting.Pool {
+		leaves := waiting.Software != "" && e.server.Draining
+		if e.server.Pool == waiting.Pool && waiting.mayRun(e.server.Software) && !leaves {
 			readyIn = min(readyIn, e.expectedReadyIn(now, waiting.Item.Model, model))
 		}
 	}
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -149,7 +149,7 @@
 func (e *engine) planInput(now time.Time, spec *roster.EngineSpec, usages map[usageKey]*usage) residence.Engine {
 	e.HostMemoryCapacity = spec.HostMemory
 	input := residence.Engine{
-		ID: e.server.ID, Place: e.server.Place, Memory: spec.Memory, AdapterSlots: spec.AdapterSlots,
+		ID: e.server.ID, Place: e.server.Place, Software: e.server.Software, Memory: spec.Memory, AdapterSlots: spec.AdapterSlots,
 		Slots: spec.Slots, Copies: e.Copies, DiskVictim: e.diskEviction(spec),
 		Unavailable: !e.stateKnown || e.server.Draining || now.Before(e.retryAt),
 		Busy:        e.active != nil || e.orderInFlight,
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -16,10 +16,12 @@
 
 // WaitingCalls describes the calls of one node that wait for an item.
 type WaitingCalls struct {
-	Pool  fleet.PoolID `json:"pool"`
-	Item  fleet.Item   `json:"item"`
-	Count int          `json:"count"`
-	Rank  int          `json:"rank"`
+	Pool fleet.PoolID `json:"pool"`
+	Item fleet.Item   `json:"item"`
+	// Software is the version of the servers that may run the calls; empty if any may.
+	Software fleet.SoftwareVersion `json:"software,omitempty"`
+	Count    int                   `json:"count"`
+	Rank     int                   `json:"rank"`
 	// SinceMs is the time in milliseconds since the first call arrived,
 	// ObjectiveMs the time until it has to start to meet its objective, which
 	// is negative once it is late.
@@ -71,11 +73,12 @@
 }
 
 // ReadyEstimate is the time in milliseconds until an item that calls wait for
-// is expected to be ready.
+// is expected to be ready at a server that may run them.
 type ReadyEstimate struct {
-	Pool fleet.PoolID `json:"pool"`
-	Item fleet.Item   `json:"item"`
-	InMs int64        `json:"inMs"`
+	Pool     fleet.PoolID          `json:"pool"`
+	Item     fleet.Item            `json:"item"`
+	Software fleet.SoftwareVersion `json:"software,omitempty"`
+	InMs     int64                 `json:"inMs"`
 }
 
 // updateMessage carries engine states from the scheduler to the nodes.
--- a/internal/placement/order_task.go
+++ b/internal/placement/order_task.go
@@ -297,7 +297,7 @@
 	update := updateMessage{Fencing: t.fencing, Engines: []engineUpdate{t.engine.update(now)}}
 	var waiting []fleet.NodeID
 	for id, node := range t.nodes {
-		if now.Sub(node.receivedAt) < waitingTTL && node.waitsFor(t.order.Item.Model) {
+		if now.Sub(node.receivedAt) < waitingTTL && node.waitsFor(t.order.Item.Model, t.server.Software) {
 			waiting = append(waiting, id)
 		}
 	}
@@ -317,11 +317,11 @@
 	}
 }
 
-// waitsFor reports whether calls of the node wait for the model or one of its
-// adapters.
-func (n *nodeDemand) waitsFor(model fleet.ModelID) bool {
+// waitsFor reports whether calls of the node that servers of a version may run wait for
+// the model or one of its adapters.
+func (n *nodeDemand) waitsFor(model fleet.ModelID, software fleet.SoftwareVersion) bool {
 	for i := range n.Waiting {
-		if n.Waiting[i].Item.Model == model {
+		if n.Waiting[i].Item.Model == model && n.Waiting[i].mayRun(software) {
 			return true
 		}
 	}
--- a/internal/placement/reporter.go
+++ b/internal/placement/reporter.go
@@ -46,10 +46,10 @@
 
 	once          sync.Once
 	mu            sync.Mutex
-	waiting       map[indexKey]wantRecord
+	waiting       map[wantKey]wantRecord
 	usages        map[usageKey]*usage
 	arrivals      map[indexKey]*arrivalCounter
-	expectedReady map[indexKey]time.Time
+	expectedReady map[wantKey]time.Time
 	lostServers   map[fleet.ServerID]bool
 	fencing       fleet.FencingNumber
 	seenVersion   uint64
@@ -65,12 +65,6 @@
 	_ dispatch.SlotObserver = (*Reporter)(nil)
 )
 
-// wantRecord is what calls wait for and when that was recorded.
-type wantRecord struct {
-	dispatch.Demand
-	recordedAt time.Time
-}
-
 type usageKey struct {
 	server fleet.ServerID
 	item   fleet.Item
@@ -128,10 +122,10 @@
 
 func (r *Reporter) init() {
 	r.once.Do(func() {
-		r.waiting = make(map[indexKey]wantRecord)
+		r.waiting = make(map[wantKey]wantRecord)
 		r.usages = make(map[usageKey]*usage)
 		r.arrivals = make(map[indexKey]*arrivalCounter)
-		r.expectedReady = make(map[indexKey]time.Time)
+		r.expectedReady = make(map[wantKey]time.Time)
 		r.lostServers = make(map[fleet.ServerID]bool)
 		r.reportSignal = wait.NewSignal()
 		r.Log = logs.OrDiscard(r.Log)
@@ -141,7 +135,7 @@
 // RequestLoad implements [dispatch.Loader].
 func (r *Reporter) RequestLoad(_ context.Context, want dispatch.Demand) (dispatch.Estimate, error) {
 	r.init()
-	key := indexKey{pool: want.Pool, item: want.Item}
+	key := wantOf(&want)
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -285,7 +279,7 @@
 	message := demandMessage{From: r.Node, Region: r.Region, Fencing: r.fencing, Seen: r.seenVersion}
 	for key, want := range r.waiting {
 		message.Waiting = append(message.Waiting, WaitingCalls{
-			Pool: key.pool, Item: key.item, Count: want.Waiting, Rank: want.Rank,
+			Pool: key.pool, Item: key.item, Software: key.software, Count: want.Waiting, Rank: want.Rank,
 			SinceMs: elapsedMs(now, want.Since), ObjectiveMs: -elapsedMs(now, want.Objective),
 		})
 	}
@@ -340,8 +334,7 @@
 	now := time.Now()
 	r.mu.Lock()
 	for _, expected := range answer.Ready {
-		key := indexKey{pool: expected.Pool, item: expected.Item}
-		r.expectedReady[key] = now.Add(time.Duration(expected.InMs) * time.Millisecond)
+		r.expectedReady[expected.want()] = now.Add(time.Duration(expected.InMs) * time.Millisecond)
 	}
 	r.mu.Unlock()
 	r.applyUpdate(answer.Update)
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -78,6 +78,8 @@
 	unanswered map[fleet.ServerID][]unansweredOrder
 	nodes      map[fleet.NodeID]*nodeDemand
 	rates      map[indexKey]*trafficRate
+	// restricted holds when calls last waited for a want that names a version.
+	restricted map[wantKey]time.Time
 	planSignal wait.Signal
 	running    sync.WaitGroup
 	counts     counters
@@ -113,6 +115,7 @@
 		s.modelsBySpec = make(map[*roster.EngineSpec]map[fleet.ModelID]residence.Model)
 		s.nodes = make(map[fleet.NodeID]*nodeDemand)
 		s.rates = make(map[indexKey]*trafficRate)
+		s.restricted = make(map[wantKey]time.Time)
 		s.planSignal = wait.NewSignal()
 		s.Log = logs.OrDiscard(s.Log)
 		s.Metrics = metric.OrNew(s.Metrics)
@@ -184,6 +187,7 @@
 	s.fencing, s.version, s.termBegan = fencing, 0, time.Now()
 	clear(s.engines)
 	clear(s.rates)
+	clear(s.restricted)
 }
 
 // syncEngines updates the engines from the view and has the reports read that
--- a/internal/placement/swap.go
+++ b/internal/placement/swap.go
@@ -70,7 +70,7 @@
 		return nil, false
 	}
 	for _, node := range t.nodes {
-		wanted = wanted || now.Sub(node.receivedAt) < waitingTTL && node.waitsFor(t.order.MakesRoomFor)
+		wanted = wanted || now.Sub(node.receivedAt) < waitingTTL && node.waitsFor(t.order.MakesRoomFor, e.server.Software)
 	}
 	spec := t.View().Engine(e.server.Pool)
 	if !wanted || spec == nil || spec.Models[t.order.MakesRoomFor] == nil {
--- a/internal/placement/update.go
+++ b/internal/placement/update.go
@@ -105,7 +105,7 @@
 }
 
 // updatesWaitedFor returns the engines that hold a model that calls of the node wait
-// for. The caller holds the lock.
+// for and may run there. The caller holds the lock.
 func (s *Scheduler) updatesWaitedFor(now time.Time, message demandMessage) (updates []engineUpdate) {
 	if len(message.Waiting) == 0 {
 		return nil
@@ -118,10 +118,11 @@
 	return updates
 }
 
-// holdsAny reports whether the engine holds a model that calls wait for.
+// holdsAny reports whether the engine holds a model that calls wait for and may run them.
 func (e *engine) holdsAny(waiting []WaitingCalls) bool {
 	for i := range waiting {
-		if held := e.held[waiting[i].Item.Model]; held != nil && !held.unloading {
+		held := e.held[waiting[i].Item.Model]
+		if held != nil && !held.unloading && waiting[i].mayRun(e.server.Software) {
 			return true
 		}
 	}
