A load at a draining server no longer keeps others from loading the model

What callers saw: calls for a model that a draining server is still loading waited until that load ended, 6 s from the weight store, although the server takes no more calls; only then was the model loaded elsewhere.

Cause: the plan counts a model that is being loaded as a pending replica, whoever loads it.

Change: a draining engine is planned with no model that is being loaded or that room is made for. Models that are held only by draining servers were loaded elsewhere before, too (TestModelsOfALeavingVersionAreLoadedElsewhere).

Measured: TestLoadAtALeavingServerIsRepeatedElsewhere before: FAIL, no other replica within 3 s of a load of 6 s, 4 of 4 runs; after it: ok. go test -race -cpu 1 -count=2 ./internal/placement: ok.

Tests changed: the engines of placement_test.go may take longer for loads than for unloads; 0 leaves them as they were.

--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -154,11 +154,8 @@
 		Unavailable: !e.stateKnown || e.server.Draining || now.Before(e.retryAt),
 		Busy:        e.active != nil || e.orderInFlight,
 	}
-	if e.active != nil && e.active.Load {
-		input.Loading = e.active.Item.Model
-	}
-	if now.Before(e.reservedUntil) {
-		input.ReservedFor = e.reservedFor
+	if !e.server.Draining {
+		input.Loading, input.ReservedFor = e.nextModels(now)
 	}
 	for id, model := range e.held {
 		held := residence.ResidentModel{Model: id, Unloading: model.unloading}
@@ -180,6 +177,18 @@
 	return input
 }
 
+// nextModels returns the model that the engine is loading and the one that room is being
+// made for; empty if none.
+func (e *engine) nextModels(now time.Time) (loading, reserved fleet.ModelID) {
+	if e.active != nil && e.active.Load {
+		loading = e.active.Item.Model
+	}
+	if now.Before(e.reservedUntil) {
+		reserved = e.reservedFor
+	}
+	return loading, reserved
+}
+
 func usageOf(usages map[usageKey]*usage, server fleet.ServerID, item fleet.Item) (count int, lastUsed time.Time) {
 	entry := usages[usageKey{server: server, item: item}]
 	if entry == nil {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -1,6 +1,7 @@
 package placement_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -46,6 +47,8 @@
 	sequence uint64
 	busy     bool
 	held     map[fleet.ModelID]map[fleet.AdapterID]bool
+	// loadDuration is how long a load of a model takes; 0 means orderDuration.
+	loadDuration time.Duration
 	// adaptersInUse delays the unload of adapters.
 	adaptersInUse bool
 	// unanswered lists the orders without an answer that are executed later.
@@ -97,7 +100,11 @@
 	if order.Load {
 		e.t.Check(len(engine.held) < modelSlots, qt.IsTrue, qt.Commentf("%s ordered beyond its memory", id))
 	}
-	time.AfterFunc(orderDuration, func() {
+	duration := orderDuration
+	if order.Load {
+		duration = cmp.Or(engine.loadDuration, orderDuration)
+	}
+	time.AfterFunc(duration, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		engine.busy = false
--- a/internal/placement/versions_test.go
+++ b/internal/placement/versions_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/guavatrack/guavatrack/internal/dispatch"
+	"github.com/guavatrack/guavatrack/internal/placement"
 	"github.com/guavatrack/guavatrack/internal/roster"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
@@ -122,3 +123,53 @@
 		s.Assert(s.awaitReplica(0, fleet.Item{Model: model(5)}, 2*time.Second), qt.IsTrue)
 	})
 }
+
+// awaitNewer has a call of a node that any server may run wait for a model, and reports
+// whether a replica was ready at a server of the newer version within the timeout.
+func (s *cluster) awaitNewer(node int, model fleet.ModelID, timeout time.Duration) (found bool) {
+	began := time.Now()
+	for time.Since(began) < timeout && !found {
+		s.wake(node, fleet.Item{Model: model}, began)
+		time.Sleep(20 * time.Millisecond)
+		_, found = s.replicaAt(node, newer, model)
+	}
+	return found
+}
+
+// drainOlder has the servers of the older version take no more calls.
+func (s *cluster) drainOlder() {
+	s.changeServers(func(server *roster.Server) { server.Draining = server.Software == older })
+}
+
+// TestModelsOfALeavingVersionAreLoadedElsewhere guards against calls that wait for models
+// that are only at servers which take no more calls, as at the end of a replacement.
+func TestModelsOfALeavingVersionAreLoadedElsewhere(t *testing.T) {
+	withCluster(t, 3, func(s *cluster) {
+		s.mixVersions()
+		s.drainOlder()
+		for i := range 2 {
+			_, found := s.replicaAt(1, newer, model(i))
+			s.Assert(found, qt.IsFalse)
+			s.Assert(s.awaitNewer(1, model(i), 2*time.Second), qt.IsTrue)
+		}
+	})
+}
+
+// TestLoadAtALeavingServerIsRepeatedElsewhere guards against calls that wait for the end of
+// a slow load at a server which will not take them.
+func TestLoadAtALeavingServerIsRepeatedElsewhere(t *testing.T) {
+	withCluster(t, 2, func(s *cluster) {
+		const slowLoad = 6 * time.Second
+		s.mixVersions()
+		s.engines.mu.Lock()
+		s.engines.engines["e0"].loadDuration = slowLoad
+		s.engines.mu.Unlock()
+		s.awaitReplicaAt(1, older, model(5), 2*orderDuration)
+		orders := s.engines.sentOrders()
+		s.Assert(slices.ContainsFunc(orders, func(order placement.Order) bool {
+			return order.Load && order.Item.Model == model(5)
+		}), qt.IsTrue)
+		s.drainOlder()
+		s.Assert(s.awaitNewer(1, model(5), slowLoad/2), qt.IsTrue)
+	})
+}
--- a/internal/residence/state.go
+++ b/internal/residence/state.go
@@ -51,7 +51,7 @@
 	// Busy reports whether an order to load or unload a model is in progress.
 	Busy bool
 	// Loading is the model that is being loaded, ReservedFor the model that
-	// memory is being freed for; empty if none.
+	// memory is being freed for; empty if none. A draining engine has neither.
 	Loading, ReservedFor fleet.ModelID
 	ResidentModels       []ResidentModel
 	Copies
