A draining server is not counted in the time until a model is ready

What callers saw: calls for a model that only draining servers had, and no other VM a copy of, were told that it is ready or soon will be. They waited for a load that took 6 s, and were refused late in place of at once.

Cause: the estimate took the least time over all engines of the pool, draining ones included.

Change: draining ones are left out, as they were for calls that need a version.

Measured: TestModelIsNotExpectedAtALeavingServer before: FAIL for calls that need no version, got 0 s, want 20 s (the store); after it: ok.

Tests changed: the check of a draining server moves from TestModelIsExpectedAtTheVersionThatCallsNeed to the new test, for both kinds of calls.

--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -203,8 +203,7 @@
 	}
 	readyIn := model.FromStore
 	for _, e := range s.engines {
-		leaves := waiting.Software != "" && e.server.Draining
-		if e.server.Pool == waiting.Pool && waiting.mayRun(e.server.Software) && !leaves {
+		if e.server.Pool == waiting.Pool && waiting.mayRun(e.server.Software) && !e.server.Draining {
 			readyIn = min(readyIn, e.expectedReadyIn(now, waiting.Item.Model, model))
 		}
 	}
--- a/internal/placement/software_test.go
+++ b/internal/placement/software_test.go
@@ -118,12 +118,22 @@
 			c.Check(err, qt.IsNil)
 			c.Check(estimate.ReadyIn, qt.Equals, readyIn, qt.Commentf("%q", software))
 		}
-		// A server that leaves takes no new calls.
+	})
+}
+
+// TestModelIsNotExpectedAtALeavingServer guards against calls that wait in vain, since
+// their model is ready, or soon will be, where no more calls are taken.
+func TestModelIsNotExpectedAtALeavingServer(t *testing.T) {
+	const loadTime = time.Second
+	for _, software := range []fleet.SoftwareVersion{older, ""} {
+		c := qt.New(t)
+		s := newVersionFixture(loadTime)
+		s.engines["s1"].OnDisk = nil
 		s.engines["s0"].held = map[fleet.ModelID]*heldModel{"m2": {}}
-		c.Check(s.expectedReadyIn(time.Now(), waitingFor("m2", older)), qt.Equals, time.Duration(0))
+		c.Check(s.expectedReadyIn(time.Now(), waitingFor("m2", software)), qt.Equals, time.Duration(0))
 		s.engines["s0"].server.Draining = true
-		c.Check(s.expectedReadyIn(time.Now(), waitingFor("m2", older)), qt.Equals, 20*loadTime)
-	})
+		c.Check(s.expectedReadyIn(time.Now(), waitingFor("m2", software)), qt.Equals, 20*loadTime, qt.Commentf("%q", software))
+	}
 }
 
 // TestRoomIsNotFilledForCallsOfAnotherVersion guards against the second half of a swap at an
