A server whose time to the first byte was never measured gets its share

What callers saw: nothing; under a light load servers that were new got no requests for as long as the others had room.

Cause: the load of a server is multiplied by its time to the first byte, in seconds; one without a measurement was not multiplied at all, as if it took a second.

Change: a server without a measurement is expected to take the shortest time that was measured at the others.

Measured: TestNewServersGetTheirShareOfALightLoad, 400 picks of four idle servers, two never measured: [189 211 0 0] before, all above 0 after.

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -151,8 +151,9 @@
 // sample.
 func (q *Query) leastLoaded(candidates []Candidate, eligible []int, random *rand.Rand) int {
 	best, lowest := eligible[0], math.Inf(1)
+	unmeasured := shortestFirstByte(candidates, eligible)
 	consider := func(i int) {
-		if load := q.load(&candidates[i]); load < lowest {
+		if load := q.load(&candidates[i], unmeasured); load < lowest {
 			best, lowest = i, load
 		}
 	}
@@ -237,11 +238,23 @@
 	return math.Exp(-float64(max(0, q.Now.Sub(c.ReportedAt))) / float64(reportDecay))
 }
 
-// load returns the expected waiting time at a server in arbitrary units.
-func (q *Query) load(c *Candidate) float64 {
+// shortestFirstByte returns the shortest measured time to the first byte of the eligible
+// servers; 0 if none was measured.
+func shortestFirstByte(candidates []Candidate, eligible []int) (shortest time.Duration) {
+	for _, i := range eligible {
+		if measured := candidates[i].TimeToFirstByte; measured > 0 && (shortest == 0 || measured < shortest) {
+			shortest = measured
+		}
+	}
+	return shortest
+}
+
+// load returns the expected waiting time at a server in arbitrary units. A server whose
+// time to the first byte was not measured is expected to take the given time.
+func (q *Query) load(c *Candidate, unmeasured time.Duration) float64 {
 	load := (float64(c.InFlight) + q.reportWeight(c)*float64(c.OtherNodesInFlight) + 1) / (float64(max(1, c.Limit)) * c.share(q.Now))
-	if c.TimeToFirstByte > 0 {
-		load *= c.TimeToFirstByte.Seconds()
+	if firstByte := cmp.Or(c.TimeToFirstByte, unmeasured); firstByte > 0 {
+		load *= firstByte.Seconds()
 	}
 	if c.PrefixCached {
 		load *= prefixDiscount
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -160,3 +160,18 @@
 	prefixes.RecordRestart("b")
 	c.Assert(prefixes.LikelyCached(now, 8, "b"), qt.IsFalse)
 }
+
+// TestNewServersGetTheirShareOfALightLoad guards against servers that get no requests since
+// their time to the first byte was never measured, while others have room.
+func TestNewServersGetTheirShareOfALightLoad(t *testing.T) {
+	c := qt.New(t)
+	candidates := make([]route.Candidate, 4)
+	for i := range candidates {
+		candidates[i] = route.Candidate{Limit: 8}
+		if i < 2 {
+			candidates[i].TimeToFirstByte = 50 * time.Millisecond
+		}
+	}
+	counts := countPicks(candidates, 400)
+	c.Check(slices.Min(counts) > 0, qt.IsTrue, qt.Commentf("%v", counts))
+}
