The rest of a stream comes from the version that began it

Cause: the node that is asked for the rest has not seen the beginning. Last-Event-Id alone made it a rest, and any server that had the model was taken.

Change: the dispatcher restricts a request for the rest to the version that internal/origin finds for the request that the caller names, and refuses it at once if that cannot be found. The version that begins a stream is recorded before the first event is passed on, where it is not the base version; if that fails the stream ends before it has begun. While records cannot be written, streams begin at the base version only.

--- a/internal/dispatch/callrunner.go
+++ b/internal/dispatch/callrunner.go
@@ -121,6 +121,9 @@
 	r.call.restrictStream(a.Replica.Software)
 	defer r.releaseSlot(a.slot)
 	defer a.close(nil)
+	if err := r.recordOrigin(a); err != nil {
+		return nil, err
+	}
 	watch := r.watchForSilence(a)
 	stopClearing := r.clearParts(a)
 	err = a.answer.Relay()
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -29,6 +29,8 @@
 	Loader       Loader
 	LoadWhenFull bool
 	Prober       Prober
+	// Origins is nil if all servers of a pool have one software version.
+	Origins Origins
 	// Store holds the notices of all nodes about requests that crash servers.
 	Store table.Store
 	Place fleet.Place
@@ -124,6 +126,9 @@
 		return err
 	}
 	d.logContinued(call)
+	if err := d.restrictToOrigin(call); err != nil {
+		return err
+	}
 	if d.callObserver != nil && call.Item.Model != "" {
 		d.callObserver.Arrived(call.Item, call.Pool, call.Started)
 		defer func() { d.callObserver.Finished(call.Item, call.Pool, time.Now()) }()
--- /dev/null
+++ b/internal/dispatch/origin.go
@@ -0,0 +1,70 @@
+package dispatch
+
+import (
+	"context"
+
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+	"github.com/guavatrack/guavatrack/pkg/refusal"
+)
+
+// Origins records and finds the software versions that began streams, so that a stream
+// is continued by a server of the version that began it.
+type Origins interface {
+	// Record records that a request began a stream at a server of a version. If it
+	// fails, no event of the stream may be passed on.
+	Record(ctx context.Context, pool fleet.PoolID, request fleet.RequestID, software fleet.SoftwareVersion) error
+	// Find returns the version that began the stream of a request; it fails if that
+	// cannot be determined.
+	Find(ctx context.Context, pool fleet.PoolID, request fleet.RequestID) (fleet.SoftwareVersion, error)
+	// Restriction returns the only version at which streams may begin now, since those
+	// of other versions cannot be recorded.
+	Restriction(pool fleet.PoolID) (software fleet.SoftwareVersion, restricted bool)
+}
+
+// EventAnswer is implemented by an [Answer] that may be a stream of events.
+type EventAnswer interface {
+	// HasEvents reports whether the first piece is an event.
+	HasEvents() bool
+}
+
+// restrictToOrigin restricts a call that continues a stream to the version that began it,
+// and one that begins a stream to the version at which that is possible now.
+func (d *Dispatcher) restrictToOrigin(call *Call) error {
+	switch {
+	case d.Origins == nil || !call.Stream || !call.Idempotent:
+		return nil
+	case !call.Continued:
+		if software, restricted := d.Origins.Restriction(call.Pool); restricted {
+			call.restrict(software)
+		}
+		return nil
+	}
+	software, err := d.Origins.Find(call.Context, call.Pool, call.Resumes)
+	if err != nil {
+		return &refusal.Refusal{
+			Reason: refusal.NoServer, Message: "the rest of the stream cannot be given: " + err.Error(),
+			RetryAfter: noServerRetryAfter,
+		}
+	}
+	call.restrict(software)
+	return nil
+}
+
+// recordOrigin records the version that begins the stream of an answer, before its first
+// event is passed on. It fails with a refusal.
+func (r *callRunner) recordOrigin(a *Attempt) error {
+	call := r.call
+	if r.Origins == nil || !call.Stream || !call.Idempotent || call.Continued || call.AnswerStarted() {
+		return nil
+	}
+	if answer, ok := a.answer.(EventAnswer); !ok || !answer.HasEvents() {
+		return nil
+	}
+	if err := r.Origins.Record(call.Context, call.Pool, call.ID, a.Replica.Software); err != nil {
+		return &refusal.Refusal{
+			Reason: refusal.TableUnavailable, Message: "the stream cannot be begun: " + err.Error(),
+			RetryAfter: noServerRetryAfter,
+		}
+	}
+	return nil
+}
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -20,6 +20,7 @@
 	"github.com/guavatrack/guavatrack/internal/edgelog"
 	"github.com/guavatrack/guavatrack/internal/lease"
 	"github.com/guavatrack/guavatrack/internal/member"
+	"github.com/guavatrack/guavatrack/internal/origin"
 	"github.com/guavatrack/guavatrack/internal/peer"
 	"github.com/guavatrack/guavatrack/internal/placement"
 	"github.com/guavatrack/guavatrack/internal/poison"
@@ -70,6 +71,7 @@
 	Reporter      *placement.Reporter
 	Scheduler     *placement.Scheduler
 	Dispatcher    *dispatch.Dispatcher
+	Origins       *origin.Controller
 	Exchange      *platform.Exchange
 	Poison        *poison.Gossip
 	LeaveNotices  *roster.LeaveNotices
@@ -124,6 +126,7 @@
 		{Name: "lease", Run: n.components.Lease.Run},
 		{Name: "reporter", Run: n.components.Reporter.Run},
 		{Name: "scheduler", Run: n.components.Scheduler.Run},
+		{Name: "origins", Run: n.components.Origins.Run},
 		{Name: "dispatcher", Run: n.components.Dispatcher.Run},
 		{Name: "notices", Run: n.receiveNotices},
 		{Name: "pauses", Run: n.watchPauses},
--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -13,6 +13,7 @@
 	"github.com/guavatrack/guavatrack/internal/dispatch"
 	"github.com/guavatrack/guavatrack/internal/lease"
 	"github.com/guavatrack/guavatrack/internal/member"
+	"github.com/guavatrack/guavatrack/internal/origin"
 	"github.com/guavatrack/guavatrack/internal/peer"
 	"github.com/guavatrack/guavatrack/internal/placement"
 	"github.com/guavatrack/guavatrack/internal/poison"
@@ -27,7 +28,7 @@
 // that depend on each other are set by connect.
 var providers = fx.Provide(
 	metrics.NewRegistry, newStore, newTable, newServerRelay, newManifestRelay, newRoster, newPeers, newMembers, newLease,
-	newDirectory, newReporter, platform.NewEngines, newScheduler, newExchange, newDispatcher, newGossip, newLeaveNotices, newEndpoints,
+	newDirectory, newReporter, platform.NewEngines, newScheduler, newExchange, newOrigins, newDispatcher, newGossip, newLeaveNotices, newEndpoints,
 )
 
 const (
@@ -210,12 +211,40 @@
 	return platform.NewExchange(rosterController.View)
 }
 
+func newOrigins(
+	n *Node, platformStore *platform.Store, store table.Store, rosterController *roster.Controller,
+	leaseController *lease.Controller, peers *peer.Peer, members *member.Controller, registry metrics.Registry,
+) *origin.Controller {
+	return &origin.Controller{
+		Store: store, Era: platformStore.Era, View: rosterController.View, Peers: peers,
+		Nodes: func() []fleet.NodeID { return n.others(members) }, Sweeps: leaseController.IsHolder, Log: n.Log, Metrics: registry,
+	}
+}
+
+// others returns the other nodes that serve requests, those of this node's region first.
+func (n *Node) others(members *member.Controller) (nodes []fleet.NodeID) {
+	remote := func(info member.Info) int {
+		if info.Region == n.Settings.Node.Region {
+			return 0
+		}
+		return 1
+	}
+	healthy := healthyNodes(members)
+	slices.SortStableFunc(healthy, func(a, b member.Info) int { return cmp.Compare(remote(a), remote(b)) })
+	for i := range healthy {
+		if healthy[i].Node != n.ID {
+			nodes = append(nodes, healthy[i].Node)
+		}
+	}
+	return nodes
+}
+
 func newDispatcher(
 	n *Node, directory *placement.Directory, reporter *placement.Reporter, exchange *platform.Exchange,
-	members *member.Controller, store table.Store, gossip *poison.Gossip, registry metrics.Registry,
+	members *member.Controller, store table.Store, gossip *poison.Gossip, origins *origin.Controller, registry metrics.Registry,
 ) *dispatch.Dispatcher {
 	return &dispatch.Dispatcher{
-		Directory: directory, Loader: reporter, LoadWhenFull: true, Prober: exchange, Store: store,
+		Directory: directory, Loader: reporter, LoadWhenFull: true, Prober: exchange, Origins: origins, Store: store,
 		Place: n.Settings.Node.Place, Node: n.ID, Allowance: func() retry.Allowance { return n.allowance(members) },
 		PublishPoisonNotice: gossip.Publish, PoisonPollInterval: poisonPollInterval, Log: n.Log, Metrics: registry,
 	}
@@ -257,6 +286,7 @@
 	p.Store.OnRestored = n.storeRestored
 	p.Members.Register()
 	p.Lease.Register()
+	p.Origins.Register(p.Peers)
 	p.ServerRelay.Register()
 	p.ManifestRelay.Register()
 	placement.Register(p.Peers, p.Scheduler, p.Reporter)
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -13,6 +13,7 @@
 	"github.com/guavatrack/guavatrack/internal/lookup"
 	"github.com/guavatrack/guavatrack/internal/member"
 	"github.com/guavatrack/guavatrack/internal/metric"
+	"github.com/guavatrack/guavatrack/internal/origin"
 	"github.com/guavatrack/guavatrack/internal/peer"
 	"github.com/guavatrack/guavatrack/internal/placement"
 	"github.com/guavatrack/guavatrack/internal/poison"
@@ -26,7 +27,7 @@
 func Metrics() []metric.Doc {
 	return slices.Concat(
 		batch.Metrics, caller.Metrics, claim.Metrics, config.Metrics, dispatch.Metrics, edgelog.Metrics, grant.Metrics, lookup.Metrics,
-		member.Metrics, peer.Metrics, placement.Metrics, platform.Metrics, poison.Metrics, policy.Metrics, roster.Metrics,
+		member.Metrics, origin.Metrics, peer.Metrics, placement.Metrics, platform.Metrics, poison.Metrics, policy.Metrics, roster.Metrics,
 		vmlist.Metrics,
 	)
 }
