An odd record of a base version is written again

What callers saw: nothing; an operator of a similar system reported odd entries of another writer. One odd record among the base versions would have kept every node from reading those of all pools, and with that every rest of a stream from being given.

Change: a node that has read the version before writes it again; others give no rest from the base version meanwhile, and streams of that pool are all recorded.

Measured: TestOddRecordOfABaseVersionIsWrittenAgain fails before (version unknown) and passes; go test ./internal/origin: ok.

--- a/internal/origin/base.go
+++ b/internal/origin/base.go
@@ -149,16 +149,45 @@
 			c.recordStoreCall(err)
 			return err
 		}
+		pool := fleet.PoolID(strings.TrimPrefix(record.Key.Sort, basePrefix))
 		var body baseRecord
 		if err := json.Unmarshal(record.Body, &body); err != nil {
-			return errors.Wrapf(err, "decode record %s", record.Key.Sort)
+			// The other pools don't depend on it.
+			c.Log.Warn("base version not read", slog.String("pool", string(pool)), slog.Any("error", err))
+			c.repairBase(ctx, pool, record.Version)
+			continue
 		}
-		c.setBase(now, fleet.PoolID(strings.TrimPrefix(record.Key.Sort, basePrefix)), body, record.Version)
+		c.setBase(now, pool, body, record.Version)
 	}
 	c.recordStoreCall(nil)
 	return nil
 }
 
+// repairBase writes the base version of a pool again, over a record of another writer. A
+// node that has not read it before leaves that to the others.
+func (c *Controller) repairBase(ctx context.Context, pool fleet.PoolID, version table.Version) {
+	c.mu.Lock()
+	known := c.bases[pool]
+	c.mu.Unlock()
+	if known == nil {
+		return
+	}
+	if err := c.writeBase(ctx, pool, known.baseRecord, version); err != nil {
+		c.Log.Warn("base version not written", slog.String("pool", string(pool)), slog.Any("error", err))
+	}
+}
+
+// writeBase writes the base version of a pool if its record has a version.
+func (c *Controller) writeBase(ctx context.Context, pool fleet.PoolID, record baseRecord, expect table.Version) error {
+	body, err := json.Marshal(record)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	return c.Store.Transact(ctx, "", []table.Write{{Key: baseKey(pool), Expect: expect, Body: body}})
+}
+
 // setBase records the base version of a pool as read or written at a time.
 func (c *Controller) setBase(now time.Time, pool fleet.PoolID, body baseRecord, version table.Version) {
 	c.mu.Lock()
@@ -186,14 +215,7 @@
 	if known != nil && (versions[known.Software] > 0 || now.Sub(known.listedAt) <= c.retention()) {
 		return nil
 	}
-	next := baseRecord{Software: mostListed(versions)}
-	body, err := json.Marshal(next)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
-	if err := c.Store.Transact(ctx, "", []table.Write{{Key: baseKey(pool), Expect: expect, Body: body}}); err != nil {
+	if err := c.writeBase(ctx, pool, baseRecord{Software: mostListed(versions)}, expect); err != nil {
 		return err
 	}
 	return c.readBases(ctx)
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -402,3 +402,19 @@
 		c.Check(err, qt.ErrorIs, ErrUnknown)
 	})
 }
+
+// Guards against streams of all pools that cannot go on since another writer left one odd
+// record.
+func TestOddRecordOfABaseVersionIsWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2, old)
+		c.list(old, next)
+		c.begin(c.nodes[0], "a", next)
+		odd := table.Write{Key: baseKey(pool), Expect: 1, Body: []byte("[[[")}
+		c.Assert(c.table.Transact(context.Background(), "", []table.Write{odd}), qt.IsNil)
+		started := c.start(old, next)
+		c.checkFound(started, "a", next)
+		time.Sleep(2 * mixedReadInterval)
+		c.checkFound(started, "unrecorded", old)
+	})
+}
