Begun streams get their model before calls that begin

Cause: a caller notices a silent loss of its node after some seconds, so its objective is over when it asks for the rest, and the plan loads models for all calls that can still meet theirs first.

Change: requests for a first replica at a version, which only the rest of a stream makes, are placed before all others.

Measured: TestBegunStreamsGetTheirModelFirst fails before.

--- a/internal/residence/replicas.go
+++ b/internal/residence/replicas.go
@@ -18,8 +18,19 @@
 	lateness int
 	// pending is the number of pending replicas that may run its calls.
 	pending int
+	// class orders the requests before all else.
+	class requestClass
 }
 
+// requestClass is the class of a request for a replica; the lowest is placed first.
+type requestClass int
+
+const (
+	// forBegunStreams is a first replica for the rest of streams.
+	forBegunStreams requestClass = iota
+	forOtherCalls
+)
+
 // furtherReplica is the lateness of a request for a further replica.
 const furtherReplica = 2
 
@@ -29,7 +40,8 @@
 	return float64(demand.Waiting) + demand.Rate*demandHorizon.Seconds()
 }
 
-// planReplicas places replicas for waiting calls: first models with a benefit
+// planReplicas places replicas for waiting calls: first models without a replica at the
+// version that has begun the streams of the calls, then models with a benefit
 // of at least highBenefit, the largest first, then models without a replica,
 // with those that can still meet their objective before the others, and then
 // further replicas.
@@ -41,15 +53,19 @@
 		switch target := p.targetReplicas(model); {
 		case replicas == 0 && demand.Waiting > 0:
 			requests = append(requests,
-				replicaRequest{Demand: demand, reason: ReasonWaiting, benefit: expected, lateness: p.lateness(demand)})
+				replicaRequest{Demand: demand, reason: ReasonWaiting, benefit: expected, lateness: p.lateness(demand), class: forOtherCalls})
 		case replicas > 0 && replicas < target:
 			benefit := expected * float64(target-replicas) / float64(target)
 			requests = append(requests, replicaRequest{
 				Demand: demand, reason: ReasonReplicate, benefit: benefit, lateness: furtherReplica, pending: p.pending[model],
+				class: forOtherCalls,
 			})
 		}
 	}
 	slices.SortFunc(requests, func(a, b replicaRequest) int {
+		if a.class != b.class {
+			return cmp.Compare(a.class, b.class)
+		}
 		if a.benefit >= highBenefit || b.benefit >= highBenefit {
 			return cmp.Or(cmp.Compare(b.benefit, a.benefit), compareCalls(a.Demand, b.Demand))
 		}
--- a/internal/residence/restriction.go
+++ b/internal/residence/restriction.go
@@ -122,8 +122,9 @@
 }
 
 // restrictedRequests returns the requests for replicas that calls of each restriction wait
-// for. A replica of a model that no engine holds serves the other calls for it as well, so
-// its request is as urgent as theirs.
+// for. Only the rest of a stream names a version: its caller has a part of the answer, which
+// is of no use without the rest. A replica of a model that no engine holds serves the other
+// calls for it as well, so its request is as urgent as theirs.
 func (p *planner) restrictedRequests() (requests []replicaRequest) {
 	for _, restricted := range p.restrictions {
 		replicas := restricted.ready + restricted.pending
@@ -133,9 +134,10 @@
 		demand := restricted.Demand
 		request := replicaRequest{
 			Demand: &demand, reason: ReasonReplicate, lateness: furtherReplica, pending: restricted.pending,
+			class: forOtherCalls,
 		}
 		if replicas == 0 {
-			request.reason, request.lateness = ReasonWaiting, p.lateness(&demand)
+			request.reason, request.lateness, request.class = ReasonWaiting, p.lateness(&demand), forBegunStreams
 		}
 		others := p.demand[demand.Item.Model]
 		if replicas == 0 && others != nil && p.ready[demand.Item.Model]+p.pending[demand.Item.Model] == 0 {
--- a/internal/residence/software_test.go
+++ b/internal/residence/software_test.go
@@ -230,3 +230,20 @@
 		Server: serverID(0), Load: true, Item: item, Reason: residence.ReasonWaiting,
 	})
 }
+
+// TestBegunStreamsGetTheirModelFirst guards against the rest of streams that comes after
+// all calls that can still meet their objective, and so never in a busy pool.
+func TestBegunStreamsGetTheirModelFirst(t *testing.T) {
+	c := qt.New(t)
+	state := newMixedState(1, 8)
+	for _, i := range []int{5, 6} {
+		state.Engines[0].OnDisk[modelID(i)] = true
+	}
+	addWaitingCalls(&state, 5, 20)
+	addRestrictedCalls(&state, older, 6, 1)
+	begun := &state.Demands[len(state.Demands)-1]
+	begun.Objective = state.Now.Add(-time.Second)
+	begun.WaitingSince = state.Now.Add(-3 * time.Second)
+	c.Check(ordersFor(state, 6), qt.HasLen, 1)
+	c.Check(ordersFor(state, 5), qt.HasLen, 0)
+}
