Demand names a version only where others serve

Change: the wait queue and the demand treat a restriction to the only version of the usable servers as none.

Measured: TestDemandInAPoolOfOneVersionNamesNone fails before (demand of v1) and passes; go test ./internal/dispatch ./internal/hosted: ok.

--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -85,7 +85,7 @@
 // is in progress or was made within loadRequestInterval, and returns the last result.
 func (q *waitQueue) requestLoad(call *Call, now time.Time) loadState {
 	q.mu.Lock()
-	wanted := call.eligibility()
+	wanted := q.dispatcher.eligibility(call)
 	state := q.loads[wanted]
 	if state == nil {
 		state = &loadState{}
@@ -111,7 +111,7 @@
 // demand summarises the calls that wait for the same replicas as a call, including the
 // call itself. The caller holds the lock.
 func (q *waitQueue) demand(call *Call) Demand {
-	wanted := call.eligibility()
+	wanted := q.dispatcher.eligibility(call)
 	demand := Demand{
 		Item: call.Item, Pool: call.Pool, Software: wanted.software, Since: call.Started, Rank: call.Rank,
 		Objective: call.Objective, Deadline: call.Deadline,
--- a/internal/dispatch/software.go
+++ b/internal/dispatch/software.go
@@ -47,8 +47,19 @@
 	restricted bool
 }
 
-// eligibility returns which replicas may run the call.
-func (c *Call) eligibility() eligibility {
-	software, restricted := c.restriction()
-	return eligibility{item: c.Item, software: software, restricted: restricted}
+// eligibility returns which replicas may run the call. A restriction to the only version
+// in the pool is none.
+func (d *Dispatcher) eligibility(call *Call) eligibility {
+	software, restricted := call.restriction()
+	if !restricted || !d.hasOtherVersions(call.Pool, software) {
+		return eligibility{item: call.Item}
+	}
+	return eligibility{item: call.Item, software: software, restricted: true}
+}
+
+// hasOtherVersions reports whether a pool has usable servers of other versions.
+func (d *Dispatcher) hasOtherVersions(pool fleet.PoolID, software fleet.SoftwareVersion) bool {
+	return slices.ContainsFunc(d.Directory.Replicas(fleet.Item{}, pool), func(server Replica) bool {
+		return server.Software != software && server.Ready && !server.Draining
+	})
 }
--- a/internal/dispatch/version_demand_test.go
+++ b/internal/dispatch/version_demand_test.go
@@ -103,3 +103,30 @@
 		c.Check(loader.of(""), qt.HasLen, 0)
 	})
 }
+
+// Guards against other plans on ordinary days: in a pool of a single version the rest of a
+// stream waits like any other call.
+func TestDemandInAPoolOfOneVersionNamesNone(t *testing.T) {
+	runInBubble(t, func(c *qt.C) {
+		s, d := versionHolders(c, 2)
+		s.replicas = s.replicas[:1]
+		loader := newDemandLoader(time.Second)
+		d.Loader = loader
+		s.hold("s0", false)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		for i := range 2 {
+			call, _ := s.streamOf(fmt.Sprint(i), answers())
+			call.Context = ctx
+			if i == 0 {
+				call.Restrict("v1")
+			}
+			start(d, call)
+		}
+		time.Sleep(250 * time.Millisecond)
+		c.Check(loader.of("v1"), qt.HasLen, 0)
+		demands := loader.of("")
+		c.Assert(demands, qt.Not(qt.HasLen), 0)
+		c.Check(demands[len(demands)-1].Waiting, qt.Equals, 2)
+	})
+}
--- a/internal/dispatch/waitqueue.go
+++ b/internal/dispatch/waitqueue.go
@@ -161,7 +161,9 @@
 			Outcome: admission.Full, RetryAfter: q.pending.MeanServiceTime(),
 		})})
 	}
-	waiting := &waiter{call: call, eligibility: call.eligibility(), request: request, result: make(chan admissionResult, 1)}
+	waiting := &waiter{
+		call: call, eligibility: q.dispatcher.eligibility(call), request: request, result: make(chan admissionResult, 1),
+	}
 	q.waiters[request.Ticket] = waiting
 	if !q.serving {
 		q.serving = true
