A suspected stream is not sent to a process that replaced its server

What callers saw: a stream whose server crashed could go on at another software version.

Cause: the request is then suspected of crashing servers. Its next attempt takes a slot and waits up to 2 s until the server runs nothing else. If the server's process is replaced in that time, the request goes to the new process, whatever version that has, though the directory lists it by then.

Change: after the wait an attempt is made only if the run of the process that it was chosen for is still listed with the item; else it counts as failed, without having been sent, and another server is sought.

Before: the caller got events of v1, v2, v2, with the model at the new process and without it; after: the stream breaks off, since no server of v1 is left. go test ./internal/dispatch (also with -race -cpu 1), ./internal/caller: ok.

Open: a process that was replaced in place and is not listed yet (about a second) is still taken for the one that is listed; servers' answers don't name their version.

--- a/internal/dispatch/callrunner.go
+++ b/internal/dispatch/callrunner.go
@@ -171,6 +171,9 @@
 		if exclusive {
 			a.err = r.beginTrial(a.ctx, taken, suspect)
 		}
+		if a.err == nil && exclusive {
+			a.err = r.checkUnchanged(taken)
+		}
 		if a.err == nil {
 			a.answer, a.err = r.call.Message.Open(a.ctx, a)
 		}
--- a/internal/dispatch/isolate.go
+++ b/internal/dispatch/isolate.go
@@ -21,6 +21,13 @@
 // suspected request is on trial on the server.
 var errTrialOfAnother = errors.New("another suspected request is on trial on the server")
 
+// Causes of an attempt that was not made because the server changed while its trial was
+// awaited.
+var (
+	errReplacedProcess = errors.New("another process has replaced the server")
+	errItemGone        = errors.New("the server no longer holds the item")
+)
+
 // checkPoison refuses requests that crash backend servers, or share a part with such, and
 // marks those as exclusive that are suspected of it.
 func (d *Dispatcher) checkPoison(call *Call) error {
@@ -161,3 +168,19 @@
 	}
 	return nil
 }
+
+// checkUnchanged fails if the run of the server's process that a slot was taken at is no
+// longer listed with the item: the process that takes connections there now may have
+// another software version.
+func (d *Dispatcher) checkUnchanged(taken *slot) error {
+	for _, replica := range d.Directory.Replicas(taken.call.Item, taken.call.Pool) {
+		switch {
+		case replica.Server != taken.replica.Server:
+		case replica.Boot != taken.replica.Boot || replica.Software != taken.replica.Software:
+			return &FailureError{Kind: retry.Crashed, Err: errReplacedProcess}
+		default:
+			return nil
+		}
+	}
+	return &FailureError{Kind: retry.ItemNotLoaded, Err: errItemGone}
+}
