On call sees the versions of a stream

Change: explain says which version began the stream of an earlier request and from where that is known, to which versions the request was sent, and that no server of the version was in service, with those that were.

The lines "version of a stream found" and "not found" are made up in the tests: package origin logs them.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -11,6 +11,7 @@
 func (t *Timeline) Causes() (causes []string) {
 	causes = append(causes, t.outcome())
 	causes = append(causes, t.callersView()...)
+	causes = append(causes, t.streamVersions()...)
 	causes = append(causes, t.failedAttempts()...)
 	causes = append(causes, t.crashRefusals()...)
 	if queued := t.lastOwn("request queued"); queued != nil {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -48,6 +48,12 @@
 	checkStory(t, "testdata/cutoff.want", "testdata/cutoff.log")
 }
 
+// TestContinuedStreamMatchesGoldenFile checks the story of a request for the rest of a
+// stream that an earlier request began, and whose last server of its version leaves.
+func TestContinuedStreamMatchesGoldenFile(t *testing.T) {
+	checkStory(t, "testdata/stream.want", "testdata/stream.log")
+}
+
 func TestReadFailsForUnknownRequest(t *testing.T) {
 	_, err := explain.Read("r9", strings.NewReader("{}\n"))
 	qt.Assert(t, err, qt.ErrorMatches, `request "r9" is in none of the logs`)
@@ -97,6 +103,29 @@
 			"refused before dispatch with status 404, manifest 7: unknownPath: no route; it has not run",
 			"an answer with status 404 could not be written: broken pipe",
 		}},
+		{"the version of its stream was not found", []string{
+			`{"time":"2026-03-01T10:00:00Z","msg":"rest of a stream requested","vm":"v1","request":"r1","resumes":"r0"}`,
+			`{"time":"2026-03-01T10:00:01Z","msg":"version of a stream not found","vm":"v1","resumes":"r0","error":"store away"}`, ended,
+		}, []string{
+			"ended after 9s: deadlineUnreachable; it has not run",
+			"it asks for the rest of the stream of request r0, whose software version was not found: store away",
+		}},
+		{"no server had the version of its stream", []string{
+			`{"time":"2026-03-01T10:00:00Z","msg":"rest of a stream requested","vm":"v1","request":"r1","resumes":""}`,
+			`{"time":"2026-03-01T10:00:01Z","msg":"no server of the version of a stream","vm":"v1","request":"r1","software":"v1",` +
+				`"present":"v2,v3","begun":false}`, ended,
+		}, []string{
+			"ended after 9s: deadlineUnreachable; it has not run",
+			"it goes on with a stream of a request that the caller does not name; it was sent to no server",
+			"it was refused since no server of software version v1 was in service; versions in service: v2,v3",
+		}},
+		{"it was sent to two versions", []string{
+			`{"time":"2026-03-01T10:00:00Z","msg":"request sent","vm":"v1","request":"r1","server":"e1","software":"v1"}`,
+			`{"time":"2026-03-01T10:00:01Z","msg":"request sent","vm":"v1","request":"r1","server":"e2","software":"v2"}`,
+			`{"time":"2026-03-01T10:00:02Z","msg":"request sent","vm":"v1","request":"r1","server":"e1","software":"v1"}`, ended,
+		}, []string{
+			"ended after 9s: deadlineUnreachable; it has not run", "it was sent to servers of software versions v1, v2",
+		}},
 		{"the node stopped", []string{queued}, []string{
 			"the end of the request is in none of the logs: its node stopped, or its log is missing",
 			"while it waited no order about m7 was given",
