The attempts of a call are not changed while a search reads them

What callers saw: nothing that is known; the race detector reports it.

Cause: while a call seeks another attempt beside a silent one, its waiter in the queue reads the failed attempts each tick. If the silent attempt goes on and falls silent again, the second silence is written into the same record meanwhile.

Change: a race ends its search before it records a silence, or the winner, and starts it anew if another attempt is still needed.

--- a/internal/dispatch/race.go
+++ b/internal/dispatch/race.go
@@ -48,6 +48,7 @@
 		select {
 		case a := <-s.results:
 			if a.err == nil {
+				r.endSearch(s)
 				r.recordWinner(a, s.running)
 				r.releaseLosers(s.results, len(s.running)-1)
 				return a, nil
@@ -67,7 +68,9 @@
 			silenceTimer.Reset(r.silenceTimeout(silentAfter))
 		case found := <-s.suspicions:
 			found.attempt.probing = false
-			if r.suspect(found) {
+			if found.holds() {
+				r.endSearch(s)
+				r.suspect(found)
 				r.seekReplacement(s)
 			}
 		case second := <-s.search.results():
@@ -90,14 +93,20 @@
 
 // drop removes a failed attempt from a race.
 func (r *callRunner) drop(s *raceState, a *Attempt) {
-	r.stopSearch(s.search)
-	s.search = nil
+	r.endSearch(s)
 	s.running = slices.DeleteFunc(s.running, func(running *Attempt) bool { return running == a })
 	r.recordFailure(a)
 	a.close(nil)
 	r.releaseSlot(a.slot)
 }
 
+// endSearch ends the search for another attempt, if there is one: it reads the attempts of
+// the call, so that they are changed only without it.
+func (r *callRunner) endSearch(s *raceState) {
+	r.stopSearch(s.search)
+	s.search = nil
+}
+
 // silenceTimeout returns the time after which an attempt without a first byte is checked
 // for silence. It doubles with each silence of the call.
 func (r *callRunner) silenceTimeout(silentAfter time.Duration) time.Duration {
--- a/internal/dispatch/replacement.go
+++ b/internal/dispatch/replacement.go
@@ -151,11 +151,16 @@
 	return suspicion{attempt: a, progress: progress, alive: r.Prober.Alive(ctx, a.Replica)}
 }
 
+// holds reports whether the attempt has made no progress since the probe and goes on.
+func (s *suspicion) holds() bool {
+	return s.attempt.progress.Load() == s.progress && s.attempt.ctx.Err() == nil
+}
+
 // suspect records that an attempt is silent, unless it has made progress since the
 // probe. It returns whether the attempt is silent.
 func (r *callRunner) suspect(s suspicion) bool {
 	a := s.attempt
-	if a.progress.Load() != s.progress || a.ctx.Err() != nil {
+	if !s.holds() {
 		return false
 	}
 	kind := retry.SilentConnection
