Soak: engines of two software versions, callers that take streams up

Change: a run may replace engines by ones of the other version, in both directions, or have them come back with it, in place or under a new id, beside the other faults (--releases, 4 by default). Callers of resumable streams ask for the rest at random nodes; a gap or two versions over all answers is a breach. Draws of the other faults stay as they were.

--- a/cmd/guavasoak/main.go
+++ b/cmd/guavasoak/main.go
@@ -25,6 +25,7 @@
 	Callers      int           `long:"callers" default:"8" description:"callers"`
 	Faults       int           `long:"faults" default:"10" description:"faults in a run"`
 	ServerFaults int           `long:"server-faults" default:"3" description:"faults in a run that backend servers play"`
+	Releases     int           `long:"releases" default:"4" description:"changes of an engine's software version in a run"`
 	Span         time.Duration `long:"span" default:"10s" description:"time within which all faults begin and end"`
 	Verbose      bool          `long:"verbose" description:"print each fault"`
 }
@@ -56,15 +57,15 @@
 	}
 	run := &soak.Run{
 		Binary: o.Binary, Dir: dir, Seed: seed, Nodes: o.Nodes, Engines: o.Engines, Callers: o.Callers,
-		Faults: o.Faults, ServerFaults: o.ServerFaults, Span: o.Span, Log: func(format string, args ...any) {
+		Faults: o.Faults, ServerFaults: o.ServerFaults, Releases: o.Releases, Span: o.Span, Log: func(format string, args ...any) {
 			if o.Verbose {
 				fmt.Printf(format+"\n", args...)
 			}
 		},
 	}
 	outcome, err := run.Do()
-	fmt.Printf("seed %d: %d asked, %d served, %d breaches, error: %v\n",
-		seed, outcome.Asked, outcome.Served, len(outcome.Breaches), err)
+	fmt.Printf("seed %d: %d asked, %d served, %d taken up, %d went on, %d breaches, error: %v\n",
+		seed, outcome.Asked, outcome.Served, outcome.TakenUp, outcome.WentOn, len(outcome.Breaches), err)
 	for _, breach := range outcome.Breaches {
 		fmt.Println("  " + breach)
 	}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -24,7 +24,8 @@
 	method, path, model := http.MethodPost, standin.Once, ""
 	switch random.IntN(4) {
 	case 0:
-		path, model = standin.Resumable, fmt.Sprint("m", random.IntN(r.site.Models))
+		r.sendResumable(random)
+		return
 	case 1:
 		path, model = standin.Streaming, fmt.Sprint("m", random.IntN(r.site.Models))
 	case 2:
@@ -35,36 +36,75 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 	defer cancel()
 	answer, err := standin.Send(request.WithContext(ctx))
+	r.count(answer.Status == http.StatusOK && err == nil)
+	r.checkAnswer(answer, err, path, model != "")
+}
+
+// count counts a request or stream, and pauses if it was not served.
+func (r *Run) count(served bool) {
 	r.asked.Add(1)
-	if answer.Status == http.StatusOK && err == nil {
+	if served {
 		r.served.Add(1)
-	} else {
-		time.Sleep(unservedPause)
+		return
 	}
-	r.checkAnswer(answer, err, path, model != "")
+	time.Sleep(unservedPause)
 }
 
-// checkAnswer records a violation if the answer breaks a guarantee: a request that
-// must run at most once ran again, one reported as not run did run, the answer
-// belongs to another request, no server signed it, its stream has a gap, or a part of it
-// looks like all.
-func (r *Run) checkAnswer(answer standin.Answer, err error, path string, stream bool) {
-	runs := r.site.Ledger.Runs(answer.ID)
-	if path == standin.Once && runs > 1 {
-		r.recordBreach("%s ran %d times", answer.ID, runs)
+// streamTries is the number of requests that a caller sends for a stream.
+const streamTries = 4
+
+// sendResumable requests a stream at a random node, and the rest of it at others if it
+// breaks off.
+func (r *Run) sendResumable(random *rand.Rand) {
+	caller := standin.StreamCaller{
+		Model: fmt.Sprint("m", random.IntN(r.site.Models)), Tries: streamTries,
+		Node: func(int) string { return r.nodes[random.IntN(len(r.nodes))].config.Callers.Listen },
+	}
+	stream, err := caller.Do(context.Background())
+	r.recordError(err)
+	r.count(stream.IsWhole())
+	if stream.TakenUp() {
+		r.takenUp.Add(1)
+		if stream.IsWhole() {
+			r.wentOn.Add(1)
+		}
+	}
+	for _, try := range stream.Tries {
+		r.checkOrigin(try.Answer)
 	}
+	for _, err := range []error{stream.Gap(streamEvents), stream.Joined()} {
+		if err != nil {
+			r.recordBreach("%v", err)
+		}
+	}
+}
+
+// checkOrigin records a violation if an answer breaks a guarantee: a request reported as
+// not run did run, the answer belongs to another request, or no server signed it.
+func (r *Run) checkOrigin(answer standin.Answer) {
+	runs := r.site.Ledger.Runs(answer.ID)
 	if answer.NotRun && runs > 0 {
 		r.recordBreach("%s was said not to have run, and ran", answer.ID)
 	}
 	if answer.AnswerID != "" && answer.AnswerID != answer.ID {
 		r.recordBreach("%s got the answer to %s", answer.ID, answer.AnswerID)
 	}
+	if answer.Status == http.StatusOK && answer.Signature == "" {
+		r.recordBreach("%s: an answer that no server signed", answer.ID)
+	}
+}
+
+// checkAnswer records a violation if the answer breaks a guarantee: those of checkOrigin,
+// or a request that must run at most once ran again, the stream has a gap, or a part of the
+// answer looks like all.
+func (r *Run) checkAnswer(answer standin.Answer, err error, path string, stream bool) {
+	r.checkOrigin(answer)
+	if runs := r.site.Ledger.Runs(answer.ID); path == standin.Once && runs > 1 {
+		r.recordBreach("%s ran %d times", answer.ID, runs)
+	}
 	if answer.Status != http.StatusOK {
 		return
 	}
-	if answer.Signature == "" {
-		r.recordBreach("%s: an answer that no server signed", answer.ID)
-	}
 	if stream {
 		r.checkPieces(answer, err == nil)
 		return
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -6,7 +6,8 @@
 // the store and to backend servers passes through a [Proxy] that can delay, stall
 // or reset it, or stall one direction. Processes are paused, resumed, stopped and
 // killed by signals, and started again. A run injects several faults, which may
-// overlap.
+// overlap. Engines may be replaced meanwhile by engines of another software version, and
+// back, while callers ask for the rest of streams that broke off.
 //
 // Only properties that do not depend on the speed of the machine are checked: which
 // requests ran, what callers received, and that every model is served again within
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -42,7 +43,11 @@
 
 func storeProxyOf(r *Run, index int) *Proxy { return r.nodes[index%len(r.nodes)].storeProxy }
 
-func serverProxyOf(r *Run, index int) *Proxy { return r.servers[index%len(r.servers)] }
+func serverProxyOf(r *Run, index int) *Proxy {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.servers[index%len(r.servers)]
+}
 
 // faultKinds lists all kinds of faults. A seed selects them by position.
 var faultKinds = []faultKind{
@@ -99,7 +104,7 @@
 		return func() {}
 	}},
 	{"engine restarts", func(r *Run, index int) func() {
-		engine := r.site.EngineList[index%len(r.site.EngineList)]
+		engine := r.engine(index)
 		engine.Start(nil, nil)
 		engine.Register()
 		return func() {}
@@ -145,7 +150,7 @@
 
 // standIns returns all backend servers.
 func (r *Run) standIns() (servers []*standin.Server) {
-	for _, engine := range r.site.EngineList {
+	for _, engine := range r.site.CurrentEngines() {
 		servers = append(servers, &engine.Server)
 	}
 	for _, service := range r.site.ServiceList {
@@ -158,12 +163,16 @@
 const (
 	faultStream       = 1
 	serverFaultStream = 1 << 32
+	releaseStream     = 1 << 33
 )
 
 // drawFaults returns the faults of a seed. Each begins and ends within the span.
 func (r *Run) drawFaults() []fault {
-	return append(drawKinds(faultKinds, rand.NewPCG(r.Seed, faultStream), r.Faults, r.Span),
-		drawKinds(serverFaultKinds, rand.NewPCG(r.Seed, serverFaultStream), r.ServerFaults, r.Span)...)
+	return slices.Concat(
+		drawKinds(faultKinds, rand.NewPCG(r.Seed, faultStream), r.Faults, r.Span),
+		drawKinds(serverFaultKinds, rand.NewPCG(r.Seed, serverFaultStream), r.ServerFaults, r.Span),
+		drawKinds(releaseKinds, rand.NewPCG(r.Seed, releaseStream), r.Releases, r.Span),
+	)
 }
 
 // drawKinds draws faults of some kinds.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -22,6 +22,10 @@
 	// resumeAllowance is the time after a pause in which late orders, which the
 	// node may have been sending when it was paused, are no violation.
 	resumeAllowance = 500 * time.Millisecond
+	// fastEventTime and slowEventTime are the intervals between events of a stream. The
+	// slow one is for runs with releases, so that more streams break off in their middle.
+	fastEventTime = 10 * time.Millisecond
+	slowEventTime = 50 * time.Millisecond
 	// streamEvents is the number of pieces of a complete stream.
 	streamEvents = 8
 	// callerTimeout is when a caller gives up on a request: the deadline of the
@@ -47,7 +51,10 @@
 	// that backend servers play themselves: silences that end, and answers without
 	// framing. All begin and end within Span.
 	Faults, ServerFaults int
-	Span                 time.Duration
+	// Releases is the number of times that an engine is replaced by one of another
+	// software version or comes back with it.
+	Releases int
+	Span     time.Duration
 	// Log is called once for each fault.
 	Log func(format string, args ...any)
 
@@ -56,6 +63,10 @@
 	servers []*Proxy
 	asked   atomic.Int64
 	served  atomic.Int64
+	takenUp atomic.Int64
+	wentOn  atomic.Int64
+	// releasing is held while an engine is replaced.
+	releasing sync.Mutex
 
 	mu       sync.Mutex
 	breaches []string
@@ -66,6 +77,9 @@
 // violations.
 type Outcome struct {
 	Asked, Served int64
+	// TakenUp is the number of streams whose callers asked for the rest, WentOn that of
+	// those that became whole.
+	TakenUp, WentOn int64
 	// Breaches describes each violated guarantee.
 	Breaches []string
 }
@@ -102,7 +116,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	outcome = Outcome{
-		Asked: r.asked.Load(), Served: r.served.Load(), Breaches: append(r.site.Ledger.Breaches(), r.breaches...),
+		Asked: r.asked.Load(), Served: r.served.Load(), TakenUp: r.takenUp.Load(), WentOn: r.wentOn.Load(),
+		Breaches: append(r.site.Ledger.Breaches(), r.breaches...),
 	}
 	if err != nil {
 		return outcome, errors.Wrap(err, "not served after the faults")
@@ -110,11 +125,19 @@
 	return outcome, r.failure
 }
 
+// eventTime returns the interval between two events of a stream.
+func (r *Run) eventTime() time.Duration {
+	if r.Releases > 0 {
+		return slowEventTime
+	}
+	return fastEventTime
+}
+
 // start starts the platform, a proxy in front of each of its servers, and the
 // nodes.
 func (r *Run) start() error {
 	r.site = &standin.Site{
-		Engines: r.Engines, Services: 2, Models: 3 * r.Engines, EventTime: 10 * time.Millisecond, HandOver: handOver,
+		Engines: r.Engines, Services: 2, Models: 3 * r.Engines, EventTime: r.eventTime(), HandOver: handOver,
 		Excused: r.orderLatenessExcused,
 	}
 	if err := r.site.Start(); err != nil {
@@ -154,6 +177,8 @@
 		return err
 	}
 	server.Address = address
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.servers = append(r.servers, proxy)
 	return nil
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -36,6 +36,17 @@
 	}
 }
 
+// releaseSeeds lists the seeds of the short run with changes of software versions.
+var releaseSeeds = []uint64{2}
+
+// TestNoStreamIsJoinedUnderReleases guards against streams joined from two software
+// versions when engines are replaced in both directions beside faults.
+func TestNoStreamIsJoinedUnderReleases(t *testing.T) {
+	for _, seed := range releaseSeeds {
+		runSeed(t, &soak.Run{Seed: seed, Faults: 4, ServerFaults: 1, Releases: 4})
+	}
+}
+
 // runSeed builds the program and does a run, of which the seed and faults are set.
 func runSeed(t *testing.T, run *soak.Run) {
 	t.Helper()
