Gain a lease again whose record was overwritten

After another writer had overwritten the record of the lease, no node gave orders to engines any more: the holder could not renew, and nobody could claim.

Cause: a record that can't be decoded counted as a store that can't be read.

Change: it counts as a record of an unknown holder in the era of its version. The former holder loses the lease when it reads it; the lease can be claimed when the time of its last renewal is over, with the delay of a change of holder. The fencing number follows the record's version and rises. The log has one line for each such version.

Measured: TestOddRecordDelaysTheLeaseOnly without the change: no process may act 20 s after the record is "odd" (virtual time). With it one may for each of five odd bodies, never two at once; the tests of internal/lease pass with the race detector.

--- a/internal/lease/controller.go
+++ b/internal/lease/controller.go
@@ -61,6 +61,8 @@
 	released bool
 	// failedReads counts the consecutive failures to read the record.
 	failedReads int
+	// unreadable is the last version of the record that could not be decoded.
+	unreadable table.Version
 	// failedRequests counts the consecutive requests on which the deputy gave no
 	// promise. lastRequestAt is when this process, as the deputy, received the last
 	// request.
@@ -333,13 +335,30 @@
 	}
 }
 
+// readRecord reads the record. One that can't be decoded, because another writer has
+// overwritten it, is a record of an unknown holder.
 func (c *Controller) readRecord(ctx context.Context) (record Record, version table.Version, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	version, err = table.ReadJSON(ctx, c.Store, c.Key, &record)
+	if err != nil && version != table.Absent {
+		c.recordUnreadable(version, err)
+		return Record{Era: version.Era()}, version, nil
+	}
 	return record, version, err
 }
 
+// recordUnreadable logs a version of the record that can't be decoded, once.
+func (c *Controller) recordUnreadable(version table.Version, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if version == c.unreadable {
+		return
+	}
+	c.unreadable = version
+	c.Log.Warn("lease record cannot be decoded", slog.Any("error", err))
+}
+
 func (c *Controller) writeRecord(ctx context.Context, record Record, expect table.Version) error {
 	body, err := json.Marshal(record)
 	if err != nil {
--- a/internal/lease/controller_test.go
+++ b/internal/lease/controller_test.go
@@ -348,3 +348,49 @@
 		c.Check(slices.ContainsFunc(controllers, mayAct), qt.IsTrue)
 	})
 }
+
+// TestOddRecordDelaysTheLeaseOnly guards against a lease that nobody can gain any more,
+// because another writer has overwritten its record: no process may act before the lease
+// of the former holder is over, then one does, with a higher fencing number.
+func TestOddRecordDelaysTheLeaseOnly(t *testing.T) {
+	for _, body := range []string{"odd", "null", `{"holder":7}`, `{"fencing":1e300}`, "[]"} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			store := standin.NewTable()
+			first, stopFirst := startController(t, store, "a")
+			second, stopSecond := startController(t, store, "b")
+			defer stopFirst()
+			defer stopSecond()
+			time.Sleep(5 * time.Second)
+			before, _ := first.Holds()
+			if number, holds := second.Holds(); holds {
+				before = number
+			}
+			overwrite(c, store, first.Key, []byte(body))
+			for range 200 {
+				time.Sleep(100 * time.Millisecond)
+				c.Check(mayAct(first) && mayAct(second), qt.IsFalse)
+			}
+			c.Assert(mayAct(first) || mayAct(second), qt.IsTrue, qt.Commentf("%s", body))
+			after, holds := first.Holds()
+			if !holds {
+				after, _ = second.Holds()
+			}
+			c.Check(after > before, qt.IsTrue, qt.Commentf("%d after %d", after, before))
+		})
+	}
+}
+
+// overwrite replaces the body of a record, whatever version it has.
+func overwrite(c *qt.C, store table.Store, key table.Key, body []byte) {
+	c.Helper()
+	for {
+		record, err := store.Get(context.Background(), key)
+		c.Assert(err, qt.IsNil)
+		err = store.Transact(context.Background(), "", []table.Write{{Key: key, Expect: record.Version, Body: body}})
+		if err == nil {
+			return
+		}
+		c.Assert(err, qt.ErrorIs, table.ErrConflict)
+	}
+}
