Tell an entry that can't be read from the end of its server

After another writer had overwritten the entry of a running server, the server counted as one that has left: when the store was restored to a copy from before, its good entry was ignored until it was written anew. Right after an outage of the store a server whose entry could not be read was still used for two seconds.

Cause: both an entry that can't be read and a removed one were an entry without a server.

Change: entries that can't be read are marked. Their servers are out at once, and in again with the next good entry; they count as gone only when the entry is removed. Nodes that read from others keep such entries, and "guavatrack explain" names the line as a possible cause.

Measured: without the change TestUnreadableEntryIsNotTheEndOfAServer and TestUnreadableEntryNamesNoServerAfterAnOutage fail (server a not in use after the restoration; in use 1 s after the outage); TestServerReturnsWithItsNextGoodEntry and TestRemovalOfAnUnreadableEntryIsTheEndOfItsServer pass with and without it. With it all four; the tests of platform, internal/roster, internal/hosted and internal/explain pass with the race detector.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -165,13 +165,14 @@
 // lossCauses maps the messages of log lines that report a loss, or a change that
 // may cause one, to their descriptions.
 var lossCauses = map[string]string{
-	"scheduler lost":         "its node could not reach the scheduler",
-	"lease lost":             "the right to give orders was lost",
-	"lease seen":             "the scheduler changed",
-	"engine lost":            "the engine was lost",
-	"backend server crashed": "the server crashed",
-	"server draining":        "the server was draining",
-	"server out":             "the server left the list",
+	"scheduler lost":          "its node could not reach the scheduler",
+	"lease lost":              "the right to give orders was lost",
+	"lease seen":              "the scheduler changed",
+	"engine lost":             "the engine was lost",
+	"backend server crashed":  "the server crashed",
+	"server draining":         "the server was draining",
+	"server out":              "the server left the list",
+	"server entry unreadable": "the entry of the server could not be read",
 }
 
 // losses describes each kind of loss once for each server, with the time of its
--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -71,7 +71,7 @@
 			Store: store, Regions: n.Settings.Platform.Regions, Log: n.Log, Metrics: registry,
 		},
 		Key:       func(entry roster.ServerEntry) string { return string(entry.ID) },
-		IsRemoval: func(entry roster.ServerEntry) bool { return entry.Server == nil },
+		IsRemoval: func(entry roster.ServerEntry) bool { return entry.Server == nil && !entry.Unreadable },
 		Node:      n.ID, Ranked: func() []fleet.NodeID { return members.Ranked("servers") }, Peers: peers, Log: n.Log,
 	}
 }
--- a/internal/roster/controller.go
+++ b/internal/roster/controller.go
@@ -90,6 +90,9 @@
 	leaving map[fleet.BootID]time.Time
 	// gone holds the runs of servers whose entries were removed, and when.
 	gone map[fleet.BootID]time.Time
+	// excluded holds the runs of servers that are not used because their entries can't
+	// be read.
+	excluded map[fleet.ServerID]fleet.BootID
 	// recoveredAt is when the list of servers was last read again after a failure.
 	recoveredAt time.Time
 }
@@ -161,7 +164,11 @@
 		}
 		present := make(map[fleet.ServerID]bool, len(entries))
 		for _, entry := range entries {
-			present[entry.ID] = entry.Server != nil
+			present[entry.ID] = entry.Server != nil || entry.Unreadable
+			if entry.Unreadable {
+				c.excludeServer(servers, entry.ID)
+				continue
+			}
 			if entry.Server == nil {
 				c.removeServer(now, servers, entry.ID)
 				continue
@@ -171,6 +178,7 @@
 				continue
 			}
 			delete(c.expiredAt, entry.ID)
+			delete(c.excluded, entry.ID)
 			delete(c.gone, entry.Server.Boot)
 			c.setServer(now, servers, entry.Server)
 		}
@@ -180,6 +188,11 @@
 					c.removeServer(now, servers, id)
 				}
 			}
+			for id := range c.excluded {
+				if !present[id] {
+					c.removeServer(now, servers, id)
+				}
+			}
 		}
 		next.Servers = servers
 		metrics.GetOrRegisterGauge(serversMetric, c.Metrics).Update(int64(len(servers)))
@@ -211,6 +224,7 @@
 	if c.expiredAt == nil {
 		c.expiredAt = make(map[fleet.ServerID]time.Time)
 		c.gone = make(map[fleet.BootID]time.Time)
+		c.excluded = make(map[fleet.ServerID]fleet.BootID)
 		c.leaving = make(map[fleet.BootID]time.Time)
 	}
 }
@@ -250,9 +264,25 @@
 	return true
 }
 
+// excludeServer stops the use of a server whose entry can't be read. It is used again with
+// its next good entry.
+func (c *Controller) excludeServer(servers map[fleet.ServerID]*Server, id fleet.ServerID) {
+	if servers[id] == nil {
+		return
+	}
+	c.excluded[id] = servers[id].Boot
+	delete(servers, id)
+	delete(c.expiredAt, id)
+	c.Log.Warn("server entry unreadable", slog.String("server", string(id)))
+}
+
 // removeServer removes a server. If the store has been unreachable until shortly
 // before, it only notes the time, since the server may register itself again.
 func (c *Controller) removeServer(now time.Time, servers map[fleet.ServerID]*Server, id fleet.ServerID) {
+	if boot := c.excluded[id]; boot != "" {
+		remember(c.gone, boot, now)
+	}
+	delete(c.excluded, id)
 	if servers[id] == nil {
 		return
 	}
--- a/internal/roster/feed.go
+++ b/internal/roster/feed.go
@@ -37,6 +37,9 @@
 type ServerEntry struct {
 	ID     fleet.ServerID `json:"id,omitempty"`
 	Server *Server        `json:"server,omitempty"`
+	// Unreadable reports that there is an entry that describes no usable server. That
+	// says nothing about the server: another writer may have written the entry.
+	Unreadable bool `json:"unreadable,omitempty"`
 }
 
 // errOldList reports a list that is older than what was read before.
--- /dev/null
+++ b/internal/roster/unreadable_test.go
@@ -0,0 +1,90 @@
+package roster_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/guavatrack/guavatrack/internal/roster"
+)
+
+// restoreTo has the feed list entries from an older copy of the store.
+func (f *feed[T]) restoreTo(entries []T) {
+	f.update(func() { f.compacted, f.all, f.revision = true, entries, roster.RevisionIn(1, 1) })
+}
+
+// TestServerReturnsWithItsNextGoodEntry guards against a server that stays unused after
+// another writer has overwritten its entry once.
+func TestServerReturnsWithItsNextGoodEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := start(t, func(s *fixture) { s.servers.all = []roster.ServerEntry{entry("a", "a1"), entry("b", "b1")} })
+		time.Sleep(3 * time.Second)
+		for range 3 {
+			s.servers.update(func() { s.servers.changes = []roster.ServerEntry{{ID: "a", Unreadable: true}} })
+			time.Sleep(time.Second)
+			s.Check(s.has("a"), qt.IsFalse)
+			s.Check(s.has("b"), qt.IsTrue)
+			s.servers.update(func() { s.servers.changes = []roster.ServerEntry{entry("a", "a1")} })
+			time.Sleep(time.Second)
+			s.Check(s.has("a"), qt.IsTrue)
+		}
+	})
+}
+
+// TestUnreadableEntryIsNotTheEndOfAServer guards against a server that counts as one that
+// has left because another writer overwrote its entry, so that its good entry is ignored
+// after the store was restored to a copy from before.
+func TestUnreadableEntryIsNotTheEndOfAServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		good := []roster.ServerEntry{entry("a", "a1"), entry("b", "b1")}
+		s := start(t, func(s *fixture) { s.servers.all = good })
+		time.Sleep(3 * time.Second)
+		s.servers.update(func() { s.servers.changes = []roster.ServerEntry{{ID: "a", Unreadable: true}, {ID: "b"}} })
+		time.Sleep(time.Second)
+		s.Check(s.has("a") || s.has("b"), qt.IsFalse)
+		s.servers.restoreTo(good)
+		time.Sleep(5 * time.Second)
+		s.Check(s.has("a"), qt.IsTrue)
+		s.Check(s.has("b"), qt.IsFalse, qt.Commentf("its entry was removed"))
+	})
+}
+
+// TestRemovalOfAnUnreadableEntryIsTheEndOfItsServer guards against the use of a server that
+// has left while its entry could not be read.
+func TestRemovalOfAnUnreadableEntryIsTheEndOfItsServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		good := []roster.ServerEntry{entry("a", "a1"), entry("b", "b1")}
+		s := start(t, func(s *fixture) { s.servers.all = good })
+		time.Sleep(3 * time.Second)
+		s.servers.update(func() {
+			s.servers.changes = []roster.ServerEntry{{ID: "a", Unreadable: true}, {ID: "b", Unreadable: true}}
+		})
+		time.Sleep(time.Second)
+		s.servers.update(func() { s.servers.changes = []roster.ServerEntry{{ID: "a"}} })
+		time.Sleep(time.Second)
+		s.servers.update(func() { s.servers.compacted, s.servers.all = true, nil })
+		time.Sleep(4 * time.Second)
+		s.servers.restoreTo(good)
+		time.Sleep(5 * time.Second)
+		s.Check(s.has("a") || s.has("b"), qt.IsFalse)
+	})
+}
+
+// TestUnreadableEntryNamesNoServerAfterAnOutage guards against requests to the server of
+// an entry that can't be read: only servers whose entries have expired are waited for.
+func TestUnreadableEntryNamesNoServerAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := start(t, func(s *fixture) { s.servers.all = []roster.ServerEntry{entry("a", "a1"), entry("b", "b1")} })
+		time.Sleep(3 * time.Second)
+		s.servers.update(func() { s.servers.down = true })
+		time.Sleep(5 * time.Second)
+		s.servers.update(func() {
+			s.servers.down, s.servers.changes = false, []roster.ServerEntry{{ID: "a", Unreadable: true}, {ID: "b"}}
+		})
+		time.Sleep(time.Second)
+		s.Check(s.has("a"), qt.IsFalse)
+		s.Check(s.has("b"), qt.IsTrue)
+	})
+}
