Refuse an entry whose address is one of a node

Requests to a service whose only entries, of another writer, had the addresses of nodes went from node to node until their time was over.

Cause: nothing told the address of a node from one of a server.

Change: an entry with an address of the node that reads it, or of a known node's socket for callers or nodes, names no server.

Open: an entry that is read before its node is known stays in use until it is written again.

--- a/internal/hosted/oddentry_test.go
+++ b/internal/hosted/oddentry_test.go
@@ -1,7 +1,9 @@
 package hosted_test
 
 import (
+	"bytes"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -9,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/guavatrack/guavatrack/internal/metric"
 	"github.com/guavatrack/guavatrack/platform/standin"
 )
 
@@ -64,3 +67,37 @@
 		f.waitFor(func() bool { return ask().Status == http.StatusOK })
 	}
 }
+
+// TestNodesAreNoServers guards against requests that nodes send to themselves and to each
+// other until their time is over, because another writer has named nodes as servers.
+func TestNodesAreNoServers(t *testing.T) {
+	f := newFixture(t, &standin.Site{Engines: 1, Services: 1, Models: 3}, 2)
+	for node := range f.nodes {
+		f.waitFor(func() bool { return f.servers(node) == 2 && len(f.lookUp(node)) == len(f.nodes) })
+	}
+	for node := range f.nodes {
+		addresses := f.nodes[node].Addresses()
+		for i, address := range []string{addresses.Callers, addresses.Peers} {
+			f.site.Store.Put("servers", fmt.Sprintf("odd%d-%d", node, i), map[string]any{
+				"service": standin.ServicePool, "address": address, "zone": "east-a", "version": "v1", "slots": 64, "state": "ready",
+				"born": time.Now().UnixMilli(), "sequence": 1, "coldLeftMs": 0,
+			})
+		}
+	}
+	f.site.Store.RemoveEntry(f.site.EngineList[0].ID)
+	for node := range f.nodes {
+		f.waitFor(func() bool { return f.servers(node) == 1 })
+	}
+}
+
+// servers returns the number of servers in a node's list.
+func (f *fixture) servers(node int) (count int) {
+	answer, err := http.Get("http://" + f.nodes[node].Addresses().Metrics + "/metrics")
+	f.Assert(err, qt.IsNil)
+	text, err := io.ReadAll(answer.Body)
+	f.Assert(err, qt.IsNil)
+	f.Assert(answer.Body.Close(), qt.IsNil)
+	_, text, _ = bytes.Cut(text, []byte("\n"+metric.ExposedName("roster.servers")+" "))
+	_, _ = fmt.Sscan(string(text), &count)
+	return count
+}
--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -63,12 +63,13 @@
 }
 
 func newServerRelay(
-	n *Node, store *platform.Store, peers *peer.Peer, members *member.Controller, registry metrics.Registry,
+	n *Node, store *platform.Store, peers *peer.Peer, members *member.Controller, sockets *endpoints, registry metrics.Registry,
 ) *roster.Relay[roster.ServerEntry] {
 	return &roster.Relay[roster.ServerEntry]{
 		Name: "servers",
 		Source: &platform.Servers{
 			Store: store, Regions: n.Settings.Platform.Regions, Log: n.Log, Metrics: registry,
+			Nodes: func() []string { return nodeAddresses(sockets.addresses, members) },
 		},
 		Key:       func(entry roster.ServerEntry) string { return string(entry.ID) },
 		IsRemoval: func(entry roster.ServerEntry) bool { return entry.Server == nil && !entry.Unreadable },
@@ -76,6 +77,17 @@
 	}
 }
 
+// nodeAddresses returns the addresses of this node's sockets and those of the members.
+func nodeAddresses(own Addresses, members *member.Controller) []string {
+	others := members.Members()
+	addresses := make([]string, 0, 5+2*len(others))
+	addresses = append(addresses, own.Callers, own.Peers, own.Lookup, own.Readiness, own.Metrics)
+	for _, info := range others {
+		addresses = append(addresses, info.CallerAddress, info.PeerAddress)
+	}
+	return addresses
+}
+
 func newManifestRelay(
 	n *Node, store *platform.Store, peers *peer.Peer, members *member.Controller, registry metrics.Registry,
 ) *roster.Relay[*roster.Manifest] {
