Read the other VMs of a list beside one that can't be decoded

The whole VM list was refused, at each read, while one of its VMs had a negative memory, a number too large or a field of another type: no node followed the list any more. VMs without an id, or at port 0, port 99999 or 0.0.0.0, were listed.

Cause: the list was decoded as one value, and VMs were not checked.

Change: each VM is decoded by itself; one that can't be, or that has no id or the address of no machine, is left out, counted (vmList.unreadableVMs) and logged when there was none before. Addresses that are names stay allowed.

Measured: TestOddVMLeavesTheOthersListed without the change fails at the first of 16 odd VMs with an error for the list. With it the other VM is listed beside each; the tests of internal/vmlist, internal/node and internal/caller pass.

--- a/internal/vmlist/cache.go
+++ b/internal/vmlist/cache.go
@@ -17,6 +17,7 @@
 	pollsName        = "vmList.polls"
 	pollFailuresName = "vmList.pollFailures"
 	vmsName          = "vmList.vms"
+	unreadableName   = "vmList.unreadableVMs"
 )
 
 // Metrics describes the metrics that the package registers.
@@ -24,6 +25,7 @@
 	{Name: pollsName, Kind: metric.Counter, Help: "Reads of the VM list."},
 	{Name: pollFailuresName, Kind: metric.Counter, Help: "Reads of the VM list that failed."},
 	{Name: vmsName, Kind: metric.Gauge, Help: "VMs in the last answer of the VM list."},
+	{Name: unreadableName, Kind: metric.Counter, Help: "VMs left out of answers of the VM list because they could not be decoded."},
 }
 
 // Lister reads the VM list.
@@ -100,11 +102,23 @@
 	if list.AsOf.Before(c.list.AsOf) {
 		return nil
 	}
+	c.logUnreadable(ctx, list.Unreadable)
 	c.list = list
+	metrics.GetOrRegisterCounter(unreadableName, registry).Inc(int64(len(list.Unreadable)))
 	metrics.GetOrRegisterGauge(vmsName, registry).Update(int64(len(list.VMs)))
 	return nil
 }
 
+// logUnreadable logs the first of the VMs that are left out of an answer, if there were
+// none in the answer before. The caller holds the lock.
+func (c *Cache) logUnreadable(ctx context.Context, unreadable []error) {
+	if c.Log == nil || len(unreadable) == 0 || len(c.list.Unreadable) > 0 {
+		return
+	}
+	c.Log.WarnContext(ctx, "VM list has VMs that cannot be decoded",
+		slog.Int("vms", len(unreadable)), slog.Any("error", unreadable[0]))
+}
+
 // VMs returns the VMs of the answer held. The slice must not be modified.
 func (c *Cache) VMs() []VM {
 	c.mu.RLock()
--- a/internal/vmlist/client.go
+++ b/internal/vmlist/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"strings"
@@ -54,8 +53,5 @@
 	if response.StatusCode != http.StatusOK {
 		return List{}, errors.Errorf("status %s", response.Status)
 	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&list); err != nil {
-		return List{}, errors.Wrap(err, "answer")
-	}
-	return list, nil
+	return decode(io.LimitReader(response.Body, maxListBytes))
 }
--- a/internal/vmlist/client_test.go
+++ b/internal/vmlist/client_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/guavatrack/guavatrack/internal/vmlist"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
@@ -37,3 +39,25 @@
 	c.Assert(cache.Poll(t.Context()), qt.ErrorMatches, "VM list of .*: status 503.*")
 	c.Assert(cache.VMs(), qt.HasLen, 2)
 }
+
+// TestOddVMLeavesTheOthersListed guards against a list that is not followed any more
+// because the description of one VM can't be decoded or names no server.
+func TestOddVMLeavesTheOthersListed(t *testing.T) {
+	const good = `{"id":"a","pool":"engines","address":"10.0.0.1:80","memory":"16GiB","state":"live"}`
+	for _, odd := range []string{
+		`{"id":"b","memory":"-5GiB"}`, `{"id":"b","memory":16}`, `{"id":"b","accelerators":1e30}`, `{"id":"b","accelerators":-1}`,
+		`{"id":7}`, `{}`, `{"id":""}`, `null`, `[]`, `"b"`, `{"id":"b","address":"10.0.0.1:99999"}`, `{"id":"b","address":"10.0.0.1:0"}`,
+		`{"id":"b","address":"0.0.0.0:80"}`, `{"id":"b","address":"[::]:80"}`, `{"id":"b","address":"224.0.0.1:80"}`, `{"id":"b","reclaimAt":"soon"}`,
+	} {
+		c := qt.New(t)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, `{"asOf":"2026-12-05T02:00:00Z","vms":[`+odd+","+good+"]}")
+		}))
+		cache := vmlist.Cache{Source: &vmlist.Client{URL: server.URL}, Metrics: metrics.NewRegistry()}
+		c.Check(cache.Poll(t.Context()), qt.IsNil, qt.Commentf("%s", odd))
+		server.Close()
+		c.Assert(cache.VMs(), qt.HasLen, 1, qt.Commentf("%s", odd))
+		c.Check(cache.VMs()[0].ID, qt.Equals, fleet.ServerID("a"))
+		c.Check(metrics.GetOrRegisterCounter("vmList.unreadableVMs", cache.Metrics).Count(), qt.Equals, int64(1))
+	}
+}
--- a/internal/vmlist/vmlist.go
+++ b/internal/vmlist/vmlist.go
@@ -40,4 +40,6 @@
 type List struct {
 	AsOf time.Time `json:"asOf"`
 	VMs  []VM      `json:"vms"`
+	// Unreadable has an error for each VM that is left out because it can't be decoded.
+	Unreadable []error `json:"-"`
 }
