Refuse a VM list from the future

After one answer with a time far in the future the node kept that list until its restart: each later answer counted as older, and no error was logged.

Cause: the time of an answer had no bound.

Change: an answer from more than 24 h ahead is an error, and the list held stays.

Measured: TestListOfTheFutureIsNotKept without the change: the list from 1,000 years ahead is held, and the one after it ignored. With it neither; the tests of internal/vmlist, internal/node and internal/caller pass with the race detector.

--- a/internal/vmlist/cache.go
+++ b/internal/vmlist/cache.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/guavatrack/guavatrack/internal/metric"
@@ -51,6 +52,10 @@
 // defaultInterval is the time between polls if Cache.Interval is 0.
 const defaultInterval = 2 * time.Second
 
+// maxClockLead is beyond the lead of any platform's clock. All later answers would count
+// as older than one from further ahead.
+const maxClockLead = 24 * time.Hour
+
 // Run polls until the context is done. It logs only the changes between failing
 // and successful polls.
 func (c *Cache) Run(ctx context.Context) error {
@@ -93,6 +98,9 @@
 	}
 	metrics.GetOrRegisterCounter(pollsName, registry).Inc(1)
 	list, err := c.Source.List(ctx)
+	if err == nil && time.Until(list.AsOf) > maxClockLead {
+		err = errors.Errorf("asOf: must be at most %v ahead, found %v", maxClockLead, list.AsOf)
+	}
 	if err != nil {
 		metrics.GetOrRegisterCounter(pollFailuresName, registry).Inc(1)
 		return err
--- a/internal/vmlist/client_test.go
+++ b/internal/vmlist/client_test.go
@@ -1,6 +1,7 @@
 package vmlist_test
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -61,3 +62,25 @@
 		c.Check(metrics.GetOrRegisterCounter("vmList.unreadableVMs", cache.Metrics).Count(), qt.Equals, int64(1))
 	}
 }
+
+// fixedList is a list that a test sets.
+type fixedList struct{ list vmlist.List }
+
+func (f *fixedList) List(context.Context) (vmlist.List, error) { return f.list, nil }
+
+// TestListOfTheFutureIsNotKept guards against a list that is not followed any more because
+// one answer had a time far in the future, so that all later ones count as older.
+func TestListOfTheFutureIsNotKept(t *testing.T) {
+	c := qt.New(t)
+	source := &fixedList{}
+	cache := vmlist.Cache{Source: source, Metrics: metrics.NewRegistry()}
+	poll := func(asOf time.Time, id fleet.ServerID) error {
+		source.list = vmlist.List{AsOf: asOf, VMs: []vmlist.VM{{ID: id}}}
+		return cache.Poll(t.Context())
+	}
+	c.Assert(poll(time.Now(), "a"), qt.IsNil)
+	c.Check(poll(time.Now().AddDate(1000, 0, 0), "odd"), qt.IsNotNil)
+	c.Check(cache.VMs()[0].ID, qt.Equals, fleet.ServerID("a"))
+	c.Assert(poll(time.Now(), "b"), qt.IsNil)
+	c.Check(cache.VMs()[0].ID, qt.Equals, fleet.ServerID("b"))
+}
