Bound the length of a message between nodes

A node read a message on its port for nodes whatever length its sender stated, and kept all of it in memory until its end.

Cause: the codec of the library has no bound.

Change: the connection is closed after a length beyond 64 MiB, more than any node sends: a whole list is bounded to that before it is compressed.

Measured: TestMessageLongerThanAnyIsNotRead without the change: calls in messages of a stated 67,108,865, 2^40 and 2^63-1 bytes are read and answered. With it none is, and one of the right length is; the tests of internal/peer pass with the race detector.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -192,7 +192,7 @@
 }
 
 func (p *Peer) serve(ctx context.Context, conn net.Conn) *jsonrpc2.Conn {
-	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(conn, codec{})
 	return jsonrpc2.NewConn(ctx, stream, &dispatcher{peer: p, slots: make(chan struct{}, maxConcurrentCalls)},
 		jsonrpc2.SetLogger(discardLogger{}))
 }
