Ignore the entry of an earlier run of a server in a restored store

After the store was restored to a copy from before a server started again under its id, the running server was listed as the run before: as a server that has started again, whose requests may have caused a crash, until it wrote its entry anew.

Cause: runs counted as ended only if their entry was removed, not if it was replaced by that of another run.

Change: both do. The entry of an ended run is ignored in the first list of a restored store, as before.

Measured: TestEntryOfAnEarlierRunIsIgnoredInARestoredStore without the change: run a1 in place of a2. With it a2; the tests of internal/roster and internal/hosted pass with the race detector.

--- a/internal/roster/controller.go
+++ b/internal/roster/controller.go
@@ -88,7 +88,8 @@
 	// leaving holds the runs of servers that have themselves reported that they leave,
 	// whatever their entries say, and when that was recorded.
 	leaving map[fleet.BootID]time.Time
-	// gone holds the runs of servers whose entries were removed, and when.
+	// gone holds the runs of servers whose entries were removed or replaced by that of
+	// another run, and when.
 	gone map[fleet.BootID]time.Time
 	// excluded holds the runs of servers that are not used because their entries can't
 	// be read.
@@ -203,6 +204,9 @@
 // draining stays so.
 func (c *Controller) setServer(now time.Time, servers map[fleet.ServerID]*Server, server *Server) {
 	old := servers[server.ID]
+	if old != nil && old.Boot != server.Boot && old.Boot != "" {
+		remember(c.gone, old.Boot, now)
+	}
 	switch _, leaves := c.leaving[server.Boot]; {
 	case leaves:
 		server = server.asDraining()
--- a/internal/roster/unreadable_test.go
+++ b/internal/roster/unreadable_test.go
@@ -112,3 +112,20 @@
 		s.Check(s.roster.View().Manifest.Version, qt.Equals, uint64(7))
 	})
 }
+
+// TestEntryOfAnEarlierRunIsIgnoredInARestoredStore guards against a running server that
+// counts as one that has started again, and its requests as cause of a crash: the store was
+// restored to a copy that has the entry of the run before.
+func TestEntryOfAnEarlierRunIsIgnoredInARestoredStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		before := []roster.ServerEntry{entry("a", "a1")}
+		s := start(t, func(s *fixture) { s.servers.all = before })
+		time.Sleep(3 * time.Second)
+		s.servers.update(func() { s.servers.changes = []roster.ServerEntry{entry("a", "a2")} })
+		time.Sleep(time.Second)
+		s.servers.restoreTo(before)
+		time.Sleep(5 * time.Second)
+		s.Assert(s.has("a"), qt.IsTrue)
+		s.Check(s.roster.View().Servers["a"].Boot, qt.Equals, fleet.BootID("a2"))
+	})
+}
