A refusal without an id on a kept connection proves nothing

Callers saw 503, "not run, try again", for idempotent requests that a server had begun to run: the server wrote an earlier refusal once more on a connection that carried other requests before, without the id of a request. The status 421 was believed in the same way.

Cause: an answer with the id of another request was put aside, one without an id was taken for the answer to the present request, and a refusal among those took back that the call had been sent (retractSent).

Change: the exchange records whether its connection carried another request before.

--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -5,10 +5,8 @@
 
 import (
 	"bytes"
-	"context"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 
 	"github.com/go-faster/errors"
 
@@ -28,26 +26,21 @@
 type Answer struct {
 	Attempt  *dispatch.Attempt
 	Response *http.Response
-}
 
-// WithSendTrace returns a context whose requests mark the attempt as sent as soon as
-// a connection is available, which is before the first byte is written.
-func WithSendTrace(ctx context.Context, attempt *dispatch.Attempt) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { attempt.MarkSent() },
-	})
+	sends *sends
 }
 
 // Send sends a request and reads the header of the answer. The size is that of the
-// request's body in bytes. The request's context must come from [WithSendTrace].
+// request's body in bytes. The attempt is marked as sent before the first byte is written.
 func Send(transport http.RoundTripper, request *http.Request, attempt *dispatch.Attempt, size int) (*Answer, error) {
 	attempt.AddRequestSize(size)
-	response, err := transport.RoundTrip(request) //nolint:bodyclose // closed by Answer.Close
+	sent := &sends{attempt: attempt}
+	response, err := transport.RoundTrip(request.WithContext(sent.trace(request.Context()))) //nolint:bodyclose // closed by Answer.Close
 	if err != nil {
 		return nil, errors.Wrapf(err, "send to %s", attempt.Replica.Server)
 	}
 	attempt.AddEvent()
-	return &Answer{Attempt: attempt, Response: response}, nil
+	return &Answer{Attempt: attempt, Response: response, sends: sent}, nil
 }
 
 // Read implements [io.Reader] over the body of the answer.
--- /dev/null
+++ b/internal/backend/sends.go
@@ -0,0 +1,39 @@
+package backend
+
+import (
+	"context"
+	"net/http/httptrace"
+	"sync"
+
+	"github.com/guavatrack/guavatrack/internal/dispatch"
+)
+
+// sends records the connections over which one request is sent.
+type sends struct {
+	attempt *dispatch.Attempt
+
+	mu sync.Mutex
+	// kept is set if the last connection carried another request before.
+	kept bool
+}
+
+// trace returns a context whose request is recorded. It marks the attempt as sent as
+// soon as a connection is available, which is before the first byte is written.
+func (s *sends) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: s.record})
+}
+
+func (s *sends) record(connection httptrace.GotConnInfo) {
+	s.attempt.MarkSent()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.kept = connection.Reused
+}
+
+// OnKeptConnection reports whether the connection carried another request before. An
+// answer on it that does not name its request may be that to the other one.
+func (a *Answer) OnKeptConnection() bool {
+	a.sends.mu.Lock()
+	defer a.sends.mu.Unlock()
+	return a.sends.kept
+}
--- a/internal/caller/completion.go
+++ b/internal/caller/completion.go
@@ -87,7 +87,6 @@
 // request builds the HTTP request of the completion for a replica.
 func (c *completion) request(ctx context.Context, attempt *dispatch.Attempt) (request *http.Request, err error) {
 	url := "http://" + attempt.Replica.Address + c.call.Request.URL.Path
-	ctx = backend.WithSendTrace(ctx, attempt)
 	request, err = http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(c.call.Body))
 	if err != nil {
 		return nil, errors.Wrapf(err, "request to %s", attempt.Replica.Server)
--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -9,7 +9,6 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/guavatrack/guavatrack/internal/backend"
 	"github.com/guavatrack/guavatrack/internal/claim"
 	"github.com/guavatrack/guavatrack/internal/dispatch"
 	"github.com/guavatrack/guavatrack/internal/engine"
@@ -95,7 +94,7 @@
 	// from retrying the call by itself.
 	var body onceReader
 	body.Reset(call.Body)
-	request, err = http.NewRequestWithContext(backend.WithSendTrace(ctx, attempt), call.Request.Method, url, &body)
+	request, err = http.NewRequestWithContext(ctx, call.Request.Method, url, &body)
 	if err != nil {
 		return nil, errors.Wrapf(err, "request to %s", attempt.Replica.Server)
 	}
