A refusal proves nothing for a request that net/http sent twice

Callers saw 503, "not run", for an idempotent GET that a server had read and perhaps run: the server closed the kept connection before the answer, net/http sent the request once more by itself over another connection, and it was refused there, rightly and with its id.

Cause: the refusal was taken as proof for the whole attempt. It says nothing of the first connection.

Change: the exchange counts the connections of an attempt; a refusal proves that nothing has run only if there was one. Only GET, HEAD, OPTIONS and TRACE without a body on idempotent routes are sent again by net/http, since all others use a connection of their own, which it does not do that on.

Before: go test ./platform -run TestRefusalOfRequestSentAgainProvesNothing got int(503), want int(502) After: passes, with go test ./platform ./internal/caller. Open: these second sends are not counted in the retry budget.

--- a/internal/backend/sends.go
+++ b/internal/backend/sends.go
@@ -13,6 +13,9 @@
 	attempt *dispatch.Attempt
 
 	mu sync.Mutex
+	// count is the number of connections. net/http sends a request without a body again
+	// by itself if a connection that it had kept breaks before the answer.
+	count int
 	// kept is set if the last connection carried another request before.
 	kept bool
 }
@@ -27,6 +30,7 @@
 	s.attempt.MarkSent()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.count++
 	s.kept = connection.Reused
 }
 
@@ -37,3 +41,11 @@
 	defer a.sends.mu.Unlock()
 	return a.sends.kept
 }
+
+// SentAgain reports whether the request was sent over other connections before, of which
+// the answer says nothing.
+func (a *Answer) SentAgain() bool {
+	a.sends.mu.Lock()
+	defer a.sends.mu.Unlock()
+	return a.sends.count > 1
+}
