A refusal that came before the request proves nothing

Callers of at-most-once requests saw 503, "not run", and the request could run at a second server, while the first one ran it: the server wrote an earlier refusal on a new connection before it read the request from that.

Cause: net/http takes what has arrived on a connection for the answer as soon as the request is handed to its writer, before the first byte has been written.

Change: connections to servers record whether anything was read from them before the first write. Bytes that are under way while the request is written can't be told by time; there only the id tells.

--- /dev/null
+++ b/internal/backend/conn.go
@@ -0,0 +1,48 @@
+package backend
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+)
+
+// Conn is a connection to a backend server. It records whether the server sent anything
+// before the first request, which can't be an answer to that.
+type Conn struct {
+	net.Conn
+
+	written, early atomic.Bool
+}
+
+// Read implements [net.Conn].
+func (c *Conn) Read(buf []byte) (int, error) {
+	count, err := c.Conn.Read(buf)
+	if count > 0 && !c.written.Load() {
+		c.early.Store(true)
+	}
+	return count, err
+}
+
+// Write implements [net.Conn].
+func (c *Conn) Write(data []byte) (int, error) {
+	c.written.Store(true)
+	return c.Conn.Write(data)
+}
+
+// Early reports whether the server sent anything before the first request was written.
+// What arrives while that is written may be missed.
+func (c *Conn) Early() bool { return c.early.Load() }
+
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// RecordEarly returns a function that opens connections as dial does, each a [Conn].
+func RecordEarly(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		connection, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &Conn{Conn: connection}, nil
+	}
+}
--- a/internal/backend/sends.go
+++ b/internal/backend/sends.go
@@ -18,6 +18,8 @@
 	count int
 	// kept is set if the last connection carried another request before.
 	kept bool
+	// conn is the last connection; nil if it is no [Conn].
+	conn *Conn
 }
 
 // trace returns a context whose request is recorded. It marks the attempt as sent as
@@ -32,6 +34,7 @@
 	defer s.mu.Unlock()
 	s.count++
 	s.kept = connection.Reused
+	s.conn, _ = connection.Conn.(*Conn)
 }
 
 // OnKeptConnection reports whether the connection carried another request before. An
@@ -49,3 +52,11 @@
 	defer a.sends.mu.Unlock()
 	return a.sends.count > 1
 }
+
+// OnEarlyConnection reports whether the server sent anything over the connection before
+// the first request was written. The transport must open connections by [RecordEarly].
+func (a *Answer) OnEarlyConnection() bool {
+	a.sends.mu.Lock()
+	defer a.sends.mu.Unlock()
+	return a.sends.conn != nil && a.sends.conn.Early()
+}
