A connection that brought the answer to another request is closed

Callers' requests failed one after the other on one kept connection: a server wrote an earlier refusal once more, and from then on each request got the answer to the one before.

Cause: the exchange ends with an answer whose id is another one's, but net/http keeps the connection if that answer has no body, as a refusal.

Change: the connection is closed. A request that was handed the connection in the same moment fails as it would have by the answer to another, and may be sent again like that one, since only idempotent calls share connections.

--- a/internal/backend/sends.go
+++ b/internal/backend/sends.go
@@ -60,3 +60,13 @@
 	defer a.sends.mu.Unlock()
 	return a.sends.conn != nil && a.sends.conn.Early()
 }
+
+// CloseConnection closes the connection of the answer, so that no other request is sent
+// over it. The transport must open connections by [RecordEarly].
+func (a *Answer) CloseConnection() {
+	a.sends.mu.Lock()
+	defer a.sends.mu.Unlock()
+	if a.sends.conn != nil {
+		_ = a.sends.conn.Close()
+	}
+}
