--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -26,21 +26,21 @@
 type Answer struct {
 	Attempt  *dispatch.Attempt
 	Response *http.Response
-
-	sends *sends
+	// Sends tells how the request was sent.
+	Sends *Sends
 }
 
 // Send sends a request and reads the header of the answer. The size is that of the
 // request's body in bytes. The attempt is marked as sent before the first byte is written.
 func Send(transport http.RoundTripper, request *http.Request, attempt *dispatch.Attempt, size int) (*Answer, error) {
 	attempt.AddRequestSize(size)
-	sent := &sends{attempt: attempt}
-	response, err := transport.RoundTrip(request.WithContext(sent.trace(request.Context()))) //nolint:bodyclose // closed by Answer.Close
+	sent := &Sends{OnSend: attempt.MarkSent}
+	response, err := transport.RoundTrip(request.WithContext(sent.Trace(request.Context()))) //nolint:bodyclose // closed by Answer.Close
 	if err != nil {
 		return nil, errors.Wrapf(err, "send to %s", attempt.Replica.Server)
 	}
 	attempt.AddEvent()
-	return &Answer{Attempt: attempt, Response: response, sends: sent}, nil
+	return &Answer{Attempt: attempt, Response: response, Sends: sent}, nil
 }
 
 // Read implements [io.Reader] over the body of the answer.
--- a/internal/backend/sends.go
+++ b/internal/backend/sends.go
@@ -4,13 +4,14 @@
 	"context"
 	"net/http/httptrace"
 	"sync"
-
-	"github.com/guavatrack/guavatrack/internal/dispatch"
 )
 
-// sends records the connections over which one request is sent.
-type sends struct {
-	attempt *dispatch.Attempt
+// Sends records the connections over which one request is sent, to tell what its answer
+// proves.
+type Sends struct {
+	// OnSend is called as soon as a connection is available, which is before the first
+	// byte is written; it may be nil.
+	OnSend func()
 
 	mu sync.Mutex
 	// count is the number of connections. net/http sends a request without a body again
@@ -22,14 +23,16 @@
 	conn *Conn
 }
 
-// trace returns a context whose request is recorded. It marks the attempt as sent as
-// soon as a connection is available, which is before the first byte is written.
-func (s *sends) trace(ctx context.Context) context.Context {
+// Trace returns a context for the request. The transport must open connections by
+// [RecordEarly].
+func (s *Sends) Trace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: s.record})
 }
 
-func (s *sends) record(connection httptrace.GotConnInfo) {
-	s.attempt.MarkSent()
+func (s *Sends) record(connection httptrace.GotConnInfo) {
+	if s.OnSend != nil {
+		s.OnSend()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.count++
@@ -37,36 +40,35 @@
 	s.conn, _ = connection.Conn.(*Conn)
 }
 
-// OnKeptConnection reports whether the connection carried another request before. An
+// Kept reports whether the connection of the answer carried another request before. An
 // answer on it that does not name its request may be that to the other one.
-func (a *Answer) OnKeptConnection() bool {
-	a.sends.mu.Lock()
-	defer a.sends.mu.Unlock()
-	return a.sends.kept
+func (s *Sends) Kept() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.kept
 }
 
-// SentAgain reports whether the request was sent over other connections before, of which
+// Repeated reports whether the request was sent over other connections before, of which
 // the answer says nothing.
-func (a *Answer) SentAgain() bool {
-	a.sends.mu.Lock()
-	defer a.sends.mu.Unlock()
-	return a.sends.count > 1
+func (s *Sends) Repeated() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.count > 1
 }
 
-// OnEarlyConnection reports whether the server sent anything over the connection before
-// the first request was written. The transport must open connections by [RecordEarly].
-func (a *Answer) OnEarlyConnection() bool {
-	a.sends.mu.Lock()
-	defer a.sends.mu.Unlock()
-	return a.sends.conn != nil && a.sends.conn.Early()
+// Early reports whether the server sent anything over the connection before the first
+// request was written.
+func (s *Sends) Early() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conn != nil && s.conn.Early()
 }
 
-// CloseConnection closes the connection of the answer, so that no other request is sent
-// over it. The transport must open connections by [RecordEarly].
-func (a *Answer) CloseConnection() {
-	a.sends.mu.Lock()
-	defer a.sends.mu.Unlock()
-	if a.sends.conn != nil {
-		_ = a.sends.conn.Close()
+// CloseConnection closes the connection, so that no other request is sent over it.
+func (s *Sends) CloseConnection() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conn != nil {
+		_ = s.conn.Close()
 	}
 }
