A refusal with the same id counts once on a connection

Callers that sent an idempotent request again under the id of a refused one saw 503, "not run", although its server had written the earlier refusal once more on the same connection and ran the request. A library or a proxy that sends by itself does that; within one call an id goes over a kept connection once, since every attempt after the first opens a connection of its own.

Change: a connection records the ids of the requests that were refused on it. A second refusal of the same id on it is no proof. After 256 refusals the connection is closed.

Before: go test ./platform -run TestRefusalIsTakenOnceOnAConnection got int(503), want int(502) After: passes, with go test -race ./platform.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -3,17 +3,28 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
+
+	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
 // Conn is a connection to a backend server. It records whether the server sent anything
-// before the first request, which can't be an answer to that.
+// before the first request, which can't be an answer to that, and which requests were
+// refused.
 type Conn struct {
 	net.Conn
 
 	written, early atomic.Bool
+
+	mu      sync.Mutex
+	refused map[fleet.RequestID]struct{}
 }
 
+// maxRefused is the number of refusals after which a connection is closed, since it would
+// have to record too many.
+const maxRefused = 256
+
 // Read implements [net.Conn].
 func (c *Conn) Read(buf []byte) (int, error) {
 	count, err := c.Conn.Read(buf)
@@ -33,6 +44,23 @@
 // What arrives while that is written may be missed.
 func (c *Conn) Early() bool { return c.early.Load() }
 
+// recordRefusal records that a request was refused and reports whether it was not before.
+func (c *Conn) recordRefusal(id fleet.RequestID) (first bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, found := c.refused[id]; found {
+		return false
+	}
+	if c.refused == nil {
+		c.refused = make(map[fleet.RequestID]struct{})
+	}
+	c.refused[id] = struct{}{}
+	if len(c.refused) >= maxRefused {
+		_ = c.Close()
+	}
+	return true
+}
+
 // DialFunc opens a connection.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
--- a/internal/backend/sends.go
+++ b/internal/backend/sends.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http/httptrace"
 	"sync"
+
+	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
 // Sends records the connections over which one request is sent, to tell what its answer
@@ -64,6 +66,15 @@
 	return s.conn != nil && s.conn.Early()
 }
 
+// RecordRefusal records that the request with an id was refused. It reports false if one
+// with the same id was refused over the connection before, so that the refusal may be the
+// same once more.
+func (s *Sends) RecordRefusal(id fleet.RequestID) (first bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conn == nil || s.conn.recordRefusal(id)
+}
+
 // CloseConnection closes the connection, so that no other request is sent over it.
 func (s *Sends) CloseConnection() {
 	s.mu.Lock()
