Orders of the own interface open a connection each

A grant was given up although the engine loaded the item, so that memory could be overcommitted: the engine wrote an earlier 404 or 409 once more on the connection that carried the reports and then the order, and carried the order out. Responses of the administrative interface have no id.

Cause: the client of the grants sends orders and reports over the same kept connections.

Change: the client opens a connection for each POST; reports and events keep theirs. A repeated report was no danger: one that is not newer by the engine's clock is ignored.

Before: go test ./internal/engine -run TestOrderIsNotAnsweredByAnEarlierRefusal Load: "status 404: order refused", want nil; connections: got 1, want 3 After: passes (-race -count=20 of the package), and go test ./internal/grant ./internal/node ./internal/caller ./internal/policy.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -40,7 +40,9 @@
 	// Address is the host and port of the engine.
 	Address string
 	// HTTP makes the requests; nil means [http.DefaultClient]. Its timeout
-	// limits every call in addition to the context.
+	// limits every call in addition to the context. Each POST opens a connection
+	// if its transport is an [http.Transport]: responses have no id, so an earlier
+	// one that comes once more on a kept connection would pass for that to an order.
 	HTTP *http.Client
 }
 
@@ -114,7 +116,11 @@
 	if err != nil {
 		return err
 	}
-	response, err := c.http().Do(request)
+	client := c.http()
+	if method == http.MethodPost {
+		client.Transport = withoutReuse(client.Transport)
+	}
+	response, err := client.Do(request)
 	if err != nil {
 		return sendError(err)
 	}
@@ -140,6 +146,21 @@
 	return &client
 }
 
+// withoutReuse returns a copy of a transport that opens a connection for each
+// request. A transport of another type than [http.Transport] is returned as is.
+func withoutReuse(transport http.RoundTripper) http.RoundTripper {
+	if transport == nil {
+		transport = http.DefaultTransport
+	}
+	kept, is := transport.(*http.Transport)
+	if !is {
+		return transport
+	}
+	fresh := kept.Clone()
+	fresh.DisableKeepAlives = true
+	return fresh
+}
+
 func (c *Client) newRequest(ctx context.Context, method, path string, in any) (*http.Request, error) {
 	var body io.Reader
 	if in != nil {
