The soak repeats refusals and checks untrue ones

The soak's check "was said not to have run, and ran" could never fire: it looked for the servers' header Guavatrack-Not-Executed, which nodes don't send.

A further kind of fault has all servers refuse most requests and write refusals once more in between. It is drawn from a stream of its own, so that known seeds play the same other faults.

Servers repeat only refusals of other requests: one of the same id that comes again over another connection can't be told from a true one.

--- a/cmd/guavasoak/main.go
+++ b/cmd/guavasoak/main.go
@@ -26,6 +26,7 @@
 	Faults       int           `long:"faults" default:"10" description:"faults in a run"`
 	ServerFaults int           `long:"server-faults" default:"3" description:"faults in a run that backend servers play"`
 	Releases     int           `long:"releases" default:"4" description:"changes of an engine's software version in a run"`
+	Refusals     int           `long:"refusals" default:"2" description:"times in a run in which backend servers write refusals once more"`
 	Span         time.Duration `long:"span" default:"10s" description:"time within which all faults begin and end"`
 	Verbose      bool          `long:"verbose" description:"print each fault"`
 }
@@ -57,7 +58,8 @@
 	}
 	run := &soak.Run{
 		Binary: o.Binary, Dir: dir, Seed: seed, Nodes: o.Nodes, Engines: o.Engines, Callers: o.Callers,
-		Faults: o.Faults, ServerFaults: o.ServerFaults, Releases: o.Releases, Span: o.Span, Log: func(format string, args ...any) {
+		Faults: o.Faults, ServerFaults: o.ServerFaults, RefusalFaults: o.Refusals, Releases: o.Releases, Span: o.Span,
+		Log: func(format string, args ...any) {
 			if o.Verbose {
 				fmt.Printf(format+"\n", args...)
 			}
--- a/internal/hosted/refusal_test.go
+++ b/internal/hosted/refusal_test.go
@@ -51,7 +51,7 @@
 func (f *fixture) checkTruth(prefix string, answer response) {
 	f.Helper()
 	runs := f.site.Ledger.Runs(answer.ID)
-	if answer.Status == http.StatusServiceUnavailable && answer.Signature == "" {
+	if answer.NotRun {
 		f.Check(runs, qt.Equals, 0, qt.Commentf("%s: %s", answer.ID, answer.Body))
 	}
 	if prefix == standin.Once || prefix == standin.Streaming {
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -84,7 +84,7 @@
 func (r *Run) checkOrigin(answer standin.Answer) {
 	runs := r.site.Ledger.Runs(answer.ID)
 	if answer.NotRun && runs > 0 {
-		r.recordBreach("%s was said not to have run, and ran", answer.ID)
+		r.recordBreach("%s was said not to have run (%d), and ran", answer.ID, answer.Status)
 	}
 	if answer.AnswerID != "" && answer.AnswerID != answer.ID {
 		r.recordBreach("%s got the answer to %s", answer.ID, answer.AnswerID)
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -133,19 +133,34 @@
 		}
 		return func() {}
 	}},
-	{"unframed", func(r *Run, _ int) func() {
-		var count atomic.Uint64
+	{"unframed", func(r *Run, _ int) func() { return r.faultInTurn(unframedFaults) }},
+}
+
+// refusalFaults are the faults that servers play in turn in the fault of that name: true
+// refusals, so many that a request may be refused to its last attempt, refusals that are
+// written once more, and a sound answer.
+var refusalFaults = []standin.Fault{
+	standin.RepeatBareRefusal, standin.Full, standin.Full, standin.RepeatRefusal, standin.Full, standin.Full,
+	standin.RepeatBareRefusalAfter, standin.None, standin.Full, standin.RepeatRefusalAfter, standin.Full,
+}
+
+// refusalFaultKinds lists the kind of fault in which servers repeat refusals. It is apart
+// so that a seed selects the same faults of the other lists as before.
+var refusalFaultKinds = []faultKind{
+	{"repeated refusals", func(r *Run, _ int) func() { return r.faultInTurn(refusalFaults) }},
+}
+
+// faultInTurn has all backend servers play faults in turn until end is called.
+func (r *Run) faultInTurn(faults []standin.Fault) (end func()) {
+	var count atomic.Uint64
+	for _, server := range r.standIns() {
+		server.SetFault(func(*http.Request) standin.Fault { return faults[count.Add(1)%uint64(len(faults))] })
+	}
+	return func() {
 		for _, server := range r.standIns() {
-			server.SetFault(func(*http.Request) standin.Fault {
-				return unframedFaults[count.Add(1)%uint64(len(unframedFaults))]
-			})
-		}
-		return func() {
-			for _, server := range r.standIns() {
-				server.SetFault(nil)
-			}
+			server.SetFault(nil)
 		}
-	}},
+	}
 }
 
 // standIns returns all backend servers.
@@ -161,9 +176,10 @@
 
 // Streams of the random numbers of a seed. Those from 2 on are the callers'.
 const (
-	faultStream       = 1
-	serverFaultStream = 1 << 32
-	releaseStream     = 1 << 33
+	faultStream        = 1
+	serverFaultStream  = 1 << 32
+	releaseStream      = 1 << 33
+	refusalFaultStream = 1 << 34
 )
 
 // drawFaults returns the faults of a seed. Each begins and ends within the span.
@@ -171,6 +187,7 @@
 	return slices.Concat(
 		drawKinds(faultKinds, rand.NewPCG(r.Seed, faultStream), r.Faults, r.Span),
 		drawKinds(serverFaultKinds, rand.NewPCG(r.Seed, serverFaultStream), r.ServerFaults, r.Span),
+		drawKinds(refusalFaultKinds, rand.NewPCG(r.Seed, refusalFaultStream), r.RefusalFaults, r.Span),
 		drawKinds(releaseKinds, rand.NewPCG(r.Seed, releaseStream), r.Releases, r.Span),
 	)
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -49,8 +49,9 @@
 	Nodes, Engines, Callers int
 	// Faults is the number of faults of processes and links, ServerFaults that of faults
 	// that backend servers play themselves: silences that end, and answers without
-	// framing. All begin and end within Span.
-	Faults, ServerFaults int
+	// framing. RefusalFaults is the number of times in which servers write refusals once
+	// more. All begin and end within Span.
+	Faults, ServerFaults, RefusalFaults int
 	// Releases is the number of times that an engine is replaced by one of another
 	// software version or comes back with it.
 	Releases int
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -47,6 +47,17 @@
 	}
 }
 
+// refusalSeeds lists the seeds of the short run with refusals that are written once more.
+var refusalSeeds = []uint64{1}
+
+// TestPromisesHoldUnderRepeatedRefusals guards against untrue refusals and second runs
+// where servers write refusals once more on kept connections.
+func TestPromisesHoldUnderRepeatedRefusals(t *testing.T) {
+	for _, seed := range refusalSeeds {
+		runSeed(t, &soak.Run{Seed: seed, Faults: 3, RefusalFaults: 4})
+	}
+}
+
 // runSeed builds the program and does a run, of which the seed and faults are set.
 func runSeed(t *testing.T, run *soak.Run) {
 	t.Helper()
