Connections record refused ids as hashes

A connection kept the ids of up to 256 refused requests, up to 255 bytes each, for 16 connections of each server: too much for a small VM if many servers refuse. It now keeps 64 hashes and is closed after that; of two ids with one hash the second proves nothing. RecordEarly is called RecordConns, since it does not record early bytes alone.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"hash/maphash"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -17,13 +18,17 @@
 
 	written, early atomic.Bool
 
-	mu      sync.Mutex
-	refused map[fleet.RequestID]struct{}
+	mu sync.Mutex
+	// refused holds the hashes of the ids of refused requests.
+	refused map[uint64]struct{}
 }
 
 // maxRefused is the number of refusals after which a connection is closed, since it would
 // have to record too many.
-const maxRefused = 256
+const maxRefused = 64
+
+// refusedSeed is the seed of the hashes of ids.
+var refusedSeed = maphash.MakeSeed()
 
 // Read implements [net.Conn].
 func (c *Conn) Read(buf []byte) (int, error) {
@@ -45,16 +50,18 @@
 func (c *Conn) Early() bool { return c.early.Load() }
 
 // recordRefusal records that a request was refused and reports whether it was not before.
+// Of two ids with the same hash the second counts as refused before.
 func (c *Conn) recordRefusal(id fleet.RequestID) (first bool) {
+	hash := maphash.String(refusedSeed, string(id))
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, found := c.refused[id]; found {
+	if _, found := c.refused[hash]; found {
 		return false
 	}
 	if c.refused == nil {
-		c.refused = make(map[fleet.RequestID]struct{})
+		c.refused = make(map[uint64]struct{})
 	}
-	c.refused[id] = struct{}{}
+	c.refused[hash] = struct{}{}
 	if len(c.refused) >= maxRefused {
 		_ = c.Close()
 	}
@@ -64,8 +71,8 @@
 // DialFunc opens a connection.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// RecordEarly returns a function that opens connections as dial does, each a [Conn].
-func RecordEarly(dial DialFunc) DialFunc {
+// RecordConns returns a function that opens connections as dial does, each a [Conn].
+func RecordConns(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		connection, err := dial(ctx, network, address)
 		if err != nil {
--- a/internal/backend/sends.go
+++ b/internal/backend/sends.go
@@ -9,7 +9,8 @@
 )
 
 // Sends records the connections over which one request is sent, to tell what its answer
-// proves.
+// proves. What a connection itself records is missing unless the transport opens it by
+// [RecordConns].
 type Sends struct {
 	// OnSend is called as soon as a connection is available, which is before the first
 	// byte is written; it may be nil.
@@ -25,8 +26,7 @@
 	conn *Conn
 }
 
-// Trace returns a context for the request. The transport must open connections by
-// [RecordEarly].
+// Trace returns a context for the request.
 func (s *Sends) Trace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: s.record})
 }
