--- a/internal/hosted/oddentry_test.go
+++ b/internal/hosted/oddentry_test.go
@@ -73,7 +73,7 @@
 func TestNodesAreNoServers(t *testing.T) {
 	f := newFixture(t, &standin.Site{Engines: 1, Services: 1, Models: 3}, 2)
 	for node := range f.nodes {
-		f.waitFor(func() bool { return f.servers(node) == 2 && len(f.lookUp(node)) == len(f.nodes) })
+		f.waitFor(func() bool { return f.listedServers(node) == 2 && len(f.lookUp(node)) == len(f.nodes) })
 	}
 	for node := range f.nodes {
 		addresses := f.nodes[node].Addresses()
@@ -86,12 +86,12 @@
 	}
 	f.site.Store.RemoveEntry(f.site.EngineList[0].ID)
 	for node := range f.nodes {
-		f.waitFor(func() bool { return f.servers(node) == 1 })
+		f.waitFor(func() bool { return f.listedServers(node) == 1 })
 	}
 }
 
-// servers returns the number of servers in a node's list.
-func (f *fixture) servers(node int) (count int) {
+// listedServers returns the number of servers in a node's list.
+func (f *fixture) listedServers(node int) (count int) {
 	answer, err := http.Get("http://" + f.nodes[node].Addresses().Metrics + "/metrics")
 	f.Assert(err, qt.IsNil)
 	text, err := io.ReadAll(answer.Body)
