Test of streams that break off more than once

A stream that was taken up at a second node and broke off again names the request that brought its first event, not the one that took it up. The test has 16 streams lose two nodes one after the other and then all nodes.

--- a/internal/hosted/versions_test.go
+++ b/internal/hosted/versions_test.go
@@ -43,62 +43,79 @@
 	}
 }
 
-// interruption is a set of streams that are interrupted together.
+// interruption is a set of streams that are interrupted together, once or more often.
 type interruption struct {
-	f *fixture
-	// waiting is the number of streams that have not begun.
+	f      *fixture
+	phases []*phase
+	// onAnswer is called when the answer to a request for a stream has ended. It may be nil.
+	onAnswer func(try int)
+}
+
+// phase is the time up to an interruption.
+type phase struct {
+	// waiting is the number of streams that have no events in this phase yet.
 	waiting atomic.Int64
 	// done is closed when the interruption is over, and takeUp is set.
 	done chan struct{}
 	// takeUp is the index of the node that callers ask afterwards.
 	takeUp int
-	// onAnswer is called when the answer to a request for a stream has ended. It may be nil.
-	onAnswer func(try int)
 }
 
 // interruptStreams is [interruption.run] of a new interruption.
-func (f *fixture) interruptStreams(count int, interrupt func() (takeUp int)) []standin.Stream {
-	return (&interruption{f: f}).run(count, interrupt)
+func (f *fixture) interruptStreams(count int, interrupts ...func() (takeUp int)) []standin.Stream {
+	return (&interruption{f: f}).run(count, interrupts...)
 }
 
-// run begins streams at the first node, calls interrupt when all have events,
-// and has the callers ask for the rest at the node whose index interrupt returns.
-func (i *interruption) run(count int, interrupt func() (takeUp int)) (streams []standin.Stream) {
-	i.done = make(chan struct{})
-	i.waiting.Store(int64(count))
+// run begins streams at the first node. It calls each function of interrupts when all have
+// events since the one before, and has the callers ask for the rest at the node whose index
+// the function returns.
+func (i *interruption) run(count int, interrupts ...func() (takeUp int)) (streams []standin.Stream) {
+	for range interrupts {
+		next := &phase{done: make(chan struct{})}
+		next.waiting.Store(int64(count))
+		i.phases = append(i.phases, next)
+	}
 	streams = make([]standin.Stream, count)
 	var group sync.WaitGroup
 	for at := range streams {
 		group.Go(func() { streams[at] = i.send() })
 	}
-	i.f.waitFor(func() bool { return i.waiting.Load() == 0 })
-	i.takeUp = interrupt()
-	close(i.done)
+	for at, interrupt := range interrupts {
+		i.f.waitFor(func() bool { return i.phases[at].waiting.Load() == 0 })
+		i.phases[at].takeUp = interrupt()
+		close(i.phases[at].done)
+	}
 	group.Wait()
 	return streams
 }
 
 // send sends the requests for a stream.
 func (i *interruption) send() standin.Stream {
-	var once sync.Once
-	hasBegun := func() { once.Do(func() { i.waiting.Add(-1) }) }
 	first := i.f.nodes[0].Addresses().Callers
 	caller := standin.StreamCaller{Model: "m0", Tries: maxTries, OnAnswer: i.onAnswer}
-	caller.OnEvent = func(_, received int) {
+	reached := 0
+	reach := func(phases int) {
+		for ; reached < min(phases, len(i.phases)); reached++ {
+			i.phases[reached].waiting.Add(-1)
+		}
+	}
+	caller.OnEvent = func(try, received int) {
 		if received >= eventsBefore {
-			hasBegun()
+			reach(try + 1)
 		}
 	}
 	caller.Node = func(try int) string {
 		if try == 0 {
 			return first
 		}
-		hasBegun()
-		<-i.done
-		return i.f.nodes[i.takeUp].Addresses().Callers
+		reach(try)
+		current := i.phases[min(try, len(i.phases))-1]
+		<-current.done
+		return i.f.nodes[current.takeUp].Addresses().Callers
 	}
 	stream, err := caller.Do(context.Background())
 	i.f.Check(err, qt.IsNil)
+	reach(len(i.phases))
 	return stream
 }
 
@@ -182,6 +199,26 @@
 	f.checkMostGoOn(streams)
 }
 
+// TestStreamsThatBreakTwiceAreNotJoined guards against a node that gives the rest of a
+// stream that was taken up before, and looks for the version under the id of that request
+// instead of the first one: two nodes are lost, then all.
+func TestStreamsThatBreakTwiceAreNotJoined(t *testing.T) {
+	f := newFixture(t, versionSite(oldSoftware, oldSoftware, newSoftware, newSoftware), 3)
+	streams := f.interruptStreams(versionStreams, func() int {
+		f.nodes[0].Stop()
+		return 1
+	}, func() int {
+		f.nodes[1].Stop()
+		return 2
+	}, func() int {
+		f.nodes[2].Stop()
+		f.startNodes(2)
+		return 4
+	})
+	f.checkNoneJoined(streams)
+	f.checkMostGoOn(streams)
+}
+
 // TestRestOfAStreamIsRefusedAtOnceWhenItsVersionIsGone guards against the rest being given
 // by the version that replaced all servers of the old one, and against a refusal that
 // comes only at the deadline: it comes before the end of a stream that began earlier.
