The soak's servers return without models; a test of the same during a store outage

Cause: the soak had servers come back in place with their models loaded, which the platform rules out: a server that starts again under its id holds nothing of before.

Change: they come back empty. A further test has the store answer no node for 2 s meanwhile, so that the model may be loaded while the old entry is listed. TestStreamIsNotJoinedByAServerThatReturnsInPlace stays as it was, with the model loaded.

--- a/internal/hosted/versions_test.go
+++ b/internal/hosted/versions_test.go
@@ -27,6 +27,8 @@
 	versionEventTime = 50 * time.Millisecond
 	// eventsBefore is the number of events that each stream has when it is interrupted.
 	eventsBefore = 2
+	// storeOutage is the time for which the store answers no node.
+	storeOutage = 2 * time.Second
 	// maxTries is the number of requests that a caller sends for a stream.
 	maxTries = 6
 	// longSilence is a silence that lasts longer than any request, shortEventTime the
@@ -387,3 +389,19 @@
 		f.Check(streams[at].IsWhole(), qt.IsTrue)
 	}
 }
+
+// TestStreamIsNotJoinedByAServerThatReturnsInPlaceDuringAStoreOutage guards against a node
+// that has a server which came back with another version load the model, while its entry
+// can't be read, and continues streams of the old version there.
+func TestStreamIsNotJoinedByAServerThatReturnsInPlaceDuringAStoreOutage(t *testing.T) {
+	f := newFixture(t, versionSite(oldSoftware, oldSoftware), 1)
+	streams := f.interruptStreams(versionStreams, func() int {
+		f.site.Store.SetFaults(standin.StoreFaults{Down: true})
+		for _, engine := range f.site.CurrentEngines() {
+			engine.Restart(standin.Restart{Software: newSoftware})
+		}
+		time.AfterFunc(storeOutage, func() { f.site.Store.SetFaults(standin.StoreFaults{}) })
+		return 0
+	})
+	f.checkNoneJoined(streams)
+}
--- a/internal/soak/release.go
+++ b/internal/soak/release.go
@@ -24,9 +24,7 @@
 	}},
 	{"engine returns with another version", func(r *Run, index int) func() {
 		engine := r.engine(index)
-		engine.Restart(standin.Restart{
-			Software: otherSoftware(engine), NewID: index%2 == 0, Holds: engine.LoadedModels(), DownTime: downTime,
-		})
+		engine.Restart(standin.Restart{Software: otherSoftware(engine), NewID: index%2 == 0, DownTime: downTime})
 		return func() {}
 	}},
 }
