Write the base version again where the store has lost it

Callers saw the rest of their streams refused, or given by another version, after a restoration from a copy older than the base version of the pool.

A node that knows a base version that a read did not find writes it again, if there is none.

--- a/internal/origin/base.go
+++ b/internal/origin/base.go
@@ -144,12 +144,14 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	now := time.Now()
+	found := make(map[fleet.PoolID]bool)
 	for record, err := range table.All(ctx, c.Store, table.Range{Partition: partition, Prefix: basePrefix}) {
 		if err != nil {
 			c.recordStoreCall(err)
 			return err
 		}
 		pool := fleet.PoolID(strings.TrimPrefix(record.Key.Sort, basePrefix))
+		found[pool] = true
 		var body baseRecord
 		if err := json.Unmarshal(record.Body, &body); err != nil {
 			// The other pools don't depend on it.
@@ -160,11 +162,28 @@
 		c.setBase(now, pool, body, record.Version)
 	}
 	c.recordStoreCall(nil)
+	for _, pool := range c.lostBases(found) {
+		c.repairBase(ctx, pool, table.Absent)
+	}
 	return nil
 }
 
-// repairBase writes the base version of a pool again, over a record of another writer. A
-// node that has not read it before leaves that to the others.
+// lostBases returns the pools whose base version this node knows and the store has lost.
+func (c *Controller) lostBases(found map[fleet.PoolID]bool) (lost []fleet.PoolID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for pool := range c.bases {
+		if !found[pool] {
+			lost = append(lost, pool)
+		}
+	}
+	slices.Sort(lost)
+	return lost
+}
+
+// repairBase writes the base version of a pool again, over a record of another writer or
+// in place of one that was lost. A node that has not read it before leaves that to the
+// others.
 func (c *Controller) repairBase(ctx context.Context, pool fleet.PoolID, version table.Version) {
 	c.mu.Lock()
 	known := c.bases[pool]
@@ -211,7 +230,11 @@
 	if known != nil {
 		expect = known.version
 	}
+	mayReturn := known == nil && c.era > 0 && now.Sub(c.eraSince) < rewriteTime
 	c.mu.Unlock()
+	if mayReturn {
+		return nil // The nodes that know a base version write it again.
+	}
 	if known != nil && (versions[known.Software] > 0 || now.Sub(known.listedAt) <= c.retention()) {
 		return nil
 	}
