Test: the store is away right after its restoration

Callers would see the rest of a stream from the base version, although another version began it: its record was lost with the restoration, and the node that began the stream gives up to write it again after 2 s, while for the other nodes the lack of a record proves the base version 3 s after the new era.

--- /dev/null
+++ b/internal/origin/rewrite_test.go
@@ -0,0 +1,26 @@
+package origin
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/guavatrack/guavatrack/internal/standin"
+)
+
+// Guards against a stream that goes on at the base version since its record, lost with the
+// restoration of the store, was not written again while the store was away.
+func TestRecordsAreWrittenAgainWhenTheRestoredStoreIsAwayForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2, old)
+		c.list(old, next)
+		c.begin(c.nodes[0], "a", next)
+		c.restore()
+		c.table.SetFaults(standin.TableFaults{Down: true})
+		time.Sleep(2 * rewriteTime)
+		c.table.SetFaults(standin.TableFaults{})
+		c.checkFound(c.nodes[1], "a", next)
+		time.Sleep(rewriteTime)
+		c.checkFound(c.nodes[1], "a", next)
+	})
+}
