Write a record once in a transaction

Two requests of one id could begin streams of two versions at once, of which the store named one.

A transaction has at most one record of a stream; a second one comes in a later transaction, whose condition fails, and is confirmed only if it names the same version.

--- a/internal/origin/record.go
+++ b/internal/origin/record.go
@@ -139,12 +139,26 @@
 		c.writing = false
 		return nil
 	}
-	size := min(len(c.pending), table.MaxWrites)
-	batch := slices.Clone(c.pending[:size])
-	c.pending = slices.Delete(c.pending, 0, size)
+	batch, rest := splitBatch(c.pending)
+	c.pending = rest
 	return batch
 }
 
+// splitBatch divides records into those of the next transaction and the others. A
+// transaction writes no record twice.
+func splitBatch(records []*pendingRecord) (batch, rest []*pendingRecord) {
+	taken := make(map[table.Key]bool)
+	for _, record := range records {
+		if len(batch) == table.MaxWrites || taken[record.key] {
+			rest = append(rest, record)
+			continue
+		}
+		taken[record.key] = true
+		batch = append(batch, record)
+	}
+	return batch, rest
+}
+
 func (c *Controller) putBack(records []*pendingRecord) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
