Write lost records again for as long as they are asked for

Callers got the rest of a stream from the base version, after a restoration of the store that was followed by an outage: the records lost with it expired after 2 s as if a stream waited for them.

They now stay until nobody asks for the stream any more, behind the records for which a stream waits, and a node that stops drops them. The 3 s in which the lack of a record proves nothing begin anew when a node reaches the store again, if the outage began in them.

The new test of a node that stops fails without the drop (run on a copy of this change without it).

--- a/internal/origin/controller.go
+++ b/internal/origin/controller.go
@@ -58,9 +58,12 @@
 	pending []*pendingRecord
 	writing bool
 	writers sync.WaitGroup
+	// stopping is set once Run ends.
+	stopping bool
 	// unwritableSince is when writes began to fail; zero if the last call succeeded.
 	unwritableSince time.Time
-	// era is the newest era of the store, eraSince when this node first saw it.
+	// era is the newest era of the store, eraSince when this node first saw it, or reached
+	// the store again soon after that.
 	era      table.Era
 	eraSince time.Time
 	// firstListed holds when a sweep first saw each record.
@@ -111,7 +114,7 @@
 // Run keeps the base versions up to date until the context ends.
 func (c *Controller) Run(ctx context.Context) error {
 	c.init()
-	defer c.writers.Wait()
+	defer c.stop()
 	for ctx.Err() == nil {
 		now := time.Now()
 		c.checkEra(now)
@@ -125,6 +128,14 @@
 	return nil
 }
 
+// stop waits until no stream waits for its record any more.
+func (c *Controller) stop() {
+	c.mu.Lock()
+	c.stopping = true
+	c.mu.Unlock()
+	c.writers.Wait()
+}
+
 // retention returns how long it must be known which version began a stream.
 func (c *Controller) retention() time.Duration {
 	longest := minRetention
@@ -173,7 +184,7 @@
 // checkEra notices that the store was restored from an older copy, which may lack the
 // newest records, and has those of this node written again.
 func (c *Controller) checkEra(now time.Time) {
-	era := c.Era()
+	era, retention := c.Era(), c.retention()
 	c.mu.Lock()
 	if era == c.era {
 		c.mu.Unlock()
@@ -186,7 +197,9 @@
 	var again []*pendingRecord
 	for key, stream := range c.own {
 		if stream.recorded {
-			again = append(again, newPending(key, stream.software))
+			record := newPending(key, stream.software)
+			record.expires, record.again = stream.begun.Add(retention), true
+			again = append(again, record)
 		}
 	}
 	c.mu.Unlock()
--- a/internal/origin/record.go
+++ b/internal/origin/record.go
@@ -33,8 +33,11 @@
 	software fleet.SoftwareVersion
 	// done receives the result.
 	done chan error
-	// expires is when nobody waits for the result any more.
+	// expires is when nobody waits for the result, or asks for the stream, any more.
 	expires time.Time
+	// again is set if the record was written before the restoration of the store. No
+	// stream waits for it.
+	again bool
 }
 
 const (
@@ -87,11 +90,16 @@
 	return known != nil && known.Software == software
 }
 
-// enqueue adds a record to those that are to be written.
+// enqueue adds a record to those that are to be written. Those for which a stream waits
+// come before those that are written again.
 func (c *Controller) enqueue(record *pendingRecord) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pending = append(c.pending, record)
+	at := slices.IndexFunc(c.pending, func(pending *pendingRecord) bool { return pending.again && !record.again })
+	if at < 0 {
+		at = len(c.pending)
+	}
+	c.pending = slices.Insert(c.pending, at, record)
 	if !c.writing {
 		c.writing = true
 		c.writers.Go(c.writePending)
@@ -129,7 +137,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending = slices.DeleteFunc(c.pending, func(record *pendingRecord) bool {
-		expired := now.After(record.expires)
+		expired := now.After(record.expires) || record.again && c.stopping
 		if expired {
 			record.done <- table.ErrUnavailable
 		}
@@ -239,6 +247,10 @@
 		c.Log.Warn("records of streams cannot be reached", slog.Any("error", err))
 	case !failed && !c.unwritableSince.IsZero():
 		c.Log.Info("records of streams reached again", slog.Duration("after", now.Sub(c.unwritableSince)))
+		if c.unwritableSince.Before(c.eraSince.Add(rewriteTime)) {
+			// The other nodes have not written their records again either.
+			c.eraSince = now
+		}
 		c.unwritableSince = time.Time{}
 	}
 }
--- a/internal/origin/rewrite_test.go
+++ b/internal/origin/rewrite_test.go
@@ -5,6 +5,8 @@
 	"testing/synctest"
 	"time"
 
+	qt "github.com/frankban/quicktest"
+
 	"github.com/guavatrack/guavatrack/internal/standin"
 )
 
@@ -24,3 +26,19 @@
 		c.checkFound(c.nodes[1], "a", next)
 	})
 }
+
+// Guards against a node that does not stop since the store is away and records that were
+// lost with its restoration are still to be written again.
+func TestNodeStopsWhileRecordsAreToBeWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, old)
+		c.list(old, next)
+		c.begin(c.nodes[0], "a", next)
+		c.restore()
+		c.table.SetFaults(standin.TableFaults{Down: true})
+		time.Sleep(settled)
+		began := time.Now()
+		c.nodes[0].stop()
+		c.Check(time.Since(began) < settled, qt.IsTrue)
+	})
+}
