Test: a version has left when the store is restored

Callers would see the rest of a stream from the base version, although another version began it, if the servers of that version have left and the store is restored: where only the base version is listed, the lack of a record proves at once that it began the stream.

go test ./internal/origin -run LackOf (virtual time): got "v1", want "v2".

--- a/internal/origin/rewrite_test.go
+++ b/internal/origin/rewrite_test.go
@@ -42,3 +42,16 @@
 		c.Check(time.Since(began) < settled, qt.IsTrue)
 	})
 }
+
+// Guards against a stream that goes on at the base version right after a restoration, since
+// the servers of its version have left and so the lack of its record is believed at once.
+func TestLackOfARecordProvesNothingAfterAVersionHasLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2, old)
+		c.list(old, next)
+		c.begin(c.nodes[0], "a", next)
+		c.list(old)
+		c.restore()
+		c.checkFound(c.nodes[1], "a", next)
+	})
+}
