The lack of a record is believed at once only after a single version

Callers got the rest of a stream from the base version right after a restoration of the store, since the version that began it had left.

After a restoration the lack of a record proves the base version at once only where no other version was listed for the retention time; else the node waits for 3 s as while several versions are listed.

go test ./internal/origin: ok; TestLackOfARecordProvesNothingAfterAVersionHas- Left got "v1", want "v2" before.

--- a/internal/origin/find.go
+++ b/internal/origin/find.go
@@ -140,7 +140,7 @@
 func (c *Controller) absenceProves(pool fleet.PoolID) bool {
 	now := time.Now()
 	c.checkEra(now)
-	if _, mixed := c.listsOthers(pool); !mixed {
+	if _, single := c.singleVersion(pool); single {
 		return true
 	}
 	c.mu.Lock()
