Tests: a node that is cut off trusts its list

Callers would see the rest of a stream from the version that a cut-off node has listed alone for 2 min, although a newer version, which it cannot see, began the stream: nodes that don't answer are passed over, and a node that takes all others for gone asks none.

The fixture's nodes can take all others for gone (testNode.alone).

--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -71,6 +72,8 @@
 	store  *partialStore
 	cancel context.CancelFunc
 	done   chan struct{}
+	// alone has the node take all others for gone.
+	alone atomic.Bool
 
 	mu   sync.Mutex
 	view *roster.View
@@ -156,7 +159,7 @@
 		},
 		Nodes: func() (others []fleet.NodeID) {
 			for i := range c.nodes {
-				if other := fleet.NodeID(fmt.Sprint("n", i)); other != id {
+				if other := fleet.NodeID(fmt.Sprint("n", i)); other != id && !node.alone.Load() {
 					others = append(others, other)
 				}
 			}
