A node that has lost the others does not trust its list

Callers got the rest of a stream from the version that a cut-off node listed alone, although a newer version began it.

While the store is unreachable, a node gives the rest at the only version that it has listed for 2 min only if each node that it asks answers and says the same. One that had other nodes and finds none refuses; a node that never had any goes on as before.

Price, not measured: while the store is away for all, a node refuses such requests until it no longer lists nodes that are gone.

--- a/internal/origin/controller.go
+++ b/internal/origin/controller.go
@@ -60,6 +60,8 @@
 	writers sync.WaitGroup
 	// stopping is set once Run ends.
 	stopping bool
+	// hadPeers is set once there were other nodes.
+	hadPeers bool
 	// unwritableSince is when writes began to fail; zero if the last call succeeded.
 	unwritableSince time.Time
 	// era is the newest era of the store, eraSince when this node first saw it, or reached
@@ -119,6 +121,7 @@
 		now := time.Now()
 		c.checkEra(now)
 		c.forgetOwn(now)
+		c.notePeers()
 		c.checkBases(ctx, now)
 		if c.Sweeps != nil && c.Sweeps() {
 			c.sweep(ctx, now)
--- a/internal/origin/peer.go
+++ b/internal/origin/peer.go
@@ -117,6 +117,22 @@
 	return nodes[:min(len(nodes), maxPeers)]
 }
 
+// notePeers records that there are other nodes.
+func (c *Controller) notePeers() {
+	if len(c.peers()) > 0 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.hadPeers = true
+	}
+}
+
+// everHadPeers reports whether there were other nodes since this one started.
+func (c *Controller) everHadPeers() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.hadPeers
+}
+
 // call calls a method at a node.
 func (c *Controller) call(ctx context.Context, node fleet.NodeID, method string, in, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
@@ -124,15 +140,18 @@
 	return c.Peers.Call(ctx, node, method, in, out)
 }
 
-// findByPeer asks other nodes for the version of a stream. If none of them reaches the
-// store, and a single version has served the pool for this node and for all of them, that
-// version has begun the stream.
+// findByPeer asks other nodes for the version of a stream. If all of them answer, none
+// reaches the store, and a single version has served the pool for this node and for all of
+// them, that version has begun the stream. A node that has lost the others knows nothing.
 func (c *Controller) findByPeer(ctx context.Context, key streamKey) (software fleet.SoftwareVersion, found bool) {
 	software, single := c.singleVersion(key.pool)
-	for _, node := range c.peers() {
+	peers := c.peers()
+	single = single && (len(peers) > 0 || !c.everHadPeers())
+	for _, node := range peers {
 		var response findResponse
 		if err := c.call(ctx, node, methodFind, findRequest{Pool: key.pool, Request: key.request}, &response); err != nil {
-			continue // Its answer would only confirm what this node has seen.
+			single = false // It may have begun streams of versions that this node does not list.
+			continue
 		}
 		if response.Found {
 			return response.Software, true
