No rest for an unnamed stream soon after a version has left

A caller that names no request got the rest of its stream from the base version, though another version may have begun it and has just left.

Such a request is refused for the retention time after the node has last listed another version, as while it lists one.

--- a/internal/origin/base.go
+++ b/internal/origin/base.go
@@ -23,8 +23,8 @@
 	// listedAt is when a server of the base version was last listed. othersAt is when one
 	// of another version was, or when this node began to watch the pool.
 	listedAt, othersAt time.Time
-	// mixed is set if servers of another version are listed.
-	mixed bool
+	// mixed is set if servers of another version are listed, wasMixed once they were.
+	mixed, wasMixed bool
 }
 
 // baseRecord is the body of the record of a pool's base version.
@@ -110,7 +110,7 @@
 			known.listedAt = now
 		}
 		if known.mixed {
-			known.othersAt = now
+			known.othersAt, known.wasMixed = now, true
 		}
 	}
 }
--- a/internal/origin/find.go
+++ b/internal/origin/find.go
@@ -73,13 +73,23 @@
 // request that began its stream.
 func (c *Controller) findUnnamed(pool fleet.PoolID, from *source) (fleet.SoftwareVersion, error) {
 	software, mixed := c.listsOthers(pool)
-	if mixed {
+	if mixed || c.listedOthersLately(pool) {
 		return "", errors.Wrap(ErrUnknown, "the request names no stream and several versions serve the pool")
 	}
 	*from = sourceSingle
 	return software, nil
 }
 
+// listedOthersLately reports whether this node has listed a server of another than the base
+// version within the retention time.
+func (c *Controller) listedOthersLately(pool fleet.PoolID) bool {
+	retention := c.retention()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := c.bases[pool]
+	return known == nil || known.wasMixed && time.Since(known.othersAt) <= retention
+}
+
 // findOwn returns the version of a stream that this node began.
 func (c *Controller) findOwn(key streamKey) (software fleet.SoftwareVersion, found bool) {
 	c.mu.Lock()
