Tests of origin: the count of nodes is read without a race

Since nodes note at each check whether there are others, the fixture's list of nodes was read while a node was added: go test -race -cpu 1 ./internal/origin reported a data race between newNode.func2 and cluster.start.

--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -106,6 +106,8 @@
 	table   *standin.Table
 	network peertest.Network
 	nodes   []*testNode
+	// started counts the nodes; they read it at any time.
+	started atomic.Int32
 	// wrap returns the store that nodes use; nil means the table.
 	wrap func(table.Store) table.Store
 
@@ -138,6 +140,7 @@
 func (c *cluster) start(versions ...fleet.SoftwareVersion) *testNode {
 	node := c.newNode(len(c.nodes), versions...)
 	c.nodes = append(c.nodes, node)
+	c.started.Store(int32(len(c.nodes)))
 	return node
 }
 
@@ -158,7 +161,7 @@
 			return node.view
 		},
 		Nodes: func() (others []fleet.NodeID) {
-			for i := range c.nodes {
+			for i := range c.started.Load() {
 				if other := fleet.NodeID(fmt.Sprint("n", i)); other != id && !node.alone.Load() {
 					others = append(others, other)
 				}
