Write every record again that a restoration may have lost

Callers got the rest of a stream from the base version, after a restoration of the store, at a busy node or if the restoration came right after the write.

Beyond 10,000 streams a node remembers only those with records, up to 20,000 as before. A record that was written while the node saw an older era is written again.

--- a/internal/origin/controller.go
+++ b/internal/origin/controller.go
@@ -95,8 +95,10 @@
 	// stream; timeoutsPerRetention is the same in timeouts of the longest route.
 	minRetention         = 2 * time.Minute
 	timeoutsPerRetention = 3
-	// maxOwnStreams bounds the streams that this node remembers.
-	maxOwnStreams = 20_000
+	// maxOwnStreams bounds the streams that this node remembers. Beyond maxOwnBaseStreams
+	// it remembers only those with records.
+	maxOwnStreams     = 20_000
+	maxOwnBaseStreams = maxOwnStreams / 2
 )
 
 func (c *Controller) init() {
@@ -163,13 +165,26 @@
 	return routes
 }
 
-// remember keeps a stream that this node began.
-func (c *Controller) remember(key streamKey, stream ownStream) {
+// remember keeps a stream that this node began. It returns the era in which a restoration
+// of the store would have its record written again.
+func (c *Controller) remember(key streamKey, stream ownStream) table.Era {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, known := c.own[key]; known || len(c.own) < maxOwnStreams {
+	limit := maxOwnStreams
+	if !stream.recorded {
+		limit = maxOwnBaseStreams
+	}
+	if _, known := c.own[key]; known || len(c.own) < limit {
 		c.own[key] = stream
 	}
+	return c.era
+}
+
+// seenEra returns the newest era that this node has seen.
+func (c *Controller) seenEra() table.Era {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.era
 }
 
 // forgetOwn removes the streams of this node that are no longer asked for.
@@ -200,9 +215,7 @@
 	var again []*pendingRecord
 	for key, stream := range c.own {
 		if stream.recorded {
-			record := newPending(key, stream.software)
-			record.expires, record.again = stream.begun.Add(retention), true
-			again = append(again, record)
+			again = append(again, newAgain(key, stream, retention))
 		}
 	}
 	c.mu.Unlock()
--- a/internal/origin/record.go
+++ b/internal/origin/record.go
@@ -55,6 +55,14 @@
 	}
 }
 
+// newAgain returns the record of a stream that may have been lost with the restoration of
+// the store.
+func newAgain(key streamKey, stream ownStream, retention time.Duration) *pendingRecord {
+	record := newPending(key, stream.software)
+	record.expires, record.again = stream.begun.Add(retention), true
+	return record
+}
+
 // Record records that a request began a stream at a server of a version. It returns once
 // every node can find that out, and fails with [ErrNotRecorded] if that is not possible
 // soon; the caller must then not receive any event.
@@ -65,7 +73,7 @@
 		c.remember(key, ownStream{software: software, begun: time.Now()})
 		return nil
 	}
-	record := newPending(key, software)
+	era, record := c.seenEra(), newPending(key, software)
 	c.enqueue(record)
 	select {
 	case err = <-record.done:
@@ -77,7 +85,10 @@
 		return errors.Wrapf(ErrNotRecorded, "%v", err)
 	}
 	c.counts.recorded.Inc(1)
-	c.remember(key, ownStream{software: software, begun: time.Now(), recorded: true})
+	stream := ownStream{software: software, begun: time.Now(), recorded: true}
+	if c.remember(key, stream) != era {
+		c.enqueue(newAgain(key, stream, c.retention()))
+	}
 	return nil
 }
 
