A caller that leaves says nothing of the store

New streams were restricted to the base version, or refused where no server has it, since a caller left or its deadline passed while the store was read.

The read of a record and of the base versions counts as failed only if the context of the caller still goes on.

--- a/internal/origin/base.go
+++ b/internal/origin/base.go
@@ -140,14 +140,16 @@
 }
 
 // readBases reads the base versions of all pools from the store.
-func (c *Controller) readBases(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+func (c *Controller) readBases(parent context.Context) error {
+	ctx, cancel := context.WithTimeout(parent, readTimeout)
 	defer cancel()
 	now := time.Now()
 	found := make(map[fleet.PoolID]bool)
 	for record, err := range table.All(ctx, c.Store, table.Range{Partition: partition, Prefix: basePrefix}) {
 		if err != nil {
-			c.recordStoreCall(err)
+			if parent.Err() == nil {
+				c.recordStoreCall(err)
+			}
 			return err
 		}
 		pool := fleet.PoolID(strings.TrimPrefix(record.Key.Sort, basePrefix))
--- a/internal/origin/find.go
+++ b/internal/origin/find.go
@@ -101,9 +101,7 @@
 // findInStore returns the version in the record of a stream, or the base version of the
 // pool if there is no record.
 func (c *Controller) findInStore(ctx context.Context, key streamKey) (software fleet.SoftwareVersion, from source, err error) {
-	read, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	record, exists, err := c.readStream(read, key.tableKey())
+	record, exists, err := c.readStream(ctx, key.tableKey())
 	if err != nil || exists {
 		return record.Software, sourceRecord, err
 	}
@@ -113,7 +111,7 @@
 	if !c.absenceProves(key.pool) {
 		return "", "", errors.New("the store was restored and may lack the record")
 	}
-	if err := c.readBases(read); err != nil {
+	if err := c.readBases(ctx); err != nil {
 		return "", "", err
 	}
 	if software, known := c.baseOf(key.pool, time.Now(), readTimeout); known {
--- a/internal/origin/record.go
+++ b/internal/origin/record.go
@@ -224,9 +224,7 @@
 // of the store was lost. It sends the results of those and returns the others.
 func (c *Controller) settle(batch []*pendingRecord) (missing []*pendingRecord) {
 	for _, record := range batch {
-		ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
-		found, exists, err := c.readStream(ctx, record.key)
-		cancel()
+		found, exists, err := c.readStream(context.Background(), record.key)
 		switch {
 		case err != nil || !exists:
 			missing = append(missing, record)
@@ -241,8 +239,12 @@
 
 // readStream reads the record of a stream from the store.
 func (c *Controller) readStream(ctx context.Context, key table.Key) (body streamRecord, exists bool, err error) {
-	version, err := table.ReadJSON(ctx, c.Store, key, &body)
-	c.recordStoreCall(err)
+	read, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	version, err := table.ReadJSON(read, c.Store, key, &body)
+	if err == nil || ctx.Err() == nil {
+		c.recordStoreCall(err) // A caller that leaves says nothing of the store.
+	}
 	return body, version != table.Absent, err
 }
 
