A base version that returns may have been replaced

Callers got the rest of a stream from another version, or a refusal, when servers of the earlier version returned two minutes after they left.

A node that has listed no server of the base version for a minute, or lists them again after that, reads the base version anew before it takes the lack of a record for it, and records streams of that version, until it has read it 10 s after their return.

--- a/internal/origin/base.go
+++ b/internal/origin/base.go
@@ -23,6 +23,9 @@
 	// listedAt is when a server of the base version was last listed. othersAt is when one
 	// of another version was, or when this node began to watch the pool.
 	listedAt, othersAt time.Time
+	// returnedAt is when servers of the base version were listed again after so long that
+	// another node may have replaced it; zero if never.
+	returnedAt time.Time
 	// mixed is set if servers of another version are listed, wasMixed once they were.
 	mixed, wasMixed bool
 }
@@ -49,6 +52,9 @@
 	mixedReadInterval  = 5 * time.Second
 	singleReadInterval = time.Minute
 	readTimeout        = 700 * time.Millisecond
+	// returnMargin is the time after the return of the base version within which another
+	// node that does not list its servers yet may replace it.
+	returnMargin = 2 * mixedReadInterval
 )
 
 // checkBases reads, creates and replaces the base versions as necessary.
@@ -107,6 +113,9 @@
 		_, listsBase := versions[known.Software]
 		known.mixed = !listsBase || len(versions) > 1
 		if listsBase {
+			if known.longUnlisted(now) {
+				known.returnedAt = now
+			}
 			known.listedAt = now
 		}
 		if known.mixed {
@@ -133,12 +142,24 @@
 
 // readInterval returns the time between two reads of the base version.
 func (b *base) readInterval() time.Duration {
-	if b.mixed {
+	if b.mixed || b.readBeforeReturn() {
 		return mixedReadInterval
 	}
 	return singleReadInterval
 }
 
+// longUnlisted reports whether no server of the base version has been listed for so long
+// that another node may have replaced it.
+func (b *base) longUnlisted(now time.Time) bool {
+	return now.Sub(b.listedAt) > minRetention/2
+}
+
+// readBeforeReturn reports whether the base version may have been replaced, since it was
+// read, when its servers returned.
+func (b *base) readBeforeReturn() bool {
+	return !b.returnedAt.IsZero() && b.readAt.Before(b.returnedAt.Add(returnMargin))
+}
+
 // readBases reads the base versions of all pools from the store.
 func (c *Controller) readBases(parent context.Context) error {
 	ctx, cancel := context.WithTimeout(parent, readTimeout)
@@ -257,6 +278,18 @@
 	})
 }
 
+// sureBaseOf returns the base version of a pool, if it was read within maxAge and no other node
+// may have replaced it since.
+func (c *Controller) sureBaseOf(pool fleet.PoolID, now time.Time, maxAge time.Duration) (software fleet.SoftwareVersion, sure bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	found := c.bases[pool]
+	if found == nil || now.Sub(found.readAt) > maxAge || found.longUnlisted(now) || found.readBeforeReturn() {
+		return "", false
+	}
+	return found.Software, true
+}
+
 // baseOf returns the base version of a pool, if it was read within maxAge.
 func (c *Controller) baseOf(pool fleet.PoolID, now time.Time, maxAge time.Duration) (software fleet.SoftwareVersion, known bool) {
 	c.mu.Lock()
--- a/internal/origin/find.go
+++ b/internal/origin/find.go
@@ -105,7 +105,7 @@
 	if err != nil || exists {
 		return record.Software, sourceRecord, err
 	}
-	if software, known := c.baseOf(key.pool, time.Now(), c.maxBaseAge(key.pool)); known && c.absenceProves(key.pool) {
+	if software, sure := c.sureBaseOf(key.pool, time.Now(), c.maxBaseAge(key.pool)); sure && c.absenceProves(key.pool) {
 		return software, sourceBase, nil
 	}
 	if !c.absenceProves(key.pool) {
--- a/internal/origin/record.go
+++ b/internal/origin/record.go
@@ -95,10 +95,24 @@
 // isBase reports whether a version is the base version of a pool, however long ago that
 // was read: it is not replaced while servers of it are listed.
 func (c *Controller) isBase(pool fleet.PoolID, software fleet.SoftwareVersion) bool {
+	known, listed := c.baseState(pool, software)
+	if known && !listed {
+		c.listsOthers(pool) // Servers of it may have returned since the last check.
+		known, listed = c.baseState(pool, software)
+	}
+	return known && listed
+}
+
+// baseState reports whether a version is the base version of a pool, as last read, and
+// whether it has been listed all the while since.
+func (c *Controller) baseState(pool fleet.PoolID, software fleet.SoftwareVersion) (known, listed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	known := c.bases[pool]
-	return known != nil && known.Software == software
+	found := c.bases[pool]
+	if found == nil || found.Software != software {
+		return false, false
+	}
+	return true, !found.longUnlisted(time.Now()) && !found.readBeforeReturn()
 }
 
 // enqueue adds a record to those that are to be written. Those for which a stream waits
