Streams begin at the base version only while no node can record others

What callers saw: a node that alone lost the store kept new streams from all versions but the base version, and after a replacement refused them, though another node could write their records. Found by review.

Cause: the restriction followed the node's own calls to the store, before another node was asked.

Change: it follows an attempt to write that failed here and at the nodes that were asked, and ends once this node or another one reaches the store.

Measured: TestStreamsAreRestrictedOnlyWhileNoNodeCanRecordThem fails before (restricted beside a node that can write; and after the outage) and passes; go test ./internal/origin: ok.

--- a/internal/origin/controller.go
+++ b/internal/origin/controller.go
@@ -62,6 +62,9 @@
 	stopping bool
 	// hadPeers is set once there were other nodes.
 	hadPeers bool
+	// stuck is set if neither this node nor another one could write a record, and neither
+	// has reached the store since.
+	stuck bool
 	// unwritableSince is when writes began to fail; zero if the last call succeeded.
 	unwritableSince time.Time
 	// era is the newest era of the store, eraSince when this node first saw it, or reached
@@ -125,6 +128,7 @@
 		c.forgetOwn(now)
 		c.notePeers()
 		c.checkBases(ctx, now)
+		c.probePeers(ctx)
 		if c.Sweeps != nil && c.Sweeps() {
 			c.sweep(ctx, now)
 		}
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -342,6 +342,30 @@
 	})
 }
 
+// Guards against streams that are kept from beginning at a node that lost the store though
+// another node can write their records, and against a restriction that outlasts an outage.
+func TestStreamsAreRestrictedOnlyWhileNoNodeCanRecordThem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2, old)
+		c.list(old, next)
+		c.nodes[0].store.setCut(true)
+		c.begin(c.nodes[0], "a", next)
+		time.Sleep(settled)
+		_, restricted := c.nodes[0].Restriction(pool)
+		c.Check(restricted, qt.IsFalse)
+		c.table.SetFaults(standin.TableFaults{Down: true})
+		c.Check(c.nodes[0].Record(context.Background(), pool, "b", next), qt.ErrorIs, ErrNotRecorded)
+		only, restricted := c.nodes[0].Restriction(pool)
+		c.Check(restricted, qt.IsTrue)
+		c.Check(only, qt.Equals, old)
+		c.table.SetFaults(standin.TableFaults{})
+		time.Sleep(settled)
+		_, restricted = c.nodes[0].Restriction(pool)
+		c.Check(restricted, qt.IsFalse)
+		c.begin(c.nodes[0], "c", next)
+	})
+}
+
 // Guards against a base version that changes while callers may ask for the rest of its
 // streams, or that stays for ever.
 func TestBaseVersionIsReplacedAfterTheRetention(t *testing.T) {
--- a/internal/origin/peer.go
+++ b/internal/origin/peer.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -161,6 +163,30 @@
 	return software, single
 }
 
+// probePeers finds out, while no record could be written, whether another node reaches the
+// store again.
+func (c *Controller) probePeers(ctx context.Context) {
+	c.mu.Lock()
+	stuck, pools := c.stuck, slices.Sorted(maps.Keys(c.bases))
+	c.mu.Unlock()
+	if !stuck || len(pools) == 0 {
+		return
+	}
+	for _, node := range c.peers() {
+		var response findResponse
+		if err := c.call(ctx, node, methodFind, findRequest{Pool: pools[0], Request: probeRequest}, &response); err != nil {
+			continue // The node may be gone; the next one is asked.
+		}
+		if response.Found {
+			c.setStuck(false)
+			return
+		}
+	}
+}
+
+// probeRequest is a request that no caller sends: an ID has no spaces.
+const probeRequest fleet.RequestID = "probe of records"
+
 // writeByPeer has other nodes write records. It returns the error of this node's attempt
 // if none of them can.
 func (c *Controller) writeByPeer(ctx context.Context, streams []streamWrite, ownErr error) error {
--- a/internal/origin/record.go
+++ b/internal/origin/record.go
@@ -209,7 +209,9 @@
 	if err == nil || errors.Is(err, table.ErrConflict) {
 		return err
 	}
-	return c.writeByPeer(ctx, writes, err)
+	err = c.writeByPeer(ctx, writes, err)
+	c.setStuck(err != nil && !errors.Is(err, table.ErrConflict))
+	return err
 }
 
 // streamWrite is the record of a stream that is to be written.
@@ -280,6 +282,17 @@
 		}
 		c.unwritableSince = time.Time{}
 	}
+	c.stuck = c.stuck && failed
+}
+
+// setStuck records whether records can be written, by this node or another one.
+func (c *Controller) setStuck(stuck bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if stuck != c.stuck {
+		c.Log.Warn("writing of records of streams", slog.Bool("stuck", stuck))
+	}
+	c.stuck = stuck
 }
 
 // Restriction returns the version to which new streams of a pool must be restricted,
@@ -289,7 +302,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	known := c.bases[pool]
-	if known == nil || c.unwritableSince.IsZero() {
+	if known == nil || !c.stuck {
 		return "", false
 	}
 	return known.Software, true
