--- a/internal/origin/controller.go
+++ b/internal/origin/controller.go
@@ -122,6 +122,9 @@
 func (c *Controller) Run(ctx context.Context) error {
 	c.init()
 	defer c.stop()
+	var sweeper sync.WaitGroup
+	defer sweeper.Wait()
+	sweeper.Go(func() { c.keepSweeping(ctx) })
 	for ctx.Err() == nil {
 		now := time.Now()
 		c.checkEra(now)
@@ -129,9 +132,6 @@
 		c.notePeers()
 		c.checkBases(ctx, now)
 		c.probePeers(ctx)
-		if c.Sweeps != nil && c.Sweeps() {
-			c.sweep(ctx, now)
-		}
 		wait.For(ctx, checkInterval)
 	}
 	return nil
--- a/internal/origin/sweep.go
+++ b/internal/origin/sweep.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/guavatrack/guavatrack/internal/table"
+	"github.com/guavatrack/guavatrack/internal/wait"
 )
 
 const (
@@ -15,6 +16,17 @@
 	sweepTimeout  = 20 * time.Second
 )
 
+// keepSweeping removes expired records until the context ends, while this node is the one
+// to do it. A sweep may last long.
+func (c *Controller) keepSweeping(ctx context.Context) {
+	for ctx.Err() == nil {
+		if c.Sweeps != nil && c.Sweeps() {
+			c.sweep(ctx, time.Now())
+		}
+		wait.For(ctx, checkInterval)
+	}
+}
+
 // sweep removes the records of streams that are no longer asked for. The age of a record
 // is counted from when this node first listed it.
 func (c *Controller) sweep(ctx context.Context, now time.Time) {
