Records that are written again hold up no new stream

New streams ended before their first event, after a restoration of the store while two versions serve, behind the records that the node writes again.

A transaction is either for records for which streams wait or for others, in turns, and the records of one that conflicts are read 16 at a time.

--- a/internal/origin/controller.go
+++ b/internal/origin/controller.go
@@ -55,9 +55,11 @@
 	// own holds the streams that this node began, and when.
 	own map[streamKey]ownStream
 	// pending holds the records that are to be written, writing is set while that is done.
-	pending []*pendingRecord
-	writing bool
-	writers sync.WaitGroup
+	// tookAgain is set if the last transaction was for records that are written again.
+	pending   []*pendingRecord
+	writing   bool
+	tookAgain bool
+	writers   sync.WaitGroup
 	// stopping is set once Run ends.
 	stopping bool
 	// hadPeers is set once there were other nodes.
--- a/internal/origin/record.go
+++ b/internal/origin/record.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/guavatrack/guavatrack/internal/poison"
 	"github.com/guavatrack/guavatrack/internal/table"
@@ -115,16 +116,11 @@
 	return true, !found.longUnlisted(time.Now()) && !found.readBeforeReturn()
 }
 
-// enqueue adds a record to those that are to be written. Those for which a stream waits
-// come before those that are written again.
+// enqueue adds a record to those that are to be written.
 func (c *Controller) enqueue(record *pendingRecord) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	at := slices.IndexFunc(c.pending, func(pending *pendingRecord) bool { return pending.again && !record.again })
-	if at < 0 {
-		at = len(c.pending)
-	}
-	c.pending = slices.Insert(c.pending, at, record)
+	c.pending = append(c.pending, record)
 	if !c.writing {
 		c.writing = true
 		c.writers.Go(c.writePending)
@@ -172,17 +168,25 @@
 		c.writing = false
 		return nil
 	}
-	batch, rest := splitBatch(c.pending)
+	c.tookAgain = c.takesAgain()
+	batch, rest := splitBatch(c.pending, c.tookAgain)
 	c.pending = rest
 	return batch
 }
 
+// takesAgain reports whether the next transaction is for records that are written again:
+// they take turns with those for which streams wait. The caller holds the lock.
+func (c *Controller) takesAgain() bool {
+	next := func(record *pendingRecord) bool { return record.again != c.tookAgain }
+	return slices.ContainsFunc(c.pending, next) != c.tookAgain
+}
+
 // splitBatch divides records into those of the next transaction and the others. A
-// transaction writes no record twice.
-func splitBatch(records []*pendingRecord) (batch, rest []*pendingRecord) {
+// transaction writes no record twice, and either records that are written again or others.
+func splitBatch(records []*pendingRecord, again bool) (batch, rest []*pendingRecord) {
 	taken := make(map[table.Key]bool)
 	for _, record := range records {
-		if len(batch) == table.MaxWrites || taken[record.key] {
+		if len(batch) == table.MaxWrites || taken[record.key] || record.again != again {
 			rest = append(rest, record)
 			continue
 		}
@@ -236,23 +240,44 @@
 	return c.Store.Transact(ctx, "", writes)
 }
 
+// maxSettleReads bounds the reads at once of settle.
+const maxSettleReads = 16
+
 // settle reads the records of a transaction of which some exist, such as after an answer
 // of the store was lost. It sends the results of those and returns the others.
 func (c *Controller) settle(batch []*pendingRecord) (missing []*pendingRecord) {
-	for _, record := range batch {
-		found, exists, err := c.readStream(context.Background(), record.key)
-		switch {
-		case err != nil || !exists:
+	settled := make([]bool, len(batch))
+	var group errgroup.Group
+	group.SetLimit(maxSettleReads)
+	for i, record := range batch {
+		group.Go(func() error {
+			settled[i] = c.settleRecord(record)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	for i, record := range batch {
+		if !settled[i] {
 			missing = append(missing, record)
-		case found.Software == record.software:
-			record.done <- nil
-		default:
-			record.done <- errors.Errorf("the request began a stream of version %q before", found.Software)
 		}
 	}
 	return missing
 }
 
+// settleRecord reads a record and sends the result. It reports false if there is none.
+func (c *Controller) settleRecord(record *pendingRecord) (settled bool) {
+	found, exists, err := c.readStream(context.Background(), record.key)
+	switch {
+	case err != nil || !exists:
+		return false
+	case found.Software == record.software:
+		record.done <- nil
+	default:
+		record.done <- errors.Errorf("the request began a stream of version %q before", found.Software)
+	}
+	return true
+}
+
 // readStream reads the record of a stream from the store.
 func (c *Controller) readStream(ctx context.Context, key table.Key) (body streamRecord, exists bool, err error) {
 	read, cancel := context.WithTimeout(ctx, readTimeout)
