A node writes records of another one but for those that conflict

Streams ended before their first event at a node that lost the store, since one of the same transaction had been begun at another version.

The node that writes in its place writes the others and names the conflicts, so that only those streams end, at once.

--- a/internal/origin/peer.go
+++ b/internal/origin/peer.go
@@ -47,9 +47,10 @@
 
 // writeResponse is the answer to a writeRequest.
 type writeResponse struct {
-	Written bool `json:"written"`
-	// Conflict is set if one of the streams was begun by another version before.
-	Conflict bool `json:"conflict,omitempty"`
+	// Written is set if all records exist, but for Conflicts: the keys of the streams that
+	// another version began before.
+	Written   bool     `json:"written"`
+	Conflicts []string `json:"conflicts,omitempty"`
 }
 
 // Handler registers the methods that nodes call on each other.
@@ -83,31 +84,32 @@
 	}
 	err = c.transact(ctx, request.Streams)
 	if errors.Is(err, table.ErrConflict) {
-		err = c.writeMissing(ctx, request.Streams)
+		response.Conflicts, err = c.writeMissing(ctx, request.Streams)
 	}
 	c.recordStoreCall(err)
-	return writeResponse{Written: err == nil, Conflict: errors.Is(err, table.ErrConflict)}, nil
+	response.Written = err == nil
+	return response, nil
 }
 
 // writeMissing writes those of the records that don't exist, such as after an earlier
-// answer was lost. It fails with [table.ErrConflict] if one names another version.
-func (c *Controller) writeMissing(ctx context.Context, streams []streamWrite) error {
+// answer was lost. It returns the keys of those that name another version.
+func (c *Controller) writeMissing(ctx context.Context, streams []streamWrite) (conflicts []string, err error) {
 	var missing []streamWrite
 	for _, stream := range streams {
 		found, exists, err := c.readStream(ctx, table.Key{Partition: partition, Sort: stream.Key})
 		switch {
 		case err != nil:
-			return err
+			return nil, err
 		case !exists:
 			missing = append(missing, stream)
 		case found.Software != stream.Software:
-			return table.ErrConflict
+			conflicts = append(conflicts, stream.Key)
 		}
 	}
 	if len(missing) == 0 {
-		return nil
+		return conflicts, nil
 	}
-	return c.transact(ctx, missing)
+	return conflicts, c.transact(ctx, missing)
 }
 
 // peers returns the nodes to ask while the store is unreachable.
@@ -187,20 +189,17 @@
 // probeRequest is a request that no caller sends: an ID has no spaces.
 const probeRequest fleet.RequestID = "probe of records"
 
-// writeByPeer has other nodes write records. It returns the error of this node's attempt
-// if none of them can.
-func (c *Controller) writeByPeer(ctx context.Context, streams []streamWrite, ownErr error) error {
+// writeByPeer has other nodes write records. It returns the keys of the streams that
+// another version began before, and the error of this node's attempt if no node can write.
+func (c *Controller) writeByPeer(ctx context.Context, streams []streamWrite, ownErr error) (conflicts []string, err error) {
 	for _, node := range c.peers() {
 		var response writeResponse
 		if err := c.call(ctx, node, methodWrite, writeRequest{Streams: streams}, &response); err != nil {
 			continue // The node may be gone as well; the next one is asked.
 		}
-		switch {
-		case response.Written:
-			return nil
-		case response.Conflict:
-			return table.ErrConflict
+		if response.Written {
+			return response.Conflicts, nil
 		}
 	}
-	return ownErr
+	return nil, ownErr
 }
--- a/internal/origin/record.go
+++ b/internal/origin/record.go
@@ -135,11 +135,9 @@
 		if batch == nil {
 			return
 		}
-		err := c.write(context.Background(), batch)
+		conflicts, err := c.write(context.Background(), batch)
 		if err == nil {
-			for _, record := range batch {
-				record.done <- nil
-			}
+			confirm(batch, conflicts)
 			continue
 		}
 		if errors.Is(err, table.ErrConflict) {
@@ -152,6 +150,18 @@
 	}
 }
 
+// confirm sends the results of records that were written, but for those with the keys of
+// conflicts.
+func confirm(batch []*pendingRecord, conflicts []string) {
+	for _, record := range batch {
+		var err error
+		if slices.Contains(conflicts, record.key.Sort) {
+			err = errors.New("the request began a stream of another version before")
+		}
+		record.done <- err
+	}
+}
+
 // takeBatch takes the records for one transaction from the pending ones, without those
 // for which nobody waits any more. It returns nil if there are none.
 func (c *Controller) takeBatch(now time.Time) []*pendingRecord {
@@ -202,20 +212,21 @@
 	c.pending = append(records, c.pending...)
 }
 
-// write writes records in one transaction, by another node if the store is unreachable.
-func (c *Controller) write(ctx context.Context, batch []*pendingRecord) error {
+// write writes records in one transaction, by another node if the store is unreachable. It
+// returns the keys of those that name another version than their record.
+func (c *Controller) write(ctx context.Context, batch []*pendingRecord) (conflicts []string, err error) {
 	writes := make([]streamWrite, len(batch))
 	for i, record := range batch {
 		writes[i] = streamWrite{Key: record.key.Sort, Software: record.software}
 	}
-	err := c.transact(ctx, writes)
+	err = c.transact(ctx, writes)
 	c.recordStoreCall(err)
 	if err == nil || errors.Is(err, table.ErrConflict) {
-		return err
+		return nil, err
 	}
-	err = c.writeByPeer(ctx, writes, err)
-	c.setStuck(err != nil && !errors.Is(err, table.ErrConflict))
-	return err
+	conflicts, err = c.writeByPeer(ctx, writes, err)
+	c.setStuck(err != nil)
+	return conflicts, err
 }
 
 // streamWrite is the record of a stream that is to be written.
