--- a/internal/hosted/refusal_test.go
+++ b/internal/hosted/refusal_test.go
@@ -86,7 +86,7 @@
 func (f *fixture) faultFirstSend(fault standin.Fault) {
 	var sent sync.Map
 	choose := func(r *http.Request) standin.Fault {
-		if _, again := sent.LoadOrStore(r.Header.Get("Guavatrack-Attempt-Id"), true); again {
+		if _, again := sent.LoadOrStore(standin.RequestID(r), true); again {
 			return standin.Full
 		}
 		return fault
