--- a/internal/origin/base.go
+++ b/internal/origin/base.go
@@ -191,7 +191,7 @@
 	return nil
 }
 
-// lostBases returns the pools whose base version this node knows and the store has lost.
+// lostBases returns the pools whose base version this node has read and the store has lost.
 func (c *Controller) lostBases(found map[fleet.PoolID]bool) (lost []fleet.PoolID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -256,7 +256,7 @@
 	mayReturn := known == nil && c.era > 0 && now.Sub(c.eraSince) < rewriteTime
 	c.mu.Unlock()
 	if mayReturn {
-		return nil // The nodes that know a base version write it again.
+		return nil // The nodes that have read a base version write it again.
 	}
 	if known != nil && (versions[known.Software] > 0 || now.Sub(known.listedAt) <= c.retention()) {
 		return nil
--- a/internal/origin/controller.go
+++ b/internal/origin/controller.go
@@ -96,8 +96,8 @@
 const (
 	// checkInterval is the time between two checks of the base versions.
 	checkInterval = 500 * time.Millisecond
-	// minRetention is the minimum time for which it must be known which version began a
-	// stream; timeoutsPerRetention is the same in timeouts of the longest route.
+	// minRetention is the minimum time for which the version that began a stream must be
+	// found; timeoutsPerRetention is the same in timeouts of the longest route.
 	minRetention         = 2 * time.Minute
 	timeoutsPerRetention = 3
 	// maxOwnStreams bounds the streams that this node remembers. Beyond maxOwnBaseStreams
@@ -147,7 +147,7 @@
 	c.writers.Wait()
 }
 
-// retention returns how long it must be known which version began a stream.
+// retention returns for how long the version that began a stream must be found.
 func (c *Controller) retention() time.Duration {
 	longest := minRetention
 	for _, route := range resumableRoutes(c.View().Manifest) {
--- a/internal/origin/doc.go
+++ b/internal/origin/doc.go
@@ -3,7 +3,7 @@
 // Servers of several software versions may serve one pool, and a stream must be
 // continued by a server of the version that began it. A caller whose connection broke
 // may ask any node for the rest and names the request that brought the first event, so
-// the version must be known at nodes that have not seen that request, and after all
+// the version must be found at nodes that have not seen that request, and after all
 // nodes have started anew.
 //
 // Each pool has a base version, which a record in the store names. A stream that was
--- a/internal/origin/peer.go
+++ b/internal/origin/peer.go
@@ -146,7 +146,7 @@
 
 // findByPeer asks other nodes for the version of a stream. If all of them answer, none
 // reaches the store, and a single version has served the pool for this node and for all of
-// them, that version has begun the stream. A node that has lost the others knows nothing.
+// them, that version has begun the stream. A node that has lost the others finds none.
 func (c *Controller) findByPeer(ctx context.Context, key streamKey) (software fleet.SoftwareVersion, found bool) {
 	software, single := c.singleVersion(key.pool)
 	peers := c.peers()
--- a/internal/origin/record.go
+++ b/internal/origin/record.go
@@ -187,8 +187,10 @@
 // takesAgain reports whether the next transaction is for records that are written again:
 // they take turns with those for which streams wait. The caller holds the lock.
 func (c *Controller) takesAgain() bool {
-	next := func(record *pendingRecord) bool { return record.again != c.tookAgain }
-	return slices.ContainsFunc(c.pending, next) != c.tookAgain
+	if c.tookAgain {
+		return !slices.ContainsFunc(c.pending, func(record *pendingRecord) bool { return !record.again })
+	}
+	return slices.ContainsFunc(c.pending, func(record *pendingRecord) bool { return record.again })
 }
 
 // splitBatch divides records into those of the next transaction and the others. A
