Log by which path a feed is read

A line now says the path whenever it changes, one that a reader does not read yet, and one how long a list took. No logic changes; go test ./internal/roster passes.

--- a/internal/roster/feed.go
+++ b/internal/roster/feed.go
@@ -196,6 +196,7 @@
 }
 
 func (w *watcher[T]) list(ctx context.Context) error {
+	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	entries, revision, err := w.feed.List(ctx)
@@ -210,6 +211,8 @@
 		w.log.Warn("store restored from an older copy", slog.String("feed", w.name),
 			slog.Uint64("era", uint64(revision.Era())), slog.Uint64("revision", revision.Changes()))
 	}
+	w.log.Info("feed listed", slog.String("feed", w.name), slog.Int("entries", len(entries)),
+		slog.Duration("took", time.Since(began)))
 	w.revision, w.listed = revision, true
 	w.apply(time.Now(), entries, readKind{complete: true, recovered: w.markRecovered(), restored: restored})
 	return nil
--- a/internal/roster/relay.go
+++ b/internal/roster/relay.go
@@ -48,6 +48,8 @@
 	readUntil time.Time
 	// fromPeer reports whether the last response came from a reader.
 	fromPeer bool
+	// path is the path by which the feed was read last, for the log.
+	path readPath
 	// avoidUntil holds, for each reader that failed, until when it is not used.
 	avoidUntil map[fleet.NodeID]time.Time
 	limiter    fallbackLimiter
@@ -74,6 +76,17 @@
 	lostDuration  = 2 * time.Second
 )
 
+// readPath is where a feed is read from: a node, or one of the values below.
+type readPath string
+
+const (
+	// pathSource is the source itself, pathFallback the source in place of a reader,
+	// pathNone means that the node pauses before it tries again.
+	pathSource   readPath = "store"
+	pathFallback readPath = "store, in place of a reader"
+	pathNone     readPath = "none, pausing"
+)
+
 // Errors in a reader's response.
 var (
 	// errSourceUnreachable reports that the reader itself can't reach the source.
@@ -155,9 +168,11 @@
 func (r *Relay[T]) List(ctx context.Context) (entries []T, revision Revision, err error) {
 	reader, fallback := r.chooseReader(time.Now())
 	if fallback && !r.mayTry() {
+		r.logPath(pathNone)
 		return nil, 0, errSourceUnreachable
 	}
 	if reader != "" {
+		r.logPath(readPath(reader))
 		entries, revision, err = r.requestChanges(ctx, reader, changesRequest{List: true, WaitMs: maxRelayListWait.Milliseconds()})
 		if err == nil {
 			r.update(entries, revision, completeList)
@@ -165,7 +180,7 @@
 		}
 		r.avoid(reader, err)
 	}
-	if fallback && !r.mayFallBack() {
+	if !r.mayReadSource(fallback) {
 		return nil, 0, errSourceUnreachable
 	}
 	entries, revision, err = r.Source.List(ctx)
@@ -180,9 +195,11 @@
 	now := time.Now()
 	reader, fallback := r.chooseReader(now)
 	if fallback && !r.mayTry() {
+		r.logPath(pathNone)
 		return nil, 0, errSourceUnreachable
 	}
 	if reader != "" {
+		r.logPath(readPath(reader))
 		request := changesRequest{After: after, WaitMs: min(wait, maxRelayWait).Milliseconds()}
 		changes, revision, err = r.requestChanges(ctx, reader, request)
 		switch {
@@ -195,7 +212,7 @@
 		r.avoid(reader, err)
 		wait = 0 // Changes may have arrived during the wait for the reader.
 	}
-	if fallback && !r.mayFallBack() {
+	if !r.mayReadSource(fallback) {
 		return nil, 0, errSourceUnreachable
 	}
 	if r.servesOthers(now) {
@@ -213,17 +230,38 @@
 	return r.limiter.mayTry(time.Now())
 }
 
-// mayFallBack reports whether the node may read the source in place of a reader. If
-// not, this counts as a failure.
-func (r *Relay[T]) mayFallBack() bool {
+// mayReadSource reports whether the node may read the source: always, unless it does so
+// in place of a reader and has failed too recently. If not, this counts as a failure.
+func (r *Relay[T]) mayReadSource(fallback bool) bool {
+	if !fallback {
+		r.logPath(pathSource)
+		return true
+	}
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	now := time.Now()
-	if !r.limiter.mayRead(now) {
+	may := r.limiter.mayRead(now)
+	if !may {
 		r.limiter.recordFailure(now)
-		return false
 	}
-	return true
+	r.mu.Unlock()
+	if may {
+		r.logPath(pathFallback)
+	} else {
+		r.logPath(pathNone)
+	}
+	return may
+}
+
+// logPath logs the path by which the feed is read, if it has changed.
+func (r *Relay[T]) logPath(path readPath) {
+	r.mu.Lock()
+	before := r.path
+	r.path = path
+	r.mu.Unlock()
+	if path != before {
+		r.Log.Info("feed read by another path", slog.String("feed", r.Name), slog.String("from", string(path)),
+			slog.String("before", string(before)))
+	}
 }
 
 // servesOthers reports whether other nodes have recently read from this one.
@@ -256,6 +294,7 @@
 	duration := avoidDuration
 	switch {
 	case errors.Is(err, errNotReading):
+		r.Log.Info("reader not reading yet", slog.String("feed", r.Name), slog.String("node", string(reader)))
 		return
 	case errors.Is(err, errSourceUnreachable):
 		duration = lostDuration
