Give up reads of the store whose response was lost

What callers saw: for up to 20 s after an outage of the store requests were refused or handled as an older manifest says (CONFIG), and a node that had started in the outage answered 503; a leaving server was known up to 6 s late (DRAIN).

Cause: a response that was lost in the silence held its read until the read's own timeout, however soon the store was back: 20 s for the list of the manifest, which had none for an attempt, and up to 6 s for the changes of servers, whose timeout had grown in the outage.

Change: a guard around both feeds. While a response is overdue it makes a small read over a connection of its own; if that is answered and the response still does not come, the read is given up and repeated at once, on a new connection. After a loss of history the list is read without a pause, under the timeout of lists.

--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -52,10 +52,20 @@
 var leaseKey = table.Key{Partition: "orders", Sort: "lease"}
 
 func newStore(n *Node) *platform.Store {
-	return &platform.Store{Address: n.Settings.Platform.Store, HTTP: &http.Client{Transport: &http.Transport{
+	pooled := &http.Transport{
 		DialContext: (&net.Dialer{Timeout: storeDialTimeout}).DialContext, IdleConnTimeout: storeIdleTimeout,
 		MaxIdleConnsPerHost: 4, DisableCompression: true, MaxResponseHeaderBytes: maxStoreHeader,
-	}}}
+	}
+	fresh := pooled.Clone()
+	fresh.DisableKeepAlives = true
+	return &platform.Store{
+		Address: n.Settings.Platform.Store, HTTP: &http.Client{Transport: pooled}, Fresh: &http.Client{Transport: fresh},
+	}
+}
+
+// guarded returns a feed of the store whose lost responses are given up.
+func guarded[T any](store *platform.Store, source roster.Feed[T]) *roster.Guard[T] {
+	return &roster.Guard[T]{Source: source, Probe: store.Probe, GaveUp: store.HTTP.CloseIdleConnections}
 }
 
 func newTable(store *platform.Store) table.Store {
@@ -67,10 +77,10 @@
 ) *roster.Relay[roster.ServerEntry] {
 	return &roster.Relay[roster.ServerEntry]{
 		Name: "servers",
-		Source: &platform.Servers{
+		Source: guarded[roster.ServerEntry](store, &platform.Servers{
 			Store: store, Regions: n.Settings.Platform.Regions, Log: n.Log, Metrics: registry,
 			Nodes: func() []string { return nodeAddresses(sockets.addresses, members) },
-		},
+		}),
 		Key:       func(entry roster.ServerEntry) string { return string(entry.ID) },
 		IsRemoval: func(entry roster.ServerEntry) bool { return entry.Server == nil && !entry.Unreadable },
 		Node:      n.ID, Ranked: func() []fleet.NodeID { return members.Ranked("servers") }, Peers: peers, Log: n.Log,
@@ -93,7 +103,7 @@
 ) *roster.Relay[*roster.Manifest] {
 	return &roster.Relay[*roster.Manifest]{
 		Name:      "manifest",
-		Source:    &platform.Manifests{Store: store, Log: n.Log, Metrics: registry},
+		Source:    guarded[*roster.Manifest](store, &platform.Manifests{Store: store, Log: n.Log, Metrics: registry}),
 		Key:       func(*roster.Manifest) string { return "" },
 		IsRemoval: func(*roster.Manifest) bool { return false },
 		Node:      n.ID, Ranked: func() []fleet.NodeID { return members.Ranked("manifest") }, Peers: peers, Log: n.Log,
--- a/internal/roster/feed.go
+++ b/internal/roster/feed.go
@@ -86,7 +86,7 @@
 	// timed out.
 	minRetryPause   = 250 * time.Millisecond
 	maxRetryPause   = 500 * time.Millisecond
-	maxTimeoutPause = time.Second
+	maxTimeoutPause = 600 * time.Millisecond
 )
 
 // readKind says how entries were read: complete that they are all entries of the feed,
@@ -127,7 +127,7 @@
 		pause := w.pauseAfter(changes)
 		if err != nil && ctx.Err() == nil {
 			w.markFailed(err)
-			pause = w.backoff()
+			pause = w.backoff(err)
 		} else {
 			w.timeout = responseTimeout
 		}
@@ -149,8 +149,11 @@
 
 // backoff returns the pause after a failure, with jitter, and adapts the timeout.
 // A response that timed out may be on a saturated link, one that reports an error
-// is not.
-func (w *watcher[T]) backoff() time.Duration {
+// is not. After a lost response there is no pause, since the source answers.
+func (w *watcher[T]) backoff(err error) time.Duration {
+	if errors.Is(err, ErrResponseLost) {
+		return 0
+	}
 	pause := minRetryPause
 	if w.failures > 1 {
 		pause = maxRetryPause
@@ -175,15 +178,15 @@
 	if !w.failingSince.IsZero() {
 		maxWait = 0
 	}
-	ctx, cancel := context.WithTimeout(ctx, maxWait+w.timeout)
+	following, cancel := context.WithTimeout(ctx, maxWait+w.timeout)
 	defer cancel()
-	changes, revision, err := w.feed.Follow(ctx, w.revision, maxWait)
+	changes, revision, err := w.feed.Follow(following, w.revision, maxWait)
 	if errors.Is(err, ErrCompacted) {
 		w.log.Warn("store history compacted, listing again", slog.String("feed", w.name), slog.Uint64("after", uint64(w.revision)))
 		w.listed = false
-		return 0, nil
+		return 0, w.list(ctx)
 	}
-	w.timedOut = errors.Is(ctx.Err(), context.DeadlineExceeded)
+	w.timedOut = errors.Is(following.Err(), context.DeadlineExceeded)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/roster/outage_test.go
+++ b/internal/roster/outage_test.go
@@ -49,26 +49,33 @@
 	return o.silent, o.lost, o.compacted
 }
 
-// storeFeed is a node's feed of a store that can fall silent and forget its history.
-type storeFeed[T any] struct {
-	*sharedFeed[T]
-	outage *outage
+// probe makes a small read of the store.
+func (o *outage) probe(ctx context.Context) error {
+	silent, lost, _ := o.state()
+	time.Sleep(storeLatency)
+	return o.respond(ctx, silent, lost)
 }
 
 // respond delivers a response of a call that was sent in the given state, or waits for
 // the end of the context if it is lost.
-func (f *storeFeed[T]) respond(ctx context.Context, sentSilent bool, sentLost int) error {
-	if silent, lost, _ := f.outage.state(); !sentSilent && !silent && lost == sentLost {
+func (o *outage) respond(ctx context.Context, sentSilent bool, sentLost int) error {
+	if silent, lost, _ := o.state(); !sentSilent && !silent && lost == sentLost {
 		return nil
 	}
 	<-ctx.Done()
 	return ctx.Err()
 }
 
+// storeFeed is a node's feed of a store that can fall silent and forget its history.
+type storeFeed[T any] struct {
+	*sharedFeed[T]
+	outage *outage
+}
+
 func (f *storeFeed[T]) List(ctx context.Context) ([]T, roster.Revision, error) {
 	silent, lost, _ := f.outage.state()
 	time.Sleep(storeLatency)
-	if err := f.respond(ctx, silent, lost); err != nil {
+	if err := f.outage.respond(ctx, silent, lost); err != nil {
 		return nil, 0, err
 	}
 	return f.sharedFeed.List(ctx)
@@ -81,14 +88,14 @@
 	silent, lost, compacted := f.outage.state()
 	time.Sleep(storeLatency)
 	if after < compacted {
-		if err := f.respond(ctx, silent, lost); err != nil {
+		if err := f.outage.respond(ctx, silent, lost); err != nil {
 			return nil, 0, err
 		}
 		return nil, 0, roster.ErrCompacted
 	}
 	entries, revision, err := f.sharedFeed.Follow(ctx, after, wait)
 	if err == nil {
-		err = f.respond(ctx, silent, lost)
+		err = f.outage.respond(ctx, silent, lost)
 	}
 	return entries, revision, err
 }
@@ -170,11 +177,11 @@
 }
 
 func (r *outageRegion) serverSource() roster.Feed[roster.ServerEntry] {
-	return &storeFeed[roster.ServerEntry]{&r.servers, &r.outage}
+	return &roster.Guard[roster.ServerEntry]{Source: &storeFeed[roster.ServerEntry]{&r.servers, &r.outage}, Probe: r.outage.probe}
 }
 
 func (r *outageRegion) manifestSource() roster.Feed[*roster.Manifest] {
-	return &storeFeed[*roster.Manifest]{&r.manifests, &r.outage}
+	return &roster.Guard[*roster.Manifest]{Source: &storeFeed[*roster.Manifest]{&r.manifests, &r.outage}, Probe: r.outage.probe}
 }
 
 // kill stops a node and starts another one in its place, which is a node of its own. The
--- a/internal/roster/relay.go
+++ b/internal/roster/relay.go
@@ -312,7 +312,7 @@
 	switch {
 	case err == nil:
 		r.update(entries, revision, flags)
-	case !errors.Is(err, ErrCompacted):
+	case !errors.Is(err, ErrCompacted) && !errors.Is(err, ErrResponseLost):
 		r.mu.Lock()
 		r.copy.markSourceLost()
 		r.limiter.recordFailure(time.Now())
