A node whose readers fail pauses no longer the longer an outage lasts

Cause: a node that reads from others may read the store in their place, at a pause that doubled up to 8 s while that failed. The readers, killed and started again, were not reading yet; so neither path led to the store while the pause of the outage ran on.

Change: the pause grows to 1 s, or to 50 ms for each node of a larger region, so that all its nodes together still read at a bounded rate (TestOutageOfTheStoreIsTriedByFewReads, 452 failed reads of the 848 that it allows).

--- a/internal/roster/fallback.go
+++ b/internal/roster/fallback.go
@@ -18,10 +18,15 @@
 }
 
 const (
-	// minFallbackPause and maxFallbackPause bound the pause between two reads of the
-	// source that fail, which doubles with each one.
-	minFallbackPause = 500 * time.Millisecond
-	maxFallbackPause = 8 * time.Second
+	// minFallbackPause is the first pause between two reads of the source that fail. It
+	// doubles with each one up to fallbackPausePerNode for each node of the region, so
+	// that all of them together read at a bounded rate, but at least to
+	// fallbackPauseLimit: a node of a small region reads the source within that time
+	// after an outage, however long it was.
+	minFallbackPause     = 500 * time.Millisecond
+	fallbackPauseLimit   = time.Second
+	fallbackPausePerNode = 50 * time.Millisecond
+	maxFallbackPause     = 8 * time.Second
 	// readerRetryPause is the pause after a reader and the source have both failed. The
 	// readers notice the end of an outage first.
 	readerRetryPause = time.Second
@@ -34,13 +39,14 @@
 func (l *fallbackLimiter) mayTry(now time.Time) bool { return !now.Before(l.retryAt) }
 
 // recordFailure records that the source could not be read, or that it was too early to
-// try.
-func (l *fallbackLimiter) recordFailure(now time.Time) {
+// try. nodes is the number of nodes in the region.
+func (l *fallbackLimiter) recordFailure(now time.Time, nodes int) {
 	l.retryAt = now.Add(wait.Jitter(readerRetryPause))
 	if !l.mayRead(now) {
 		return
 	}
-	l.pause = min(max(minFallbackPause, 2*l.pause), maxFallbackPause)
+	longest := min(max(fallbackPauseLimit, time.Duration(nodes)*fallbackPausePerNode), maxFallbackPause)
+	l.pause = min(max(minFallbackPause, 2*l.pause), longest)
 	l.nextRead = now.Add(wait.Jitter(l.pause))
 }
 
--- a/internal/roster/relay.go
+++ b/internal/roster/relay.go
@@ -237,11 +237,12 @@
 		r.logPath(pathSource)
 		return true
 	}
+	nodes := len(r.Ranked())
 	r.mu.Lock()
 	now := time.Now()
 	may := r.limiter.mayRead(now)
 	if !may {
-		r.limiter.recordFailure(now)
+		r.limiter.recordFailure(now, nodes)
 	}
 	r.mu.Unlock()
 	if may {
@@ -313,9 +314,10 @@
 	case err == nil:
 		r.update(entries, revision, flags)
 	case !errors.Is(err, ErrCompacted) && !errors.Is(err, ErrResponseLost):
+		nodes := len(r.Ranked())
 		r.mu.Lock()
 		r.copy.markSourceLost()
-		r.limiter.recordFailure(time.Now())
+		r.limiter.recordFailure(time.Now(), nodes)
 		r.mu.Unlock()
 	}
 }
