Ask a reader that may be gone for its list in short requests

What callers saw: nodes that started in an outage, whose readers had been killed, knew no manifest for some seconds after the store's return.

Cause: a request for the first list allowed 1.5 s for a reader that has not read it yet, and so 2 s for one that is gone. With four readers that were killed a node spent 8 s on them, its own attempts in between.

Change: one request waits 300 ms. A reader that answers that it has not read the list yet is asked again until 1.5 s have passed since the first request; one that does not answer is passed over.

--- a/internal/roster/relay.go
+++ b/internal/roster/relay.go
@@ -48,6 +48,8 @@
 	readUntil time.Time
 	// fromPeer reports whether the last response came from a reader.
 	fromPeer bool
+	// listingSince is when the node first asked for the list; zero once it has it.
+	listingSince time.Time
 	// path is the path by which the feed was read last, for the log.
 	path readPath
 	// avoidUntil holds, for each reader that failed, until when it is not used.
@@ -66,8 +68,11 @@
 	maxRelayWait = time.Second
 	// relayTimeout is allowed for a reader's response in addition to the wait.
 	relayTimeout = 500 * time.Millisecond
-	// maxRelayListWait bounds the wait for a reader that has not read the list yet.
+	// maxRelayListWait bounds the wait for a reader that has not read the list yet,
+	// relayListPoll one request to it: a reader that does not answer at all is passed
+	// over after that.
 	maxRelayListWait = 1500 * time.Millisecond
+	relayListPoll    = 300 * time.Millisecond
 	// readDuration is how long a node reads the source after another node's request,
 	// avoidDuration how long a reader is not used after it failed, lostDuration after it
 	// has said that it can't reach the source.
@@ -173,12 +178,15 @@
 	}
 	if reader != "" {
 		r.logPath(readPath(reader))
-		entries, revision, err = r.requestChanges(ctx, reader, changesRequest{List: true, WaitMs: maxRelayListWait.Milliseconds()})
+		entries, revision, err = r.requestChanges(ctx, reader, changesRequest{List: true, WaitMs: relayListPoll.Milliseconds()})
 		if err == nil {
 			r.update(entries, revision, completeList)
 			return entries, revision, nil
 		}
 		r.avoid(reader, err)
+		if errors.Is(err, errNotReading) && r.mayAwaitList(time.Now()) {
+			return nil, 0, err
+		}
 	}
 	if !r.mayReadSource(fallback) {
 		return nil, 0, errSourceUnreachable
@@ -223,6 +231,17 @@
 	return changes, revision, err
 }
 
+// mayAwaitList reports whether the node may go on to wait for a reader's first list in
+// place of reading the source.
+func (r *Relay[T]) mayAwaitList(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.listingSince.IsZero() {
+		r.listingSince = now
+	}
+	return now.Sub(r.listingSince) < maxRelayListWait
+}
+
 // mayTry reports whether the node may ask a reader, or read the source in its place.
 func (r *Relay[T]) mayTry() bool {
 	r.mu.Lock()
@@ -333,7 +352,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	r.fromPeer = flags&fromSource == 0
+	r.fromPeer, r.listingSince = flags&fromSource == 0, time.Time{}
 	r.limiter.recordSuccess()
 	r.copy.update(now, entries, r.Key, revision, flags)
 	r.copy.prune(now, r.IsRemoval)
