Nodes take a newer manifest from each other

Cause: what a node knew of the manifest hung on one path, its own to the store or to its readers. After an outage, and while the store turns a node away, others had the newest manifest in force for seconds before it did.

A node whose feed has just recovered, or that has fetched, has three neighbours and the other regions told at once. Older builds send no stamp and are asked nothing. No path puts a lower version in force.

TestManifestAtANodeThatTheStoreTurnsAway fails without the exchange. TestManifestNeverGoesBack draws lists, restorations, outages and stamps of older versions; it fails if the comparison of versions is taken out.

--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -64,6 +64,7 @@
 	Roster        *roster.Controller
 	ServerRelay   *roster.Relay[roster.ServerEntry]
 	ManifestRelay *roster.Relay[*roster.Manifest]
+	Spread        *roster.Spread
 	Peers         *peer.Peer
 	Members       *member.Controller
 	Lease         *lease.Controller
@@ -122,6 +123,7 @@
 		{Name: "peers", Run: n.components.Peers.Run},
 		{Name: "members", Run: n.components.Members.Run},
 		{Name: "roster", Run: n.watchStore},
+		{Name: "spread", Run: n.components.Spread.Run},
 		{Name: "start", Run: n.announce},
 		{Name: "lease", Run: n.components.Lease.Run},
 		{Name: "reporter", Run: n.components.Reporter.Run},
--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -27,7 +27,7 @@
 // providers constructs the components of a node. References between components
 // that depend on each other are set by connect.
 var providers = fx.Provide(
-	metrics.NewRegistry, newStore, newTable, newServerRelay, newManifestRelay, newRoster, newPeers, newMembers, newLease,
+	metrics.NewRegistry, newStore, newTable, newServerRelay, newManifestRelay, newRoster, newSpread, newPeers, newMembers, newLease,
 	newDirectory, newReporter, platform.NewEngines, newScheduler, newExchange, newOrigins, newDispatcher, newGossip, newLeaveNotices, newEndpoints,
 )
 
@@ -119,6 +119,12 @@
 	}
 }
 
+func newSpread(
+	n *Node, rosterController *roster.Controller, peers *peer.Peer, members *member.Controller, registry metrics.Registry,
+) *roster.Spread {
+	return &roster.Spread{Roster: rosterController, Peers: peers, Announce: members.ExchangeSoon, Log: n.Log, Metrics: registry}
+}
+
 func newPeers(n *Node, registry metrics.Registry) *peer.Peer {
 	return &peer.Peer{Address: n.Settings.Peers.Listen, Log: n.Log, Metrics: registry}
 }
@@ -311,6 +317,8 @@
 	p.Origins.Register(p.Peers)
 	p.ServerRelay.Register()
 	p.ManifestRelay.Register()
+	p.Spread.Register()
+	p.Members.Stamp, p.Members.OnStamp = p.Spread.Stamp, p.Spread.ReceiveStamp
 	placement.Register(p.Peers, p.Scheduler, p.Reporter)
 	p.Poison.Merge = p.Dispatcher.MergePoisonNotice
 }
--- a/internal/member/controller.go
+++ b/internal/member/controller.go
@@ -131,6 +131,16 @@
 	}
 }
 
+// ExchangeSoon has the node exchange messages with some neighbours, and with other
+// regions, before the next interval, so that they receive its stamp.
+func (c *Controller) ExchangeSoon() {
+	c.init()
+	c.withView(func(time.Time) []Action {
+		c.view.immediateDue = true
+		return nil
+	})
+}
+
 // reportMembers logs a change of the number of live members and updates the gauge.
 // It is called once per interval, so that nodes that start at the same time are one
 // change and not one for each of them. The caller holds the lock.
--- a/internal/roster/controller.go
+++ b/internal/roster/controller.go
@@ -20,11 +20,13 @@
 var Metrics = []metric.Doc{
 	{Name: serversMetric, Kind: metric.Gauge, Help: "backend servers in the platform's list"},
 	{Name: manifestMetric, Kind: metric.Gauge, Help: "version of the manifest in force"},
+	{Name: fetchedMetric, Kind: metric.Counter, Help: "manifests fetched from other nodes"},
 }
 
 const (
 	serversMetric  = "roster.servers"
 	manifestMetric = "roster.manifestVersion"
+	fetchedMetric  = "roster.manifestsFetched"
 )
 
 // Timing of the controller.
@@ -80,6 +82,13 @@
 	Log      *slog.Logger
 	Metrics  metrics.Registry
 
+	// manifestsFailing reports whether the feed of the manifest fails, or has not been
+	// read yet.
+	manifestsFailing atomic.Bool
+	// onManifestsRecovered is called after the first read of that feed that follows a
+	// failure. It may be nil.
+	onManifestsRecovered func()
+
 	mu   sync.Mutex
 	view atomic.Pointer[View]
 	// expiredAt holds, for each server that is kept although its entry expired, when
@@ -117,14 +126,14 @@
 	group.Go(func() {
 		watch := watcher[ServerEntry]{
 			name: "servers", feed: c.Servers, minPause: serversPause, apply: c.applyServers,
-			maxTimeout: maxServersTimeout, log: c.Log,
+			maxTimeout: maxServersTimeout, failing: new(atomic.Bool), log: c.Log,
 		}
 		watch.run(ctx)
 	})
 	group.Go(func() {
 		watch := watcher[*Manifest]{
 			name: "manifest", feed: c.Manifests, minPause: manifestPause, apply: c.applyManifests,
-			maxTimeout: maxManifestTimeout, log: c.Log,
+			maxTimeout: maxManifestTimeout, failing: &c.manifestsFailing, log: c.Log,
 		}
 		watch.run(ctx)
 	})
@@ -135,7 +144,10 @@
 
 // applyManifests applies manifests that were read. A version older than the one in
 // force is never applied.
-func (c *Controller) applyManifests(now time.Time, manifests []*Manifest, _ readKind) {
+func (c *Controller) applyManifests(now time.Time, manifests []*Manifest, read readKind) {
+	if read.recovered && c.onManifestsRecovered != nil {
+		defer c.onManifestsRecovered()
+	}
 	c.updateView(func(next *View) {
 		for _, manifest := range manifests {
 			if !manifest.complete() || next.Manifest != nil && manifest.Version <= next.Manifest.Version {
--- a/internal/roster/feed.go
+++ b/internal/roster/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -105,7 +106,9 @@
 	apply func(now time.Time, entries []T, read readKind)
 	// maxTimeout is the maximum of timeout.
 	maxTimeout time.Duration
-	log        *slog.Logger
+	// failing reports whether reads fail, or none has succeeded yet.
+	failing *atomic.Bool
+	log     *slog.Logger
 
 	// revision is the revision up to which the feed was read.
 	revision Revision
@@ -122,6 +125,7 @@
 
 func (w *watcher[T]) run(ctx context.Context) {
 	w.timeout = responseTimeout
+	w.failing.Store(true)
 	for ctx.Err() == nil {
 		changes, err := w.readOnce(ctx)
 		pause := w.pauseAfter(changes)
@@ -223,6 +227,7 @@
 
 func (w *watcher[T]) markFailed(err error) {
 	w.failures++
+	w.failing.Store(true)
 	if !w.failingSince.IsZero() {
 		return
 	}
@@ -234,6 +239,7 @@
 // failed.
 func (w *watcher[T]) markRecovered() bool {
 	w.failures = 0
+	w.failing.Store(false)
 	if w.failingSince.IsZero() {
 		return false
 	}
--- a/internal/roster/outage_test.go
+++ b/internal/roster/outage_test.go
@@ -2,208 +2,24 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 
+	"github.com/guavatrack/guavatrack/internal/packed"
 	"github.com/guavatrack/guavatrack/internal/peer/peertest"
 	"github.com/guavatrack/guavatrack/internal/roster"
-	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
 // inForceBound is how long after its acknowledgement, or after the end of an outage of
 // the store, a manifest may take to be in force at every node.
 const inForceBound = 2500 * time.Millisecond
 
-// outage is the state of a store that can fall silent: a call that is sent or waits for
-// its response meanwhile gets none, also after the silence has ended.
-type outage struct {
-	mu     sync.Mutex
-	silent bool
-	// lost counts the silences that have begun.
-	lost int
-	// compacted is the number of changes whose history is gone.
-	compacted roster.Revision
-}
-
-func (o *outage) begin() {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.silent = true
-	o.lost++
-}
-
-func (o *outage) end() {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.silent = false
-}
-
-func (o *outage) state() (silent bool, lost int, compacted roster.Revision) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.silent, o.lost, o.compacted
-}
-
-// probe makes a small read of the store.
-func (o *outage) probe(ctx context.Context) error {
-	silent, lost, _ := o.state()
-	time.Sleep(storeLatency)
-	return o.respond(ctx, silent, lost)
-}
-
-// respond delivers a response of a call that was sent in the given state, or waits for
-// the end of the context if it is lost.
-func (o *outage) respond(ctx context.Context, sentSilent bool, sentLost int) error {
-	if silent, lost, _ := o.state(); !sentSilent && !silent && lost == sentLost {
-		return nil
-	}
-	<-ctx.Done()
-	return ctx.Err()
-}
-
-// storeFeed is a node's feed of a store that can fall silent and forget its history.
-type storeFeed[T any] struct {
-	*sharedFeed[T]
-	outage *outage
-}
-
-func (f *storeFeed[T]) List(ctx context.Context) ([]T, roster.Revision, error) {
-	silent, lost, _ := f.outage.state()
-	time.Sleep(storeLatency)
-	if err := f.outage.respond(ctx, silent, lost); err != nil {
-		return nil, 0, err
-	}
-	return f.sharedFeed.List(ctx)
-}
-
-// storeLatency is the time that the store takes to respond.
-const storeLatency = 4 * time.Millisecond
-
-func (f *storeFeed[T]) Follow(ctx context.Context, after roster.Revision, wait time.Duration) ([]T, roster.Revision, error) {
-	silent, lost, compacted := f.outage.state()
-	time.Sleep(storeLatency)
-	if after < compacted {
-		if err := f.outage.respond(ctx, silent, lost); err != nil {
-			return nil, 0, err
-		}
-		return nil, 0, roster.ErrCompacted
-	}
-	entries, revision, err := f.sharedFeed.Follow(ctx, after, wait)
-	if err == nil {
-		err = f.outage.respond(ctx, silent, lost)
-	}
-	return entries, revision, err
-}
-
-// outageRegion is a region of nodes that share their feeds of one store.
-type outageRegion struct {
-	*qt.C
-	network   peertest.Network
-	outage    outage
-	servers   sharedFeed[roster.ServerEntry]
-	manifests sharedFeed[*roster.Manifest]
-	mu        sync.Mutex
-	ranked    []fleet.NodeID
-	nodes     map[fleet.NodeID]*roster.Controller
-	stops     map[fleet.NodeID]func()
-	version   uint64
-}
-
-func newOutageRegion(t *testing.T, nodes int) *outageRegion {
-	t.Helper()
-	r := &outageRegion{
-		C: qt.New(t), nodes: make(map[fleet.NodeID]*roster.Controller), stops: make(map[fleet.NodeID]func()),
-	}
-	r.deploy()
-	r.servers.put(manyEntries(20, "1")...)
-	for i := range nodes {
-		r.start(fleet.NodeID(fmt.Sprint("n", i)))
-	}
-	t.Cleanup(func() {
-		for _, stop := range r.stops {
-			stop()
-		}
-	})
-	return r
-}
-
-// deploy writes the next manifest.
-func (r *outageRegion) deploy() {
-	r.version++
-	r.manifests.put(&roster.Manifest{Version: r.version})
-}
-
-// rank returns the nodes that have ever been started: the others are not yet known to
-// have been killed.
-func (r *outageRegion) rank() []fleet.NodeID {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return append([]fleet.NodeID(nil), r.ranked...)
-}
-
-// start runs a node. It reads the store by a feed of its own.
-func (r *outageRegion) start(node fleet.NodeID) {
-	r.mu.Lock()
-	r.ranked = append(r.ranked, node)
-	r.mu.Unlock()
-	endpoint := peertest.Endpoint{Network: &r.network, Node: node}
-	servers := &roster.Relay[roster.ServerEntry]{
-		Name: "servers", Source: r.serverSource(),
-		Key:       func(entry roster.ServerEntry) string { return string(entry.ID) },
-		IsRemoval: func(entry roster.ServerEntry) bool { return entry.Server == nil },
-		Node:      node, Ranked: r.rank, Peers: endpoint,
-	}
-	manifests := &roster.Relay[*roster.Manifest]{
-		Name: "manifest", Source: r.manifestSource(),
-		Key:       func(*roster.Manifest) string { return "" },
-		IsRemoval: func(*roster.Manifest) bool { return false },
-		Node:      node, Ranked: r.rank, Peers: endpoint,
-	}
-	servers.Register()
-	manifests.Register()
-	controller := &roster.Controller{Servers: servers, Manifests: manifests}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = controller.Run(ctx)
-	}()
-	r.nodes[node], r.stops[node] = controller, func() { cancel(); <-done }
-}
-
-func (r *outageRegion) serverSource() roster.Feed[roster.ServerEntry] {
-	return &roster.Guard[roster.ServerEntry]{Source: &storeFeed[roster.ServerEntry]{&r.servers, &r.outage}, Probe: r.outage.probe}
-}
-
-func (r *outageRegion) manifestSource() roster.Feed[*roster.Manifest] {
-	return &roster.Guard[*roster.Manifest]{Source: &storeFeed[*roster.Manifest]{&r.manifests, &r.outage}, Probe: r.outage.probe}
-}
-
-// kill stops a node and starts another one in its place, which is a node of its own. The
-// others still rank the killed one.
-func (r *outageRegion) kill(node, next fleet.NodeID) {
-	r.stops[node]()
-	delete(r.nodes, node)
-	delete(r.stops, node)
-	r.network.SetUnresponsive(node, true)
-	r.start(next)
-}
-
-// late returns the nodes that do not have the newest manifest in force.
-func (r *outageRegion) late() (nodes []fleet.NodeID) {
-	for node, controller := range r.nodes {
-		if manifest := controller.View().Manifest; manifest == nil || manifest.Version < r.version {
-			nodes = append(nodes, node)
-		}
-	}
-	return nodes
-}
-
 // TestManifestAfterAnOutageWithCompaction guards against a manifest that is not in force
 // because the response to a list was lost: the store drops its history, the nodes list
 // again, and the store is silent at that moment.
@@ -213,11 +29,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				r := newOutageRegion(t, 6)
 				time.Sleep(5 * time.Second)
-				r.outage.mu.Lock()
-				_, r.outage.compacted = r.manifests.after(0)
-				r.outage.compacted++
-				r.outage.mu.Unlock()
-				r.deploy()
+				r.compact()
 				time.Sleep(offset)
 				r.outage.begin()
 				time.Sleep(2500 * time.Millisecond)
@@ -238,9 +50,7 @@
 		time.Sleep(5 * time.Second)
 		r.outage.begin()
 		time.Sleep(2 * time.Second)
-		for i := range 4 {
-			r.kill(fleet.NodeID(fmt.Sprint("n", i)), fleet.NodeID(fmt.Sprint("m", i)))
-		}
+		r.killFirst(4)
 		time.Sleep(5 * time.Second)
 		r.outage.end()
 		r.deploy()
@@ -260,9 +70,7 @@
 				time.Sleep(5 * time.Second)
 				r.outage.begin()
 				time.Sleep(time.Second)
-				for i := range 4 {
-					r.kill(fleet.NodeID(fmt.Sprint("n", i)), fleet.NodeID(fmt.Sprint("m", i)))
-				}
+				r.killFirst(4)
 				time.Sleep(length)
 				r.outage.end()
 				r.deploy()
@@ -304,11 +112,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newOutageRegion(t, 7)
 		time.Sleep(5 * time.Second)
-		r.outage.mu.Lock()
-		_, r.outage.compacted = r.manifests.after(0)
-		r.outage.compacted++
-		r.outage.mu.Unlock()
-		r.deploy()
+		r.compact()
 		time.Sleep(1900 * time.Millisecond)
 		for range 10 {
 			// Each response that is under way is lost again and again.
@@ -321,3 +125,113 @@
 		r.Check(r.late(), qt.HasLen, 0)
 	})
 }
+
+// TestManifestIsInForceWithinTheBound checks the sum of all waits behind the bound: a
+// manifest that is acknowledged at the end of an outage, of any length up to 12 s, is in
+// force at every node 2.5 s later; also if the nodes' readers, or all nodes, were killed in
+// the outage, or the store dropped its history before it.
+func TestManifestIsInForceWithinTheBound(t *testing.T) {
+	disturbances := map[string]func(r *outageRegion){
+		"none":          func(*outageRegion) {},
+		"compacted":     func(r *outageRegion) { r.compact() },
+		"readersKilled": func(r *outageRegion) { r.killFirst(4) },
+		"allKilled":     func(r *outageRegion) { r.killFirst(7) },
+	}
+	for name, disturb := range disturbances {
+		t.Run(name, func(t *testing.T) {
+			for length := 500 * time.Millisecond; length <= 12*time.Second; length += 170 * time.Millisecond {
+				synctest.Test(t, func(t *testing.T) {
+					r := newStampedRegion(t, 7)
+					time.Sleep(5 * time.Second)
+					r.outage.begin()
+					time.Sleep(length / 2)
+					disturb(r)
+					time.Sleep(length - length/2)
+					r.outage.end()
+					r.deploy()
+					time.Sleep(inForceBound)
+					r.Check(r.late(), qt.HasLen, 0, qt.Commentf("outage of %s", length))
+				})
+			}
+		})
+	}
+}
+
+// TestManifestAtANodeThatTheStoreTurnsAway guards against a node whose knowledge hangs on
+// its own path to the store: it gets no response from there, while the other nodes do.
+func TestManifestAtANodeThatTheStoreTurnsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newStampedRegion(t, 6)
+		away := &outage{}
+		r.turnedAway["n6"] = away
+		away.begin()
+		r.start("n6")
+		time.Sleep(inForceBound)
+		r.Check(r.late(), qt.HasLen, 0)
+		for range 5 {
+			r.deploy()
+			time.Sleep(inForceBound)
+			r.Check(r.late(), qt.HasLen, 0)
+		}
+	})
+}
+
+// TestManifestNeverGoesBack guards against a node that puts an older manifest in force
+// again: from the list of a store that was restored from an older copy, from changes that
+// come late, or from another node that is behind.
+func TestManifestNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.IntRange(0, 5), 5, 40).Draw(rt, "steps")
+		versions := rapid.SliceOfN(rapid.Uint64Range(1, 20), len(steps), len(steps)).Draw(rt, "versions")
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			s := start(t, func(s *fixture) { s.manifests.all = []*roster.Manifest{{Version: 1}} })
+			var network peertest.Network
+			spread := &roster.Spread{Roster: &s.roster, Peers: peertest.Endpoint{Network: &network, Node: "a"}}
+			spread.Register()
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go func() { _ = spread.Run(ctx) }()
+			highest := uint64(0)
+			check := func() {
+				time.Sleep(700 * time.Millisecond)
+				if manifest := s.roster.View().Manifest; manifest != nil {
+					c.Assert(manifest.Version >= highest, qt.IsTrue, qt.Commentf("%d after %d", manifest.Version, highest))
+					highest = manifest.Version
+				}
+			}
+			for i, step := range steps {
+				manifest := &roster.Manifest{Version: versions[i]}
+				switch step {
+				case 0, 1:
+					s.manifests.update(func() {
+						s.manifests.all, s.manifests.changes = []*roster.Manifest{manifest}, []*roster.Manifest{manifest}
+					})
+				case 2:
+					s.manifests.update(func() { s.manifests.all, s.manifests.compacted = []*roster.Manifest{manifest}, true })
+				case 3:
+					s.manifests.update(func() {
+						s.manifests.revision = roster.RevisionIn(s.manifests.revision.Era()+1, 1)
+						s.manifests.all, s.manifests.compacted = []*roster.Manifest{manifest}, true
+					})
+				case 4:
+					s.manifests.update(func() { s.manifests.down = !s.manifests.down })
+				case 5:
+					serveManifest(&network, manifest)
+					spread.ReceiveStamp(ctx, "b", json.RawMessage(fmt.Sprintf(`{"manifest":%d}`, rapid.Uint64Range(1, 30).Example(i))))
+				}
+				check()
+			}
+			check()
+		})
+	})
+}
+
+// serveManifest registers node b, which has a manifest in force whatever it is asked for.
+func serveManifest(network *peertest.Network, manifest *roster.Manifest) {
+	peertest.Endpoint{Network: network, Node: "b"}.Handle("roster.manifest",
+		func(context.Context, json.RawMessage) (any, error) {
+			list, err := packed.Encode([]*roster.Manifest{manifest})
+			return map[string]packed.List{"packed": list}, err
+		})
+}
