Keep the requests of all nodes within the limit that a server names

Cause: no code read the header. Class: a bound that holds for the sum of all nodes was known to none of them.

Change: the node that reads a limit tells the others at once. One node for each such server, chosen from the members of its region by hashing, hands out tokens at the rate of the limit; its own requests take theirs directly, and another node asks while its requests find no other server. A token lapses after a second, and a new owner waits as long first. A server without a token counts as full: calls go to other servers, wait if a token comes in time, or are refused at once with the time at which to come again. An answer of success without the header ends the limit, as does another run of the server. A value that is no finite number from 0 up says nothing; below 0.1 a second one request in ten seconds remains.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -53,6 +53,15 @@
 	Free int
 	// ReadyIn is the time until the slots are ready; 0 if they are.
 	ReadyIn time.Duration
+	// StartInterval is the minimum time between the starts of two requests; 0 if there is
+	// none.
+	StartInterval time.Duration
+}
+
+// startTime returns the time in which a number of requests start one after the other on
+// slots that are all in use.
+func (c *Capacity) startTime(count int, serviceTime time.Duration) time.Duration {
+	return max(serviceTime*time.Duration(count)/time.Duration(max(1, c.Slots)), c.StartInterval*time.Duration(count))
 }
 
 // Outcome is the result of an offer.
@@ -158,7 +167,7 @@
 	ahead := q.countAhead(request) - capacity.Free
 	wait := capacity.ReadyIn
 	if ahead >= 0 {
-		wait += q.meanServiceTime * time.Duration(ahead+1) / time.Duration(max(1, capacity.Slots))
+		wait += capacity.startTime(ahead+1, q.meanServiceTime)
 	}
 	start = now.Add(wait)
 	return start, start.Add(request.scale(q.serviceTimeBound()))
@@ -199,7 +208,7 @@
 	if q.size >= q.bound() {
 		displaced, found := q.displace(request)
 		if !found {
-			wait := q.meanServiceTime * time.Duration(q.size) / time.Duration(max(1, capacity.Slots))
+			wait := capacity.startTime(q.size, q.meanServiceTime)
 			return Decision{Outcome: Full, RetryAfter: max(minRetryAfter, wait/2)}
 		}
 		decision.Displaced = displaced
@@ -275,7 +284,7 @@
 		for _, request := range q.classes[i].byDeadline() {
 			wait := capacity.ReadyIn
 			if position >= 0 {
-				wait += q.meanServiceTime * time.Duration(position+1) / time.Duration(max(1, capacity.Slots))
+				wait += capacity.startTime(position+1, q.meanServiceTime)
 			}
 			start := now.Add(wait)
 			if request.lateness(start, start.Add(request.scale(q.serviceTimeBound()))) > 0 {
--- a/internal/dispatch/callrunner.go
+++ b/internal/dispatch/callrunner.go
@@ -96,9 +96,11 @@
 func (r *callRunner) retakeSlot(server fleet.ServerID) (*slot, bool) {
 	for _, replica := range r.replicas(r.call) {
 		if replica.Server == server && !r.servers.get(replica.Server).closedTo(time.Now(), replica.Boot) {
-			taken := r.takeSlotAt(r.call, replica, time.Now(), "")
-			taken.fresh = true
-			return taken, true
+			taken, found := r.takeSlotAt(r.call, replica, time.Now(), "")
+			if found {
+				taken.fresh = true
+			}
+			return taken, found
 		}
 	}
 	return nil, false
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -31,6 +31,8 @@
 	Prober       Prober
 	// Origins is nil if all servers of a pool have one software version.
 	Origins Origins
+	// RateLimits is nil if servers name no limits.
+	RateLimits RateLimits
 	// Store holds the notices of all nodes about requests that crash servers.
 	Store table.Store
 	Place fleet.Place
@@ -73,6 +75,9 @@
 	if d.Allowance == nil {
 		d.Allowance = func() retry.Allowance { return DefaultAllowance }
 	}
+	if d.RateLimits == nil {
+		d.RateLimits = noRateLimits{}
+	}
 	d.callObserver, _ = d.Loader.(Observer)
 	d.slotObserver, _ = d.Loader.(SlotObserver)
 	d.leaveRecorder, _ = d.Directory.(LeaveRecorder)
@@ -86,6 +91,7 @@
 	d.meters.register(d.Metrics)
 	d.servers.timestamps, _ = d.Directory.(TimestampedDirectory)
 	d.servers.loads, _ = d.Directory.(LoadDirectory)
+	d.servers.rateLimits = d.RateLimits
 	d.servers.setUp()
 }
 
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -161,7 +161,10 @@
 		// There is no replica, or none that accepts calls now: assume one that is
 		// ready after readyIn, or when the first server wants requests again.
 		slots := max(1, call.Concurrency)
-		return admission.Capacity{Slots: slots, Free: slots, ReadyIn: max(readyIn, d.shortestRest(replicas, now))}
+		capacity = admission.Capacity{Slots: slots, Free: slots, ReadyIn: max(readyIn, d.shortestRest(replicas, now))}
+	}
+	if capacity.StartInterval = d.startInterval(replicas); capacity.StartInterval > 0 {
+		capacity.Free = min(capacity.Free, 1)
 	}
 	return capacity
 }
@@ -173,10 +176,11 @@
 }
 
 // shortestRest returns the shortest time for which a server of the replicas still wants
-// no requests; 0 if none wants that.
+// no requests, or has no token for one; 0 if that holds for none.
 func (d *Dispatcher) shortestRest(replicas []Replica, now time.Time) (shortest time.Duration) {
 	for i := range replicas {
-		left := d.servers.get(replicas[i].Server).restLeft(now)
+		id := replicas[i].Server
+		left := max(d.servers.get(id).restLeft(now), d.RateLimits.ReadyIn(id, replicas[i].Boot))
 		if left > 0 && d.countsLocally(replicas, i) && (shortest == 0 || left < shortest) {
 			shortest = left
 		}
--- a/internal/dispatch/servers.go
+++ b/internal/dispatch/servers.go
@@ -23,7 +23,8 @@
 	// timestamps is nil if the directory does not record the time of its reports.
 	timestamps TimestampedDirectory
 	// loads is nil if the directory counts no calls.
-	loads LoadDirectory
+	loads      LoadDirectory
+	rateLimits RateLimits
 }
 
 type serverShard struct {
@@ -38,6 +39,7 @@
 	// if it counts no calls.
 	timestamps TimestampedDirectory
 	loads      LoadDirectory
+	rateLimits RateLimits
 
 	mu      sync.Mutex
 	health  route.Health
@@ -96,7 +98,7 @@
 	state := shard.servers[id]
 	if state == nil {
 		state = &serverState{
-			id: id, timestamps: s.timestamps, loads: s.loads, running: make(map[*slot]struct{}), groups: make(map[string]*slotGroup),
+			id: id, timestamps: s.timestamps, loads: s.loads, rateLimits: s.rateLimits, running: make(map[*slot]struct{}), groups: make(map[string]*slotGroup),
 			absentItems: make(map[fleet.Item]itemAbsence),
 		}
 		shard.servers[id] = state
@@ -178,7 +180,11 @@
 		decay := math.Exp(-float64(now.Sub(s.firstByteAt)) / float64(firstByteDecay))
 		candidate.TimeToFirstByte = time.Duration(float64(s.firstByte) * decay)
 	}
-	if s.unavailable(now, replica, call) || !s.fitsCache(replica, call) {
+	tokens := s.rateLimits.Available(s.id, replica.Boot)
+	if tokens < math.MaxInt-candidate.InFlight {
+		candidate.Limit = min(candidate.Limit, candidate.InFlight+tokens)
+	}
+	if tokens == 0 || s.unavailable(now, replica, call) || !s.fitsCache(replica, call) {
 		candidate.Limit, candidate.InFlight = 0, math.MaxInt
 	}
 	return candidate
--- a/internal/dispatch/slot.go
+++ b/internal/dispatch/slot.go
@@ -65,12 +65,13 @@
 	d.markPrefixes(call, candidates, now)
 	index, found := route.Pick(query, candidates, d.Rand)
 	if !found {
+		d.wantTokens(replicas)
 		return nil, false
 	}
 	if cause == "" {
 		cause = route.CauseFull
 	}
-	return d.takeSlotAt(call, replicas[index], now, cause), true
+	return d.takeSlotAt(call, replicas[index], now, cause)
 }
 
 // restrictToLeastLoaded leaves a free slot only at the servers with the fewest
@@ -96,9 +97,13 @@
 	}
 }
 
-// takeSlotAt takes a slot at a replica.
-func (d *Dispatcher) takeSlotAt(call *Call, replica Replica, now time.Time, cause route.Cause) *slot {
-	taken := &slot{server: d.servers.get(replica.Server), replica: replica, call: call, started: now}
+// takeSlotAt takes a slot at a replica. It reports false if the server has named a limit
+// and another call has just taken the last token.
+func (d *Dispatcher) takeSlotAt(call *Call, replica Replica, now time.Time, cause route.Cause) (taken *slot, found bool) {
+	if !d.RateLimits.Take(replica.Server, replica.Boot) {
+		return nil, false
+	}
+	taken = &slot{server: d.servers.get(replica.Server), replica: replica, call: call, started: now}
 	if replica.Region != d.Place.Region {
 		taken.cause = cause
 	}
@@ -107,7 +112,7 @@
 		d.slotObserver.SlotTaken(&taken.replica, now)
 	}
 	d.prefixes.recordSent(now, call, replica.Server)
-	return taken
+	return taken, true
 }
 
 // releaseSlot releases a slot and starts waiting requests of the same queue.
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -24,6 +24,7 @@
 	"github.com/guavatrack/guavatrack/internal/peer"
 	"github.com/guavatrack/guavatrack/internal/placement"
 	"github.com/guavatrack/guavatrack/internal/poison"
+	"github.com/guavatrack/guavatrack/internal/ratelimit"
 	"github.com/guavatrack/guavatrack/internal/roster"
 	"github.com/guavatrack/guavatrack/internal/run"
 	"github.com/guavatrack/guavatrack/internal/settings"
@@ -76,6 +77,7 @@
 	Exchange      *platform.Exchange
 	Poison        *poison.Gossip
 	LeaveNotices  *roster.LeaveNotices
+	RateLimits    *ratelimit.Controller
 	Engines       *platform.Engines
 	Endpoints     *endpoints
 }
@@ -131,6 +133,7 @@
 		{Name: "origins", Run: n.components.Origins.Run},
 		{Name: "dispatcher", Run: n.components.Dispatcher.Run},
 		{Name: "notices", Run: n.receiveNotices},
+		{Name: "rateLimits", Run: n.components.RateLimits.Run},
 		{Name: "pauses", Run: n.watchPauses},
 	}
 }
@@ -165,18 +168,19 @@
 }
 
 // Times between two reads of the notices of other nodes, received by gossip: those about
-// requests that crash backend servers are read poisonReads times as often as those about
-// servers that leave.
+// requests that crash backend servers and about limits of servers are read urgentReads
+// times as often as those about servers that leave.
 const (
-	poisonNoticeInterval = 250 * time.Millisecond
-	poisonReads          = 4
+	urgentNoticeInterval = 250 * time.Millisecond
+	urgentReads          = 4
 )
 
 func (n *Node) receiveNotices(ctx context.Context) error {
 	for read := 1; ctx.Err() == nil; read++ {
-		wait.For(ctx, poisonNoticeInterval)
+		wait.For(ctx, urgentNoticeInterval)
 		n.components.Poison.Receive()
-		if read%poisonReads == 0 {
+		n.components.RateLimits.Receive()
+		if read%urgentReads == 0 {
 			n.components.LeaveNotices.Receive()
 		}
 	}
--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"hash/fnv"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -17,6 +19,7 @@
 	"github.com/guavatrack/guavatrack/internal/peer"
 	"github.com/guavatrack/guavatrack/internal/placement"
 	"github.com/guavatrack/guavatrack/internal/poison"
+	"github.com/guavatrack/guavatrack/internal/ratelimit"
 	"github.com/guavatrack/guavatrack/internal/retry"
 	"github.com/guavatrack/guavatrack/internal/roster"
 	"github.com/guavatrack/guavatrack/internal/table"
@@ -28,7 +31,7 @@
 // that depend on each other are set by connect.
 var providers = fx.Provide(
 	metrics.NewRegistry, newStore, newTable, newServerRelay, newManifestRelay, newRoster, newSpread, newPeers, newMembers, newLease,
-	newDirectory, newReporter, platform.NewEngines, newScheduler, newExchange, newOrigins, newDispatcher, newGossip, newLeaveNotices, newEndpoints,
+	newDirectory, newReporter, platform.NewEngines, newScheduler, newExchange, newOrigins, newDispatcher, newGossip, newLeaveNotices, newRateLimits, newEndpoints,
 )
 
 const (
@@ -269,10 +272,11 @@
 
 func newDispatcher(
 	n *Node, directory *placement.Directory, reporter *placement.Reporter, exchange *platform.Exchange,
-	members *member.Controller, store table.Store, gossip *poison.Gossip, origins *origin.Controller, registry metrics.Registry,
+	members *member.Controller, store table.Store, gossip *poison.Gossip, origins *origin.Controller, limits *ratelimit.Controller,
+	registry metrics.Registry,
 ) *dispatch.Dispatcher {
 	return &dispatch.Dispatcher{
-		Directory: directory, Loader: reporter, LoadWhenFull: true, Prober: exchange, Origins: origins, Store: store,
+		Directory: directory, Loader: reporter, LoadWhenFull: true, Prober: exchange, Origins: origins, RateLimits: limits, Store: store,
 		Place: n.Settings.Node.Place, Node: n.ID, Allowance: func() retry.Allowance { return n.allowance(members) },
 		PublishPoisonNotice: gossip.Publish, PoisonPollInterval: poisonPollInterval, Log: n.Log, Metrics: registry,
 	}
@@ -290,6 +294,37 @@
 	return &roster.LeaveNotices{Node: n.ID, Roster: rosterController, Facts: members, Log: n.Log}
 }
 
+func newRateLimits(
+	n *Node, rosterController *roster.Controller, members *member.Controller, peers *peer.Peer, registry metrics.Registry,
+) *ratelimit.Controller {
+	return &ratelimit.Controller{
+		Node: n.ID, Peers: peers, Facts: members, Log: n.Log, Metrics: registry,
+		Owner: func(server fleet.ServerID) fleet.NodeID {
+			found := rosterController.View().Servers[server]
+			if found == nil {
+				return ""
+			}
+			return ownerOf(server, found.Region, healthyNodes(members))
+		},
+	}
+}
+
+// ownerOf returns the node that hands out the tokens of a limited server: one of its
+// region, if any, that has the highest hash with the server.
+func ownerOf(server fleet.ServerID, region fleet.Region, nodes []member.Info) (owner fleet.NodeID) {
+	var highest uint64
+	local := false
+	for i := range nodes {
+		hash := fnv.New64a()
+		_, _ = io.WriteString(hash, string(server)+"/"+string(nodes[i].Node))
+		inRegion := nodes[i].Region == region
+		if owner == "" || inRegion && !local || inRegion == local && hash.Sum64() > highest {
+			owner, highest, local = nodes[i].Node, hash.Sum64(), inRegion
+		}
+	}
+	return owner
+}
+
 const (
 	// retryShare is the share of the fleet's retry allowance that the nodes use.
 	// minNodes is the minimum number of nodes by which the burst is divided: some
@@ -309,7 +344,7 @@
 // registers the methods that nodes call on each other, before any component runs.
 func connect(n *Node, p components) {
 	p.Directory.View, p.Directory.Leaving = p.Roster.View, p.LeaveNotices
-	p.Engines.Leaving, p.Engines.Rests = p.LeaveNotices, p.Dispatcher
+	p.Engines.Leaving, p.Engines.Rests, p.Engines.Limits = p.LeaveNotices, p.Dispatcher, p.RateLimits
 	p.Peers.Resolve, p.Peers.InOtherRegion = p.Members.Resolve, p.Members.InOtherRegion
 	p.Store.OnRestored = n.storeRestored
 	p.Members.Register()
@@ -317,6 +352,7 @@
 	p.Origins.Register(p.Peers)
 	p.ServerRelay.Register()
 	p.ManifestRelay.Register()
+	p.RateLimits.Register()
 	p.Spread.Register()
 	p.Members.Stamp, p.Members.OnStamp = p.Spread.Stamp, p.Spread.ReceiveStamp
 	placement.Register(p.Peers, p.Scheduler, p.Reporter)
