Calls that wait for a limited engine have their model loaded elsewhere

A model that only an engine in need has was served at the pace of the limit, however many calls waited: the plan of loads counted that engine as a replica with all its slots. Calls that wait now count it as none, so that a further engine with a copy of the weights loads the model. TestModelOfALimitedEngineGetsAFurtherReplica failed before (no order) and passes.

--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -344,6 +344,7 @@
 // registers the methods that nodes call on each other, before any component runs.
 func connect(n *Node, p components) {
 	p.Directory.View, p.Directory.Leaving = p.Roster.View, p.LeaveNotices
+	p.Scheduler.Limited = p.RateLimits.IsLimited
 	p.Engines.Leaving, p.Engines.Rests, p.Engines.Limits = p.LeaveNotices, p.Dispatcher, p.RateLimits
 	p.Peers.Resolve, p.Peers.InOtherRegion = p.Members.Resolve, p.Members.InOtherRegion
 	p.Store.OnRestored = n.storeRestored
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -55,6 +55,8 @@
 	// NotifyLocal applies an update at this node's reporter.
 	NotifyLocal func(updateMessage)
 	Node        fleet.NodeID
+	// Limited reports whether a run of an engine has named a limit of requests. It may be nil.
+	Limited func(fleet.ServerID, fleet.BootID) bool
 	// StoreLoads is the number of concurrent loads from the weight store that
 	// run at full speed, AdapterLoads that of adapters.
 	StoreLoads, AdapterLoads int
@@ -313,6 +315,7 @@
 			continue
 		}
 		input := e.planInput(now, pool.Engine, usages)
+		input.Limited = s.Limited != nil && s.Limited(e.server.ID, e.server.Boot)
 		s.reserveForLateOrders(now, e, &input, state.Models)
 		state.AdapterLoads -= input.AdaptersLoading
 		state.Engines = append(state.Engines, input)
--- a/internal/ratelimit/controller.go
+++ b/internal/ratelimit/controller.go
@@ -258,6 +258,11 @@
 	return 0
 }
 
+// IsLimited reports whether a run of a server has named a limit.
+func (c *Controller) IsLimited(id fleet.ServerID, boot fleet.BootID) bool {
+	return c.ShareOf(id, boot) > 0
+}
+
 // Run asks the owners for the tokens that requests want, until the context ends.
 func (c *Controller) Run(ctx context.Context) error {
 	var asks sync.WaitGroup
--- a/internal/residence/plan.go
+++ b/internal/residence/plan.go
@@ -58,6 +58,8 @@
 	// ready counts the loaded replicas of each model, pending those that are
 	// being loaded or that memory is being freed for.
 	ready, pending map[fleet.ModelID]int
+	// limited counts those of the ready replicas whose engine has named a limit.
+	limited map[fleet.ModelID]int
 	// calls is the number of calls that run on or wait for each model, without waiting
 	// calls of restrictions.
 	calls map[fleet.ModelID]int
@@ -84,7 +86,8 @@
 func Plan(state State) []Order {
 	p := &planner{
 		State: &state, demand: make(map[fleet.ModelID]*Demand),
-		ready: make(map[fleet.ModelID]int), pending: make(map[fleet.ModelID]int), calls: make(map[fleet.ModelID]int),
+		ready: make(map[fleet.ModelID]int), pending: make(map[fleet.ModelID]int), limited: make(map[fleet.ModelID]int),
+		calls:      make(map[fleet.ModelID]int),
 		diskCopies: make(map[fleet.ModelID]int), holders: make(map[fleet.ModelID][]int), ordered: make(map[fleet.ServerID]bool),
 	}
 	for _, model := range state.Models {
@@ -107,6 +110,9 @@
 			p.calls[resident.Model] += resident.Running
 			if !resident.Unloading && !engine.Unavailable {
 				p.ready[resident.Model]++
+				if engine.Limited {
+					p.limited[resident.Model]++
+				}
 			}
 		}
 		if engine.Loading != "" {
--- a/internal/residence/plan_test.go
+++ b/internal/residence/plan_test.go
@@ -311,3 +311,23 @@
 	qt.Assert(t, residence.Plan(state), qt.HasLen, 0)
 	qt.Assert(t, randomCalls, qt.Equals, 0)
 }
+
+// TestModelOfALimitedEngineGetsAFurtherReplica covers a model whose only engine has named a
+// limit of requests, so that calls wait although it is loaded: it is loaded on the engine
+// that has a copy of its weights. While no call waits it is not.
+func TestModelOfALimitedEngineGetsAFurtherReplica(t *testing.T) {
+	c := qt.New(t)
+	state := newState(2, 4)
+	addIdleModels(&state.Engines[0], 0)
+	state.Engines[0].Limited = true
+	state.Engines[1].OnDisk[modelID(0)] = true
+	c.Check(residence.Plan(state), qt.HasLen, 0)
+	addWaitingCalls(&state, 0, 2)
+	orders := residence.Plan(state)
+	c.Assert(orders, qt.HasLen, 1)
+	c.Check(orders[0].Load, qt.IsTrue)
+	c.Check(orders[0].Server, qt.Equals, serverID(1))
+	c.Check(orders[0].Item.Model, qt.Equals, modelID(0))
+	state.Engines[0].Limited = false
+	c.Check(residence.Plan(state), qt.HasLen, 0)
+}
--- a/internal/residence/replicas.go
+++ b/internal/residence/replicas.go
@@ -49,6 +49,9 @@
 	requests := p.restrictedRequests()
 	for model, demand := range p.demand {
 		replicas := p.ready[model] + p.pending[model]
+		if demand.Waiting > 0 {
+			replicas = max(0, replicas-p.limited[model])
+		}
 		expected := expectedCalls(demand)
 		switch target := p.targetReplicas(model); {
 		case replicas == 0 && demand.Waiting > 0:
--- a/internal/residence/state.go
+++ b/internal/residence/state.go
@@ -48,6 +48,9 @@
 	// Unavailable reports whether the engine gets no orders: it is draining,
 	// cannot be reached, or its state is unknown.
 	Unavailable bool
+	// Limited reports whether the engine has named a limit of requests. Its models count as
+	// loaded only for calls that do not wait, so that a further replica takes the others.
+	Limited bool
 	// Busy reports whether an order to load or unload a model is in progress.
 	Busy bool
 	// Loading is the model that is being loaded, ReservedFor the model that
