A node whose readers are gone finds the store again within the bound by itself

Seen once in four runs of go test beside other packages, then in 2 of 60 and, with shorter pauses alone, in 18 of 150 runs of the tests of outages: a node whose four readers were killed had the manifest later than 2.5 s after the end of an outage, by its own feed alone (in the product another node brings it, too).

Cause, from a trace of its reads: the waits add up. A request to a reader that is gone took 500 ms of the time of the attempt, so that the guard came too late; the pause after a failed read of the store, of up to 1 s, was missed by 7 ms, which cost a further round.

Change: after failures a reader has 250 ms; a probe of the guard 250 ms, with 150 ms between two; the pause grows to 0.6 s in a small region; a lost response ends it, since the store answers. 0 of 150 runs fail (TestManifestAtANodeWhoseReadersWereKilled and the others of outages); failed reads of the store in an outage: 503 of the 848 allowed.

--- a/internal/roster/fallback.go
+++ b/internal/roster/fallback.go
@@ -24,12 +24,12 @@
 	// fallbackPauseLimit: a node of a small region reads the source within that time
 	// after an outage, however long it was.
 	minFallbackPause     = 500 * time.Millisecond
-	fallbackPauseLimit   = time.Second
+	fallbackPauseLimit   = 600 * time.Millisecond
 	fallbackPausePerNode = 50 * time.Millisecond
 	maxFallbackPause     = 8 * time.Second
 	// readerRetryPause is the pause after a reader and the source have both failed. The
 	// readers notice the end of an outage first.
-	readerRetryPause = time.Second
+	readerRetryPause = 500 * time.Millisecond
 )
 
 // mayRead reports whether the node may read the source in place of a reader.
@@ -50,5 +50,8 @@
 	l.nextRead = now.Add(wait.Jitter(l.pause))
 }
 
+// failing reports whether neither a reader nor the source could be read lately.
+func (l *fallbackLimiter) failing() bool { return l.pause > 0 }
+
 // recordSuccess records that a reader or the source was read.
 func (l *fallbackLimiter) recordSuccess() { *l = fallbackLimiter{} }
--- a/internal/roster/guard.go
+++ b/internal/roster/guard.go
@@ -38,8 +38,8 @@
 	// overdue, in addition to the time for which the source was asked to wait.
 	overdueAfter = 300 * time.Millisecond
 	// probeTimeout bounds one probe, probePause is the pause after one that failed.
-	probeTimeout = 400 * time.Millisecond
-	probePause   = 250 * time.Millisecond
+	probeTimeout = 250 * time.Millisecond
+	probePause   = 150 * time.Millisecond
 	// minGrace and maxGrace bound the grace, which is multiplied by graceFactor with each
 	// response that is given up until one arrives: on a saturated link a large response
 	// may arrive long after a small one that was sent later.
--- a/internal/roster/relay.go
+++ b/internal/roster/relay.go
@@ -66,8 +66,10 @@
 	// maxRelayWait bounds a reader's wait for changes, so that a reader that lost its
 	// connection to the source or to the region is detected early.
 	maxRelayWait = time.Second
-	// relayTimeout is allowed for a reader's response in addition to the wait.
-	relayTimeout = 500 * time.Millisecond
+	// relayTimeout is allowed for a reader's response in addition to the wait,
+	// relayRetryTimeout after failures, when the readers may be gone.
+	relayTimeout      = 500 * time.Millisecond
+	relayRetryTimeout = 250 * time.Millisecond
 	// maxRelayListWait bounds the wait for a reader that has not read the list yet,
 	// relayListPoll one request to it: a reader that does not answer at all is passed
 	// over after that.
@@ -291,9 +293,19 @@
 	return now.Before(r.readUntil)
 }
 
+// responseTime returns the time that is allowed for a reader's response.
+func (r *Relay[T]) responseTime() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.limiter.failing() {
+		return relayRetryTimeout
+	}
+	return relayTimeout
+}
+
 // requestChanges requests changes from a reader.
 func (r *Relay[T]) requestChanges(ctx context.Context, reader fleet.NodeID, request changesRequest) (entries []T, revision Revision, err error) {
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(request.WaitMs)*time.Millisecond+relayTimeout)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(request.WaitMs)*time.Millisecond+r.responseTime())
 	defer cancel()
 	var response changesResponse
 	if err := r.Peers.Call(ctx, reader, r.method(), request, &response); err != nil {
@@ -332,7 +344,12 @@
 	switch {
 	case err == nil:
 		r.update(entries, revision, flags)
-	case !errors.Is(err, ErrCompacted) && !errors.Is(err, ErrResponseLost):
+	case errors.Is(err, ErrResponseLost):
+		// The source answers.
+		r.mu.Lock()
+		r.limiter.recordSuccess()
+		r.mu.Unlock()
+	case !errors.Is(err, ErrCompacted):
 		nodes := len(r.Ranked())
 		r.mu.Lock()
 		r.copy.markSourceLost()
