A node with an old list asks an engine for its run before a stream begins there

Cause: an engine came back under its id with another version. A node that still listed the run before began streams there as ones of the listed version, which need no record; other nodes continued them at that version. Class: a node acts on knowledge whose age it does not know.

Change: a node knows the age of its list of servers, by the clock that counts suspension too. From 3.5 s on it asks an engine for the start of its process before a stream that may be resumed begins there, as it always does before the rest of one. And the holder of the lease gives an engine that came back with another version no orders for 5 s, so that no stream begins there while a node with a younger list may still list the run before. A new engine, and one that comes back with its version, waits for nothing. TestEngineThatCameBackWithAnotherVersionGetsNoOrdersAtOnce fails without the delay.

--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -239,7 +239,9 @@
 }
 
 func newExchange(rosterController *roster.Controller) *platform.Exchange {
-	return platform.NewExchange(rosterController.View)
+	exchange := platform.NewExchange(rosterController.View)
+	exchange.ListAge = rosterController.ServersAge
+	return exchange
 }
 
 func newOrigins(
--- a/internal/lease/controller.go
+++ b/internal/lease/controller.go
@@ -41,7 +41,7 @@
 	Key   table.Key
 	// Era returns the latest era of the table that any answer has had; it may be nil.
 	Era func() table.Era
-	// Clock includes the time for which the VM was suspended; nil means [BootTime].
+	// Clock includes the time for which the VM was suspended; nil means [wait.BootTime].
 	Clock func() time.Duration
 	// ClaimDelay returns the total time to wait before claiming a free lease, so that
 	// better suited VMs claim first. Nil means no wait.
@@ -75,7 +75,7 @@
 		c.wake = wait.NewSignal()
 		c.suspect = true
 		if c.Clock == nil {
-			c.Clock = BootTime
+			c.Clock = wait.BootTime
 		}
 		c.Log = logs.OrDiscard(c.Log)
 	})
--- a/internal/lease/doc.go
+++ b/internal/lease/doc.go
@@ -4,7 +4,7 @@
 // The holder renews the record by conditional writes. Its right to act counts
 // from the moment at which it sent the last renewal that took effect. A VM may be
 // suspended without its monotonic clock advancing, so all times are those of a
-// clock that includes suspension ([BootTime]), and the right must be checked
+// clock that includes suspension ([wait.BootTime]), and the right must be checked
 // immediately before each action.
 //
 // Another VM takes over only if the record has not changed for the whole duration
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -108,6 +108,10 @@
 	// reportLag is how old a report may be.
 	reportLag         = 150 * time.Millisecond
 	reportReadTimeout = 500 * time.Millisecond
+	// replacedInPlaceDelay is how long an engine that has come back under its id with another
+	// software version gets no orders. It holds no model meanwhile, so that no stream begins
+	// there until all nodes list its run, or know that their list is old.
+	replacedInPlaceDelay = 5 * time.Second
 )
 
 func (s *Scheduler) init() {
@@ -195,9 +199,18 @@
 // syncEngines updates the engines from the view and has the reports read that
 // are outstanding. The caller holds the lock.
 func (s *Scheduler) syncEngines(ctx context.Context, now time.Time, view *roster.View) {
+	var replaced map[fleet.ServerID]fleet.SoftwareVersion
 	for id, e := range s.engines {
-		if server := view.Servers[id]; server == nil || server.Boot != e.server.Boot {
-			delete(s.engines, id)
+		server := view.Servers[id]
+		if server != nil && server.Boot == e.server.Boot {
+			continue
+		}
+		delete(s.engines, id)
+		if server != nil && server.Software != e.server.Software {
+			if replaced == nil {
+				replaced = make(map[fleet.ServerID]fleet.SoftwareVersion)
+			}
+			replaced[id] = e.server.Software
 		}
 	}
 	for id, server := range view.Servers {
@@ -209,6 +222,11 @@
 		if e == nil {
 			e = newEngine(server)
 			s.engines[id] = e
+			if before, inPlace := replaced[id]; inPlace {
+				e.retryAt = now.Add(replacedInPlaceDelay)
+				s.Log.Info("engine came back with another software version", slog.String("server", string(id)),
+					slog.String("software", string(server.Software)), slog.String("before", string(before)))
+			}
 		}
 		if e.server != server {
 			e.server = server
--- a/internal/placement/versions_test.go
+++ b/internal/placement/versions_test.go
@@ -173,3 +173,25 @@
 		s.Assert(s.awaitNewer(1, model(5), slowLoad/2), qt.IsTrue)
 	})
 }
+
+// TestEngineThatCameBackWithAnotherVersionGetsNoOrdersAtOnce guards against a model that is
+// loaded on an engine while other nodes still list the run of another version that was there
+// before, under the same id: they would begin streams there as ones of that version.
+func TestEngineThatCameBackWithAnotherVersionGetsNoOrdersAtOnce(t *testing.T) {
+	withCluster(t, 1, func(s *cluster) {
+		_, found := s.awaitReplicaAt(0, "", model(1), 3*time.Second)
+		s.Assert(found, qt.IsTrue)
+		comeBack := func(boot fleet.BootID, software fleet.SoftwareVersion) (loadedAfter time.Duration) {
+			s.changeServers(func(server *roster.Server) {
+				server.Boot, server.Software = boot, software
+				server.Engine = &roster.Engine{}
+			})
+			began := time.Now()
+			_, found := s.awaitReplicaAt(0, software, model(1), 10*time.Second)
+			s.Assert(found, qt.IsTrue)
+			return time.Since(began)
+		}
+		s.Check(comeBack("again", "") < 4*time.Second, qt.IsTrue)
+		s.Check(comeBack("other version", newer) >= 5*time.Second, qt.IsTrue)
+	})
+}
--- a/internal/roster/controller.go
+++ b/internal/roster/controller.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"maps"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -89,6 +90,9 @@
 	// failure. It may be nil.
 	onManifestsRecovered func()
 
+	// serversRead is when the list of servers was last read, or its changes; nil if never.
+	serversRead atomic.Pointer[instant]
+
 	mu   sync.Mutex
 	view atomic.Pointer[View]
 	// expiredAt holds, for each server that is kept although its entry expired, when
@@ -115,6 +119,27 @@
 	return &View{}
 }
 
+// ServersAge returns the time since the list of servers, or its changes, were last read,
+// with the time for which the process or its VM stood still.
+func (c *Controller) ServersAge() time.Duration {
+	if read := c.serversRead.Load(); read != nil {
+		return read.age()
+	}
+	return math.MaxInt64
+}
+
+// instant is a time by the clock of the process and by that of the VM, which counts the
+// time for which the VM was suspended too.
+type instant struct {
+	at       time.Time
+	bootTime time.Duration
+}
+
+func currentInstant() *instant { return &instant{at: time.Now(), bootTime: wait.BootTime()} }
+
+// age returns the time since then by the clock that shows more.
+func (i *instant) age() time.Duration { return max(time.Since(i.at), wait.BootTime()-i.bootTime) }
+
 // Run watches both feeds until the context ends.
 func (c *Controller) Run(ctx context.Context) error {
 	c.Log = logs.OrDiscard(c.Log)
@@ -127,6 +152,7 @@
 		watch := watcher[ServerEntry]{
 			name: "servers", feed: c.Servers, minPause: serversPause, apply: c.applyServers,
 			maxTimeout: maxServersTimeout, failing: new(atomic.Bool), log: c.Log,
+			succeeded: func() { c.serversRead.Store(currentInstant()) },
 		}
 		watch.run(ctx)
 	})
--- a/internal/roster/feed.go
+++ b/internal/roster/feed.go
@@ -108,7 +108,9 @@
 	maxTimeout time.Duration
 	// failing reports whether reads fail, or none has succeeded yet.
 	failing *atomic.Bool
-	log     *slog.Logger
+	// succeeded is called after each read that succeeds. It may be nil.
+	succeeded func()
+	log       *slog.Logger
 
 	// revision is the revision up to which the feed was read.
 	revision Revision
@@ -240,6 +242,9 @@
 func (w *watcher[T]) markRecovered() bool {
 	w.failures = 0
 	w.failing.Store(false)
+	if w.succeeded != nil {
+		w.succeeded()
+	}
 	if w.failingSince.IsZero() {
 		return false
 	}
--- a/internal/wait/boottime.go
+++ b/internal/wait/boottime.go
@@ -1,4 +1,4 @@
-package lease
+package wait
 
 import (
 	"time"
