A sound part that shares all crashes with another one is tried at once

Cause: two parts with the same crashes explain each other equally, and each was refused for all of them. A request with one of them alone tells them apart, but was refused as well.

Change: such a request has a trial at once, one at a time. If it is answered its part is cleared; if it crashes its server that part has more crashes and explains those of the other, which is cleared. One crash more at most tells two parts apart.

--- a/internal/dispatch/isolate.go
+++ b/internal/dispatch/isolate.go
@@ -155,7 +155,7 @@
 		}
 	}
 	verdict, until := d.poison.BeginTrial(ctx, digest, poison.Trial{
-		Server: taken.replica.Server, Boot: taken.replica.Boot, Deadline: taken.call.Deadline,
+		Server: taken.replica.Server, Boot: taken.replica.Boot, Deadline: taken.call.Deadline, Parts: taken.call.Parts,
 	})
 	switch verdict {
 	case poison.Refuse:
--- a/internal/poison/controller.go
+++ b/internal/poison/controller.go
@@ -91,20 +91,20 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	for _, part := range parts {
-		finding = stricter(finding, c.find(now, part))
+		finding = stricter(finding, c.find(now, part, parts))
 	}
-	finding = stricter(finding, c.find(now, digest))
+	finding = stricter(finding, c.find(now, digest, parts))
 	if finding.Verdict == Refuse {
 		c.refused.Inc(1)
 	}
 	return finding
 }
 
-// find returns the verdict on a digest. Requests with a part that is on trial are
-// refused, so that they don't wait for a server of their own in vain. The caller holds
-// the lock.
-func (c *Controller) find(now time.Time, digest Digest) Finding {
-	verdict, until := c.notices.Check(now, digest)
+// find returns the verdict on a digest of a request whose prompt has parts. Requests with
+// a part that is on trial are refused, so that they don't wait for a server of their own in
+// vain. The caller holds the lock.
+func (c *Controller) find(now time.Time, digest Digest, parts []Digest) Finding {
+	verdict, until := c.notices.CheckIn(now, digest, parts)
 	if verdict == Unrestricted {
 		return Finding{}
 	}
@@ -327,7 +327,7 @@
 			break
 		}
 		now := time.Now()
-		if verdict, until := c.verdict(now, digest); verdict != Exclusive {
+		if verdict, until := c.verdict(now, digest, trial.Parts); verdict != Exclusive {
 			return verdict, until
 		}
 		if trialOnOtherNode(now, notice, c.Node) {
@@ -369,11 +369,11 @@
 	return c.notices.Check(now, digest)
 }
 
-// verdict returns the verdict on a digest from the notices of this node.
-func (c *Controller) verdict(now time.Time, digest Digest) (Verdict, time.Time) {
+// verdict returns the verdict on a digest of a request from the notices of this node.
+func (c *Controller) verdict(now time.Time, digest Digest, parts []Digest) (Verdict, time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.notices.Check(now, digest)
+	return c.notices.CheckIn(now, digest, parts)
 }
 
 // publishTrial merges the notice of a new trial and sends it to the other nodes.
--- a/internal/poison/notice.go
+++ b/internal/poison/notice.go
@@ -72,6 +72,8 @@
 	Boot   fleet.BootID   `json:"boot"`
 	// Deadline is the deadline of the run.
 	Deadline time.Time `json:"end"`
+	// Parts are the parts of the request's prompt.
+	Parts []Digest `json:"-"`
 }
 
 // MaxCrashes is the number of crashes from which a request is refused.
@@ -195,6 +197,37 @@
 	}
 }
 
+// CheckIn returns the verdict on requests with a digest whose prompts have the given parts.
+// A refused part may have a trial at once where another part, which the prompt has not,
+// explains all its crashes as well: one of the two is the cause, and a request with this one
+// alone tells which.
+func (s *NoticeSet) CheckIn(now time.Time, digest Digest, parts []Digest) (verdict Verdict, until time.Time) {
+	verdict, until = s.Check(now, digest)
+	if verdict == Refuse && digest.IsPart() && s.isTied(now, digest, parts) {
+		return Exclusive, s.byDigest[digest].ExpiresAt
+	}
+	return verdict, until
+}
+
+// isTied reports whether a refused part that is none of the given ones has as many crashes
+// as another part, and all of those.
+func (s *NoticeSet) isTied(now time.Time, digest Digest, parts []Digest) bool {
+	notice := s.byDigest[digest]
+	own := notice.CrashCount()
+	for part := range s.refusedParts {
+		other := s.byDigest[part]
+		if slices.Contains(parts, part) || now.After(other.ExpiresAt) || other.CrashCount() < own {
+			continue
+		}
+		if !slices.ContainsFunc(notice.Crashes, func(crash Crash) bool {
+			return crash.At.After(notice.ClearedAt) && !other.counts(crash)
+		}) {
+			return true
+		}
+	}
+	return false
+}
+
 // Suspects returns the digests that may have caused a crash. If a suspect was on
 // trial on the server, from any node, it is that one, or the running one of several:
 // a trial whose caller left lasts until its deadline. Otherwise it returns the
