A limited server is chosen like any other while there is a token

Cause: with one token its room for calls counted as one, so that the choice of servers nearly always fell on another one; nobody had an answer of it, and so nobody heard that the limit had ended.

--- a/internal/dispatch/servers.go
+++ b/internal/dispatch/servers.go
@@ -151,6 +151,9 @@
 // byte decays exponentially while no new one is observed.
 const firstByteDecay = 10 * time.Second
 
+// exclude has a candidate not be chosen.
+func exclude(candidate *route.Candidate) { candidate.Limit, candidate.InFlight = 0, math.MaxInt }
+
 // candidate describes the server to the routing decision. Its limit is 0 if the
 // call must not be sent there now.
 func (s *serverState) candidate(now time.Time, replica *Replica, call *Call) route.Candidate {
@@ -180,12 +183,8 @@
 		decay := math.Exp(-float64(now.Sub(s.firstByteAt)) / float64(firstByteDecay))
 		candidate.TimeToFirstByte = time.Duration(float64(s.firstByte) * decay)
 	}
-	tokens := s.rateLimits.Available(s.id, replica.Boot)
-	if tokens < math.MaxInt-candidate.InFlight {
-		candidate.Limit = min(candidate.Limit, candidate.InFlight+tokens)
-	}
-	if tokens == 0 || s.unavailable(now, replica, call) || !s.fitsCache(replica, call) {
-		candidate.Limit, candidate.InFlight = 0, math.MaxInt
+	if s.rateLimits.Available(s.id, replica.Boot) == 0 || s.unavailable(now, replica, call) || !s.fitsCache(replica, call) {
+		exclude(&candidate)
 	}
 	return candidate
 }
--- a/internal/dispatch/slot.go
+++ b/internal/dispatch/slot.go
@@ -63,15 +63,20 @@
 		restrictToLeastLoaded(candidates)
 	}
 	d.markPrefixes(call, candidates, now)
-	index, found := route.Pick(query, candidates, d.Rand)
-	if !found {
-		d.wantTokens(replicas)
-		return nil, false
-	}
 	if cause == "" {
 		cause = route.CauseFull
 	}
-	return d.takeSlotAt(call, replicas[index], now, cause)
+	for {
+		index, found := route.Pick(query, candidates, d.Rand)
+		if !found {
+			d.wantTokens(replicas)
+			return nil, false
+		}
+		if taken, found = d.takeSlotAt(call, replicas[index], now, cause); found {
+			return taken, true
+		}
+		exclude(&candidates[index])
+	}
 }
 
 // restrictToLeastLoaded leaves a free slot only at the servers with the fewest
