--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -60,26 +60,26 @@
 type components struct {
 	fx.In
 
-	Metrics       metrics.Registry
-	Store         *platform.Store
-	Roster        *roster.Controller
-	ServerRelay   *roster.Relay[roster.ServerEntry]
-	ManifestRelay *roster.Relay[*roster.Manifest]
-	Spread        *roster.Spread
-	Peers         *peer.Peer
-	Members       *member.Controller
-	Lease         *lease.Controller
-	Directory     *placement.Directory
-	Reporter      *placement.Reporter
-	Scheduler     *placement.Scheduler
-	Dispatcher    *dispatch.Dispatcher
-	Origins       *origin.Controller
-	Exchange      *platform.Exchange
-	Poison        *poison.Gossip
-	LeaveNotices  *roster.LeaveNotices
-	RateLimits    *ratelimit.Controller
-	Engines       *platform.Engines
-	Endpoints     *endpoints
+	Metrics          metrics.Registry
+	Store            *platform.Store
+	Roster           *roster.Controller
+	ServerRelay      *roster.Relay[roster.ServerEntry]
+	ManifestRelay    *roster.Relay[*roster.Manifest]
+	ManifestExchange *roster.ManifestExchange
+	Peers            *peer.Peer
+	Members          *member.Controller
+	Lease            *lease.Controller
+	Directory        *placement.Directory
+	Reporter         *placement.Reporter
+	Scheduler        *placement.Scheduler
+	Dispatcher       *dispatch.Dispatcher
+	Origins          *origin.Controller
+	Exchange         *platform.Exchange
+	Poison           *poison.Gossip
+	LeaveNotices     *roster.LeaveNotices
+	RateLimits       *ratelimit.Controller
+	Engines          *platform.Engines
+	Endpoints        *endpoints
 }
 
 // memoryLimitShare is the share of the memory in the settings at which the garbage
@@ -125,7 +125,7 @@
 		{Name: "peers", Run: n.components.Peers.Run},
 		{Name: "members", Run: n.components.Members.Run},
 		{Name: "roster", Run: n.watchStore},
-		{Name: "spread", Run: n.components.Spread.Run},
+		{Name: "manifestExchange", Run: n.components.ManifestExchange.Run},
 		{Name: "start", Run: n.announce},
 		{Name: "lease", Run: n.components.Lease.Run},
 		{Name: "reporter", Run: n.components.Reporter.Run},
--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -30,7 +30,7 @@
 // providers constructs the components of a node. References between components
 // that depend on each other are set by connect.
 var providers = fx.Provide(
-	metrics.NewRegistry, newStore, newTable, newServerRelay, newManifestRelay, newRoster, newSpread, newPeers, newMembers, newLease,
+	metrics.NewRegistry, newStore, newTable, newServerRelay, newManifestRelay, newRoster, newManifestExchange, newPeers, newMembers, newLease,
 	newDirectory, newReporter, platform.NewEngines, newScheduler, newExchange, newOrigins, newDispatcher, newGossip, newLeaveNotices, newRateLimits, newEndpoints,
 )
 
@@ -122,10 +122,10 @@
 	}
 }
 
-func newSpread(
+func newManifestExchange(
 	n *Node, rosterController *roster.Controller, peers *peer.Peer, members *member.Controller, registry metrics.Registry,
-) *roster.Spread {
-	return &roster.Spread{Roster: rosterController, Peers: peers, Announce: members.ExchangeSoon, Log: n.Log, Metrics: registry}
+) *roster.ManifestExchange {
+	return &roster.ManifestExchange{Roster: rosterController, Peers: peers, Announce: members.ExchangeSoon, Log: n.Log, Metrics: registry}
 }
 
 func newPeers(n *Node, registry metrics.Registry) *peer.Peer {
@@ -356,8 +356,8 @@
 	p.ServerRelay.Register()
 	p.ManifestRelay.Register()
 	p.RateLimits.Register()
-	p.Spread.Register()
-	p.Members.Stamp, p.Members.OnStamp = p.Spread.Stamp, p.Spread.ReceiveStamp
+	p.ManifestExchange.Register()
+	p.Members.Stamp, p.Members.OnStamp = p.ManifestExchange.Stamp, p.ManifestExchange.ReceiveStamp
 	placement.Register(p.Peers, p.Scheduler, p.Reporter)
 	p.Poison.Merge = p.Dispatcher.MergePoisonNotice
 }
--- a/internal/roster/spread.go
+++ b/internal/roster/manifestexchange.go
@@ -16,12 +16,12 @@
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
-// Spread has a node take a newer manifest from another node that has it in force, so that
+// ManifestExchange has a node take a newer manifest from another node that has it in force, so that
 // it does not depend on its own path to the store. Each message between members carries
 // the version that its sender has in force, as a stamp; a node that is behind fetches the
 // manifest from there. Nodes of an older build send no stamp and are not asked. The
 // exported fields are set before Register.
-type Spread struct {
+type ManifestExchange struct {
 	Roster *Controller
 	Peers  Peers
 	// Announce has the members exchange messages soon: it is called when the node has a
@@ -66,27 +66,27 @@
 )
 
 // Register registers the method that nodes call on each other.
-func (s *Spread) Register() {
-	s.Log = logs.OrDiscard(s.Log)
-	s.behind = make(chan newerStamp, 1)
-	s.fetched = metrics.GetOrRegisterCounter(fetchedMetric, metric.OrNew(s.Metrics))
-	s.Peers.Handle(manifestMethod, peer.Typed(s.handle))
-	s.Roster.onManifestsRecovered = s.announce
+func (e *ManifestExchange) Register() {
+	e.Log = logs.OrDiscard(e.Log)
+	e.behind = make(chan newerStamp, 1)
+	e.fetched = metrics.GetOrRegisterCounter(fetchedMetric, metric.OrNew(e.Metrics))
+	e.Peers.Handle(manifestMethod, peer.Typed(e.handle))
+	e.Roster.onManifestsRecovered = e.announce
 }
 
 // Stamp returns the node's stamp for messages to other members.
-func (s *Spread) Stamp() json.RawMessage {
-	text, err := json.Marshal(manifestStamp{Manifest: s.version()})
+func (e *ManifestExchange) Stamp() json.RawMessage {
+	text, err := json.Marshal(manifestStamp{Manifest: e.version()})
 	if err != nil {
-		s.Log.Error("stamp not encoded", slog.Any("error", err))
+		e.Log.Error("stamp not encoded", slog.Any("error", err))
 		return nil
 	}
 	return text
 }
 
 // version returns the version of the manifest in force, 0 if there is none.
-func (s *Spread) version() uint64 {
-	if manifest := s.Roster.View().Manifest; manifest != nil {
+func (e *ManifestExchange) version() uint64 {
+	if manifest := e.Roster.View().Manifest; manifest != nil {
 		return manifest.Version
 	}
 	return 0
@@ -95,73 +95,73 @@
 // ReceiveStamp has the manifest fetched from a member whose stamp is above this node's
 // version. It does not block: while one is being fetched, later stamps are dropped, and
 // come again with the next messages.
-func (s *Spread) ReceiveStamp(_ context.Context, from fleet.NodeID, text json.RawMessage) {
+func (e *ManifestExchange) ReceiveStamp(_ context.Context, from fleet.NodeID, text json.RawMessage) {
 	var stamp manifestStamp
 	if err := json.Unmarshal(text, &stamp); err != nil {
-		s.Log.Warn("stamp of another node not decoded", slog.String("node", string(from)), slog.Any("error", err))
+		e.Log.Warn("stamp of another node not decoded", slog.String("node", string(from)), slog.Any("error", err))
 		return
 	}
-	if stamp.Manifest <= s.version() {
+	if stamp.Manifest <= e.version() {
 		return
 	}
 	select {
-	case s.behind <- newerStamp{from: from, version: stamp.Manifest}:
+	case e.behind <- newerStamp{from: from, version: stamp.Manifest}:
 	default:
 	}
 }
 
 // Run fetches newer manifests until the context ends.
-func (s *Spread) Run(ctx context.Context) error {
+func (e *ManifestExchange) Run(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case newer := <-s.behind:
-			s.fetch(ctx, newer)
+		case newer := <-e.behind:
+			e.fetch(ctx, newer)
 		}
 	}
 }
 
 // fetch fetches the manifest of a node whose version is newer than this node's, unless
 // the node's own feed brings it first.
-func (s *Spread) fetch(ctx context.Context, newer newerStamp) {
-	if !s.Roster.manifestsFailing.Load() {
+func (e *ManifestExchange) fetch(ctx context.Context, newer newerStamp) {
+	if !e.Roster.manifestsFailing.Load() {
 		wait.For(ctx, ownFeedPatience)
 	}
-	own := s.version()
+	own := e.version()
 	if newer.version <= own {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, manifestFetchTimeout)
 	defer cancel()
 	var response manifestResponse
-	err := s.Peers.Call(ctx, newer.from, manifestMethod, manifestRequest{After: own}, &response)
+	err := e.Peers.Call(ctx, newer.from, manifestMethod, manifestRequest{After: own}, &response)
 	var manifests []*Manifest
 	if err == nil {
 		manifests, err = packed.Decode[*Manifest](response.Packed)
 	}
 	if err != nil {
-		s.Log.Warn("manifest not fetched from another node", slog.String("node", string(newer.from)),
+		e.Log.Warn("manifest not fetched from another node", slog.String("node", string(newer.from)),
 			slog.Uint64("version", newer.version), slog.Uint64("own", own), slog.Any("error", err))
 		return
 	}
-	s.fetched.Inc(1)
-	s.Log.Info("manifest fetched from another node", slog.String("node", string(newer.from)),
+	e.fetched.Inc(1)
+	e.Log.Info("manifest fetched from another node", slog.String("node", string(newer.from)),
 		slog.Uint64("version", newer.version), slog.Uint64("own", own))
-	s.Roster.applyManifests(time.Now(), manifests, readKind{})
-	s.announce()
+	e.Roster.applyManifests(time.Now(), manifests, readKind{})
+	e.announce()
 }
 
 // announce has the members exchange messages soon: other nodes may be behind as well.
-func (s *Spread) announce() {
-	if s.Announce != nil {
-		s.Announce()
+func (e *ManifestExchange) announce() {
+	if e.Announce != nil {
+		e.Announce()
 	}
 }
 
 // handle handles another node's request.
-func (s *Spread) handle(_ context.Context, request manifestRequest) (response manifestResponse, err error) {
-	manifest := s.Roster.View().Manifest
+func (e *ManifestExchange) handle(_ context.Context, request manifestRequest) (response manifestResponse, err error) {
+	manifest := e.Roster.View().Manifest
 	if manifest == nil || manifest.Version <= request.After {
 		return response, nil
 	}
--- a/internal/roster/outage_test.go
+++ b/internal/roster/outage_test.go
@@ -187,11 +187,11 @@
 			c := qt.New(t)
 			s := start(t, func(s *fixture) { s.manifests.all = []*roster.Manifest{{Version: 1}} })
 			var network peertest.Network
-			spread := &roster.Spread{Roster: &s.roster, Peers: peertest.Endpoint{Network: &network, Node: "a"}}
-			spread.Register()
+			exchange := &roster.ManifestExchange{Roster: &s.roster, Peers: peertest.Endpoint{Network: &network, Node: "a"}}
+			exchange.Register()
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
-			go func() { _ = spread.Run(ctx) }()
+			go func() { _ = exchange.Run(ctx) }()
 			highest := uint64(0)
 			check := func() {
 				time.Sleep(700 * time.Millisecond)
@@ -218,7 +218,7 @@
 					s.manifests.update(func() { s.manifests.down = !s.manifests.down })
 				case 5:
 					serveManifest(&network, manifest)
-					spread.ReceiveStamp(ctx, "b", json.RawMessage(fmt.Sprintf(`{"manifest":%d}`, rapid.Uint64Range(1, 30).Example(i))))
+					exchange.ReceiveStamp(ctx, "b", json.RawMessage(fmt.Sprintf(`{"manifest":%d}`, rapid.Uint64Range(1, 30).Example(i))))
 				}
 				check()
 			}
--- a/internal/roster/outageregion_test.go
+++ b/internal/roster/outageregion_test.go
@@ -189,14 +189,14 @@
 	manifests.Register()
 	controller := &roster.Controller{Servers: servers, Manifests: manifests}
 	members := &stampExchange{region: r, node: node, peers: endpoint}
-	members.spread = &roster.Spread{Roster: controller, Peers: endpoint, Announce: members.announce}
-	members.spread.Register()
+	members.manifests = &roster.ManifestExchange{Roster: controller, Peers: endpoint, Announce: members.announce}
+	members.manifests.Register()
 	endpoint.Handle(exchangeMethod, peer.Typed(members.receive))
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	group.Go(func() { _ = controller.Run(ctx) })
 	if r.stamps {
-		group.Go(func() { _ = members.spread.Run(ctx) })
+		group.Go(func() { _ = members.manifests.Run(ctx) })
 		group.Go(func() { members.run(ctx) })
 	}
 	r.nodes[node], r.stops[node] = controller, func() { cancel(); group.Wait() }
@@ -205,12 +205,12 @@
 // stampExchange exchanges stamps as members do: with one other node in each interval, and
 // with three at once when the node announces something.
 type stampExchange struct {
-	region *outageRegion
-	node   fleet.NodeID
-	peers  peertest.Endpoint
-	spread *roster.Spread
-	next   int
-	due    atomic.Bool
+	region    *outageRegion
+	node      fleet.NodeID
+	peers     peertest.Endpoint
+	manifests *roster.ManifestExchange
+	next      int
+	due       atomic.Bool
 }
 
 const (
@@ -227,8 +227,8 @@
 func (e *stampExchange) announce() { e.due.Store(true) }
 
 func (e *stampExchange) receive(ctx context.Context, message stampMessage) (stampMessage, error) {
-	e.spread.ReceiveStamp(ctx, message.From, message.Stamp)
-	return stampMessage{From: e.node, Stamp: e.spread.Stamp()}, nil
+	e.manifests.ReceiveStamp(ctx, message.From, message.Stamp)
+	return stampMessage{From: e.node, Stamp: e.manifests.Stamp()}, nil
 }
 
 func (e *stampExchange) run(ctx context.Context) {
@@ -254,9 +254,9 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeInterval/2)
 	defer cancel()
 	var answer stampMessage
-	request := stampMessage{From: e.node, Stamp: e.spread.Stamp()}
+	request := stampMessage{From: e.node, Stamp: e.manifests.Stamp()}
 	if err := e.peers.Call(ctx, others[e.next%len(others)], exchangeMethod, request, &answer); err == nil {
-		e.spread.ReceiveStamp(ctx, answer.From, answer.Stamp)
+		e.manifests.ReceiveStamp(ctx, answer.From, answer.Stamp)
 	}
 }
 
