Comments of the manifest exchange and of tied parts; one setup for both tests of these

Found in reading the change: the comment of isTied said which part is meant the wrong way round, that of the channel of stamps called the one that is kept the newest, a line was too long, and two tests set up the same crashes.

--- a/internal/poison/notice.go
+++ b/internal/poison/notice.go
@@ -209,8 +209,8 @@
 	return verdict, until
 }
 
-// isTied reports whether a refused part that is none of the given ones has as many crashes
-// as another part, and all of those.
+// isTied reports whether another refused part, which is none of the given ones, has all the
+// crashes of a refused part, so that it may be the cause of them as well.
 func (s *NoticeSet) isTied(now time.Time, digest Digest, parts []Digest) bool {
 	notice := s.byDigest[digest]
 	own := notice.CrashCount()
--- a/internal/poison/tie_test.go
+++ b/internal/poison/tie_test.go
@@ -13,20 +13,27 @@
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
+// nodeWithTiedParts returns a node that has recorded as many crashes as a part needs to be
+// refused, all of requests with the same two parts. It is called in a bubble.
+func nodeWithTiedParts() *poison.Controller {
+	node := &poison.Controller{Store: standin.NewTable(), Node: "n"}
+	for crash := range poison.MaxPartCrashes {
+		id := fmt.Sprint("s", crash)
+		node.RecordCrash(fleet.ServerID(id), "b", []poison.Run{{
+			Digest: poison.DigestOf([]byte(id)), Parts: []poison.Digest{soundPart, badPart},
+		}})
+	}
+	synctest.Wait()
+	return node
+}
+
 // TestSoundPartThatSharesAllCrashesIsTried guards against sound requests that are refused
 // because their part was in each request that crashed a server, beside the cause, and no
 // sound request was answered in between.
 func TestSoundPartThatSharesAllCrashesIsTried(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		node := &poison.Controller{Store: standin.NewTable(), Node: "n"}
-		for crash := range poison.MaxPartCrashes {
-			id := fmt.Sprint("s", crash)
-			node.RecordCrash(fleet.ServerID(id), "b", []poison.Run{{
-				Digest: poison.DigestOf([]byte(id)), Parts: []poison.Digest{soundPart, badPart},
-			}})
-		}
-		synctest.Wait()
+		node := nodeWithTiedParts()
 		sound := poison.DigestOf([]byte("sound"))
 		c.Check(node.Check(sound, []poison.Digest{soundPart, badPart}).Verdict, qt.Equals, poison.Refuse)
 		c.Check(node.Check(sound, []poison.Digest{soundPart}).Verdict, qt.Not(qt.Equals), poison.Refuse)
@@ -41,14 +48,7 @@
 		t.Run(fmt.Sprint("crashes ", crashes), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
-				node := &poison.Controller{Store: standin.NewTable(), Node: "n"}
-				for crash := range poison.MaxPartCrashes {
-					id := fmt.Sprint("s", crash)
-					node.RecordCrash(fleet.ServerID(id), "b", []poison.Run{{
-						Digest: poison.DigestOf([]byte(id)), Parts: []poison.Digest{soundPart, badPart},
-					}})
-				}
-				synctest.Wait()
+				node := nodeWithTiedParts()
 				request, parts := poison.DigestOf([]byte("request")), []poison.Digest{soundPart}
 				verdict, _ := node.BeginTrial(t.Context(), soundPart, poison.Trial{
 					Server: "t", Boot: "b", Deadline: time.Now().Add(time.Second), Parts: parts,
--- a/internal/roster/manifestexchange.go
+++ b/internal/roster/manifestexchange.go
@@ -16,11 +16,11 @@
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
-// ManifestExchange has a node take a newer manifest from another node that has it in force, so that
-// it does not depend on its own path to the store. Each message between members carries
-// the version that its sender has in force, as a stamp; a node that is behind fetches the
-// manifest from there. Nodes of an older build send no stamp and are not asked. The
-// exported fields are set before Register.
+// ManifestExchange has a node take a newer manifest from another node that has it in
+// force, so that it does not depend on its own path to the store. Each message between
+// members carries the version that its sender has in force, as a stamp; a node that is
+// behind fetches the manifest from there. Nodes of an older build send no stamp and are
+// not asked. The exported fields are set before Register.
 type ManifestExchange struct {
 	Roster *Controller
 	Peers  Peers
@@ -30,7 +30,8 @@
 	Log      *slog.Logger
 	Metrics  metrics.Registry
 
-	// behind receives the newest stamp that is above this node's version.
+	// behind receives a stamp that is above this node's version. Others that come while it
+	// is handled are dropped.
 	behind  chan newerStamp
 	fetched metrics.Counter
 }
