Log the run that a request is sent to and by what the version of its stream is known

For a stream that went on at another version the log could not tell an engine that came back unlisted (H1, H4) from a record that was missing (H2), a base version that differed between nodes (H3) or a look-up in another pool (H5): the beginning of a stream had no line, and a request's line named no run.

Change: "request sent" has the run (boot); "version of a stream recorded" and "not recorded" have request, pool, version and time; "stream begun at the base version" has the age of the base version, and is written only for pools that list or listed another version; the lines of the search have the pool.

--- a/internal/dispatch/callrunner.go
+++ b/internal/dispatch/callrunner.go
@@ -163,7 +163,7 @@
 	r.meters.sends.Inc(1)
 	r.Log.LogAttrs(a.ctx, slog.LevelInfo, "request sent",
 		slog.String("request", string(r.call.ID)), slog.String("server", string(taken.replica.Server)),
-		slog.String("software", string(taken.replica.Software)),
+		slog.String("software", string(taken.replica.Software)), slog.String("boot", string(taken.replica.Boot)),
 		slog.String("item", taken.replica.Item.String()), slog.Int("attempt", len(r.call.failedAttempts)+1),
 		slog.Duration("waited", taken.started.Sub(r.call.Started)),
 		slog.Int("running", taken.replica.Running), slog.Int("queued", taken.replica.Queued),
--- a/internal/origin/find.go
+++ b/internal/origin/find.go
@@ -39,7 +39,7 @@
 	began := time.Now()
 	var from source
 	defer func() {
-		c.logFound(ctx, request, software, from, time.Since(began), err)
+		c.logFound(ctx, streamKey{pool: pool, request: request}, software, from, time.Since(began), err)
 	}()
 	if request == "" {
 		return c.findUnnamed(pool, &from)
@@ -168,15 +168,16 @@
 
 // logFound logs and counts the result of a search.
 func (c *Controller) logFound(
-	ctx context.Context, request fleet.RequestID, software fleet.SoftwareVersion, from source, took time.Duration, err error,
+	ctx context.Context, key streamKey, software fleet.SoftwareVersion, from source, took time.Duration, err error,
 ) {
 	if err != nil {
 		c.counts.unknown.Inc(1)
-		c.Log.LogAttrs(ctx, slog.LevelWarn, "version of a stream not found", slog.String("resumes", string(request)),
+		c.Log.LogAttrs(ctx, slog.LevelWarn, "version of a stream not found", slog.String("resumes", string(key.request)),
+			slog.String("pool", string(key.pool)),
 			slog.Duration("took", took), slog.Any("error", err))
 		return
 	}
 	c.counts.found.Inc(1)
-	c.Log.LogAttrs(ctx, slog.LevelInfo, "version of a stream found", slog.String("resumes", string(request)),
-		slog.String("software", string(software)), slog.String("source", string(from)), slog.Duration("took", took))
+	c.Log.LogAttrs(ctx, slog.LevelInfo, "version of a stream found", slog.String("resumes", string(key.request)),
+		slog.String("pool", string(key.pool)), slog.String("software", string(software)), slog.String("source", string(from)), slog.Duration("took", took))
 }
--- a/internal/origin/record.go
+++ b/internal/origin/record.go
@@ -72,8 +72,11 @@
 	key := streamKey{pool: pool, request: request}
 	if c.isBase(pool, software) {
 		c.remember(key, ownStream{software: software, begun: time.Now()})
+		c.logBaseStream(ctx, key, software)
 		return nil
 	}
+	began := time.Now()
+	defer func() { c.logRecorded(ctx, key, software, time.Since(began), err) }()
 	era, record := c.seenEra(), newPending(key, software)
 	c.enqueue(record)
 	select {
@@ -82,10 +85,8 @@
 		err = context.Cause(ctx)
 	}
 	if err != nil {
-		c.counts.notRecorded.Inc(1)
 		return errors.Wrapf(ErrNotRecorded, "%v", err)
 	}
-	c.counts.recorded.Inc(1)
 	stream := ownStream{software: software, begun: time.Now(), recorded: true}
 	if c.remember(key, stream) != era {
 		c.enqueue(newAgain(key, stream, c.retention()))
@@ -93,6 +94,36 @@
 	return nil
 }
 
+// logBaseStream logs that a stream was begun by the base version, if servers of another
+// version have been listed.
+func (c *Controller) logBaseStream(ctx context.Context, key streamKey, software fleet.SoftwareVersion) {
+	c.mu.Lock()
+	known := c.bases[key.pool]
+	if known == nil || !known.wasMixed {
+		c.mu.Unlock()
+		return
+	}
+	readAge := time.Since(known.readAt)
+	c.mu.Unlock()
+	c.Log.LogAttrs(ctx, slog.LevelInfo, "stream begun at the base version", slog.String("request", string(key.request)),
+		slog.String("pool", string(key.pool)), slog.String("software", string(software)), slog.Duration("baseAge", readAge))
+}
+
+// logRecorded logs and counts the attempt to write the record of a stream.
+func (c *Controller) logRecorded(ctx context.Context, key streamKey, software fleet.SoftwareVersion, took time.Duration, err error) {
+	attributes := []slog.Attr{
+		slog.String("request", string(key.request)), slog.String("pool", string(key.pool)),
+		slog.String("software", string(software)), slog.Duration("took", took),
+	}
+	if err != nil {
+		c.counts.notRecorded.Inc(1)
+		c.Log.LogAttrs(ctx, slog.LevelWarn, "version of a stream not recorded", append(attributes, slog.Any("error", err))...)
+		return
+	}
+	c.counts.recorded.Inc(1)
+	c.Log.LogAttrs(ctx, slog.LevelInfo, "version of a stream recorded", attributes...)
+}
+
 // isBase reports whether a version is the base version of a pool, however long ago that
 // was read: it is not replaced while servers of it are listed.
 func (c *Controller) isBase(pool fleet.PoolID, software fleet.SoftwareVersion) bool {
