A part all of whose crashes came at one moment is tried again soon

Callers saw sound requests refused for 30 to 90 s after half of the servers had crashed together behind a cut.

Change: a part whose crashes all came within 2 s is refused for 3 s, then has a trial. Crashes apart from these raise the time as before; those of the moment count as two.

--- a/internal/poison/part.go
+++ b/internal/poison/part.go
@@ -29,7 +29,8 @@
 	MaxPartCrashes = 3
 )
 
-// A refused part may have a further trial after firstPartBackoff from its last crash.
+// A refused part with crashes apart from each other may have a further trial after
+// firstPartBackoff from its last crash.
 // Each further crash multiplies the time by partBackoffFactor, up to maxPartBackoff. The
 // notice is valid for partLifetimeBackoffs such times, so that it doesn't expire before
 // the trial.
@@ -50,6 +51,46 @@
 	return backoff
 }
 
+// Crashes of several servers at one moment mostly have a cause outside, such as the loss of
+// power or of a link.
+const (
+	// sharedMoment is the time within which crashes count as one moment.
+	sharedMoment = 2 * time.Second
+	// sharedPause is how long after the last crash a part is refused all of whose crashes
+	// came at one moment: all nodes have heard of them by then, and a trial that crashes its
+	// server does so apart from them. Each crash beyond [MaxPartCrashes] adds sharedPauseStep.
+	sharedPause     = sharedMoment + time.Second
+	sharedPauseStep = 100 * time.Millisecond
+)
+
+// refusedFor returns how long after its last crash a part is refused, of whose crashes some
+// count.
+func (n Notice) refusedFor(crashes int) time.Duration {
+	atFirst, apart := n.crashesByMoment()
+	if apart == 0 {
+		return sharedPause + time.Duration(crashes-MaxPartCrashes)*sharedPauseStep
+	}
+	return partBackoff(max(MaxPartCrashes, min(atFirst, MaxPartCrashes-1)+apart))
+}
+
+// crashesByMoment counts the crashes after the last success that came at the moment of the
+// first one, and those apart from it.
+func (n Notice) crashesByMoment() (atFirst, apart int) {
+	var first time.Time
+	for _, crash := range n.Crashes {
+		switch {
+		case !crash.At.After(n.ClearedAt):
+		case first.IsZero():
+			first, atFirst = crash.At, 1
+		case crash.At.Sub(first) < sharedMoment:
+			atFirst++
+		default:
+			apart++
+		}
+	}
+	return atFirst, apart
+}
+
 // partVerdict returns the verdict on the requests with a part, of whose crashes some
 // count, and the time until which it is valid.
 func (n Notice) partVerdict(now time.Time, crashes int) (Verdict, time.Time) {
@@ -57,7 +98,7 @@
 		return Unrestricted, time.Time{}
 	}
 	if crashes >= MaxPartCrashes {
-		if next := n.Crashes[len(n.Crashes)-1].At.Add(partBackoff(crashes)); now.Before(next) {
+		if next := n.Crashes[len(n.Crashes)-1].At.Add(n.refusedFor(crashes)); now.Before(next) {
 			return Refuse, next
 		}
 	}
