A stream that was being written is not suspected of its server's crash

Callers whose streams broke when servers crashed together, behind a cut, could not take them up: "another suspected request is on trial on the server".

Cause: a crash counted against every request that ran on the server, so each broken stream was suspected, and its rest had to run alone on a server, in a trial, of which each server has one at a time. For parts of prompts the time since the beginning of the answer already counted: what crashes a server does so as it begins to write.

Change: a request whose answer had begun more than a second before is not suspected either.

Test without the bench: TestRestsOfStreamsAreServedAfterServersCrashTogether failed before (14 of 26 rests refused), 0 of 26 now. go test ./internal/dispatch ./internal/poison ./internal/caller ./internal/hosted ./internal/node ./platform ok.

--- a/internal/dispatch/isolate.go
+++ b/internal/dispatch/isolate.go
@@ -100,7 +100,7 @@
 		return func() {}
 	}
 	began := a.slot.answered()
-	timer := time.AfterFunc(partCrashWindow, func() { d.poison.RecordCompletion(began, call.Parts) })
+	timer := time.AfterFunc(crashWindow, func() { d.poison.RecordCompletion(began, call.Parts) })
 	return func() { timer.Stop() }
 }
 
--- a/internal/dispatch/servers.go
+++ b/internal/dispatch/servers.go
@@ -293,10 +293,10 @@
 	s.firstByte += time.Duration(firstByteWeight * float64(elapsed-s.firstByte))
 }
 
-// recordCrash records the end of a run of the server's process and calls record
-// with the requests that ran on it, once for each run. It returns
-// after record has returned, so that no request that ran there is checked for a
-// retry before the crash has been recorded.
+// recordCrash records the end of a run of the server's process and calls record, once
+// for each run, with the requests that may be the cause: those that it had not begun to
+// answer, or had just begun to. It returns after record has returned, so that no request
+// that ran there is checked for a retry before the crash has been recorded.
 func (s *serverState) recordCrash(now time.Time, boot fleet.BootID, record func(runs []poison.Run)) {
 	s.mu.Lock()
 	if boot != "" && s.endedBoot == boot {
@@ -311,12 +311,8 @@
 	s.health.RecordCrash(now)
 	var runs []poison.Run
 	for taken := range s.running {
-		if taken.replica.Boot == boot && taken.sent.Load() {
-			run := poison.Run{Digest: taken.call.Digest}
-			if taken.mayHaveBegun(now) {
-				run.Parts = taken.call.Parts
-			}
-			runs = append(runs, run)
+		if taken.replica.Boot == boot && taken.sent.Load() && taken.mayHaveBegun(now) {
+			runs = append(runs, poison.Run{Digest: taken.call.Digest, Parts: taken.call.Parts})
 		}
 	}
 	s.mu.Unlock()
--- a/internal/dispatch/slot.go
+++ b/internal/dispatch/slot.go
@@ -33,16 +33,16 @@
 	bytes atomic.Int64
 }
 
-// partCrashWindow is the time after the beginning of an answer in which a part of the
-// prompt may have caused a crash, with the time until the crash is noticed.
-const partCrashWindow = time.Second
+// crashWindow is the time after the beginning of an answer in which the request, or a part
+// of its prompt, may have caused a crash, with the time until the crash is noticed.
+const crashWindow = time.Second
 
 // answered returns when the answer began.
 func (s *slot) answered() time.Time { return time.Unix(0, s.answeredAt.Load()) }
 
 // mayHaveBegun reports whether the server may have begun to write the answer just now.
 func (s *slot) mayHaveBegun(now time.Time) bool {
-	return s.answeredAt.Load() == 0 || now.Sub(s.answered()) < partCrashWindow
+	return s.answeredAt.Load() == 0 || now.Sub(s.answered()) < crashWindow
 }
 
 // takeSlot chooses a replica with a free slot for a call and takes the slot. It
--- a/internal/poison/part.go
+++ b/internal/poison/part.go
@@ -129,11 +129,11 @@
 	})
 }
 
-// Run is a request that ran on a server that crashed.
+// Run is a request that may have crashed the server on which it ran: its answer had not been
+// written for long, since what crashes a server does so as it begins to write.
 type Run struct {
 	Digest Digest
-	// Parts are the parts of its prompt that may be the cause: none if its answer had
-	// been written for some time, since a part crashes a server that begins to write.
+	// Parts are the parts of its prompt that may be the cause.
 	Parts []Digest
 }
 
