A suspected request waits for the trials of others

Cause: an attempt that was not made, since the server is kept for another trial, counted towards the servers that the request may be sent to, and took a retry from the budget that all requests share.

--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -61,8 +61,11 @@
 }
 
 // refundRetry returns the attempt that a retry decision took from the budget and that
-// was not made.
+// was not made. After an occupied server it took none.
 func (d *Dispatcher) refundRetry(call *Call) {
+	if call.failedAttempts[len(call.failedAttempts)-1].Failure == retry.Occupied {
+		return
+	}
 	allowance := d.Allowance()
 	d.budgets.Lock()
 	defer d.budgets.Unlock()
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -95,13 +95,13 @@
 }
 
 // Next returns what follows the last failed attempt of a call. It withdraws an
-// attempt from the budget for a retry.
+// attempt from the budget for a retry, unless nothing was sent to an occupied server.
 func (p Policy) Next(state State, budget *Budget, random *rand.Rand) Decision {
 	last := state.FailedAttempts[len(state.FailedAttempts)-1]
 	switch {
-	case state.Sent && !state.Idempotent, !state.Resumable, len(state.FailedAttempts) >= p.MaxAttempts:
+	case state.Sent && !state.Idempotent, !state.Resumable, p.exhausted(state.FailedAttempts):
 		return Decision{}
-	case !state.Now.Before(state.Deadline), !budget.Withdraw(state.Now):
+	case !state.Now.Before(state.Deadline), last.Failure != Occupied && !budget.Withdraw(state.Now):
 		return Decision{}
 	}
 	decision := Decision{Retry: true, SameServer: last.Failure == SilentConnection && !p.silentTwice(state.FailedAttempts)}
@@ -114,6 +114,18 @@
 	return decision
 }
 
+// exhausted reports whether no further attempt is allowed. Attempts at an occupied server, to
+// which nothing was sent, count only towards the bound of [DefaultPolicy].
+func (p Policy) exhausted(failed []Attempt) bool {
+	occupied := 0
+	for _, attempt := range failed {
+		if attempt.Failure == Occupied {
+			occupied++
+		}
+	}
+	return len(failed)-occupied >= p.MaxAttempts || len(failed) >= max(p.MaxAttempts, DefaultPolicy.MaxAttempts)
+}
+
 // silentTwice reports whether the attempt before the last was at the same
 // server and over a silent connection. After a second silent connection the
 // server itself is suspected.
