A stream does not begin unasked at an engine whose next run may hold its model

An attempt at a first order that has no answer may be carried out seconds later, and by the next run of the engine, since a restart clears the count that it expects. A later attempt was accepted meanwhile, so that nodes list the model at the run before.

The holder of the lease now tells the nodes for how long such an order may be late (15 s), and a node asks that engine for its run before a stream that may be resumed begins there. A run that answers in place of the listed one is logged once for each node.

--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -238,9 +238,9 @@
 	}
 }
 
-func newExchange(rosterController *roster.Controller) *platform.Exchange {
+func newExchange(n *Node, rosterController *roster.Controller, directory *placement.Directory) *platform.Exchange {
 	exchange := platform.NewExchange(rosterController.View)
-	exchange.ListAge = rosterController.ServersAge
+	exchange.ListAge, exchange.LateOrder, exchange.Log = rosterController.ServersAge, directory.LateOrder, n.Log
 	return exchange
 }
 
--- a/internal/placement/directory.go
+++ b/internal/placement/directory.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -22,6 +23,8 @@
 	// last change.
 	schedulerEntries map[fleet.ServerID]schedulerEntry
 	rosterEntries    map[fleet.ServerID]rosterEntry
+	// lateOrders holds until when the next run of a server may carry out a late order.
+	lateOrders map[fleet.ServerID]time.Time
 	// loads holds the engines with many calls, as of loadsAsOf.
 	loads     map[fleet.ServerID]int
 	loadsAsOf time.Time
@@ -119,6 +122,7 @@
 	if d.schedulerEntries == nil {
 		d.schedulerEntries = make(map[fleet.ServerID]schedulerEntry)
 		d.rosterEntries = make(map[fleet.ServerID]rosterEntry)
+		d.lateOrders = make(map[fleet.ServerID]time.Time)
 	}
 }
 
@@ -134,6 +138,7 @@
 	for i := range engines {
 		update := &engines[i]
 		stored, found := d.schedulerEntries[update.Server]
+		d.recordLateOrder(now, update)
 		if found && (fencing < stored.fencing || fencing == stored.fencing && update.Version < stored.version) {
 			continue
 		}
@@ -146,6 +151,25 @@
 	}
 }
 
+// recordLateOrder stores until when an order may be carried out late by the next run of an
+// engine. The next holder of the lease does not know of it, so that its updates don't
+// shorten the time. The caller holds the lock.
+func (d *Directory) recordLateOrder(now time.Time, update *engineUpdate) {
+	maps.DeleteFunc(d.lateOrders, func(_ fleet.ServerID, until time.Time) bool { return now.After(until) })
+	until := now.Add(time.Duration(update.LateOrderMs) * time.Millisecond)
+	if update.LateOrderMs > 0 && until.After(d.lateOrders[update.Server]) {
+		d.lateOrders[update.Server] = until
+	}
+}
+
+// LateOrder reports whether an order may be carried out late by the next run of a server,
+// so that the model is there before that run is listed.
+func (d *Directory) LateOrder(server fleet.ServerID) bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return time.Now().Before(d.lateOrders[server])
+}
+
 // loadAge is about the age of the loads in an update of the scheduler: nodes report
 // once per reportInterval.
 const loadAge = reportInterval * 3 / 4
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -36,6 +36,8 @@
 	reservedUntil time.Time
 	// retryAt is when an engine that could not be reached is tried again.
 	retryAt time.Time
+	// lateOrderUntil is until when the next run of the engine may carry out an order.
+	lateOrderUntil time.Time
 	// version is the scheduler's version as of the engine's last change.
 	version uint64
 }
@@ -128,7 +130,9 @@
 
 // update lists the models and adapters that calls may be sent for.
 func (e *engine) update(now time.Time) engineUpdate {
-	update := engineUpdate{Server: e.server.ID, Boot: e.server.Boot, Version: e.version}
+	update := engineUpdate{
+		Server: e.server.ID, Boot: e.server.Boot, Version: e.version, LateOrderMs: max(0, e.lateOrderUntil.Sub(now).Milliseconds()),
+	}
 	for id, model := range e.held {
 		if model.unloading {
 			continue
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -108,6 +108,9 @@
 	Boot    fleet.BootID   `json:"boot"`
 	Version uint64         `json:"version"`
 	Held    []modelUpdate  `json:"held"`
+	// LateOrderMs is the time for which an order may be carried out late by the next run
+	// of the engine, in milliseconds; 0 if none may.
+	LateOrderMs int64 `json:"lateOrderMs,omitempty"`
 }
 
 // modelUpdate is a model that calls may be sent for, with its adapters.
--- a/internal/placement/order_task.go
+++ b/internal/placement/order_task.go
@@ -132,7 +132,7 @@
 		if outcome == Unknown {
 			t.counts.lost.Inc(1)
 			t.mu.Lock()
-			t.recordUnanswered(time.Now(), t.engine)
+			t.recordUnanswered(time.Now(), t.engine, t.expectedSequence)
 			t.mu.Unlock()
 		}
 	}
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -221,6 +221,7 @@
 		e := s.engines[id]
 		if e == nil {
 			e = newEngine(server)
+			e.lateOrderUntil = s.lateOrderUntil(id)
 			s.engines[id] = e
 			if before, inPlace := replaced[id]; inPlace {
 				e.retryAt = now.Add(replacedInPlaceDelay)
--- a/internal/placement/unanswered.go
+++ b/internal/placement/unanswered.go
@@ -13,6 +13,8 @@
 	boot fleet.BootID
 	// expiresAt is when the order can no longer be executed.
 	expiresAt time.Time
+	// first is set if the order expects that the engine has accepted none before.
+	first bool
 }
 
 // unansweredOrderTTL is how long an order without an answer may still be
@@ -21,9 +23,24 @@
 
 // recordUnanswered records that an order had no answer. The caller holds the
 // lock.
-func (s *Scheduler) recordUnanswered(now time.Time, e *engine) {
+func (s *Scheduler) recordUnanswered(now time.Time, e *engine, expectedSequence uint64) {
 	s.unanswered[e.server.ID] = append(s.unanswered[e.server.ID],
-		unansweredOrder{boot: e.server.Boot, expiresAt: now.Add(unansweredOrderTTL)})
+		unansweredOrder{boot: e.server.Boot, expiresAt: now.Add(unansweredOrderTTL), first: expectedSequence == 0})
+	if expectedSequence == 0 {
+		e.lateOrderUntil = now.Add(unansweredOrderTTL)
+		s.bumpVersion(e)
+	}
+}
+
+// lateOrderUntil returns until when the next run of an engine may carry out an order that
+// an earlier one did not answer. The caller holds the lock.
+func (s *Scheduler) lateOrderUntil(server fleet.ServerID) (until time.Time) {
+	for _, order := range s.unanswered[server] {
+		if order.first && order.expiresAt.After(until) {
+			until = order.expiresAt
+		}
+	}
+	return until
 }
 
 // reserveForLateOrders reserves memory and adapter slots for unanswered orders
