Requests cut off at the end of a grace get their answers

Cause: Drain cut off the requests at 0.93 of the grace and closed the sockets at once, while the handlers still wrote their answers (502, or 503 if not run). The wait for the connections had ended with the same context.

Change: after the cut-off the node waits for the handlers and then for the connections, up to 0.97 of the grace. The second shutdown looks at the connections anew, since the first one looks only every half second by then.

Measured: TestRequestsCutOffGetTheirAnswers, in virtual time, with a connection whose writes take 100 ms: without the wait the caller received nothing, with it the whole 502.

--- a/internal/hosted/drain_test.go
+++ b/internal/hosted/drain_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -12,6 +13,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/guavatrack/guavatrack/internal/drain"
 	"github.com/guavatrack/guavatrack/internal/standin"
 )
 
@@ -54,7 +56,7 @@
 		synctest.Wait()
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		defer cancel()
-		c.Check(n.finishRequests(ctx, sockets), qt.Equals, 0)
+		c.Check(n.finishRequests(ctx, sockets, 100*time.Millisecond), qt.Equals, 0)
 		sockets.close()
 		answer := <-received
 		c.Check(strings.HasSuffix(answer, "data: 1\n\n\r\n0\r\n\r\n"), qt.IsTrue, qt.Commentf("%q", answer))
@@ -64,3 +66,43 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// TestRequestsCutOffGetTheirAnswers stops a node with a request that does not end, whose
+// answer is made when it is cut off and takes a time to be written. It guards against
+// closing the connection before.
+func TestRequestsCutOffGetTheirAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		n := &Node{Log: slog.New(slog.DiscardHandler)}
+		caller, end := net.Pipe()
+		listener := standin.NewListener()
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			ctx, cancel := context.WithCancelCause(r.Context())
+			defer n.activeRequests.Begin(cancel)()
+			<-ctx.Done()
+			c.Check(context.Cause(ctx), qt.Equals, drain.ErrCutOff)
+			http.Error(w, "cut off", http.StatusBadGateway)
+		})}
+		sockets := &endpoints{callers: server, servers: []*http.Server{server}}
+		go func() { _ = server.Serve(listener) }()
+		c.Check(listener.Deliver(context.Background(), &slowConn{end, 100 * time.Millisecond}), qt.IsNil)
+		go func() { _, _ = io.WriteString(caller, "GET / HTTP/1.1\r\nHost: a\r\n\r\n") }()
+		received := make(chan string, 1)
+		go func() {
+			text, _ := io.ReadAll(caller)
+			received <- string(text)
+		}()
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		began := time.Now()
+		c.Check(n.finishRequests(ctx, sockets, 300*time.Millisecond), qt.Equals, 1)
+		c.Check(time.Since(began) < 3300*time.Millisecond, qt.IsTrue)
+		sockets.close()
+		answer := <-received
+		c.Check(strings.HasPrefix(answer, "HTTP/1.1 502 Bad Gateway\r\n"), qt.IsTrue, qt.Commentf("%q", answer))
+		c.Check(strings.HasSuffix(answer, "cut off\n"), qt.IsTrue, qt.Commentf("%q", answer))
+		c.Check(caller.Close(), qt.IsNil)
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -218,9 +218,10 @@
 const (
 	// acceptShare is the share of the grace time after which a stopping node accepts
 	// no more requests, cutOffShare the one after which it cuts off those that still
-	// run.
-	acceptShare = 0.3
-	cutOffShare = 0.93
+	// run, answeredShare the one up to which it then writes their answers.
+	acceptShare   = 0.3
+	cutOffShare   = 0.93
+	answeredShare = 0.97
 )
 
 // Drain stops the node gracefully. It returns the number of requests that did not
@@ -236,7 +237,7 @@
 	n.background.Go(func() { n.components.Lease.Release(ctx) })
 	wait.For(ctx, time.Duration(acceptShare*float64(grace)))
 	n.draining.Store(true)
-	cutOff = n.finishRequests(ctx, n.components.Endpoints)
+	cutOff = n.finishRequests(ctx, n.components.Endpoints, time.Duration((answeredShare-cutOffShare)*float64(grace)))
 	n.components.Members.AnnounceLeft(ctx)
 	n.Log.Info("drain ends", slog.Int("cutOff", cutOff), slog.Int64("answersCutOff", n.edge.CutOffs()-cutOffBefore),
 		slog.Duration("took", time.Since(startedAt)))
@@ -247,11 +248,18 @@
 // finishRequests stops accepting connections from callers and waits for the requests in
 // progress, and then for their connections: net/http writes the end of an answer after
 // the request has ended. When the context ends, it cuts off the remaining requests and
-// returns their number.
-func (n *Node) finishRequests(ctx context.Context, sockets *endpoints) (cutOff int) {
+// returns their number. Their answers are written within answerTime.
+func (n *Node) finishRequests(ctx context.Context, sockets *endpoints, answerTime time.Duration) (cutOff int) {
 	closed := sockets.closeCallers(ctx)
 	cutOff = n.activeRequests.Drain(ctx)
-	if err := <-closed; err != nil {
+	err := <-closed
+	if err != nil {
+		answering, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerTime)
+		defer cancel()
+		n.activeRequests.Drain(answering)
+		err = <-sockets.closeCallers(answering)
+	}
+	if err != nil {
 		n.Log.Warn("callers' connections not closed in time", slog.String("error", err.Error()))
 	}
 	return cutOff
