A request that would be cut off by a stop is not passed on

Cause: nothing bounded when a request that a stopping node had taken was passed on. One that waited in the queue, was tried again, or whose body came slowly went to a server late in the grace and was cut off there, also if it may not be repeated.

Change: Drain tells the dispatcher the cut-off (Dispatcher.StopAt) at SIGTERM, before the node announces that it leaves. From then on the time by which a call must end is the earlier of its deadline and the cut-off: for arrivals, for those that wait (judged again at once), and right before each send, so for retries, hedges and replacements too. Counter requests.stopRefusals, a line per decision.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -161,6 +161,13 @@
 // unknown.
 func (q *Queue) MeanServiceTime() time.Duration { return q.meanServiceTime }
 
+// ExpectedServiceTime returns an estimate of the service time of a request of the given
+// work that few requests exceed; 0 if no service time is known.
+func (q *Queue) ExpectedServiceTime(work float64) time.Duration {
+	request := Request{Work: work}
+	return request.scale(q.serviceTimeBound())
+}
+
 // Estimate returns the estimated start and end of a request if it were queued
 // now.
 func (q *Queue) Estimate(now time.Time, request Request, capacity Capacity) (start, end time.Time) {
@@ -252,6 +259,18 @@
 	return true
 }
 
+// SetDeadline changes the deadline of a waiting request. It returns the changed request,
+// which takes the place of the given one.
+func (q *Queue) SetDeadline(request Request, deadline time.Time) Request {
+	waits := q.Remove(request)
+	request.Deadline = deadline
+	if waits {
+		q.classes[classOf(request.Rank)].add(request)
+		q.size++
+	}
+	return request
+}
+
 // Next returns the next request to run among those that the filter accepts. It
 // stays in the queue until RemoveStarted removes it.
 func (q *Queue) Next(accept func(Request) bool) (request Request, found bool) {
--- a/internal/dispatch/callrunner.go
+++ b/internal/dispatch/callrunner.go
@@ -64,6 +64,10 @@
 		r.refundRetry(call)
 		return nil, r.endWithoutSlot(attemptErr, err)
 	}
+	if err := r.checkStop(call); err != nil {
+		r.refundRetry(call)
+		return nil, err
+	}
 	r.meters.retries.Inc(1)
 	if !wait.For(call.Context, decision.Backoff) {
 		return nil, attemptErr
@@ -176,6 +180,9 @@
 		if a.err == nil && exclusive {
 			a.err = r.checkUnchanged(taken)
 		}
+		if a.err == nil && exclusive {
+			a.err = r.checkStop(r.call)
+		}
 		if a.err == nil {
 			a.answer, a.err = r.call.Message.Open(a.ctx, a)
 		}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -63,7 +64,9 @@
 	budgets       budgets
 	link          linkState
 	poison        *poison.Controller
-	background    sync.WaitGroup
+	// cutOff is when the stopping node cuts off its requests; nil if it does not stop.
+	cutOff     atomic.Pointer[time.Time]
+	background sync.WaitGroup
 }
 
 func (d *Dispatcher) setUp() {
--- a/internal/dispatch/isolate.go
+++ b/internal/dispatch/isolate.go
@@ -74,8 +74,11 @@
 }
 
 // checkBeforeSend checks a call right before each attempt, since it may have waited while
-// a part of its prompt was found to crash servers.
+// a part of its prompt was found to crash servers, or until the node would cut it off.
 func (d *Dispatcher) checkBeforeSend(call *Call) error {
+	if err := d.checkStop(call); err != nil {
+		return err
+	}
 	if call.Sent() {
 		return d.recheckPoison(call)
 	}
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -15,6 +15,7 @@
 	{Name: hedgesName, Kind: metric.Counter, Help: "second attempts because a first byte was late"},
 	{Name: silentConnectionsName, Kind: metric.Counter, Help: "attempts that were silent although the backend server took new connections"},
 	{Name: silentServersName, Kind: metric.Counter, Help: "attempts that were silent while the backend server took no new connections"},
+	{Name: stopRefusalsName, Kind: metric.Counter, Help: "requests refused and further attempts not made because the stopping node would cut them off"},
 	{Name: noLocalName, Kind: metric.Counter, Help: "bytes between regions because the region has no server for a request"},
 	{Name: deadlineName, Kind: metric.Counter, Help: "bytes between regions because a deadline would be missed"},
 	{Name: fullName, Kind: metric.Counter, Help: "bytes between regions because all servers of the region are full"},
@@ -27,6 +28,7 @@
 	hedgesName            = "requests.hedges"
 	silentConnectionsName = "requests.silentConnections"
 	silentServersName     = "requests.silentServers"
+	stopRefusalsName      = "requests.stopRefusals"
 	noLocalName           = "link.bytesNoLocal"
 	deadlineName          = "link.bytesDeadline"
 	fullName              = "link.bytesFull"
@@ -34,7 +36,7 @@
 )
 
 type meters struct {
-	sends, retries, hedges, silentConnections, silentServers metrics.Counter
+	sends, retries, hedges, silentConnections, silentServers, stopRefusals metrics.Counter
 	// crossRegionBytes counts the bytes sent and received between regions.
 	crossRegionBytes map[route.Cause]metrics.Counter
 }
@@ -44,6 +46,7 @@
 	m.retries = metrics.GetOrRegisterCounter(retriesName, registry)
 	m.hedges = metrics.GetOrRegisterCounter(hedgesName, registry)
 	m.silentConnections = metrics.GetOrRegisterCounter(silentConnectionsName, registry)
+	m.stopRefusals = metrics.GetOrRegisterCounter(stopRefusalsName, registry)
 	m.silentServers = metrics.GetOrRegisterCounter(silentServersName, registry)
 	m.crossRegionBytes = map[route.Cause]metrics.Counter{
 		route.CauseNoLocal:  metrics.GetOrRegisterCounter(noLocalName, registry),
--- a/internal/dispatch/race.go
+++ b/internal/dispatch/race.go
@@ -173,7 +173,7 @@
 // budget allows.
 func (r *callRunner) takeHedgeSlot() (second *slot, found bool) {
 	now := time.Now()
-	if !r.spendHedge(now) {
+	if r.checkStop(r.call) != nil || !r.spendHedge(now) {
 		return nil, false
 	}
 	first := r.call.slot
--- a/internal/dispatch/replacement.go
+++ b/internal/dispatch/replacement.go
@@ -67,6 +67,10 @@
 		r.logKept(err.Error())
 		return nil
 	}
+	if err := r.checkStop(call); err != nil {
+		r.logKept(err.Error())
+		return nil
+	}
 	decision := r.retryDecision(call)
 	if !decision.Retry {
 		r.logKept("no further attempt is allowed")
--- a/internal/dispatch/waitqueue.go
+++ b/internal/dispatch/waitqueue.go
@@ -128,6 +128,9 @@
 // admit takes a slot for a call, or adds the call to the queue if there is none
 // free, or fails with a refusal. It returns either a slot or a waiter.
 func (q *waitQueue) admit(call *Call) (*waiter, *slot, error) {
+	if err := q.dispatcher.checkStop(call); err != nil {
+		return nil, nil, err
+	}
 	now := time.Now()
 	readyIn, err := q.readyIn(call, now)
 	if err != nil {
@@ -140,9 +143,10 @@
 			return nil, taken, nil
 		}
 	}
+	endBy, _ := q.dispatcher.endBy(call)
 	q.lastTicket++
 	request := admission.Request{
-		Ticket: q.lastTicket, Caller: call.Caller, Rank: call.Rank, Item: call.Item, Deadline: call.Deadline,
+		Ticket: q.lastTicket, Caller: call.Caller, Rank: call.Rank, Item: call.Item, Deadline: endBy,
 		StartBy: call.StartBy, Work: call.Work,
 	}
 	capacity := q.dispatcher.capacity(call, now, readyIn)
@@ -153,6 +157,9 @@
 			return nil, taken, nil
 		}
 	}
+	if decision.Outcome == admission.Late {
+		return nil, nil, q.lateRefusal(call, now, decision.RetryAfter)
+	}
 	if decision.Outcome != admission.Queued {
 		return nil, nil, admissionRefusal(decision)
 	}
@@ -223,15 +230,17 @@
 }
 
 // expire refuses the waiting requests that can no longer end before their
-// deadline.
+// deadline, or before the node cuts them off.
 func (q *waitQueue) expire(now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.refuseStopping(now)
 	capacity := q.bestCapacity(now)
 	for _, request := range q.pending.Expire(now, capacity) {
-		q.resolve(q.waiters[request.Ticket], admissionResult{err: admissionRefusal(admission.Decision{
-			Outcome: admission.Late, RetryAfter: max(q.pending.MeanServiceTime(), capacity.ReadyIn),
-		})})
+		waiting := q.waiters[request.Ticket]
+		q.resolve(waiting, admissionResult{
+			err: q.lateRefusal(waiting.call, now, max(q.pending.MeanServiceTime(), capacity.ReadyIn)),
+		})
 	}
 }
 
--- a/internal/hosted/drain_test.go
+++ b/internal/hosted/drain_test.go
@@ -13,7 +13,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/guavatrack/guavatrack/internal/dispatch"
 	"github.com/guavatrack/guavatrack/internal/drain"
+	"github.com/guavatrack/guavatrack/internal/settings"
 	"github.com/guavatrack/guavatrack/internal/standin"
 )
 
@@ -106,3 +108,19 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// TestReloadCutsNothing reloads the settings, as after SIGHUP, while a request runs. It
+// guards against a reload that acts like a stop.
+func TestReloadCutsNothing(t *testing.T) {
+	c := qt.New(t)
+	n := &Node{Log: slog.New(slog.DiscardHandler)}
+	n.components.Dispatcher = &dispatch.Dispatcher{}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	defer n.activeRequests.Begin(cancel)()
+	for range 3 {
+		n.Reload(settings.Settings{Platform: &settings.Platform{}})
+	}
+	c.Check(ctx.Err(), qt.IsNil)
+	c.Check(n.draining.Load() || n.leaving.Load(), qt.IsFalse)
+	c.Check(n.components.Dispatcher.Stops(), qt.IsFalse)
+}
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -232,6 +232,8 @@
 	n.Log.Info("drain begins", slog.Duration("grace", grace), slog.Int("running", n.activeRequests.Running()))
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(cutOffShare*float64(grace)))
 	defer cancel()
+	cutOffAt, _ := ctx.Deadline()
+	n.components.Dispatcher.StopAt(cutOffAt)
 	n.leaving.Store(true)
 	n.components.Members.AnnounceLeaving()
 	n.background.Go(func() { n.components.Lease.Release(ctx) })
