A drain of our own interface refuses what it would cut off

The drain took requests until its last seconds and looked whether it takes them only at their heads.

Change: drain.Sequence says the end of its context as the cut-off before it announces that the node leaves; caller.Server hands it to the same dispatcher. A body is judged at its end, and its reading ends with the drain.

A refused request, also a keyed one, is answered by another node.

--- a/internal/caller/decode.go
+++ b/internal/caller/decode.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/guavatrack/guavatrack/internal/drain"
 	"github.com/guavatrack/guavatrack/internal/engine"
 	"github.com/guavatrack/guavatrack/internal/plain"
 	"github.com/guavatrack/guavatrack/internal/poison"
@@ -22,7 +23,8 @@
 	"github.com/guavatrack/guavatrack/pkg/ticket"
 )
 
-// readBody reads the body of a call within the limits of size and time.
+// readBody reads the body of a call within the limits of size and time. It fails if the node
+// has stopped taking requests meanwhile.
 func (s *Server) readBody(call *Call) (body []byte, err error) {
 	limit := cmp.Or(s.MaxBody, MaxBody)
 	if call.Request.ContentLength > int64(limit) {
@@ -30,15 +32,22 @@
 	}
 	controller := http.NewResponseController(call.Response)
 	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
+	// A node that stops ends the read at once. The deadline then stays in the past, so that
+	// net/http does not wait for the rest of the body before it writes the answer.
+	stop := context.AfterFunc(call.Context, func() { _ = controller.SetReadDeadline(time.Now()) })
 	reader := http.MaxBytesReader(call.Response, call.Request.Body, int64(limit))
 	var buffer bytes.Buffer
 	if size := call.Request.ContentLength; size > 0 {
 		buffer.Grow(int(size) + bytes.MinRead)
 	}
 	_, err = buffer.ReadFrom(reader)
-	_ = controller.SetReadDeadline(time.Time{})
+	if stop() {
+		_ = controller.SetReadDeadline(time.Time{})
+	}
 	tooLarge := (*http.MaxBytesError)(nil)
 	switch {
+	case err == nil && s.draining.Load(), errors.Is(context.Cause(call.Context), drain.ErrCutOff):
+		return nil, errStopping
 	case err == nil:
 		return buffer.Bytes(), nil
 	case errors.As(err, &tooLarge):
--- a/internal/caller/httphandler.go
+++ b/internal/caller/httphandler.go
@@ -25,6 +25,11 @@
 // caller time to look up another node.
 const drainingRetryAfter = time.Second
 
+// errStopping is the refusal of a draining node.
+var errStopping = &refusal.Refusal{
+	Reason: refusal.Draining, Message: "the node is stopping", RetryAfter: drainingRetryAfter,
+}
+
 // httpHandler returns an HTTP handler that runs a call handler and answers its
 // error.
 func (s *Server) httpHandler(handler Handler) http.Handler {
@@ -39,9 +44,7 @@
 		var err error
 		if s.draining.Load() {
 			w.Header().Set("Connection", "close")
-			err = &refusal.Refusal{
-				Reason: refusal.Draining, Message: "the node is stopping", RetryAfter: drainingRetryAfter,
-			}
+			err = errStopping
 		} else {
 			err = handler.Handle(call)
 		}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -143,6 +143,13 @@
 	s.dispatcher.MergePoisonNotice(notice)
 }
 
+// StopAt says that the node stops and when it cuts off the requests that still run; see
+// [dispatch.Dispatcher.StopAt].
+func (s *Server) StopAt(cutOff time.Time) {
+	s.once.Do(s.setUp)
+	s.dispatcher.StopAt(cutOff)
+}
+
 // Drain refuses new requests and waits for the running ones. When the context
 // ends, it cancels those that remain and returns their number.
 func (s *Server) Drain(ctx context.Context) (cutOff int) {
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -35,6 +35,9 @@
 	// AnnounceLeaving announces that the node is leaving, so that the look-up no
 	// longer returns its address.
 	AnnounceLeaving func()
+	// StopAt says, before AnnounceLeaving, when the requests that still run are cut off.
+	// It may be nil.
+	StopAt func(cutOff time.Time)
 	// KeepFor is how long callers may use an answer of the look-up.
 	KeepFor time.Duration
 	// Finish stops accepting connections, waits for the running requests and returns
@@ -68,6 +71,9 @@
 	log = logs.OrDiscard(log)
 	startedAt := time.Now()
 	log.InfoContext(ctx, "drain begins", "keepFor", s.KeepFor)
+	if cutOff, bounded := ctx.Deadline(); bounded && s.StopAt != nil {
+		s.StopAt(cutOff)
+	}
 	s.AnnounceLeaving()
 	wait.For(ctx, s.KeepFor+propagationTime)
 	report.Waited = time.Since(startedAt)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -192,6 +192,7 @@
 
 func (n *Node) drainSequence() *drain.Sequence {
 	return &drain.Sequence{
+		StopAt: n.components.Callers.StopAt,
 		AnnounceLeaving: func() {
 			n.components.Members.AnnounceLeaving()
 			n.components.Endpoints.closeUsedConnections()
