--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -96,7 +96,17 @@
 	}
 }
 
-// TestEveryRequestLeavesTheQueueOnce offers, starts, cancels and expires
+// bringForward gives the waiting requests an earlier deadline, as a node does that stops.
+func (m *model) bringForward(t *rapid.T) {
+	end := m.now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "left")) * time.Millisecond)
+	for ticket, request := range m.waiting {
+		if end.Before(request.Deadline) {
+			m.waiting[ticket] = m.queue.SetDeadline(request, end)
+		}
+	}
+}
+
+// TestEveryRequestLeavesTheQueueOnce offers, starts, cancels, brings forward and expires
 // requests at random and checks that none is lost, returned twice or kept too
 // long.
 func TestEveryRequestLeavesTheQueueOnce(t *testing.T) {
@@ -108,13 +118,15 @@
 		m.queue.Bound = 12
 		for range rapid.IntRange(1, 150).Draw(t, "steps") {
 			m.now = m.now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "passes")) * time.Millisecond)
-			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
 			case 0, 1, 2:
 				m.offer(t)
 			case 3:
 				m.run(t)
 			case 4:
 				m.expire(t)
+			case 5:
+				m.bringForward(t)
 			default:
 				for ticket, request := range m.waiting {
 					if ticket%3 == 0 && m.queue.Remove(request) {
--- a/internal/hosted/hosted_test.go
+++ b/internal/hosted/hosted_test.go
@@ -355,6 +355,26 @@
 	f.waitFor(func() bool { return len(f.lookUp(1)) == 1 })
 }
 
+// TestRequestsGoOnBesideReloads reloads the settings of a node, as after SIGHUP, while it
+// answers. It guards against a reload that refuses or cuts off requests.
+func TestRequestsGoOnBesideReloads(t *testing.T) {
+	f := newFixture(t, &standin.Site{Engines: 2, Services: 1, Models: 6, EventTime: 60 * time.Millisecond}, 1)
+	var group sync.WaitGroup
+	for i := range 12 {
+		group.Go(func() {
+			f.checkCompleteStream(f.send(0, http.MethodPost, standin.Streaming+"chat", fmt.Sprint("m", i%6), "hello"))
+		})
+		group.Go(func() {
+			answer := f.send(0, http.MethodPost, standin.Once+"book", "", "{}")
+			f.Check(answer.Status, qt.Equals, http.StatusOK)
+		})
+		f.nodes[0].Reload(f.nodes[0].Settings)
+		time.Sleep(20 * time.Millisecond)
+	}
+	group.Wait()
+	f.Check(f.nodes[0].Ready(), qt.IsNil)
+}
+
 // lookUp returns the caller addresses in a node's answer to a look-up.
 func (f *fixture) lookUp(node int) []string {
 	addresses, keepFor, err := standin.LookUp(f.nodes[node].Addresses().Lookup, "east", "east-a")
