origin: keep a replaced base version replaced after a restoration

Cause: a restoration of the store brought back the record of a base version that was replaced since. Nodes took it, and streams of the newer version, which have no record, went on at the older one if its servers were there.

Change: the record counts the replacements; a node that has read a later base version writes it over an earlier one.

TestRestorationDoesNotBringBackAReplacedBaseVersion and TestNodeThatStartsAfterARestorationTakesNoReplacedBaseVersion failed before (v1 in place of v2).

--- a/internal/origin/base.go
+++ b/internal/origin/base.go
@@ -33,6 +33,9 @@
 // baseRecord is the body of the record of a pool's base version.
 type baseRecord struct {
 	Software fleet.SoftwareVersion `json:"software"`
+	// Replacements counts the base versions of the pool before this one. It tells which of
+	// two is the later one after the store was restored from an older copy.
+	Replacements uint64 `json:"replacements,omitempty"`
 }
 
 // Places of the records in the store.
@@ -182,6 +185,10 @@
 			c.repairBase(ctx, pool, record.Version)
 			continue
 		}
+		if c.replacedSince(pool, body) {
+			c.repairBase(ctx, pool, record.Version)
+			continue
+		}
 		c.setBase(now, pool, body, record.Version)
 	}
 	c.recordStoreCall(nil)
@@ -191,6 +198,15 @@
 	return nil
 }
 
+// replacedSince reports whether this node has read a later base version than the one that a
+// restoration of the store has brought back.
+func (c *Controller) replacedSince(pool fleet.PoolID, read baseRecord) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := c.bases[pool]
+	return known != nil && known.Replacements > read.Replacements
+}
+
 // lostBases returns the pools whose base version this node has read and the store has lost.
 func (c *Controller) lostBases(found map[fleet.PoolID]bool) (lost []fleet.PoolID) {
 	c.mu.Lock()
@@ -204,8 +220,8 @@
 	return lost
 }
 
-// repairBase writes the base version of a pool again, over a record of another writer or
-// in place of one that was lost. A node that has not read it before leaves that to the
+// repairBase writes the base version of a pool again, over a record of another writer or an
+// older one, or in place of one that was lost. A node that has not read it before leaves that to the
 // others.
 func (c *Controller) repairBase(ctx context.Context, pool fleet.PoolID, version table.Version) {
 	c.mu.Lock()
@@ -250,8 +266,9 @@
 ) error {
 	c.mu.Lock()
 	known, expect := c.bases[pool], table.Absent
+	replacement := baseRecord{Software: mostListed(versions)}
 	if known != nil {
-		expect = known.version
+		expect, replacement.Replacements = known.version, known.Replacements+1
 	}
 	mayReturn := known == nil && c.era > 0 && now.Sub(c.eraSince) < rewriteTime
 	c.mu.Unlock()
@@ -261,7 +278,7 @@
 	if known != nil && (versions[known.Software] > 0 || now.Sub(known.listedAt) <= c.retention()) {
 		return nil
 	}
-	if err := c.writeBase(ctx, pool, baseRecord{Software: mostListed(versions)}, expect); err != nil {
+	if err := c.writeBase(ctx, pool, replacement, expect); err != nil {
 		return err
 	}
 	return c.readBases(ctx)
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -80,6 +80,23 @@
 	return found
 }
 
+// Restore replaces the records of a partition by those of an earlier Snapshot, past all
+// faults. It is for tests.
+func (t *Table) Restore(partition string, records []table.Record) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for key := range t.records {
+		if key.Partition == partition {
+			delete(t.records, key)
+		}
+	}
+	delete(t.sorted, partition)
+	for _, record := range records {
+		t.records[record.Key] = clone(record)
+		t.sort(record.Key)
+	}
+}
+
 // Get implements [table.Store].
 func (t *Table) Get(ctx context.Context, key table.Key) (table.Record, error) {
 	if err := t.enter(ctx); err != nil {
