origin: let a lagging list prove nothing after a restoration

Cause: after a restoration the lack of a record proves nothing for 3 s, but a node that had listed one version for two minutes believed it at once, for itself and for the nodes that ask it. A node whose list lags by seconds during a replacement so took a stream of the new version, whose record was lost, for one of the base version.

While one version serves nothing waits (TestRestoredStoreDelaysNoRestWhileOneVersionServes).

TestNodeThatListsOneVersionDoesNotTrustTheLackOfARecord failed before (v1 for v2).

--- a/internal/origin/find.go
+++ b/internal/origin/find.go
@@ -50,7 +50,7 @@
 		return software, nil
 	}
 	limit := maxFindTime
-	if !c.absenceProves(pool) {
+	if !c.absenceProves() {
 		limit += rewriteTime
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
@@ -105,12 +105,12 @@
 	if err != nil || exists {
 		return record.Software, sourceRecord, err
 	}
-	if software, sure := c.sureBaseOf(key.pool, time.Now(), c.maxBaseAge(key.pool)); sure && c.absenceProves(key.pool) {
-		return software, sourceBase, nil
-	}
-	if !c.absenceProves(key.pool) {
+	if !c.absenceProves() {
 		return "", "", errors.New("the store was restored and may lack the record")
 	}
+	if software, sure := c.sureBaseOf(key.pool, time.Now(), c.maxBaseAge(key.pool)); sure {
+		return software, sourceBase, nil
+	}
 	if err := c.readBases(ctx); err != nil {
 		return "", "", err
 	}
@@ -145,12 +145,9 @@
 
 // absenceProves reports whether a stream without a record was begun by the base version:
 // records that were lost with the restoration of the store have been written again.
-func (c *Controller) absenceProves(pool fleet.PoolID) bool {
+func (c *Controller) absenceProves() bool {
 	now := time.Now()
 	c.checkEra(now)
-	if _, single := c.singleVersion(pool); single {
-		return true
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.era == 0 || now.Sub(c.eraSince) >= rewriteTime
--- a/internal/origin/rewrite_test.go
+++ b/internal/origin/rewrite_test.go
@@ -55,3 +55,32 @@
 		c.checkFound(c.nodes[1], "a", next)
 	})
 }
+
+// Guards against a stream that goes on at the base version right after a restoration, since
+// the node that is asked, or one that it asks, does not list the other version yet.
+func TestNodeThatListsOneVersionDoesNotTrustTheLackOfARecord(t *testing.T) {
+	for at := range 2 {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, 3, old)
+			time.Sleep(2 * minRetention)
+			c.nodes[1].list(old, next)
+			c.nodes[2].list(old, next)
+			c.begin(c.nodes[2], "a", next)
+			c.restore()
+			c.checkFound(c.nodes[at], "a", next)
+		})
+	}
+}
+
+// Guards against requests that wait after a restoration although one version serves, while
+// a node that is gone has begun their streams.
+func TestRestoredStoreDelaysNoRestWhileOneVersionServes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, old)
+		time.Sleep(2 * minRetention)
+		c.restore()
+		began := time.Now()
+		c.checkFound(c.nodes[0], "a", old)
+		c.Check(time.Since(began), qt.Equals, time.Duration(0))
+	})
+}
