origin: have a node without the store learn of its restoration from others

Cause: a node learns that the store was restored from the store's answers. One that was cut off from the store, but not from the other nodes, did not write its records again, though others would have written them for it; after 3 s the others took its streams for ones of the base version.

TestRecordsOfANodeThatLostTheStoreAreWrittenAgain failed before (v1 for v2). The store of the tests now names its era to each node only while that node reaches it.

--- a/internal/origin/controller.go
+++ b/internal/origin/controller.go
@@ -73,6 +73,10 @@
 	// the store again soon after that.
 	era      table.Era
 	eraSince time.Time
+	// peerEra is the newest era that another node has named. reachedAt is when the store
+	// answered last.
+	peerEra   table.Era
+	reachedAt time.Time
 	// firstListed holds when a sweep first saw each record.
 	firstListed map[string]time.Time
 	sweptAt     time.Time
@@ -130,6 +134,7 @@
 	for ctx.Err() == nil {
 		now := time.Now()
 		c.checkEra(now)
+		c.learnEra(ctx)
 		c.forgetOwn(now)
 		c.notePeers()
 		c.checkBases(ctx, now)
@@ -210,6 +215,7 @@
 func (c *Controller) checkEra(now time.Time) {
 	era, retention := c.Era(), c.retention()
 	c.mu.Lock()
+	era = max(era, c.peerEra)
 	if era == c.era {
 		c.mu.Unlock()
 		return
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -29,8 +29,23 @@
 // partialStore is the store as one node reaches it.
 type partialStore struct {
 	table.Store
+	// current returns the era of the store.
+	current func() table.Era
+
 	mu  sync.Mutex
 	cut bool
+	era table.Era
+}
+
+// Era returns the newest era that the node has seen; it reads the store all the time.
+func (s *partialStore) Era() table.Era {
+	current := s.current()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.cut {
+		s.era = current
+	}
+	return s.era
 }
 
 func (s *partialStore) setCut(cut bool) {
@@ -147,14 +162,14 @@
 // newNode starts the node at a position.
 func (c *cluster) newNode(at int, versions ...fleet.SoftwareVersion) *testNode {
 	id := fleet.NodeID(fmt.Sprint("n", at))
-	node := &testNode{store: &partialStore{Store: c.table}, done: make(chan struct{})}
+	node := &testNode{store: &partialStore{Store: c.table, current: c.currentEra}, done: make(chan struct{})}
 	if c.wrap != nil {
 		node.store.Store = c.wrap(c.table)
 	}
 	node.list(versions...)
 	endpoint := peertest.Endpoint{Network: &c.network, Node: id}
 	node.Controller = &Controller{
-		Store: node.store, Era: c.currentEra, Peers: endpoint,
+		Store: node.store, Era: node.store.Era, Peers: endpoint,
 		View: func() *roster.View {
 			node.mu.Lock()
 			defer node.mu.Unlock()
--- a/internal/origin/peer.go
+++ b/internal/origin/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -17,6 +18,7 @@
 const (
 	methodFind  = "origin.find"
 	methodWrite = "origin.write"
+	methodEra   = "origin.era"
 )
 
 const (
@@ -53,6 +55,14 @@
 	Conflicts []string `json:"conflicts,omitempty"`
 }
 
+// eraRequest asks for the era of the store that a node has seen last.
+type eraRequest struct{}
+
+// eraResponse is the answer to an eraRequest.
+type eraResponse struct {
+	Era table.Era `json:"era"`
+}
+
 // Handler registers the methods that nodes call on each other.
 type Handler interface {
 	Handle(method string, handler peer.Handler)
@@ -63,6 +73,12 @@
 	c.init()
 	handler.Handle(methodFind, peer.Typed(c.handleFind))
 	handler.Handle(methodWrite, peer.Typed(c.handleWrite))
+	handler.Handle(methodEra, peer.Typed(c.handleEra))
+}
+
+func (c *Controller) handleEra(context.Context, eraRequest) (response eraResponse, err error) {
+	c.checkEra(time.Now())
+	return eraResponse{Era: c.seenEra()}, nil
 }
 
 func (c *Controller) handleFind(ctx context.Context, request findRequest) (response findResponse, err error) {
@@ -165,6 +181,47 @@
 	return software, single
 }
 
+// learnEra asks other nodes whether the store was restored, if this node has records to
+// write again then and has not reached the store lately itself.
+func (c *Controller) learnEra(ctx context.Context) {
+	c.mu.Lock()
+	recent := time.Since(c.reachedAt) < ownEraAge
+	recorded := c.hasRecorded()
+	c.mu.Unlock()
+	if recent || !recorded {
+		return
+	}
+	var group sync.WaitGroup
+	for _, node := range c.peers() {
+		group.Go(func() {
+			var response eraResponse
+			if err := c.call(ctx, node, methodEra, eraRequest{}, &response); err != nil {
+				return // The node may be gone; the others are asked as well.
+			}
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.peerEra = max(c.peerEra, response.Era)
+		})
+	}
+	group.Wait()
+	c.checkEra(time.Now())
+}
+
+// ownEraAge is the time since the last answer of the store from which on other nodes are
+// asked for its era.
+const ownEraAge = time.Second
+
+// hasRecorded reports whether this node remembers streams with a record. The caller holds
+// the lock.
+func (c *Controller) hasRecorded() bool {
+	for _, stream := range c.own {
+		if stream.recorded {
+			return true
+		}
+	}
+	return false
+}
+
 // probePeers finds out, while no record could be written, whether another node reaches the
 // store again.
 func (c *Controller) probePeers(ctx context.Context) {
--- a/internal/origin/record.go
+++ b/internal/origin/record.go
@@ -339,6 +339,9 @@
 	failed := err != nil && !errors.Is(err, table.ErrConflict)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !failed {
+		c.reachedAt = now
+	}
 	switch {
 	case failed && c.unwritableSince.IsZero():
 		c.unwritableSince = now
--- a/internal/origin/rewrite_test.go
+++ b/internal/origin/rewrite_test.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -84,3 +85,18 @@
 		c.Check(time.Since(began), qt.Equals, time.Duration(0))
 	})
 }
+
+// Guards against a stream that goes on at the base version since its record was lost with
+// the restoration of the store while its node reached the others, but not the store.
+func TestRecordsOfANodeThatLostTheStoreAreWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, old)
+		c.list(old, next)
+		c.begin(c.nodes[0], "a", next)
+		c.nodes[0].store.setCut(true)
+		c.restore()
+		_, _ = c.nodes[1].Find(context.Background(), pool, "another")
+		time.Sleep(2 * rewriteTime)
+		c.checkFound(c.nodes[1], "a", next)
+	})
+}
