origin: draw histories with restorations, late writes and long times

The histories lasted some 40 s on average, so that no base version was replaced in them, and the store never went back. They now hold restorations from a copy taken before, writes that are carried out seconds after their callers were told of an unknown outcome, a slow store, callers that leave, nodes that reach nobody, three versions and times of up to 160 s. A version that is found counts only if a server of it runs; a list lags for 10 s at most at a node that reaches the others.

--- a/internal/origin/history_test.go
+++ b/internal/origin/history_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,6 +25,11 @@
 	request  fleet.RequestID
 	software fleet.SoftwareVersion
 	begun    time.Time
+	// node began the stream. recorded is set if the stream has a record.
+	node     *testNode
+	recorded bool
+	// lost is set once the record was lost together with its node.
+	lost bool
 }
 
 // streamLife is the longest time after its beginning for which the rest of a stream is
@@ -41,8 +50,9 @@
 func drawEvents(t *rapid.T) []event {
 	kinds := []string{
 		"begin", "begin", "begin", "find", "find", "find", "pass", "release", "list", "kill", "kill all", "cut", "heal", "lose", "outage",
+		"pass long", "late", "slow", "leave", "copy", "restore", "restore", "isolate",
 	}
-	releases := [][]fleet.SoftwareVersion{{"v1"}, {"v1", "v2"}, {"v2"}, {"v2", "v1", "v3"}}
+	releases := [][]fleet.SoftwareVersion{{"v1"}, {"v1", "v2"}, {"v2"}, {"v2", "v1", "v3"}, {"v3", "v2"}}
 	draw := rapid.Custom(func(t *rapid.T) event {
 		return event{
 			kind: rapid.SampledFrom(kinds).Draw(t, "kind"), node: rapid.IntRange(0, historyNodes-1).Draw(t, "node"),
@@ -57,13 +67,30 @@
 const (
 	historyNodes = 3
 	maxEvents    = 60
+	// longPass is the factor of a long pause. recentStreams is the number of streams of
+	// which the rest is asked for.
+	longPass      = 8
+	recentStreams = 8
+	// maxLag is the time after which a node that reaches the others lists a release.
+	maxLag = 10 * time.Second
 )
 
 // history plays what happens to the nodes, the servers and the store, and checks that no
 // request for the rest of a stream gets another version than the one that began it.
 type history struct {
 	*cluster
-	streams []begunStream
+	mu      sync.Mutex
+	streams []*begunStream
+	// requests counts the requests.
+	requests atomic.Int32
+	late    *lateStore
+	// copied holds the records in the copy from which the store is restored.
+	copied []table.Record
+	// taken holds the base versions of which a restoration has taken the record.
+	taken map[fleet.SoftwareVersion]bool
+	// leaving are the calls of callers that leave soon.
+	leaving sync.WaitGroup
+	asked   int
 	// listed are the versions of the servers that run; a node may list older ones.
 	listed []fleet.SoftwareVersion
 	// found counts the requests whose version was found. wrong describes those that got
@@ -74,9 +101,29 @@
 
 func (h *history) play(e event) {
 	node := h.nodes[e.node]
+	defer h.markLost()
 	switch e.kind {
 	case "begin":
-		h.begin(node, e.software)
+		h.begin(context.Background(), node, e.software)
+	case "leave":
+		ctx, leave := context.WithTimeout(context.Background(), e.pause/10)
+		h.leaving.Go(func() {
+			defer leave()
+			h.begin(ctx, node, e.software)
+		})
+	case "pass long":
+		time.Sleep(longPass * e.pause)
+	case "late":
+		h.late.set(1+e.stream%3, e.pause/4)
+	case "slow":
+		h.table.SetFaults(standin.TableFaults{Delay: e.pause / 20})
+	case "copy":
+		h.copied = h.table.Snapshot(partition, "")
+	case "restore":
+		h.restoreCopy()
+	case "isolate":
+		node.store.setCut(true)
+		h.network.SetUnresponsive(fleet.NodeID(fmt.Sprint("n", e.node)), true)
 	case "find":
 		h.find(node, e.stream)
 	case "pass":
@@ -95,7 +142,9 @@
 		node.store.setCut(true)
 	case "heal":
 		node.store.setCut(false)
+		h.network.SetUnresponsive(fleet.NodeID(fmt.Sprint("n", e.node)), false)
 		h.table.SetFaults(standin.TableFaults{})
+		node.list(h.listed...)
 	case "lose":
 		h.table.SetFaults(standin.TableFaults{LoseAnswers: 1, LoseRequests: 1})
 	case "outage":
@@ -103,52 +152,175 @@
 	}
 }
 
-// release changes the versions of the servers, which one of the nodes does not list yet.
+// release changes the versions of the servers, which one of the nodes lists only after a
+// while, and those that reach nobody once they do.
 func (h *history) release(versions []fleet.SoftwareVersion, lagging int) {
+	h.mu.Lock()
 	h.listed = versions
-	for at, node := range h.nodes {
-		if at != lagging {
+	h.mu.Unlock()
+	for at, node := range slices.Clone(h.nodes) {
+		switch {
+		case h.isolated(node):
+		case at == lagging:
+			h.leaving.Go(func() {
+				time.Sleep(maxLag)
+				h.mu.Lock()
+				defer h.mu.Unlock()
+				if slices.Contains(h.nodes, node) && !h.isolated(node) {
+					node.list(h.listed...)
+				}
+			})
+		default:
 			node.list(versions...)
 		}
 	}
 }
 
+// runs reports whether a server of a version runs.
+func (h *history) runs(software fleet.SoftwareVersion) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Contains(h.listed, software)
+}
+
 // restart ends a node and starts another one in its place.
 func (h *history) restart(at int) {
 	h.nodes[at].stop()
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	h.nodes[at] = h.newNode(at, h.listed...)
 }
 
 // begin begins a stream at a server of a version, if the node lists one.
-func (h *history) begin(node *testNode, software fleet.SoftwareVersion) {
-	stream := begunStream{request: fleet.RequestID(fmt.Sprint("r", len(h.streams))), software: software, begun: time.Now()}
-	if node.listedVersions()[pool][software] == 0 {
+func (h *history) begin(ctx context.Context, node *testNode, software fleet.SoftwareVersion) {
+	if node.listedVersions()[pool][software] == 0 || !h.runs(software) {
 		return
 	}
-	if node.Record(context.Background(), pool, stream.request, software) == nil {
-		h.streams = append(h.streams, stream)
+	request := fleet.RequestID(fmt.Sprint("r", h.requests.Add(1)))
+	if node.Record(ctx, pool, request, software) != nil {
+		return
 	}
+	stream := &begunStream{request: request, software: software, begun: time.Now(), node: node, recorded: node.recorded(request)}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.streams = append(h.streams, stream)
 }
 
-// find asks a node for the rest of a stream.
-func (h *history) find(node *testNode, at int) {
+// recorded reports whether a stream of the node has a record.
+func (n *testNode) recorded(request fleet.RequestID) bool {
+	n.Controller.mu.Lock()
+	defer n.Controller.mu.Unlock()
+	return n.own[streamKey{pool: pool, request: request}].recorded
+}
+
+// stream returns one of the streams that have begun; nil if there is none.
+func (h *history) stream(at int) *begunStream {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	if len(h.streams) == 0 {
-		return
+		return nil
 	}
-	stream := h.streams[at%len(h.streams)]
-	if time.Since(stream.begun) > streamLife {
+	return h.streams[len(h.streams)-1-at%min(len(h.streams), recentStreams)]
+}
+
+// find asks a node for the rest of a stream.
+func (h *history) find(node *testNode, at int) {
+	stream := h.stream(at)
+	if stream == nil || stream.lost || time.Since(stream.begun) > streamLife {
 		return
 	}
+	h.asked++
 	software, err := node.Find(context.Background(), pool, stream.request)
 	if err != nil {
 		return
 	}
+	if !h.runs(software) {
+		return // No server can give the rest.
+	}
 	h.found++
 	if software != stream.software {
 		h.wrong = append(h.wrong, fmt.Sprintf("%s of %s goes on at %s", stream.request, stream.software, software))
 	}
 }
 
+// restoreCopy restores the records of the store from the copy.
+func (h *history) restoreCopy() {
+	before := h.storedBase()
+	h.table.Restore(partition, h.copied)
+	h.taken[before] = h.taken[before] || h.storedBase() != before
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.cluster.mu.Lock()
+	h.era++
+	h.cluster.mu.Unlock()
+}
+
+// markLost marks the streams of which a restoration of the store took the record, or the
+// base version that stands for it, before a node that knows it has written it again: all
+// that know it are gone or reach nobody.
+func (h *history) markLost() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	base := h.storedBase()
+	for _, stream := range h.streams {
+		key := streamKey{pool: pool, request: stream.request}.tableKey()
+		switch {
+		case stream.recorded && !h.reaches(stream.node):
+			stream.lost = stream.lost || len(h.table.Snapshot(partition, key.Sort)) == 0
+		case !stream.recorded && base != stream.software && h.taken[stream.software]:
+			knows := func(node *testNode) bool { return h.reaches(node) && node.namesBase(stream.software) }
+			stream.lost = stream.lost || !slices.ContainsFunc(h.nodes, knows)
+		}
+	}
+}
+
+// storedBase returns the base version in the store.
+func (h *history) storedBase() fleet.SoftwareVersion {
+	var body baseRecord
+	for _, record := range h.table.Snapshot(partition, basePrefix) {
+		h.Check(json.Unmarshal(record.Body, &body), qt.IsNil)
+	}
+	return body.Software
+}
+
+// reaches reports whether a node runs and reaches the store or the others.
+func (h *history) reaches(node *testNode) bool {
+	return slices.Contains(h.nodes, node) && !h.isolated(node)
+}
+
+// isolated reports whether a node reaches neither the store nor the others.
+func (h *history) isolated(node *testNode) bool {
+	return !node.store.reachable() && !h.network.Responsive(fleet.NodeID(fmt.Sprint("n", slices.Index(h.nodes, node))))
+}
+
+// lateStore carries out some transactions after their caller was told that their outcome
+// is unknown.
+type lateStore struct {
+	table.Store
+	mu    sync.Mutex
+	count int
+	delay time.Duration
+}
+
+// set has a number of the next transactions carried out late.
+func (s *lateStore) set(count int, delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.count, s.delay = count, delay
+}
+
+func (s *lateStore) Transact(ctx context.Context, token table.Token, writes []table.Write) error {
+	s.mu.Lock()
+	delay, late := s.delay, s.count > 0
+	s.count--
+	s.mu.Unlock()
+	if !late {
+		return s.Store.Transact(ctx, token, writes)
+	}
+	time.AfterFunc(delay, func() { _ = s.Store.Transact(context.Background(), token, writes) })
+	return table.ErrOutcomeUnknown
+}
+
 // forgetfulStore confirms the records of streams without keeping them.
 type forgetfulStore struct{ table.Store }
 
@@ -159,14 +331,24 @@
 	return s.Store.Transact(ctx, token, writes)
 }
 
-// playHistory plays the events with nodes that use a store made from the table. It returns
-// how many versions were found, and which of them were wrong.
-func playHistory(t *testing.T, events []event, wrap func(table.Store) table.Store) (found int, wrong []string) {
+// historyResult counts the requests for a rest of a history and those whose version was
+// found, and describes those that got another.
+type historyResult struct {
+	asked, found int
+	wrong        []string
+}
+
+// playHistory plays the events with nodes that use a store made from the table.
+func playHistory(t *testing.T, events []event, wrap func(table.Store) table.Store) (result historyResult) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		h := &history{
-			cluster: &cluster{C: qt.New(t), table: standin.NewTable(), wrap: wrap}, listed: []fleet.SoftwareVersion{"v1"},
+		c := &cluster{C: qt.New(t), table: standin.NewTable()}
+		late := &lateStore{Store: c.table}
+		if wrap != nil {
+			late.Store = wrap(c.table)
 		}
+		c.wrap = func(table.Store) table.Store { return late }
+		h := &history{cluster: c, late: late, listed: []fleet.SoftwareVersion{"v1"}, taken: make(map[fleet.SoftwareVersion]bool)}
 		for range historyNodes {
 			h.start(h.listed...)
 		}
@@ -174,28 +356,33 @@
 			for _, node := range h.nodes {
 				node.stop()
 			}
+			time.Sleep(2 * maxRecordTime) // Callers have left records to nodes that had ended.
 		}()
 		time.Sleep(settled)
+		h.copied = h.table.Snapshot(partition, "")
 		for _, e := range events {
 			h.play(e)
 		}
-		found, wrong = h.found, h.wrong
+		h.leaving.Wait()
+		result = historyResult{asked: h.asked, found: h.found, wrong: h.wrong}
 	})
-	return found, wrong
+	return result
 }
 
 // Guards against any order of replacements, losses of nodes and of the store after which a
 // stream goes on at another version than the one that began it.
 func TestNoHistoryJoinsTwoVersions(t *testing.T) {
-	total := 0
+	asked, found := 0, 0
 	rapid.Check(t, func(rt *rapid.T) {
-		found, wrong := playHistory(t, drawEvents(rt), nil)
-		total += found
-		if len(wrong) > 0 {
-			rt.Fatalf("streams were joined: %q", wrong)
+		result := playHistory(t, drawEvents(rt), nil)
+		asked += result.asked
+		found += result.found
+		if len(result.wrong) > 0 {
+			rt.Fatalf("streams were joined: %q", result.wrong)
 		}
 	})
-	if total == 0 {
+	t.Logf("%d of %d versions found", found, asked)
+	if found == 0 {
 		t.Fatal("no version was found in any history")
 	}
 }
@@ -205,8 +392,8 @@
 func TestHistoriesWithoutRecordsJoinTwoVersions(t *testing.T) {
 	joined := 0
 	rapid.Check(t, func(rt *rapid.T) {
-		_, wrong := playHistory(t, drawEvents(rt), func(store table.Store) table.Store { return forgetfulStore{store} })
-		joined += len(wrong)
+		result := playHistory(t, drawEvents(rt), func(store table.Store) table.Store { return forgetfulStore{store} })
+		joined += len(result.wrong)
 	})
 	if joined == 0 {
 		t.Fatal("no stream was joined although nothing was recorded")
--- a/internal/origin/return_test.go
+++ b/internal/origin/return_test.go
@@ -17,7 +17,8 @@
 func (n *testNode) namesBase(software fleet.SoftwareVersion) bool {
 	n.Controller.mu.Lock()
 	defer n.Controller.mu.Unlock()
-	return n.bases[pool].Software == software
+	known := n.bases[pool]
+	return known != nil && known.Software == software
 }
 
 // beginAtEach begins a stream at each node.
--- a/internal/peer/peertest/network.go
+++ b/internal/peer/peertest/network.go
@@ -42,6 +42,13 @@
 	n.unresponsive[node] = unresponsive
 }
 
+// Responsive reports whether calls to and from a node get answers.
+func (n *Network) Responsive(node fleet.NodeID) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.unresponsive[node]
+}
+
 // Handle registers a method of the node.
 func (e Endpoint) Handle(method string, handler peer.Handler) {
 	n := e.Network
