origin: keep records at two other nodes against a restoration with a loss

Cause: records that a node wrote in the seconds before a restoration of the store were lost with it if that node was gone, frozen or cut off as well: nobody wrote them again, and after 3 s their streams went on at the base version.

Change: a node sends each batch of written records to two other nodes, which keep them for 30 s (5000 at most) and write them again in the next era. That costs two calls between nodes for each transaction, none to the store, nothing while one version serves. The era is learnt from other nodes beside the checks of the base versions, which may take seconds without a store.

--- a/internal/origin/controller.go
+++ b/internal/origin/controller.go
@@ -54,6 +54,8 @@
 	bases map[fleet.PoolID]*base
 	// own holds the streams that this node began, and when.
 	own map[streamKey]ownStream
+	// kept holds the records that other nodes have written lately, by their sort key.
+	kept map[string]keptRecord
 	// pending holds the records that are to be written, writing is set while that is done.
 	// tookAgain is set if the last transaction was for records that are written again.
 	pending   []*pendingRecord
@@ -116,6 +118,7 @@
 		c.counts = newCounters(metric.OrNew(c.Metrics))
 		c.bases = make(map[fleet.PoolID]*base)
 		c.own = make(map[streamKey]ownStream)
+		c.kept = make(map[string]keptRecord)
 		c.firstListed = make(map[string]time.Time)
 		if c.Era == nil {
 			c.Era = func() table.Era { return 0 }
@@ -128,13 +131,13 @@
 func (c *Controller) Run(ctx context.Context) error {
 	c.init()
 	defer c.stop()
-	var sweeper sync.WaitGroup
-	defer sweeper.Wait()
-	sweeper.Go(func() { c.keepSweeping(ctx) })
+	var background sync.WaitGroup
+	defer background.Wait()
+	background.Go(func() { c.keepSweeping(ctx) })
+	background.Go(func() { c.keepLearningEra(ctx) })
 	for ctx.Err() == nil {
 		now := time.Now()
 		c.checkEra(now)
-		c.learnEra(ctx)
 		c.forgetOwn(now)
 		c.notePeers()
 		c.checkBases(ctx, now)
@@ -208,6 +211,7 @@
 			delete(c.own, key)
 		}
 	}
+	c.forgetKept(now)
 }
 
 // checkEra notices that the store was restored from an older copy, which may lack the
@@ -230,6 +234,7 @@
 			again = append(again, newAgain(key, stream, retention))
 		}
 	}
+	again = append(again, c.keptAgain(now)...)
 	c.mu.Unlock()
 	c.Log.Info("records of streams are written again", slog.Uint64("era", uint64(era)), slog.Int("records", len(again)))
 	for _, record := range again {
--- a/internal/origin/peer.go
+++ b/internal/origin/peer.go
@@ -11,6 +11,7 @@
 
 	"github.com/guavatrack/guavatrack/internal/peer"
 	"github.com/guavatrack/guavatrack/internal/table"
+	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
@@ -74,6 +75,7 @@
 	handler.Handle(methodFind, peer.Typed(c.handleFind))
 	handler.Handle(methodWrite, peer.Typed(c.handleWrite))
 	handler.Handle(methodEra, peer.Typed(c.handleEra))
+	handler.Handle(methodKeep, peer.Typed(c.handleKeep))
 }
 
 func (c *Controller) handleEra(context.Context, eraRequest) (response eraResponse, err error) {
@@ -181,12 +183,20 @@
 	return software, single
 }
 
+// keepLearningEra calls learnEra until the context ends.
+func (c *Controller) keepLearningEra(ctx context.Context) {
+	for ctx.Err() == nil {
+		c.learnEra(ctx)
+		wait.For(ctx, checkInterval)
+	}
+}
+
 // learnEra asks other nodes whether the store was restored, if this node has records to
 // write again then and has not reached the store lately itself.
 func (c *Controller) learnEra(ctx context.Context) {
 	c.mu.Lock()
 	recent := time.Since(c.reachedAt) < ownEraAge
-	recorded := c.hasRecorded()
+	recorded := len(c.kept) > 0 || c.hasRecorded()
 	c.mu.Unlock()
 	if recent || !recorded {
 		return
--- a/internal/origin/record.go
+++ b/internal/origin/record.go
@@ -168,11 +168,13 @@
 		}
 		conflicts, err := c.write(context.Background(), batch)
 		if err == nil {
-			confirm(batch, conflicts)
+			c.handOver(confirm(batch, conflicts))
 			continue
 		}
 		if errors.Is(err, table.ErrConflict) {
-			batch = c.settle(batch)
+			var written []*pendingRecord
+			written, batch = c.settle(batch)
+			c.handOver(written)
 		}
 		if len(batch) > 0 {
 			c.putBack(batch)
@@ -182,15 +184,17 @@
 }
 
 // confirm sends the results of records that were written, but for those with the keys of
-// conflicts.
-func confirm(batch []*pendingRecord, conflicts []string) {
+// conflicts, and returns the former.
+func confirm(batch []*pendingRecord, conflicts []string) (written []*pendingRecord) {
 	for _, record := range batch {
-		var err error
 		if slices.Contains(conflicts, record.key.Sort) {
-			err = errors.New("the request began a stream of another version before")
+			record.done <- errors.New("the request began a stream of another version before")
+			continue
 		}
-		record.done <- err
+		record.done <- nil
+		written = append(written, record)
 	}
+	return written
 }
 
 // takeBatch takes the records for one transaction from the pending ones, without those
@@ -288,38 +292,55 @@
 const maxSettleReads = 16
 
 // settle reads the records of a transaction of which some exist, such as after an answer
-// of the store was lost. It sends the results of those and returns the others.
-func (c *Controller) settle(batch []*pendingRecord) (missing []*pendingRecord) {
-	settled := make([]bool, len(batch))
+// of the store was lost. It sends the results of those. It returns those that were written
+// and those that don't exist.
+func (c *Controller) settle(batch []*pendingRecord) (written, missing []*pendingRecord) {
+	found := make([]recordState, len(batch))
 	var group errgroup.Group
 	group.SetLimit(maxSettleReads)
 	for i, record := range batch {
 		group.Go(func() error {
-			settled[i] = c.settleRecord(record)
+			found[i] = c.settleRecord(record)
 			return nil
 		})
 	}
 	_ = group.Wait()
 	for i, record := range batch {
-		if !settled[i] {
+		switch found[i] {
+		case recordWritten:
+			written = append(written, record)
+		case recordMissing:
 			missing = append(missing, record)
+		case recordForeign:
 		}
 	}
-	return missing
+	return written, missing
 }
 
-// settleRecord reads a record and sends the result. It reports false if there is none.
-func (c *Controller) settleRecord(record *pendingRecord) (settled bool) {
+// recordState says whether the store has a record.
+type recordState int
+
+const (
+	// recordMissing is also the state of a record that could not be read.
+	recordMissing recordState = iota
+	recordWritten
+	// recordForeign is the state of a record that names another version.
+	recordForeign
+)
+
+// settleRecord reads a record and sends the result, if there is one.
+func (c *Controller) settleRecord(record *pendingRecord) recordState {
 	found, exists, err := c.readStream(context.Background(), record.key)
 	switch {
 	case err != nil || !exists:
-		return false
+		return recordMissing
 	case found.Software == record.software:
 		record.done <- nil
+		return recordWritten
 	default:
 		record.done <- errors.Errorf("the request began a stream of version %q before", found.Software)
+		return recordForeign
 	}
-	return true
 }
 
 // readStream reads the record of a stream from the store.
