Count refusals for late loads whose model was loaded in time after all

Cause: "the model will not be loaded before the deadline" is an estimate, and nothing showed whether it held.

Change: a refusal of this kind is checked when the time of the call is up (its deadline, or the time by which its answer had to begin): requests.loadRefusals counts the checked ones, requests.loadRefusalsFalse those for which a server that may have run the call, for the rest of a stream one of its version, lists the model then; a log line names request, item, server, estimate and the time that was left. The count of false ones is a lower bound: a model that was given up again, or that nothing loaded since the call was refused, isn't seen.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -59,6 +59,7 @@
 	meters        meters
 	servers       serverShards
 	queues        queueShards
+	loadRefusals  loadRefusalChecks
 	prefixes      prefixState
 	budgets       budgets
 	link          linkState
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -15,6 +15,11 @@
 	{Name: hedgesName, Kind: metric.Counter, Help: "second attempts because a first byte was late"},
 	{Name: silentConnectionsName, Kind: metric.Counter, Help: "attempts that were silent although the backend server took new connections"},
 	{Name: silentServersName, Kind: metric.Counter, Help: "attempts that were silent while the backend server took no new connections"},
+	{Name: loadRefusalsName, Kind: metric.Counter, Help: "requests refused because their model will not be loaded in time"},
+	{
+		Name: loadRefusalsFalseName, Kind: metric.Counter,
+		Help: "those of them whose model was loaded when their time was up (a lower bound)",
+	},
 	{Name: noLocalName, Kind: metric.Counter, Help: "bytes between regions because the region has no server for a request"},
 	{Name: deadlineName, Kind: metric.Counter, Help: "bytes between regions because a deadline would be missed"},
 	{Name: fullName, Kind: metric.Counter, Help: "bytes between regions because all servers of the region are full"},
@@ -27,6 +32,8 @@
 	hedgesName            = "requests.hedges"
 	silentConnectionsName = "requests.silentConnections"
 	silentServersName     = "requests.silentServers"
+	loadRefusalsName      = "requests.loadRefusals"
+	loadRefusalsFalseName = "requests.loadRefusalsFalse"
 	noLocalName           = "link.bytesNoLocal"
 	deadlineName          = "link.bytesDeadline"
 	fullName              = "link.bytesFull"
@@ -35,6 +42,9 @@
 
 type meters struct {
 	sends, retries, hedges, silentConnections, silentServers metrics.Counter
+	// loadRefusals counts the refusals for late loads that are checked, loadRefusalsFalse
+	// those that proved false.
+	loadRefusals, loadRefusalsFalse metrics.Counter
 	// crossRegionBytes counts the bytes sent and received between regions.
 	crossRegionBytes map[route.Cause]metrics.Counter
 }
@@ -45,6 +55,8 @@
 	m.hedges = metrics.GetOrRegisterCounter(hedgesName, registry)
 	m.silentConnections = metrics.GetOrRegisterCounter(silentConnectionsName, registry)
 	m.silentServers = metrics.GetOrRegisterCounter(silentServersName, registry)
+	m.loadRefusals = metrics.GetOrRegisterCounter(loadRefusalsName, registry)
+	m.loadRefusalsFalse = metrics.GetOrRegisterCounter(loadRefusalsFalseName, registry)
 	m.crossRegionBytes = map[route.Cause]metrics.Counter{
 		route.CauseNoLocal:  metrics.GetOrRegisterCounter(noLocalName, registry),
 		route.CauseDeadline: metrics.GetOrRegisterCounter(deadlineName, registry),
--- a/internal/dispatch/waitqueue.go
+++ b/internal/dispatch/waitqueue.go
@@ -131,6 +131,7 @@
 	now := time.Now()
 	readyIn, err := q.readyIn(call, now)
 	if err != nil {
+		q.dispatcher.checkLoadRefusal(call, now, err)
 		return nil, nil, err
 	}
 	q.mu.Lock()
@@ -360,6 +361,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if _, isWaiting := q.waiters[waiting.request.Ticket]; isWaiting {
+		q.dispatcher.checkLoadRefusal(waiting.call, time.Now(), err)
 		q.pending.Remove(waiting.request)
 		q.resolve(waiting, admissionResult{err: err})
 	}
