--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -16,6 +16,11 @@
 	{Name: silentConnectionsName, Kind: metric.Counter, Help: "attempts that were silent although the backend server took new connections"},
 	{Name: silentServersName, Kind: metric.Counter, Help: "attempts that were silent while the backend server took no new connections"},
 	{Name: stopRefusalsName, Kind: metric.Counter, Help: "requests refused and further attempts not made because the stopping node would cut them off"},
+	{Name: loadRefusalsName, Kind: metric.Counter, Help: "requests refused because their model will not be loaded in time"},
+	{
+		Name: loadRefusalsFalseName, Kind: metric.Counter,
+		Help: "those of them whose model was loaded when their time was up (a lower bound)",
+	},
 	{Name: noLocalName, Kind: metric.Counter, Help: "bytes between regions because the region has no server for a request"},
 	{Name: deadlineName, Kind: metric.Counter, Help: "bytes between regions because a deadline would be missed"},
 	{Name: fullName, Kind: metric.Counter, Help: "bytes between regions because all servers of the region are full"},
@@ -29,6 +34,8 @@
 	silentConnectionsName = "requests.silentConnections"
 	silentServersName     = "requests.silentServers"
 	stopRefusalsName      = "requests.stopRefusals"
+	loadRefusalsName      = "requests.loadRefusals"
+	loadRefusalsFalseName = "requests.loadRefusalsFalse"
 	noLocalName           = "link.bytesNoLocal"
 	deadlineName          = "link.bytesDeadline"
 	fullName              = "link.bytesFull"
@@ -37,6 +44,9 @@
 
 type meters struct {
 	sends, retries, hedges, silentConnections, silentServers, stopRefusals metrics.Counter
+	// loadRefusals counts the refusals for late loads that are checked, loadRefusalsFalse
+	// those that proved false.
+	loadRefusals, loadRefusalsFalse metrics.Counter
 	// crossRegionBytes counts the bytes sent and received between regions.
 	crossRegionBytes map[route.Cause]metrics.Counter
 }
@@ -48,6 +58,8 @@
 	m.silentConnections = metrics.GetOrRegisterCounter(silentConnectionsName, registry)
 	m.stopRefusals = metrics.GetOrRegisterCounter(stopRefusalsName, registry)
 	m.silentServers = metrics.GetOrRegisterCounter(silentServersName, registry)
+	m.loadRefusals = metrics.GetOrRegisterCounter(loadRefusalsName, registry)
+	m.loadRefusalsFalse = metrics.GetOrRegisterCounter(loadRefusalsFalseName, registry)
 	m.crossRegionBytes = map[route.Cause]metrics.Counter{
 		route.CauseNoLocal:  metrics.GetOrRegisterCounter(noLocalName, registry),
 		route.CauseDeadline: metrics.GetOrRegisterCounter(deadlineName, registry),
