dispatch: check that records name the version of the first event

TestRecordNamesTheVersionOfTheFirstEvent draws the histories of TestNoAnswerHoldsTwoVersions with records that take 30 ms or fail, beside hedges, replacements of silent attempts, trials and attempts without an event. It fails at once if the version of the slot of the call is recorded in place of that of the attempt that answered.

--- a/internal/dispatch/version_history_test.go
+++ b/internal/dispatch/version_history_test.go
@@ -30,6 +30,8 @@
 	changes     []serverChange
 	calls       []drawnCall
 	slots, seed int
+	// origins records the versions of the streams; nil if nothing does.
+	origins dispatch.Origins
 }
 
 // drawnCall is a call and when it comes.
@@ -128,6 +130,7 @@
 		servers.begin(server, first.software, first.holds)
 	}
 	d := servers.dispatcher(uint64(h.seed))
+	d.Origins = h.origins
 	outcome := &historyOutcome{servers: servers}
 	var group sync.WaitGroup
 	for i := range h.calls {
