--- a/internal/origin/base.go
+++ b/internal/origin/base.go
@@ -163,6 +163,12 @@
 	return !b.returnedAt.IsZero() && b.readAt.Before(b.returnedAt.Add(returnMargin))
 }
 
+// listedSinceRead reports whether servers of the base version were listed all the while since
+// it was read, so that no other node has replaced it.
+func (b *base) listedSinceRead(now time.Time) bool {
+	return !b.longUnlisted(now) && !b.readBeforeReturn()
+}
+
 // readBases reads the base versions of all pools from the store.
 func (c *Controller) readBases(parent context.Context) error {
 	ctx, cancel := context.WithTimeout(parent, readTimeout)
@@ -295,25 +301,14 @@
 	})
 }
 
-// sureBaseOf returns the base version of a pool, if it was read within maxAge and no other node
-// may have replaced it since.
-func (c *Controller) sureBaseOf(pool fleet.PoolID, now time.Time, maxAge time.Duration) (software fleet.SoftwareVersion, sure bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	found := c.bases[pool]
-	if found == nil || now.Sub(found.readAt) > maxAge || found.longUnlisted(now) || found.readBeforeReturn() {
-		return "", false
-	}
-	return found.Software, true
-}
-
-// baseOf returns the base version of a pool, if it was read within maxAge.
-func (c *Controller) baseOf(pool fleet.PoolID, now time.Time, maxAge time.Duration) (software fleet.SoftwareVersion, known bool) {
+// baseOf returns the base version of a pool, if it was read within maxAge. It is sure unless
+// another node may have replaced it since.
+func (c *Controller) baseOf(pool fleet.PoolID, now time.Time, maxAge time.Duration) (software fleet.SoftwareVersion, known, sure bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	found := c.bases[pool]
 	if found == nil || now.Sub(found.readAt) > maxAge {
-		return "", false
+		return "", false, false
 	}
-	return found.Software, true
+	return found.Software, true, found.listedSinceRead(now)
 }
--- a/internal/origin/find.go
+++ b/internal/origin/find.go
@@ -108,13 +108,13 @@
 	if !c.absenceProves() {
 		return "", "", errors.New("the store was restored and may lack the record")
 	}
-	if software, sure := c.sureBaseOf(key.pool, time.Now(), c.maxBaseAge(key.pool)); sure {
+	if software, _, sure := c.baseOf(key.pool, time.Now(), c.maxBaseAge(key.pool)); sure {
 		return software, sourceBase, nil
 	}
 	if err := c.readBases(ctx); err != nil {
 		return "", "", err
 	}
-	if software, known := c.baseOf(key.pool, time.Now(), readTimeout); known {
+	if software, known, _ := c.baseOf(key.pool, time.Now(), readTimeout); known {
 		return software, sourceBase, nil
 	}
 	return "", "", errors.New("the pool has no base version")
--- a/internal/origin/record.go
+++ b/internal/origin/record.go
@@ -144,7 +144,7 @@
 	if found == nil || found.Software != software {
 		return false, false
 	}
-	return true, !found.longUnlisted(time.Now()) && !found.readBeforeReturn()
+	return true, found.listedSinceRead(time.Now())
 }
 
 // enqueue adds a record to those that are to be written.
