--- a/internal/origin/history_test.go
+++ b/internal/origin/history_test.go
@@ -372,7 +372,8 @@
 			for _, node := range h.nodes {
 				node.stop()
 			}
-			time.Sleep(2 * maxRecordTime) // Callers have left records to nodes that had ended.
+			// Callers have left records to nodes that had ended, and writes are carried out late.
+			time.Sleep(maxLag)
 		}()
 		time.Sleep(settled)
 		h.copied = h.table.Snapshot(partition, "")
