origin: let a replacement by a node that does not count them stay

What callers saw: nothing yet; found in a review. While nodes of this build and of the build before it serve side by side, a node of the latter replaces a base version without a count of replacements. Each node of this build that had read a counted one took that for a restoration of the store and put the earlier base version back, so that streams begun without a record by the newer one were given on at the earlier one: joined.

Cause: a lower count alone was taken for a restoration. Now the era of the store must also differ from the one before the last read of the base version; each answer of the store names it.

TestReplacementByANodeThatDoesNotCountThemStays failed before: the record went back from v3 to {"software":"v2","replacements":1}, and both nodes named v2.

--- a/internal/origin/base.go
+++ b/internal/origin/base.go
@@ -19,7 +19,9 @@
 type base struct {
 	baseRecord
 	version table.Version
-	readAt  time.Time
+	// era is the era of the store before that read.
+	era    table.Era
+	readAt time.Time
 	// listedAt is when a server of the base version was last listed. othersAt is when one
 	// of another version was, or when this node began to watch the pool.
 	listedAt, othersAt time.Time
@@ -167,7 +169,7 @@
 func (c *Controller) readBases(parent context.Context) error {
 	ctx, cancel := context.WithTimeout(parent, readTimeout)
 	defer cancel()
-	now := time.Now()
+	now, era := time.Now(), c.Era()
 	found := make(map[fleet.PoolID]bool)
 	for record, err := range table.All(ctx, c.Store, table.Range{Partition: partition, Prefix: basePrefix}) {
 		if err != nil {
@@ -189,7 +191,7 @@
 			c.repairBase(ctx, pool, record.Version)
 			continue
 		}
-		c.setBase(now, pool, body, record.Version)
+		c.setBase(now, era, pool, body, record.Version)
 	}
 	c.recordStoreCall(nil)
 	for _, pool := range c.lostBases(found) {
@@ -199,12 +201,14 @@
 }
 
 // replacedSince reports whether this node has read a later base version than the one that a
-// restoration of the store has brought back.
+// restoration of the store has brought back. Without a restoration the lower count is that
+// of a node of an earlier release, which does not count and has replaced the version.
 func (c *Controller) replacedSince(pool fleet.PoolID, read baseRecord) bool {
+	era := c.Era()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	known := c.bases[pool]
-	return known != nil && known.Replacements > read.Replacements
+	return known != nil && known.era != era && known.Replacements > read.Replacements
 }
 
 // lostBases returns the pools whose base version this node has read and the store has lost.
@@ -246,8 +250,8 @@
 	return c.Store.Transact(ctx, "", []table.Write{{Key: baseKey(pool), Expect: expect, Body: body}})
 }
 
-// setBase records the base version of a pool as read or written at a time.
-func (c *Controller) setBase(now time.Time, pool fleet.PoolID, body baseRecord, version table.Version) {
+// setBase records the base version of a pool as read at a time, in an era or after it.
+func (c *Controller) setBase(now time.Time, era table.Era, pool fleet.PoolID, body baseRecord, version table.Version) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	known := c.bases[pool]
@@ -256,7 +260,7 @@
 		c.bases[pool] = known
 		c.Log.Info("base version of a pool", slog.String("pool", string(pool)), slog.String("software", string(body.Software)))
 	}
-	known.version, known.readAt = version, now
+	known.version, known.era, known.readAt = version, era, now
 }
 
 // updateBase creates the base version of a pool that has none, or replaces one of which
