placement: ask an engine for its run until that of a late order is listed

What callers would have seen: streams joined from two versions. A run of another version that carries out a late first order close to the end of the 15 s holds the model after them, while nodes still list the run before; they began streams there without asking.

Cause: nodes asked for as long as the order could come, not until the run that carried it out is listed. The time now has the 5 s more in which all nodes list a run that came back, or know that their list is old (replacedInPlaceDelay).

--- a/internal/placement/unanswered.go
+++ b/internal/placement/unanswered.go
@@ -21,13 +21,17 @@
 // executed.
 const unansweredOrderTTL = 15 * time.Second
 
+// lateOrderTime is how long nodes ask an engine for its run after an order without an answer:
+// the run that carries it out at the last moment has to be listed.
+const lateOrderTime = unansweredOrderTTL + replacedInPlaceDelay
+
 // recordUnanswered records that an order had no answer. The caller holds the
 // lock.
 func (s *Scheduler) recordUnanswered(now time.Time, e *engine, expectedSequence uint64) {
 	s.unanswered[e.server.ID] = append(s.unanswered[e.server.ID],
 		unansweredOrder{boot: e.server.Boot, expiresAt: now.Add(unansweredOrderTTL), first: expectedSequence == 0})
 	if expectedSequence == 0 {
-		e.lateOrderUntil = now.Add(unansweredOrderTTL)
+		e.lateOrderUntil = now.Add(lateOrderTime)
 		s.bumpVersion(e)
 	}
 }
@@ -36,8 +40,8 @@
 // an earlier one did not answer. The caller holds the lock.
 func (s *Scheduler) lateOrderUntil(server fleet.ServerID) (until time.Time) {
 	for _, order := range s.unanswered[server] {
-		if order.first && order.expiresAt.After(until) {
-			until = order.expiresAt
+		if listedBy := order.expiresAt.Add(lateOrderTime - unansweredOrderTTL); order.first && listedBy.After(until) {
+			until = listedBy
 		}
 	}
 	return until
