placement: bound the time of a late order that another node names

A time past some 292 years overflowed, so that the engine was never asked for its run and a stream could begin at another version; a smaller one had nodes ask for each stream as long as it said. It is bounded by the longest that the scheduler sends.

TestTimeOfALateOrderIsBounded failed before for math.MaxInt64: the engine was not asked. TestLateOrderOutlastsOtherUpdatesAndIsForgotten is new and held before.

--- a/internal/placement/directory.go
+++ b/internal/placement/directory.go
@@ -156,7 +156,7 @@
 // shorten the time. The caller holds the lock.
 func (d *Directory) recordLateOrder(now time.Time, update *engineUpdate) {
 	maps.DeleteFunc(d.lateOrders, func(_ fleet.ServerID, until time.Time) bool { return now.After(until) })
-	until := now.Add(time.Duration(update.LateOrderMs) * time.Millisecond)
+	until := now.Add(time.Duration(min(update.LateOrderMs, lateOrderTime.Milliseconds())) * time.Millisecond)
 	if update.LateOrderMs > 0 && until.After(d.lateOrders[update.Server]) {
 		d.lateOrders[update.Server] = until
 	}
