--- a/internal/placement/directory.go
+++ b/internal/placement/directory.go
@@ -135,6 +135,7 @@
 	defer d.mu.Unlock()
 	defer d.notify()
 	d.init()
+	maps.DeleteFunc(d.lateOrders, func(_ fleet.ServerID, until time.Time) bool { return now.After(until) })
 	for i := range engines {
 		update := &engines[i]
 		stored, found := d.schedulerEntries[update.Server]
@@ -155,7 +156,6 @@
 // engine. The next holder of the lease does not know of it, so that its updates don't
 // shorten the time. The caller holds the lock.
 func (d *Directory) recordLateOrder(now time.Time, update *engineUpdate) {
-	maps.DeleteFunc(d.lateOrders, func(_ fleet.ServerID, until time.Time) bool { return now.After(until) })
 	until := now.Add(time.Duration(min(update.LateOrderMs, lateOrderTime.Milliseconds())) * time.Millisecond)
 	if update.LateOrderMs > 0 && until.After(d.lateOrders[update.Server]) {
 		d.lateOrders[update.Server] = until
