placement: a first order of the holder before may be late as well

What callers would have seen: streams joined from two versions. The holder of the lease ends right after the first attempt at an engine's first order; the next holder has the model loaded there, the engine comes back under its id with another version, and that run carries out the attempt late, before nodes list it. Streams began there as ones of the listed run.

Cause: only the holder that had no answer told the nodes to ask the engine for its run, and one that ended could not. The next holder can't know of the attempt, so it takes each engine that has accepted no orders, as it first reads it within 15 s of the beginning of its term, for one that may get it. The first term has no holder before it.

Cost: after a change of the holder a connection and a report for each stream that may be resumed and begins at such an engine, for 20 s at most.

--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -308,6 +308,7 @@
 	}
 	e.stateKnown, e.active, e.orderInFlight = true, nil, false
 	e.sequence = report.Sequence
+	s.recordEarlierTerm(now, e)
 	e.setHeld(&report.Engine, now)
 	e.setCopies(&report.Engine)
 	s.bumpVersion(e)
--- a/internal/placement/unanswered.go
+++ b/internal/placement/unanswered.go
@@ -36,6 +36,21 @@
 	}
 }
 
+// firstTerm is the fencing number of the first holder of the lease.
+const firstTerm fleet.FencingNumber = 1
+
+// recordEarlierTerm records that an engine that has accepted no orders may still get one of
+// the holder of the lease before, which may have ended before it could tell. The caller holds
+// the lock.
+func (s *Scheduler) recordEarlierTerm(now time.Time, e *engine) {
+	if s.fencing <= firstTerm || e.sequence > 0 || now.Sub(s.termBegan) >= unansweredOrderTTL {
+		return
+	}
+	if until := s.termBegan.Add(lateOrderTime); until.After(e.lateOrderUntil) {
+		e.lateOrderUntil = until
+	}
+}
+
 // lateOrderUntil returns until when the next run of an engine may carry out an order that
 // an earlier one did not answer. The caller holds the lock.
 func (s *Scheduler) lateOrderUntil(server fleet.ServerID) (until time.Time) {
