Log the evidence for each refusal for crashes, also that of a trial

An operator saw a digest and a count, and nothing where a trial was refused.

The fields are bounded by what a notice holds.

--- a/internal/dispatch/isolate.go
+++ b/internal/dispatch/isolate.go
@@ -45,13 +45,21 @@
 	call.exclusive = finding.Verdict == poison.Exclusive
 	call.suspect = finding.Digest
 	if finding.Verdict == poison.Refuse {
-		d.Log.LogAttrs(context.Background(), slog.LevelWarn, "request refused for crashes",
-			slog.String("request", string(call.ID)), slog.String("digest", string(finding.Digest)),
-			slog.Int("crashes", finding.Crashes), slog.Duration("for", time.Until(finding.Until)))
+		d.logRefusal(call, finding)
 	}
 	return finding
 }
 
+// logRefusal logs that a call must not run, with the crashes and the trial that it is due to.
+func (d *Dispatcher) logRefusal(call *Call, finding poison.Finding) {
+	notice := finding.Notice
+	d.Log.LogAttrs(context.Background(), slog.LevelWarn, "request refused for crashes",
+		slog.String("request", string(call.ID)), slog.String("digest", string(finding.Digest)),
+		slog.Int("crashes", finding.Crashes), slog.Duration("for", time.Until(finding.Until)),
+		slog.Any("evidence", notice.Evidence()), slog.Time("lastSuccess", notice.ClearedAt),
+		slog.String("trialAt", string(notice.Trial.Server)), slog.Time("trialUntil", notice.Trial.Deadline))
+}
+
 // poisonRefusal returns the refusal of a request whose content crashes servers.
 func poisonRefusal(until time.Time) *refusal.Refusal {
 	return &refusal.Refusal{
@@ -162,6 +170,7 @@
 	})
 	switch verdict {
 	case poison.Refuse:
+		d.logRefusal(taken.call, d.poison.TrialRefusal(digest, until))
 		return poisonRefusal(until)
 	case poison.Exclusive:
 		context.AfterFunc(ctx, func() { d.poison.EndTrial(digest) })
--- a/internal/poison/controller.go
+++ b/internal/poison/controller.go
@@ -113,7 +113,22 @@
 			verdict, until = Refuse, now.Add(trialRetryAfter)
 		}
 	}
-	return Finding{Verdict: verdict, Until: until, Digest: digest, Crashes: c.notices.crashCount(now, digest)}
+	return c.finding(now, digest, verdict, until)
+}
+
+// finding returns a verdict with what it follows from. The caller holds the lock.
+func (c *Controller) finding(now time.Time, digest Digest, verdict Verdict, until time.Time) Finding {
+	return Finding{
+		Verdict: verdict, Until: until, Digest: digest,
+		Crashes: c.notices.crashCount(now, digest), Notice: c.notices.Get(digest),
+	}
+}
+
+// TrialRefusal returns the finding on a digest whose trial BeginTrial has refused.
+func (c *Controller) TrialRefusal(digest Digest, until time.Time) Finding {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.finding(time.Now(), digest, Refuse, until)
 }
 
 // Merge merges a notice of another node. A part is cleared of its crashes if an answer
--- a/internal/poison/part.go
+++ b/internal/poison/part.go
@@ -214,8 +214,24 @@
 	Until   time.Time
 	Digest  Digest
 	Crashes int
+	// Notice is what the verdict follows from; empty for [Unrestricted].
+	Notice Notice
 }
 
+// Evidence describes each crash that was recorded after the last success, for the log.
+func (n Notice) Evidence() []string {
+	described := make([]string, 0, len(n.Crashes))
+	for _, crash := range n.Crashes {
+		if crash.At.After(n.ClearedAt) {
+			described = append(described, string(crash.Server)+" at "+crash.At.UTC().Format(evidenceTime))
+		}
+	}
+	return described
+}
+
+// evidenceTime is the format of times of crashes in the log.
+const evidenceTime = "15:04:05.000Z"
+
 // stricter returns the stricter of two findings; of two equal ones that with more
 // crashes, and then the first.
 func stricter(a, b Finding) Finding {
