dispatch: don't measure the age of an answer by the time of day

Cause: the beginning of an answer was kept as nanoseconds of the Unix time, which loses the monotonic reading.

--- a/internal/dispatch/callrunner.go
+++ b/internal/dispatch/callrunner.go
@@ -187,7 +187,7 @@
 			a.answer, a.err = r.call.Message.Open(a.ctx, a)
 		}
 		if a.err == nil {
-			taken.answeredAt.Store(time.Now().UnixNano())
+			taken.recordAnswer(time.Now())
 		}
 		results <- a
 	}()
--- a/internal/dispatch/slot.go
+++ b/internal/dispatch/slot.go
@@ -26,9 +26,8 @@
 	fresh bool
 	// sent is set before the first byte is sent to the server.
 	sent atomic.Bool
-	// answeredAt is when the answer began, in nanoseconds of the Unix time; 0 if it
-	// hasn't.
-	answeredAt atomic.Int64
+	// answeredAt is when the answer began; nil if it hasn't.
+	answeredAt atomic.Pointer[time.Time]
 	// bytes is the size of the request and of the answer so far.
 	bytes atomic.Int64
 }
@@ -37,12 +36,20 @@
 // of its prompt, may have caused a crash, with the time until the crash is noticed.
 const crashWindow = time.Second
 
-// answered returns when the answer began.
-func (s *slot) answered() time.Time { return time.Unix(0, s.answeredAt.Load()) }
+// recordAnswer records that the answer begins.
+func (s *slot) recordAnswer(now time.Time) { s.answeredAt.Store(&now) }
+
+// answered returns when the answer began, a long time ago if it hasn't.
+func (s *slot) answered() time.Time {
+	if at := s.answeredAt.Load(); at != nil {
+		return *at
+	}
+	return time.Unix(0, 0)
+}
 
 // mayHaveBegun reports whether the server may have begun to write the answer just now.
 func (s *slot) mayHaveBegun(now time.Time) bool {
-	return s.answeredAt.Load() == 0 || now.Sub(s.answered()) < crashWindow
+	return s.answeredAt.Load() == nil || now.Sub(s.answered()) < crashWindow
 }
 
 // takeSlot chooses a replica with a free slot for a call and takes the slot. It
