Any nodes are asked for the era of the store, not the first three

Cause: each node asked the first three of its list of nodes, which is much the same at all, so that 410 nodes without the store would send some 2,460 calls a second to a few (computed, not played).

Change: nodes are drawn, as for those that keep records; one function draws both.

--- a/internal/origin/keep.go
+++ b/internal/origin/keep.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -36,22 +37,31 @@
 
 // handOver has other nodes keep records that this node has written, in the background.
 func (c *Controller) handOver(written []*pendingRecord) {
-	if c.Peers == nil || c.Nodes == nil || len(written) == 0 || written[0].again {
+	if len(written) == 0 || written[0].again {
 		return
 	}
 	request := keepRequest{Streams: make([]streamWrite, len(written))}
 	for i, record := range written {
 		request.Streams[i] = streamWrite{Key: record.key.Sort, Software: record.software}
 	}
-	nodes := c.Nodes()
-	for _, at := range rand.Perm(len(nodes))[:min(len(nodes), keepers)] {
+	for _, node := range c.anyNodes(keepers) {
 		c.writers.Go(func() {
 			// A node that does not answer keeps nothing; the record is in the store.
-			_ = c.call(context.Background(), nodes[at], methodKeep, request, &struct{}{})
+			_ = c.call(context.Background(), node, methodKeep, request, &struct{}{})
 		})
 	}
 }
 
+// anyNodes returns a number of other nodes at random, so that no few are called by all.
+func (c *Controller) anyNodes(count int) []fleet.NodeID {
+	if c.Peers == nil || c.Nodes == nil {
+		return nil
+	}
+	nodes := slices.Clone(c.Nodes())
+	rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+	return nodes[:min(len(nodes), count)]
+}
+
 func (c *Controller) handleKeep(_ context.Context, request keepRequest) (response struct{}, err error) {
 	if len(request.Streams) > table.MaxWrites {
 		return struct{}{}, errors.Errorf("streams: must be at most %d, found %d", table.MaxWrites, len(request.Streams))
--- a/internal/origin/peer.go
+++ b/internal/origin/peer.go
@@ -202,7 +202,7 @@
 		return
 	}
 	var group sync.WaitGroup
-	for _, node := range c.peers() {
+	for _, node := range c.anyNodes(maxPeers) {
 		group.Go(func() {
 			var response eraResponse
 			if err := c.call(ctx, node, methodEra, eraRequest{}, &response); err != nil {
