--- a/review/_case/memory.go
+++ b/review/_case/memory.go
@@ -10,9 +10,8 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"time"
-
 	"syscall"
+	"time"
 
 	"github.com/guavatrack/guavatrack/platform/standin"
 )
@@ -78,7 +77,7 @@
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
 	piece := bytes.Repeat([]byte("x"), 64<<10)
-	_, err = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n"))
+	_, err = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nGuavatrack-Attempt-Id: %s\r\nGuavatrack-Response-Seal: seal\r\n\r\n", w.Header().Get("Guavatrack-Attempt-Id"))
 	for err == nil {
 		_, err = conn.Write(piece)
 	}
