--- a/review/_case/main.go
+++ b/review/_case/main.go
@@ -13,7 +13,7 @@
 		fmt.Println("usage: case NAME RECORD")
 		os.Exit(notRun)
 	}
-	run := map[string]func(trouble bool) int{"memory": memoryCase, "flap": flapCase, "restore": restoreCase, "inplace": inplaceCase, "endless": endlessCase}[os.Args[1]]
+	run := map[string]func(trouble bool) int{"memory": memoryCase, "flap": flapCase, "restore": restoreCase, "inplace": inplaceCase, "lost": lostCase}[os.Args[1]]
 	if run == nil {
 		fmt.Println("no such case")
 		os.Exit(notRun)
