--- a/review/_case/fleet.go
+++ b/review/_case/fleet.go
@@ -61,7 +61,7 @@
 // fixed metrics port of the template is free.
 func (f *fleet) addNode(zone string) *node {
 	number := len(f.nodes) + 1
-	ip := fmt.Sprintf("127.0.%d.%d", 100+os.Getpid()%100, number)
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()/250%250, os.Getpid()%250, number)
 	ports := freePorts(4)
 	n := &node{
 		name: fmt.Sprintf("front-%s-%d", zone, number), zone: zone, front: ip + ":" + ports[0], ready: ip + ":" + ports[1],
