--- a/review/_script/main.go
+++ b/review/_script/main.go
@@ -30,6 +30,7 @@
 	"target":  playTarget,
 	"switch":  playSwitch,
 	"strayed": playStrayed,
+	"promise": playPromise,
 }
 
 func main() { os.Exit(run()) }
