--- a/review/_script/main.go
+++ b/review/_script/main.go
@@ -31,6 +31,7 @@
 	"switch":  playSwitch,
 	"strayed": playStrayed,
 	"promise": playPromise,
+	"drill":   playDrill,
 }
 
 func main() { os.Exit(run()) }
--- a/review/_script/rig.go
+++ b/review/_script/rig.go
@@ -101,7 +101,7 @@
 
 // startNode starts a node with the settings of a small deployment.
 func (r *rig) startNode(name string) (err error) {
-	n := &node{config: r.site.NodeSettings(name), exited: make(chan struct{})}
+	n := &node{config: r.site.NodeSettings(name)}
 	p := n.config.Platform
 	p.KeepFor, p.Grace, p.HandOver = fleet.Duration(2*time.Second), fleet.Duration(8*time.Second), fleet.Duration(3*time.Second)
 	p.Retries, p.Memory, p.Descriptors, p.Cores = settings.Retries{Ratio: 0.2, Slack: 52}, 284*fleet.MiB, 4200, 0.4
@@ -122,22 +122,34 @@
 	if err := os.WriteFile(file+".json", text, 0o600); err != nil {
 		return err
 	}
-	log, err := os.Create(file + ".log")
+	if err := r.startAgain(n); err != nil {
+		return err
+	}
+	r.nodes = append(r.nodes, n)
+	return nil
+}
+
+// startAgain starts the process of a node, after the end of the one before.
+func (r *rig) startAgain(n *node) error {
+	if n.process != nil {
+		<-n.exited
+	}
+	file := filepath.Join(r.dir, n.config.Node.Name)
+	log, err := os.OpenFile(file+".log", os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
-	n.process = exec.Command(program, "node")
+	n.process, n.exited = exec.Command(program, "node"), make(chan struct{})
 	n.process.Env = []string{"GUAVATRACK_NODE_FILE=" + file + ".json", "PATH=" + os.Getenv("PATH"), "HOME=" + r.dir}
 	n.process.Stdout, n.process.Stderr = log, log
 	if err := n.process.Start(); err != nil {
 		return err
 	}
-	go func() {
-		_ = n.process.Wait()
+	go func(process *exec.Cmd, exited chan struct{}) {
+		_ = process.Wait()
 		_ = log.Close()
-		close(n.exited)
-	}()
-	r.nodes = append(r.nodes, n)
+		close(exited)
+	}(n.process, n.exited)
 	return nil
 }
 
