--- a/review/_script/rig.go
+++ b/review/_script/rig.go
@@ -3,11 +3,13 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -153,13 +155,24 @@
 	return nil
 }
 
+// Range of the nodes' ports, below those that the system gives to connections, and the number
+// of attempts to find a free one.
+const (
+	firstPort = 20000
+	portCount = 12000
+	portTries = 100
+)
+
 // freeAddress returns a free address of the loopback interface.
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+func freeAddress() (address string, err error) {
+	for range portTries {
+		address = net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(portCount)))
+		var listener net.Listener
+		if listener, err = net.Listen("tcp", address); err == nil {
+			return address, listener.Close()
+		}
 	}
-	return listener.Addr().String(), listener.Close()
+	return "", err
 }
 
 // close ends the nodes and the platform.
