--- a/review/_script/main.go
+++ b/review/_script/main.go
@@ -32,6 +32,7 @@
 	"strayed": playStrayed,
 	"promise": playPromise,
 	"drill":   playDrill,
+	"inplace": playInplace,
 }
 
 func main() { os.Exit(run()) }
