--- a/review/_script/main.go
+++ b/review/_script/main.go
@@ -10,6 +10,7 @@
 import (
 	"fmt"
 	"os"
+	"time"
 )
 
 // Exit statuses.
@@ -19,6 +20,9 @@
 	exitNotRun = 2
 )
 
+// runLimit bounds a case.
+const runLimit = 110 * time.Second
+
 // verdict is the result of a case: what was seen of the rule, and whether it was broken.
 type verdict struct {
 	broken bool
@@ -49,6 +53,12 @@
 		return exitNotRun
 	}
 	defer rig.close()
+	watchdog := time.AfterFunc(runLimit, func() {
+		rig.note("could not run: not over after %v", runLimit)
+		rig.endNodes()
+		os.Exit(exitNotRun)
+	})
+	defer watchdog.Stop()
 	rig.note("case %s, disruption %v", os.Args[1], trouble)
 	found, err := cases[os.Args[1]](rig, trouble)
 	switch {
--- a/review/_script/rig.go
+++ b/review/_script/rig.go
@@ -175,12 +175,17 @@
 	return "", err
 }
 
-// close ends the nodes and the platform.
-func (r *rig) close() {
+// endNodes ends the processes of the nodes.
+func (r *rig) endNodes() {
 	for _, n := range r.nodes {
 		_ = n.process.Process.Signal(syscall.SIGKILL)
 		<-n.exited
 	}
+}
+
+// close ends the nodes and the platform.
+func (r *rig) close() {
+	r.endNodes()
 	if r.site != nil {
 		r.site.Close()
 	}
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,3 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 go build -ldflags=-linkmode=external -o target/reviewscript ./review/_script
+go build -ldflags=-linkmode=external -o target/reviewcase ./review/_case
