--- a/review/_script/drill.go
+++ b/review/_script/drill.go
@@ -59,6 +59,9 @@
 		return verdict{}, err
 	}
 	group.Wait()
+	for _, text := range site.Ledger.Joined() {
+		r.note("run by engines: stream of %s", text)
+	}
 	joined, takenUp := 0, 0
 	for i := range streams {
 		r.describe(i, &streams[i])
