Log by which manifest each request was handled, and how old that knowledge was

Change: the lines 'request ended' and 'request refused at the edge' name the version of the manifest and the time since it was last read.

--- a/internal/caller/httphandler.go
+++ b/internal/caller/httphandler.go
@@ -79,7 +79,7 @@
 	}
 	id, status := call.givenID(), refused.Reason.Status()
 	if call.Pool == "" {
-		s.edge.Refused(id, status, call.arrived, refused)
+		s.edge.Refused(id, status, edgelog.Arrival{Version: call.arrived}, refused)
 	}
 	err = refused.Answer(call.Response)
 	if err == nil {
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -65,6 +65,11 @@
 	// LastPart is the id of the last part of the prompt, which only requests of the same
 	// session share; empty if it is unknown.
 	LastPart string
+	// Manifest is the version of the manifest by which the call is handled, 0 if there is
+	// none; ManifestReadAge is how long ago, at the latest, the store held no newer one. Both
+	// are logged only.
+	Manifest    uint64
+	ManifestReadAge time.Duration
 	// Message encodes the call and forwards its answer.
 	Message Message
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -169,6 +169,7 @@
 		slog.String("request", string(call.ID)), slog.String("item", call.Item.String()),
 		slog.String("pool", string(call.Pool)), slog.Int("failedAttempts", len(call.failedAttempts)),
 		slog.Bool("mayHaveRun", call.Sent()), slog.Duration("took", time.Since(call.Started)),
+		slog.Uint64("manifest", call.Manifest), slog.Duration("manifestReadAge", call.ManifestReadAge),
 		slog.String("outcome", outcome))
 }
 
--- a/internal/edgelog/edgelog.go
+++ b/internal/edgelog/edgelog.go
@@ -40,6 +40,14 @@
 	Since time.Time
 }
 
+// Arrival is what a node had in force when a request arrived.
+type Arrival struct {
+	// Version is the version in force, 0 if there was none.
+	Version uint64
+	// ReadAge is how long ago, at the latest, there was no newer version; 0 if unknown.
+	ReadAge time.Duration
+}
+
 // Recorder logs and counts for one edge. Its exported fields are set before the first
 // use. A nil Recorder records nothing.
 type Recorder struct {
@@ -125,7 +133,7 @@
 
 // Refused logs a refusal that was made before the dispatcher got the call. The id may
 // be empty.
-func (r *Recorder) Refused(id string, status int, arrived uint64, reason error) {
+func (r *Recorder) Refused(id string, status int, arrived Arrival, reason error) {
 	if r == nil {
 		return
 	}
@@ -135,7 +143,7 @@
 	}
 	r.Log.LogAttrs(context.Background(), slog.LevelInfo, "request refused at the edge",
 		slog.String("request", id), slog.Int("status", status), slog.String("reason", reason.Error()),
-		slog.Uint64("manifest", arrived))
+		slog.Uint64("manifest", arrived.Version), slog.Duration("manifestReadAge", arrived.ReadAge))
 }
 
 // NotWritten logs a refusal or an answer that could not be written to the caller.
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -165,7 +165,7 @@
 // durationFields are the log fields in nanoseconds.
 var durationFields = map[string]bool{
 	"waited": true, "reportAge": true, "after": true, "took": true, "readyIn": true, "left": true, "retryAfter": true,
-	"expected": true, "actsIn": true, "goneIn": true, "grace": true, "slack": true, "manifestAge": true,
+	"expected": true, "actsIn": true, "goneIn": true, "grace": true, "slack": true, "manifestAge": true, "manifestReadAge": true,
 }
 
 func formatValue(name string, v any) string {
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -304,7 +304,8 @@
 // callerHandler returns the handler of callers' requests.
 func (n *Node) callerHandler() http.Handler {
 	return &platform.Callers{
-		View: n.components.Roster.View, Dispatcher: n.components.Dispatcher, Servers: n.components.Exchange,
+		View: n.components.Roster.View, ManifestAge: n.components.Roster.ManifestAge,
+		Dispatcher: n.components.Dispatcher, Servers: n.components.Exchange,
 		Draining: n.draining.Load, Closing: n.leaving.Load, Active: &n.activeRequests,
 		MaxRunning:    (n.Settings.Platform.Descriptors - reservedDescriptors) / descriptorsPerRequest,
 		MaxBodyMemory: int64(n.Settings.Platform.Memory) / bodyMemoryDivisor,
--- a/internal/roster/controller.go
+++ b/internal/roster/controller.go
@@ -91,7 +91,8 @@
 	onManifestsRecovered func()
 
 	// serversRead is when the list of servers was last read, or its changes; nil if never.
-	serversRead atomic.Pointer[instant]
+	// manifestRead is the same for the manifest.
+	serversRead, manifestRead atomic.Pointer[instant]
 
 	mu   sync.Mutex
 	view atomic.Pointer[View]
@@ -121,8 +122,15 @@
 
 // ServersAge returns the time since the list of servers, or its changes, were last read,
 // with the time for which the process or its VM stood still.
-func (c *Controller) ServersAge() time.Duration {
-	if read := c.serversRead.Load(); read != nil {
+func (c *Controller) ServersAge() time.Duration { return ageOf(&c.serversRead) }
+
+// ManifestAge returns the time since the manifest, or that there is no newer one, was last
+// read, with the time for which the process or its VM stood still.
+func (c *Controller) ManifestAge() time.Duration { return ageOf(&c.manifestRead) }
+
+// ageOf returns the time since a read; the longest possible one if there was none.
+func ageOf(last *atomic.Pointer[instant]) time.Duration {
+	if read := last.Load(); read != nil {
 		return read.age()
 	}
 	return math.MaxInt64
@@ -160,6 +168,7 @@
 		watch := watcher[*Manifest]{
 			name: "manifest", feed: c.Manifests, minPause: manifestPause, apply: c.applyManifests,
 			maxTimeout: maxManifestTimeout, failing: &c.manifestsFailing, log: c.Log,
+			succeeded: func() { c.manifestRead.Store(currentInstant()) },
 		}
 		watch.run(ctx)
 	})
