--- a/internal/peer/peertest/network.go
+++ b/internal/peer/peertest/network.go
@@ -23,6 +23,7 @@
 	mu           sync.Mutex
 	handlers     map[fleet.NodeID]map[string]peer.Handler
 	unresponsive map[fleet.NodeID]bool
+	slow         map[fleet.NodeID]time.Duration
 }
 
 // Endpoint is the endpoint of one node. It implements the Peers interfaces of the
@@ -49,6 +50,17 @@
 	return !n.unresponsive[node]
 }
 
+// SetSlow sets how long a node takes to send or to handle each message, as on a VM without
+// processor time to spare. A call that its caller has given up is still handled.
+func (n *Network) SetSlow(node fleet.NodeID, delay time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.slow == nil {
+		n.slow = make(map[fleet.NodeID]time.Duration)
+	}
+	n.slow[node] = delay
+}
+
 // Handle registers a method of the node.
 func (e Endpoint) Handle(method string, handler peer.Handler) {
 	n := e.Network
@@ -69,6 +81,7 @@
 	time.Sleep(n.Delay)
 	n.mu.Lock()
 	handler, unresponsive := n.handlers[node][method], n.unresponsive[node] || n.unresponsive[e.Node]
+	delay := n.slow[node] + n.slow[e.Node]
 	n.mu.Unlock()
 	if handler == nil || unresponsive {
 		if !n.FailFast {
@@ -80,11 +93,42 @@
 	if err != nil {
 		return err
 	}
+	if delay > 0 {
+		return decode(out, handleLate(ctx, delay, handler, text))
+	}
 	result, err := handler(ctx, text)
-	if err != nil {
-		return err
+	return decode(out, reply{result: result, err: err})
+}
+
+// reply is the result of a handler.
+type reply struct {
+	result any
+	err    error
+}
+
+// handleLate has a call handled after a delay, also if its caller has given it up by then.
+func handleLate(ctx context.Context, delay time.Duration, handler peer.Handler, text json.RawMessage) reply {
+	replies := make(chan reply, 1)
+	go func() {
+		time.Sleep(delay)
+		result, err := handler(context.WithoutCancel(ctx), text)
+		replies <- reply{result: result, err: err}
+	}()
+	select {
+	case handled := <-replies:
+		return handled
+	case <-ctx.Done():
+		return reply{err: peer.ErrUnreachable}
 	}
-	if text, err = json.Marshal(result); err != nil {
+}
+
+// decode decodes a reply as it arrives over a network.
+func decode(out any, handled reply) error {
+	if handled.err != nil {
+		return handled.err
+	}
+	text, err := json.Marshal(handled.result)
+	if err != nil {
 		return err
 	}
 	return json.Unmarshal(text, out)
--- a/internal/roster/outageregion_test.go
+++ b/internal/roster/outageregion_test.go
@@ -28,6 +28,31 @@
 	lost int
 	// compacted is the number of changes whose history is gone.
 	compacted roster.Revision
+	// refusing has each call refused at once.
+	refusing bool
+	// delay is added to each response: the node takes so long to handle it.
+	delay time.Duration
+}
+
+// set changes the state of the store as one node sees it.
+func (o *outage) set(refusing bool, delay time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.refusing, o.delay = refusing, delay
+}
+
+// pass waits for the node's delay, and fails if the store refuses the call.
+func (o *outage) pass(ctx context.Context) error {
+	o.mu.Lock()
+	refusing, delay := o.refusing, o.delay
+	o.mu.Unlock()
+	if !wait.For(ctx, delay) {
+		return ctx.Err()
+	}
+	if refusing {
+		return errDown
+	}
+	return nil
 }
 
 func (o *outage) begin() {
@@ -60,7 +85,7 @@
 // the end of the context if it is lost.
 func (o *outage) respond(ctx context.Context, sentSilent bool, sentLost int) error {
 	if silent, lost, _ := o.state(); !sentSilent && !silent && lost == sentLost {
-		return nil
+		return o.pass(ctx)
 	}
 	<-ctx.Done()
 	return ctx.Err()
@@ -93,6 +118,9 @@
 		}
 		return nil, 0, roster.ErrCompacted
 	}
+	if err := f.outage.pass(ctx); err != nil {
+		return nil, 0, err
+	}
 	entries, revision, err := f.sharedFeed.Follow(ctx, after, wait)
 	if err == nil {
 		err = f.outage.respond(ctx, silent, lost)
