Slow nodes that the store refuses get the manifest from other nodes

Cause: a node that the store turns away depends on other nodes for the manifest. It asked one at a time, gave each up after 0.5 s, and dropped what others told meanwhile; two nodes with little processor time never answer each other within that, so it kept the old version for as long as it was refused. The class: a short fixed timeout that slow nodes miss at each repetition. Change: a request has 2 s, the next node is asked after 0.3 s meanwhile, up to four at once, and the nodes that reported newer versions are kept. Each node whose manifest has changed tells three neighbours at once, not only one that had failed before, so that refused nodes hear of it from some. The nodes of the test exchange messages with neighbours of their own, as members do; before, all of them had the same neighbour at the same time.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -68,7 +68,7 @@
 	// Manifest is the version of the manifest by which the call is handled, 0 if there is
 	// none; ManifestReadAge is how long ago, at the latest, the store held no newer one. Both
 	// are logged only.
-	Manifest    uint64
+	Manifest        uint64
 	ManifestReadAge time.Duration
 	// Message encodes the call and forwards its answer.
 	Message Message
--- a/internal/roster/controller.go
+++ b/internal/roster/controller.go
@@ -86,9 +86,8 @@
 	// manifestsFailing reports whether the feed of the manifest fails, or has not been
 	// read yet.
 	manifestsFailing atomic.Bool
-	// onManifestsRecovered is called after the first read of that feed that follows a
-	// failure. It may be nil.
-	onManifestsRecovered func()
+	// onManifest is called after a newer manifest has come into force. It may be nil.
+	onManifest func()
 
 	// serversRead is when the list of servers was last read, or its changes; nil if never.
 	// manifestRead is the same for the manifest.
@@ -179,21 +178,22 @@
 
 // applyManifests applies manifests that were read. A version older than the one in
 // force is never applied.
-func (c *Controller) applyManifests(now time.Time, manifests []*Manifest, read readKind) {
-	if read.recovered && c.onManifestsRecovered != nil {
-		defer c.onManifestsRecovered()
-	}
+func (c *Controller) applyManifests(now time.Time, manifests []*Manifest, _ readKind) {
+	newer := false
 	c.updateView(func(next *View) {
 		for _, manifest := range manifests {
 			if !manifest.complete() || next.Manifest != nil && manifest.Version <= next.Manifest.Version {
 				continue
 			}
-			next.Manifest, next.ManifestSince = manifest, now
+			next.Manifest, next.ManifestSince, newer = manifest, now, true
 			metrics.GetOrRegisterGauge(manifestMetric, c.Metrics).Update(int64(manifest.Version))
 			c.Log.Info("manifest in force", slog.Uint64("version", manifest.Version),
 				slog.Int("hosts", len(manifest.Hosts)), slog.Int("pools", len(manifest.Pools)))
 		}
 	})
+	if newer && c.onManifest != nil {
+		c.onManifest()
+	}
 }
 
 // applyServers applies entries that were read. If they are the whole list, servers
--- a/internal/roster/manifestexchange.go
+++ b/internal/roster/manifestexchange.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -24,16 +26,23 @@
 type ManifestExchange struct {
 	Roster *Controller
 	Peers  Peers
-	// Announce has the members exchange messages soon: it is called when the node has a
-	// newer manifest after its feed failed, or from another node. It may be nil.
+	// Announce has the members exchange messages soon: it is called when a newer manifest
+	// has come into force at the node. It may be nil.
 	Announce func()
 	Log      *slog.Logger
 	Metrics  metrics.Registry
 
-	// behind receives a stamp that is above this node's version. Others that come while it
-	// is handled are dropped.
-	behind  chan newerStamp
+	// behind is notified of a stamp that is above this node's version, answered when a
+	// request for a manifest has ended.
+	behind, answered wait.Signal
+	// slots limits the requests under way.
+	slots   chan struct{}
 	fetched metrics.Counter
+
+	mu sync.Mutex
+	// newer holds the stamps above this node's version whose nodes have not been asked, at
+	// most one of each node, the latest last.
+	newer []newerStamp
 }
 
 // manifestStamp is the version of the manifest that a node has in force, 0 if none.
@@ -59,8 +68,14 @@
 
 const (
 	manifestMethod = "roster.manifest"
-	// manifestFetchTimeout bounds one request for the manifest of another node.
-	manifestFetchTimeout = 500 * time.Millisecond
+	// manifestFetchTimeout bounds one request for the manifest of another node. Both may
+	// have little processor time, so the next node is asked long before: after
+	// manifestFetchInterval, while at most maxManifestFetches requests are under way.
+	manifestFetchTimeout  = 2 * time.Second
+	manifestFetchInterval = 300 * time.Millisecond
+	maxManifestFetches    = 4
+	// maxNewerStamps bounds the nodes that are kept to be asked.
+	maxNewerStamps = 8
 	// ownFeedPatience is how long a node whose own feed does not fail waits for it before
 	// it fetches a newer manifest from another node.
 	ownFeedPatience = 600 * time.Millisecond
@@ -69,10 +84,11 @@
 // Register registers the method that nodes call on each other.
 func (e *ManifestExchange) Register() {
 	e.Log = logs.OrDiscard(e.Log)
-	e.behind = make(chan newerStamp, 1)
+	e.behind, e.answered = wait.NewSignal(), wait.NewSignal()
+	e.slots = make(chan struct{}, maxManifestFetches)
 	e.fetched = metrics.GetOrRegisterCounter(fetchedMetric, metric.OrNew(e.Metrics))
 	e.Peers.Handle(manifestMethod, peer.Typed(e.handle))
-	e.Roster.onManifestsRecovered = e.announce
+	e.Roster.onManifest = e.announce
 }
 
 // Stamp returns the node's stamp for messages to other members.
@@ -94,8 +110,7 @@
 }
 
 // ReceiveStamp has the manifest fetched from a member whose stamp is above this node's
-// version. It does not block: while one is being fetched, later stamps are dropped, and
-// come again with the next messages.
+// version. It does not block.
 func (e *ManifestExchange) ReceiveStamp(_ context.Context, from fleet.NodeID, text json.RawMessage) {
 	var stamp manifestStamp
 	if err := json.Unmarshal(text, &stamp); err != nil {
@@ -105,36 +120,74 @@
 	if stamp.Manifest <= e.version() {
 		return
 	}
-	select {
-	case e.behind <- newerStamp{from: from, version: stamp.Manifest}:
-	default:
+	e.mu.Lock()
+	e.newer = slices.DeleteFunc(e.newer, func(s newerStamp) bool { return s.from == from })
+	e.newer = append(e.newer, newerStamp{from: from, version: stamp.Manifest})
+	e.newer = e.newer[max(0, len(e.newer)-maxNewerStamps):]
+	e.mu.Unlock()
+	e.behind.Notify()
+}
+
+// takeNewer returns the latest stamp above this node's version and removes it.
+func (e *ManifestExchange) takeNewer() (stamp newerStamp, found bool) {
+	own := e.version()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.newer = slices.DeleteFunc(e.newer, func(s newerStamp) bool { return s.version <= own })
+	if len(e.newer) == 0 {
+		return newerStamp{}, false
 	}
+	last := len(e.newer) - 1
+	stamp, e.newer = e.newer[last], e.newer[:last]
+	return stamp, true
 }
 
 // Run fetches newer manifests until the context ends.
 func (e *ManifestExchange) Run(ctx context.Context) error {
+	var requests sync.WaitGroup
+	defer requests.Wait()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case newer := <-e.behind:
-			e.fetch(ctx, newer)
+		case <-e.behind:
 		}
+		if !e.Roster.manifestsFailing.Load() {
+			wait.For(ctx, ownFeedPatience)
+		}
+		e.fetch(ctx, &requests)
 	}
 }
 
-// fetch fetches the manifest of a node whose version is newer than this node's, unless
-// the node's own feed brings it first.
-func (e *ManifestExchange) fetch(ctx context.Context, newer newerStamp) {
-	if !e.Roster.manifestsFailing.Load() {
-		wait.For(ctx, ownFeedPatience)
+// fetch asks the nodes that have reported a newer version for their manifest, one after the
+// other, until this node is not behind any more or all have been asked. It does not wait for
+// a slow one before it asks the next.
+func (e *ManifestExchange) fetch(ctx context.Context, requests *sync.WaitGroup) {
+	for {
+		stamp, found := e.takeNewer()
+		if !found {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case e.slots <- struct{}{}:
+		}
+		requests.Go(func() {
+			defer e.answered.Notify()
+			defer func() { <-e.slots }()
+			e.request(ctx, stamp)
+		})
+		e.answered.Wait(ctx, manifestFetchInterval)
 	}
+}
+
+// request requests the manifest of a node whose version is newer than this node's.
+func (e *ManifestExchange) request(ctx context.Context, newer newerStamp) {
 	own := e.version()
-	if newer.version <= own {
-		return
-	}
 	ctx, cancel := context.WithTimeout(ctx, manifestFetchTimeout)
 	defer cancel()
+	asked := time.Now()
 	var response manifestResponse
 	err := e.Peers.Call(ctx, newer.from, manifestMethod, manifestRequest{After: own}, &response)
 	var manifests []*Manifest
@@ -148,9 +201,8 @@
 	}
 	e.fetched.Inc(1)
 	e.Log.Info("manifest fetched from another node", slog.String("node", string(newer.from)),
-		slog.Uint64("version", newer.version), slog.Uint64("own", own))
+		slog.Uint64("version", newer.version), slog.Uint64("own", own), slog.Duration("took", time.Since(asked)))
 	e.Roster.applyManifests(time.Now(), manifests, readKind{})
-	e.announce()
 }
 
 // announce has the members exchange messages soon: other nodes may be behind as well.
--- a/internal/roster/outageregion_test.go
+++ b/internal/roster/outageregion_test.go
@@ -230,8 +230,9 @@
 	r.nodes[node], r.stops[node] = controller, func() { cancel(); group.Wait() }
 }
 
-// stampExchange exchanges stamps as members do: with one other node in each interval, and
-// with three at once when the node announces something.
+// stampExchange exchanges stamps as members do: with one of eight neighbours in each
+// interval, in turn, and with three at once when the node announces something. Each node has
+// neighbours of its own.
 type stampExchange struct {
 	region    *outageRegion
 	node      fleet.NodeID
@@ -245,6 +246,7 @@
 	exchangeMethod   = "exchange"
 	exchangeInterval = 500 * time.Millisecond
 	announceFanout   = 3
+	neighbourCycles  = 8
 )
 
 type stampMessage struct {
@@ -277,13 +279,16 @@
 }
 
 func (e *stampExchange) exchange(ctx context.Context) {
-	others := slices.DeleteFunc(e.region.rank(), func(node fleet.NodeID) bool { return node == e.node })
+	ranked := e.region.rank()
 	e.next++
+	// The distance to the neighbour in each cycle; no two nodes have the same neighbour in one.
+	distance := 1 + e.next%neighbourCycles*(len(ranked)-1)/neighbourCycles
+	neighbour := ranked[(slices.Index(ranked, e.node)+distance)%len(ranked)]
 	ctx, cancel := context.WithTimeout(ctx, exchangeInterval/2)
 	defer cancel()
 	var answer stampMessage
 	request := stampMessage{From: e.node, Stamp: e.manifests.Stamp()}
-	if err := e.peers.Call(ctx, others[e.next%len(others)], exchangeMethod, request, &answer); err == nil {
+	if err := e.peers.Call(ctx, neighbour, exchangeMethod, request, &answer); err == nil {
 		e.manifests.ReceiveStamp(ctx, answer.From, answer.Stamp)
 	}
 }
--- a/internal/roster/turnedaway_test.go
+++ b/internal/roster/turnedaway_test.go
@@ -46,7 +46,7 @@
 		turnedAway = 0.35
 		maxDelay   = 500 * time.Millisecond
 	)
-	for seed := range uint64(3) {
+	for seed := range uint64(8) {
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				random := rand.New(rand.NewPCG(seed, 1))
