Readers that the store refuses read from other readers

Callers saw: a request reached a server seconds after that had said that it leaves (DRAIN). Cause: a node that reads the store for others had no other path to the list of servers; while the store turned it away, its list stood still. For the manifest the nodes help each other, for the list they did not. Such a node also took each refusal for an outage of the store, in which entries of sound servers may expire, and kept servers whose entries had been removed. Change: a node that can't read the source asks the readers, in turn, in the same read, and goes on with them; it tries the source again each second, with a timeout of 0.7 s while others answer, and meanwhile tells those who ask it that it has lost the store. A refused node thus sees no outage while others can read.

--- a/internal/roster/relay.go
+++ b/internal/roster/relay.go
@@ -55,6 +55,9 @@
 	// avoidUntil holds, for each reader that failed, until when it is not used.
 	avoidUntil map[fleet.NodeID]time.Time
 	limiter    fallbackLimiter
+	// sourceFailedAt is when the source last could not be read; zero once it could. The
+	// node then reads from other readers, also if it is one itself.
+	sourceFailedAt time.Time
 }
 
 // Timing and number of readers.
@@ -81,6 +84,15 @@
 	readDuration  = 10 * time.Second
 	avoidDuration = 5 * time.Second
 	lostDuration  = 2 * time.Second
+	// sourceRetryPause is the pause between two attempts of a node to read a source that
+	// it can't read while other readers can, sourceRetryTimeout the timeout of each.
+	sourceRetryPause   = time.Second
+	sourceRetryTimeout = 700 * time.Millisecond
+	// sourceFailedMemory is how long a node tells others that it can't read the source.
+	sourceFailedMemory = 3 * time.Second
+	// maxReaderTimeouts bounds the readers that are asked in place of the source in one
+	// read and don't answer in time.
+	maxReaderTimeouts = 2
 )
 
 // readPath is where a feed is read from: a node, or one of the values below.
@@ -155,20 +167,45 @@
 // itself. fallback reports that it does so only because its readers have failed.
 func (r *Relay[T]) chooseReader(now time.Time) (reader fleet.NodeID, fallback bool) {
 	ranked := r.Ranked()
-	readers := ranked[:min(len(ranked), max(minReaders, len(ranked)/nodesPerReader))]
+	readers := readersOf(ranked)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if now.Before(r.readUntil) || slices.Contains(readers, r.Node) {
+	isReader := now.Before(r.readUntil) || slices.Contains(readers, r.Node)
+	if isReader && !r.pausesSource(now) {
 		return "", false
 	}
-	readers = slices.DeleteFunc(slices.Clone(readers), func(node fleet.NodeID) bool {
-		return now.Before(r.avoidUntil[node])
-	})
+	readers = r.usableReaders(now, readers)
 	if len(readers) == 0 {
-		return "", true
+		return "", !isReader
 	}
 	// Nodes are spread over the readers by their position in the ranking.
-	return readers[max(0, slices.Index(ranked, r.Node))%len(readers)], true
+	return readers[max(0, slices.Index(ranked, r.Node))%len(readers)], false
+}
+
+// readersOf returns the readers among the nodes of a region, the best first.
+func readersOf(ranked []fleet.NodeID) []fleet.NodeID {
+	return ranked[:min(len(ranked), max(minReaders, len(ranked)/nodesPerReader))]
+}
+
+// usableReaders returns the readers that this node may ask. The caller holds the lock.
+func (r *Relay[T]) usableReaders(now time.Time, readers []fleet.NodeID) []fleet.NodeID {
+	return slices.DeleteFunc(slices.Clone(readers), func(node fleet.NodeID) bool {
+		return node == r.Node || now.Before(r.avoidUntil[node])
+	})
+}
+
+// pausesSource reports whether the source has failed too recently to be tried again while
+// other readers may be asked. The caller holds the lock.
+func (r *Relay[T]) pausesSource(now time.Time) bool {
+	return !r.sourceFailedAt.IsZero() && now.Sub(r.sourceFailedAt) < sourceRetryPause
+}
+
+// readsElsewhere reports whether the node reads from other nodes since the source could not
+// be read.
+func (r *Relay[T]) readsElsewhere() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.sourceFailedAt.IsZero() && r.fromPeer
 }
 
 // List implements [Feed].
@@ -195,6 +232,9 @@
 	}
 	entries, revision, err = r.Source.List(ctx)
 	r.recordRead(entries, revision, completeList|fromSource, err)
+	if isSourceFailure(err) {
+		return r.readInPlaceOfSource(ctx, changesRequest{List: true}, err)
+	}
 	return entries, revision, err
 }
 
@@ -225,7 +265,25 @@
 	if !r.mayReadSource(fallback) {
 		return nil, 0, errSourceUnreachable
 	}
-	if r.servesOthers(now) {
+	changes, revision, err = r.followSource(ctx, after, wait)
+	if isSourceFailure(err) {
+		return r.readInPlaceOfSource(ctx, changesRequest{After: after}, err)
+	}
+	return changes, revision, err
+}
+
+// followSource waits for changes of the source.
+func (r *Relay[T]) followSource(
+	ctx context.Context, after Revision, wait time.Duration,
+) (changes []T, revision Revision, err error) {
+	switch {
+	case r.readsElsewhere():
+		// Nothing is read from other nodes meanwhile.
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, sourceRetryTimeout)
+		defer cancel()
+		wait = 0
+	case r.servesOthers(time.Now()):
 		wait = min(wait, maxRelayWait)
 	}
 	changes, revision, err = r.Source.Follow(ctx, after, wait)
@@ -233,6 +291,41 @@
 	return changes, revision, err
 }
 
+// isSourceFailure reports whether an error of a read says that the source can't be read.
+func isSourceFailure(err error) bool {
+	return err != nil && !errors.Is(err, ErrCompacted) && !errors.Is(err, ErrResponseLost)
+}
+
+// readInPlaceOfSource asks the readers, one after the other, after the source could not be
+// read: the store may turn this node away and not others. It returns the error of the
+// source if none of them can read it either.
+func (r *Relay[T]) readInPlaceOfSource(
+	ctx context.Context, request changesRequest, sourceErr error,
+) (entries []T, revision Revision, err error) {
+	r.mu.Lock()
+	readers := r.usableReaders(time.Now(), readersOf(r.Ranked()))
+	r.mu.Unlock()
+	for timeouts := 0; len(readers) > 0 && timeouts < maxReaderTimeouts && ctx.Err() == nil; readers = readers[1:] {
+		entries, revision, err = r.requestChanges(ctx, readers[0], request)
+		switch {
+		case err == nil:
+			r.logPath(readPath(readers[0]))
+			flags := readFlags(0)
+			if request.List {
+				flags = completeList
+			}
+			r.update(entries, revision, flags)
+			return entries, revision, nil
+		case errors.Is(err, ErrCompacted):
+			return nil, 0, err
+		case !errors.Is(err, errSourceUnreachable) && !errors.Is(err, errNotReading):
+			timeouts++
+		}
+		r.avoid(readers[0], err)
+	}
+	return nil, 0, sourceErr
+}
+
 // mayAwaitList reports whether the node may go on to wait for a reader's first list in
 // place of reading the source.
 func (r *Relay[T]) mayAwaitList(now time.Time) bool {
@@ -352,6 +445,7 @@
 	case !errors.Is(err, ErrCompacted):
 		nodes := len(r.Ranked())
 		r.mu.Lock()
+		r.sourceFailedAt = time.Now()
 		r.copy.markSourceLost()
 		r.limiter.recordFailure(time.Now(), nodes)
 		r.mu.Unlock()
@@ -370,6 +464,12 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	r.fromPeer, r.listingSince = flags&fromSource == 0, time.Time{}
+	switch {
+	case flags&fromSource != 0:
+		r.sourceFailedAt = time.Time{}
+	case !r.sourceFailedAt.IsZero() && now.Sub(r.sourceFailedAt) < sourceFailedMemory:
+		flags |= sourceFailing
+	}
 	r.limiter.recordSuccess()
 	r.copy.update(now, entries, r.Key, revision, flags)
 	r.copy.prune(now, r.IsRemoval)
--- a/internal/roster/replica.go
+++ b/internal/roster/replica.go
@@ -46,6 +46,9 @@
 	completeList readFlags = 1 << iota
 	// fromSource marks entries that were read from the source itself.
 	fromSource
+	// sourceFailing marks entries that were read from another node since the source
+	// could not be read.
+	sourceFailing
 )
 
 func (c *replica[T]) init() {
@@ -71,7 +74,7 @@
 // update updates the copy with entries that were read.
 func (c *replica[T]) update(now time.Time, entries []T, key func(T) string, revision Revision, flags readFlags) {
 	revisionBefore, directBefore, lostBefore := c.revision, c.direct, c.sourceLost
-	c.direct, c.sourceLost = flags&fromSource != 0, false
+	c.direct, c.sourceLost = flags&fromSource != 0, flags&sourceFailing != 0
 	if flags&completeList != 0 {
 		// The list does not say which entries were removed before it.
 		clear(c.entries)
--- a/internal/roster/turnedaway_test.go
+++ b/internal/roster/turnedaway_test.go
@@ -136,3 +136,17 @@
 		}
 	}
 }
+
+// TestNodeThatStartsWhileTheStoreTurnsItAway guards against a node that knows no servers for
+// as long as the store turns it away: each of the others could tell it.
+func TestNodeThatStartsWhileTheStoreTurnsItAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newSlowRegion(t, 2)
+		time.Sleep(5 * time.Second)
+		r.turnedAway["n2"] = &outage{refusing: true}
+		r.start("n2")
+		time.Sleep(inForceBound)
+		r.Check(r.nodes["n2"].View().ServersListed, qt.IsTrue)
+		r.Check(r.late(), qt.HasLen, 0)
+	})
+}
