A reader's 'nothing new' tells how old it is

Cause: a node took 'nothing new' from a reader for the present state of the store, however long the reader itself had waited for its own answer. The class: knowledge that is passed on without its age. Evidence: TestManifestAtFollowersOfASlowReader failed on the code before with readers whose answers come 0.9, 1.2 and 1.5 s late: followers had the manifest more than 2.5 s after it was written, if no other node told them. Change: a response tells how old the reader's copy is and how long it was held; a reader whose copy is older than 2 s (2.4 s for the list of servers, whose feed pauses longer) says that it has lost the store, and its followers read elsewhere. 'manifestReadAge' in the log is the age over the whole path. Nodes of an older build send no age, and take 'lost' as before. Measured: the test passes, with all of the package.

--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -85,10 +85,18 @@
 		}),
 		Key:       func(entry roster.ServerEntry) string { return string(entry.ID) },
 		IsRemoval: func(entry roster.ServerEntry) bool { return entry.Server == nil && !entry.Unreadable },
-		Node:      n.ID, Ranked: func() []fleet.NodeID { return members.Ranked("servers") }, Peers: peers, Log: n.Log,
+		Node:      n.ID, Ranked: func() []fleet.NodeID { return members.Ranked("servers") }, Peers: peers,
+		MaxAge: maxServersCopyAge, Log: n.Log,
 	}
 }
 
+// Ages of a reader's copies from which on other nodes do not read them. They are above the
+// pause of the feed and a wait for changes together.
+const (
+	maxServersCopyAge  = 2400 * time.Millisecond
+	maxManifestCopyAge = 2 * time.Second
+)
+
 // nodeAddresses returns the addresses of this node's sockets and those of the members.
 func nodeAddresses(own Addresses, members *member.Controller) []string {
 	others := members.Members()
@@ -108,7 +116,8 @@
 		Source:    guarded[*roster.Manifest](store, &platform.Manifests{Store: store, Log: n.Log, Metrics: registry}),
 		Key:       func(*roster.Manifest) string { return "" },
 		IsRemoval: func(*roster.Manifest) bool { return false },
-		Node:      n.ID, Ranked: func() []fleet.NodeID { return members.Ranked("manifest") }, Peers: peers, Log: n.Log,
+		Node:      n.ID, Ranked: func() []fleet.NodeID { return members.Ranked("manifest") }, Peers: peers,
+		MaxAge: maxManifestCopyAge, Log: n.Log,
 	}
 }
 
--- a/internal/roster/controller.go
+++ b/internal/roster/controller.go
@@ -90,8 +90,9 @@
 	onManifest func()
 
 	// serversRead is when the list of servers was last read, or its changes; nil if never.
-	// manifestRead is the same for the manifest.
-	serversRead, manifestRead atomic.Pointer[instant]
+	serversRead atomic.Pointer[instant]
+	// manifestRead is when the store held the manifest that was last read; nil if none was.
+	manifestRead atomic.Pointer[instant]
 
 	mu   sync.Mutex
 	view atomic.Pointer[View]
@@ -123,8 +124,8 @@
 // with the time for which the process or its VM stood still.
 func (c *Controller) ServersAge() time.Duration { return ageOf(&c.serversRead) }
 
-// ManifestAge returns the time since the manifest, or that there is no newer one, was last
-// read, with the time for which the process or its VM stood still.
+// ManifestAge returns how long ago, at the latest, the store held no manifest newer than
+// this node had read, with the time for which the process or its VM stood still.
 func (c *Controller) ManifestAge() time.Duration { return ageOf(&c.manifestRead) }
 
 // ageOf returns the time since a read; the longest possible one if there was none.
@@ -135,6 +136,15 @@
 	return math.MaxInt64
 }
 
+// readAt returns when the store was as the last response of a feed says.
+func readAt(feed any) *instant {
+	if shared, ok := feed.(sharedFeed); ok {
+		asOf := shared.AsOf()
+		return &asOf
+	}
+	return currentInstant()
+}
+
 // instant is a time by the clock of the process and by that of the VM, which counts the
 // time for which the VM was suspended too.
 type instant struct {
@@ -144,6 +154,21 @@
 
 func currentInstant() *instant { return &instant{at: time.Now(), bootTime: wait.BootTime()} }
 
+// add returns the instant a time later.
+func (i *instant) add(d time.Duration) instant {
+	return instant{at: i.at.Add(d), bootTime: i.bootTime + d}
+}
+
+// afterWait returns when a source was as it says in the response to a request that was sent
+// at the instant: at the end of the wait for changes if there were none, else at any time
+// since then.
+func (i *instant) afterWait(wait time.Duration, unchanged bool) instant {
+	if unchanged && time.Since(i.at) >= wait {
+		return i.add(wait)
+	}
+	return *i
+}
+
 // age returns the time since then by the clock that shows more.
 func (i *instant) age() time.Duration { return max(time.Since(i.at), wait.BootTime()-i.bootTime) }
 
@@ -167,7 +192,7 @@
 		watch := watcher[*Manifest]{
 			name: "manifest", feed: c.Manifests, minPause: manifestPause, apply: c.applyManifests,
 			maxTimeout: maxManifestTimeout, failing: &c.manifestsFailing, log: c.Log,
-			succeeded: func() { c.manifestRead.Store(currentInstant()) },
+			succeeded: func() { c.manifestRead.Store(readAt(c.Manifests)) },
 		}
 		watch.run(ctx)
 	})
--- a/internal/roster/feed.go
+++ b/internal/roster/feed.go
@@ -61,6 +61,8 @@
 type sharedFeed interface {
 	// ReadFromPeer reports whether the last response came from another node.
 	ReadFromPeer() bool
+	// AsOf returns when the store was as the last response says.
+	AsOf() instant
 }
 
 // Timing of a watcher.
--- a/internal/roster/outageregion_test.go
+++ b/internal/roster/outageregion_test.go
@@ -205,13 +205,13 @@
 		Name: "servers", Source: r.serverSource(node),
 		Key:       func(entry roster.ServerEntry) string { return string(entry.ID) },
 		IsRemoval: func(entry roster.ServerEntry) bool { return entry.Server == nil },
-		Node:      node, Ranked: r.rank, Peers: endpoint,
+		Node:      node, Ranked: r.rank, Peers: endpoint, MaxAge: 2400 * time.Millisecond,
 	}
 	manifests := &roster.Relay[*roster.Manifest]{
 		Name: "manifest", Source: r.manifestSource(node),
 		Key:       func(*roster.Manifest) string { return "" },
 		IsRemoval: func(*roster.Manifest) bool { return false },
-		Node:      node, Ranked: r.rank, Peers: endpoint,
+		Node:      node, Ranked: r.rank, Peers: endpoint, MaxAge: 2 * time.Second,
 	}
 	servers.Register()
 	manifests.Register()
--- a/internal/roster/relay.go
+++ b/internal/roster/relay.go
@@ -39,6 +39,9 @@
 	// Nodes that have the same list of members return the same order.
 	Ranked func() []fleet.NodeID
 	Peers  Peers
+	// MaxAge is the age of a reader's copy from which on other nodes do not read it; 0
+	// means no bound. It is longer than a pause of the reader and its wait for changes.
+	MaxAge time.Duration
 	Log    *slog.Logger
 
 	mu   sync.Mutex
@@ -48,6 +51,10 @@
 	readUntil time.Time
 	// fromPeer reports whether the last response came from a reader.
 	fromPeer bool
+	// asOf is when the source was as the node has read it, at the latest read. listed is
+	// set if that was a list: it is older than a wait for changes can tell.
+	asOf   instant
+	listed bool
 	// listingSince is when the node first asked for the list; zero once it has it.
 	listingSince time.Time
 	// path is the path by which the feed was read last, for the log.
@@ -132,6 +139,10 @@
 	Gone       bool `json:"gone,omitempty"`
 	Lost       bool `json:"lost,omitempty"`
 	NotReading bool `json:"notReading,omitempty"`
+	// AgeMs is how long before the response the source was as the copy is, HeldMs how
+	// long the reader waited for changes before it. Nodes of an older build send neither.
+	AgeMs  int64 `json:"ageMs,omitempty"`
+	HeldMs int64 `json:"heldMs,omitempty"`
 }
 
 func (r *changesResponse) err() error {
@@ -200,6 +211,13 @@
 	return !r.sourceFailedAt.IsZero() && now.Sub(r.sourceFailedAt) < sourceRetryPause
 }
 
+// lastWasList reports whether the last read was a list.
+func (r *Relay[T]) lastWasList() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.listed
+}
+
 // readsElsewhere reports whether the node reads from other nodes since the source could not
 // be read.
 func (r *Relay[T]) readsElsewhere() bool {
@@ -230,7 +248,11 @@
 	if !r.mayReadSource(fallback) {
 		return nil, 0, errSourceUnreachable
 	}
+	asked := currentInstant()
 	entries, revision, err = r.Source.List(ctx)
+	if err == nil {
+		r.setAsOf(*asked)
+	}
 	r.recordRead(entries, revision, completeList|fromSource, err)
 	if isSourceFailure(err) {
 		return r.readInPlaceOfSource(ctx, changesRequest{List: true}, err)
@@ -277,6 +299,8 @@
 	ctx context.Context, after Revision, wait time.Duration,
 ) (changes []T, revision Revision, err error) {
 	switch {
+	case r.lastWasList():
+		wait = 0
 	case r.readsElsewhere():
 		// Nothing is read from other nodes meanwhile.
 		var cancel context.CancelFunc
@@ -286,7 +310,11 @@
 	case r.servesOthers(time.Now()):
 		wait = min(wait, maxRelayWait)
 	}
+	asked := currentInstant()
 	changes, revision, err = r.Source.Follow(ctx, after, wait)
+	if err == nil {
+		r.setAsOf(asked.afterWait(wait, len(changes) == 0))
+	}
 	r.recordRead(changes, revision, fromSource, err)
 	return changes, revision, err
 }
@@ -398,6 +426,7 @@
 
 // requestChanges requests changes from a reader.
 func (r *Relay[T]) requestChanges(ctx context.Context, reader fleet.NodeID, request changesRequest) (entries []T, revision Revision, err error) {
+	asked := currentInstant()
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(request.WaitMs)*time.Millisecond+r.responseTime())
 	defer cancel()
 	var response changesResponse
@@ -410,9 +439,24 @@
 	if entries, err = packed.Decode[T](response.Packed); err != nil {
 		return nil, 0, errors.Wrapf(err, "decode response of reader %s", reader)
 	}
+	r.setAsOf(asked.add(time.Duration(response.HeldMs-response.AgeMs) * time.Millisecond))
 	return entries, response.At, nil
 }
 
+// setAsOf records when the source was as the node has read it, at the latest read.
+func (r *Relay[T]) setAsOf(asOf instant) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.asOf = asOf
+}
+
+// AsOf implements [sharedFeed].
+func (r *Relay[T]) AsOf() instant {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.asOf
+}
+
 // avoid excludes a reader that failed for a while. One that does not read the
 // source yet is not excluded, since the request makes it start.
 func (r *Relay[T]) avoid(reader fleet.NodeID, err error) {
@@ -463,7 +507,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	r.fromPeer, r.listingSince = flags&fromSource == 0, time.Time{}
+	r.fromPeer, r.listed, r.listingSince = flags&fromSource == 0, flags&completeList != 0, time.Time{}
 	switch {
 	case flags&fromSource != 0:
 		r.sourceFailedAt = time.Time{}
@@ -480,20 +524,51 @@
 func (r *Relay[T]) handleChanges(ctx context.Context, request changesRequest) (response changesResponse, err error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(request.WaitMs)*time.Millisecond)
 	defer cancel()
+	began := time.Now()
 	for {
 		r.mu.Lock()
 		r.readUntil = time.Now().Add(readDuration)
 		response, ready, err := r.copy.respond(request)
-		changed := r.copy.changed
+		changed, age := r.copy.changed, r.asOf.age()
 		r.mu.Unlock()
+		if !request.List && response.err() == nil && r.isTooOld(age) {
+			return changesResponse{Lost: true}, nil
+		}
 		if ready || err != nil {
+			response.AgeMs, response.HeldMs = age.Milliseconds(), time.Since(began).Milliseconds()
 			return response, err
 		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
+		if !r.awaitChange(ctx, changed, age) {
 			// The wait is over: respond with the current state, changed or not.
 			request.WaitMs = 0
 		}
 	}
 }
+
+// isTooOld reports whether other nodes may not read a copy of an age.
+func (r *Relay[T]) isTooOld(age time.Duration) bool { return r.MaxAge > 0 && age >= r.MaxAge }
+
+// awaitChange waits until the copy of an age has changed or is too old. It reports false if
+// the context ends before.
+func (r *Relay[T]) awaitChange(ctx context.Context, changed <-chan struct{}, age time.Duration) bool {
+	tooOld := newStoppedTimer()
+	defer tooOld.Stop()
+	if r.MaxAge > 0 && !r.isTooOld(age) {
+		tooOld.Reset(r.MaxAge - age)
+	}
+	select {
+	case <-tooOld.C:
+		return true
+	case <-changed:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// newStoppedTimer returns a timer that does not run.
+func newStoppedTimer() *time.Timer {
+	timer := time.NewTimer(time.Hour)
+	timer.Stop()
+	return timer
+}
