--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -15,6 +15,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
+	"github.com/guavatrack/guavatrack/internal/backend"
 	"github.com/guavatrack/guavatrack/internal/dispatch"
 	"github.com/guavatrack/guavatrack/internal/drain"
 	"github.com/guavatrack/guavatrack/internal/edgelog"
@@ -40,6 +41,8 @@
 	Log      *slog.Logger
 	// ID identifies this run of the process. If it is empty, Start sets a random ID.
 	ID fleet.NodeID
+	// DialServers opens the connections for requests to backend servers; nil means TCP.
+	DialServers backend.DialFunc
 
 	app            *fx.App
 	components     components
--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -247,7 +247,7 @@
 }
 
 func newExchange(n *Node, rosterController *roster.Controller, directory *placement.Directory) *platform.Exchange {
-	exchange := platform.NewExchange(rosterController.View)
+	exchange := platform.NewExchange(rosterController.View, n.DialServers)
 	exchange.ListAge, exchange.LateOrder, exchange.Log = rosterController.ServersAge, directory.LateOrder, n.Log
 	return exchange
 }
