A node that reaches no backend server passes its requests on

Cause: no node passed a request to another, so one without a path to servers could only refuse, whatever free room the others had. The class: an absent capability. The look-up names nodes that are cut off only if there is no other. A node of an older build has no such address and is not asked.

--- a/internal/hosted/drain_test.go
+++ b/internal/hosted/drain_test.go
@@ -45,7 +45,7 @@
 			c.Check(err, qt.IsNil)
 			c.Check(http.NewResponseController(w).Flush(), qt.IsNil)
 		})}
-		sockets := &endpoints{callers: server, servers: []*http.Server{server}}
+		sockets := &endpoints{requests: []*http.Server{server}, servers: []*http.Server{server}}
 		served := make(chan error, 1)
 		go func() { served <- server.Serve(listener) }()
 		c.Check(listener.Deliver(context.Background(), &slowConn{end, 100 * time.Millisecond}), qt.IsNil)
@@ -85,7 +85,7 @@
 			c.Check(context.Cause(ctx), qt.Equals, drain.ErrCutOff)
 			http.Error(w, "cut off", http.StatusBadGateway)
 		})}
-		sockets := &endpoints{callers: server, servers: []*http.Server{server}}
+		sockets := &endpoints{requests: []*http.Server{server}, servers: []*http.Server{server}}
 		go func() { _ = server.Serve(listener) }()
 		c.Check(listener.Deliver(context.Background(), &slowConn{end, 100 * time.Millisecond}), qt.IsNil)
 		go func() { _, _ = io.WriteString(caller, "GET / HTTP/1.1\r\nHost: a\r\n\r\n") }()
--- a/internal/hosted/endpoints.go
+++ b/internal/hosted/endpoints.go
@@ -5,10 +5,12 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/guavatrack/guavatrack/internal/lookup"
 	"github.com/guavatrack/guavatrack/internal/member"
@@ -31,6 +33,8 @@
 // they contain the port that was chosen.
 type Addresses struct {
 	Callers, Peers, Lookup, Readiness, Metrics string
+	// Forward is empty if the node takes no requests from other nodes.
+	Forward string
 }
 
 // endpoints are the listening sockets of a node and their HTTP servers. The sockets
@@ -39,8 +43,9 @@
 	addresses Addresses
 	// listeners are in the order of the fields of Addresses, without Peers.
 	listeners []net.Listener
-	callers   *http.Server
-	servers   []*http.Server
+	// requests are the servers of requests, from callers and from other nodes.
+	requests []*http.Server
+	servers  []*http.Server
 }
 
 func newEndpoints(n *Node, peers *peer.Peer) (e *endpoints, err error) {
@@ -59,7 +64,11 @@
 		{platformSettings.Lookup, &e.addresses.Lookup},
 		{platformSettings.Readiness, &e.addresses.Readiness},
 		{platformSettings.Metrics, &e.addresses.Metrics},
+		{platformSettings.Forward, &e.addresses.Forward},
 	} {
+		if endpoint.listen == "" {
+			continue
+		}
 		listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", endpoint.listen)
 		if err != nil {
 			return nil, err
@@ -80,24 +89,32 @@
 	addressLookup := &platform.Lookup{Near: n.nearestAddresses, KeepFor: platformSettings.KeepFor.Std()}
 	metricsHandler := http.NewServeMux()
 	metricsHandler.Handle("GET /metrics", metric.Handler(n.components.Metrics, node.Metrics()))
-	for i, handler := range []http.Handler{
-		n.callerHandler(), addressLookup.Handler(), platform.Readiness(n.Ready), metricsHandler,
-	} {
+	handlers := []http.Handler{n.callerHandler(), addressLookup.Handler(), platform.Readiness(n.Ready), metricsHandler}
+	if e.addresses.Forward != "" {
+		handlers = append(handlers, n.forwardHandler())
+	}
+	for i, handler := range handlers {
 		server := &http.Server{
 			Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 		}
 		e.servers = append(e.servers, server)
 		go func() { _ = server.Serve(e.listeners[i]) }()
 	}
-	e.callers = e.servers[0]
+	e.requests = append([]*http.Server{e.servers[0]}, e.servers[4:]...)
 }
 
 // nearestAddresses returns the addresses of the nodes that a caller at a place may
-// use. Suspected nodes are included only if there are no others. If all nodes are
-// starting and this one is not leaving, its own address is returned.
+// use. Nodes that reach no backend server, and suspected nodes, are included only if there
+// are no others. If all nodes are starting and this one is not leaving, its own address is
+// returned.
 func (n *Node) nearestAddresses(place fleet.Place) []string {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	if near := lookup.NearestAddresses(place, healthyNodes(n.components.Members), random); len(near) > 0 {
+	healthy := healthyNodes(n.components.Members)
+	reaching := slices.DeleteFunc(slices.Clone(healthy), func(info member.Info) bool { return info.CutOff })
+	if near := lookup.NearestAddresses(place, reaching, random); len(near) > 0 {
+		return near
+	}
+	if near := lookup.NearestAddresses(place, healthy, random); len(near) > 0 {
 		return near
 	}
 	if near := lookup.NearestAddresses(place, n.components.Members.Members(), random); len(near) > 0 || n.leaving.Load() {
@@ -117,11 +134,16 @@
 	return nodes
 }
 
-// closeCallers stops accepting connections from callers and closes each one once it is
-// idle. The returned channel gets the result when all are closed or the context ends.
+// closeCallers stops accepting connections from callers and from nodes that pass requests
+// on, and closes each one once it is idle. The returned channel gets the result when all are
+// closed or the context ends.
 func (e *endpoints) closeCallers(ctx context.Context) <-chan error {
+	var group errgroup.Group
+	for _, server := range e.requests {
+		group.Go(func() error { return server.Shutdown(ctx) })
+	}
 	closed := make(chan error, 1)
-	go func() { closed <- e.callers.Shutdown(ctx) }()
+	go func() { closed <- group.Wait() }()
 	return closed
 }
 
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -19,6 +19,7 @@
 	"github.com/guavatrack/guavatrack/internal/dispatch"
 	"github.com/guavatrack/guavatrack/internal/drain"
 	"github.com/guavatrack/guavatrack/internal/edgelog"
+	"github.com/guavatrack/guavatrack/internal/forward"
 	"github.com/guavatrack/guavatrack/internal/lease"
 	"github.com/guavatrack/guavatrack/internal/member"
 	"github.com/guavatrack/guavatrack/internal/origin"
@@ -26,6 +27,7 @@
 	"github.com/guavatrack/guavatrack/internal/placement"
 	"github.com/guavatrack/guavatrack/internal/poison"
 	"github.com/guavatrack/guavatrack/internal/ratelimit"
+	"github.com/guavatrack/guavatrack/internal/reach"
 	"github.com/guavatrack/guavatrack/internal/roster"
 	"github.com/guavatrack/guavatrack/internal/run"
 	"github.com/guavatrack/guavatrack/internal/settings"
@@ -78,6 +80,8 @@
 	Dispatcher       *dispatch.Dispatcher
 	Origins          *origin.Controller
 	Exchange         *platform.Exchange
+	Reach            *reach.Detector
+	Forwarder        *forward.Forwarder
 	Poison           *poison.Gossip
 	LeaveNotices     *roster.LeaveNotices
 	RateLimits       *ratelimit.Controller
@@ -138,6 +142,7 @@
 		{Name: "notices", Run: n.receiveNotices},
 		{Name: "rateLimits", Run: n.components.RateLimits.Run},
 		{Name: "pauses", Run: n.watchPauses},
+		{Name: "reach", Run: n.components.Reach.Run},
 	}
 }
 
@@ -306,6 +311,21 @@
 
 // callerHandler returns the handler of callers' requests.
 func (n *Node) callerHandler() http.Handler {
+	callers := n.newCallers()
+	if n.Addresses().Forward != "" {
+		callers.Forwarder, callers.CutOff = n.components.Forwarder, n.components.Reach.CutOff
+	}
+	return callers
+}
+
+// forwardHandler returns the handler of the requests that other nodes pass on. They are not
+// passed on again.
+func (n *Node) forwardHandler() http.Handler {
+	return &forward.Handler{Next: n.newCallers(), CutOff: n.components.Reach.CutOff}
+}
+
+// newCallers returns a handler of requests that passes none on.
+func (n *Node) newCallers() *platform.Callers {
 	return &platform.Callers{
 		View: n.components.Roster.View, ManifestAge: n.components.Roster.ManifestAge,
 		Dispatcher: n.components.Dispatcher, Servers: n.components.Exchange,
--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"hash/fnv"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -12,7 +13,9 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/fx"
 
+	"github.com/guavatrack/guavatrack/internal/backend"
 	"github.com/guavatrack/guavatrack/internal/dispatch"
+	"github.com/guavatrack/guavatrack/internal/forward"
 	"github.com/guavatrack/guavatrack/internal/http1"
 	"github.com/guavatrack/guavatrack/internal/lease"
 	"github.com/guavatrack/guavatrack/internal/member"
@@ -21,6 +24,7 @@
 	"github.com/guavatrack/guavatrack/internal/placement"
 	"github.com/guavatrack/guavatrack/internal/poison"
 	"github.com/guavatrack/guavatrack/internal/ratelimit"
+	"github.com/guavatrack/guavatrack/internal/reach"
 	"github.com/guavatrack/guavatrack/internal/retry"
 	"github.com/guavatrack/guavatrack/internal/roster"
 	"github.com/guavatrack/guavatrack/internal/table"
@@ -32,7 +36,7 @@
 // that depend on each other are set by connect.
 var providers = fx.Provide(
 	metrics.NewRegistry, newStore, newTable, newServerRelay, newManifestRelay, newRoster, newManifestExchange, newPeers, newMembers, newLease,
-	newDirectory, newReporter, platform.NewEngines, newScheduler, newExchange, newOrigins, newDispatcher, newGossip, newLeaveNotices, newRateLimits, newEndpoints,
+	newDirectory, newReporter, platform.NewEngines, newScheduler, newExchange, newReach, newForwarder, newOrigins, newDispatcher, newGossip, newLeaveNotices, newRateLimits, newEndpoints,
 )
 
 const (
@@ -146,7 +150,8 @@
 	return &member.Controller{
 		Self: member.Info{
 			Node: n.ID, Place: n.Settings.Node.Place, CallerAddress: sockets.addresses.Callers,
-			PeerAddress: sockets.addresses.Peers, Starting: true, StartedAt: time.Now().UTC(),
+			PeerAddress: sockets.addresses.Peers, ForwardAddress: sockets.addresses.Forward,
+			Starting: true, StartedAt: time.Now().UTC(),
 			Weight: n.Settings.Platform.Cores,
 		},
 		Peers: peers, Store: store, Interval: gossipInterval, Log: n.Log, Metrics: registry,
@@ -252,6 +257,63 @@
 	return exchange
 }
 
+// newReach returns the detector of a cut between this node and all backend servers.
+func newReach(
+	n *Node, rosterController *roster.Controller, exchange *platform.Exchange, members *member.Controller,
+) *reach.Detector {
+	detector := &reach.Detector{
+		Servers: func() (addresses []string) {
+			for _, server := range rosterController.View().Servers {
+				addresses = append(addresses, server.Address)
+			}
+			return addresses
+		},
+		Dial: exchange.Dial, OnChange: members.AnnounceCutOff, Log: n.Log,
+	}
+	exchange.DialFailed = detector.Suspect
+	return detector
+}
+
+// forwardDialTimeout bounds the time to connect to a node that takes a request.
+const forwardDialTimeout = 300 * time.Millisecond
+
+func newForwarder(n *Node, members *member.Controller) *forward.Forwarder {
+	transport := &http1.Transport{Transport: &http.Transport{
+		DialContext: backend.RecordConns((&net.Dialer{Timeout: forwardDialTimeout}).DialContext), DisableCompression: true,
+		DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeader,
+	}}
+	return &forward.Forwarder{Nodes: func() []forward.Node { return n.forwardTargets(members) }, Transport: transport, Log: n.Log}
+}
+
+// forwardTargets returns the nodes to which requests may be passed on, in random order: those
+// of this node's failure domain first, then those of its region, then the others.
+func (n *Node) forwardTargets(members *member.Controller) (targets []forward.Node) {
+	healthy := healthyNodes(members)
+	rand.Shuffle(len(healthy), func(i, j int) { healthy[i], healthy[j] = healthy[j], healthy[i] })
+	slices.SortStableFunc(healthy, func(a, b member.Info) int {
+		return cmp.Compare(n.distance(a.Place), n.distance(b.Place))
+	})
+	for i := range healthy {
+		info := &healthy[i]
+		if info.Node != n.ID && info.ForwardAddress != "" && !info.CutOff {
+			targets = append(targets, forward.Node{ID: info.Node, Address: info.ForwardAddress})
+		}
+	}
+	return targets
+}
+
+// distance ranks a place by its distance from this node.
+func (n *Node) distance(place fleet.Place) int {
+	switch own := n.Settings.Node.Place; {
+	case place == own:
+		return 0
+	case place.Region == own.Region:
+		return 1
+	default:
+		return 2
+	}
+}
+
 func newOrigins(
 	n *Node, platformStore *platform.Store, store table.Store, rosterController *roster.Controller,
 	leaseController *lease.Controller, peers *peer.Peer, members *member.Controller, engines *platform.Engines,
--- a/internal/member/controller.go
+++ b/internal/member/controller.go
@@ -428,6 +428,16 @@
 	})
 }
 
+// AnnounceCutOff announces that the node reaches no backend server, so that it is returned
+// to callers only if there is no other, or that it does again.
+func (c *Controller) AnnounceCutOff(cutOff bool) {
+	c.init()
+	c.withView(func(time.Time) []Action {
+		c.view.AnnounceCutOff(cutOff)
+		return nil
+	})
+}
+
 // AnnounceLeaving announces that the node drains, so that it is no longer returned
 // to callers.
 func (c *Controller) AnnounceLeaving() {
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -25,6 +25,10 @@
 	Starting  bool      `json:"starting,omitempty"`
 	Leaving   bool      `json:"leaving,omitempty"`
 	StartedAt time.Time `json:"startedAt"`
+	// ForwardAddress is where the node takes requests that other nodes pass on, host and
+	// port; empty if it takes none. CutOff is set while it reaches no backend server.
+	ForwardAddress string `json:"forwardAddress,omitempty"`
+	CutOff         bool   `json:"cutOff,omitempty"`
 }
 
 // Status is the membership status of a node.
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -146,6 +146,15 @@
 	v.raiseIncarnation(0)
 }
 
+// AnnounceCutOff announces that the node reaches no backend server, or that it does again.
+func (v *View) AnnounceCutOff(cutOff bool) {
+	if v.self.CutOff == cutOff || v.self.Status == Left {
+		return
+	}
+	v.self.CutOff, v.immediateDue, v.immediateAt = cutOff, true, time.Time{}
+	v.raiseIncarnation(0)
+}
+
 // AnnounceLeaving announces that the node drains, or that it has left if left is set.
 func (v *View) AnnounceLeaving(left bool) {
 	v.self.Leaving, v.immediateDue, v.immediateAt = true, true, time.Time{}
@@ -228,7 +237,7 @@
 		v.neighborsStale = true
 	}
 	v.immediateDue = v.immediateDue || !found || e.live() != record.live() ||
-		e.Leaving != record.Leaving || e.Starting != record.Starting
+		e.Leaving != record.Leaving || e.Starting != record.Starting || e.CutOff != record.CutOff
 	e.Record, e.changed, e.accusers = record, now, nil
 	v.addToDigest(record, 1)
 	if record.Status == Suspect {
--- a/internal/settings/platform.go
+++ b/internal/settings/platform.go
@@ -22,6 +22,9 @@
 	c.address("platform.readiness", p.Readiness)
 	c.address("platform.lookup", p.Lookup)
 	c.address("platform.metrics", p.Metrics)
+	if p.Forward != "" {
+		c.address("platform.forward", p.Forward)
+	}
 	c.duration("platform.keepFor", p.KeepFor)
 	c.duration("platform.grace", p.Grace)
 	c.duration("platform.handOver", p.HandOver)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,6 +39,9 @@
 	Readiness string `json:"readiness"`
 	Lookup    string `json:"lookup"`
 	Metrics   string `json:"metrics"`
+	// Forward is the address to listen on for requests that other nodes pass on. If it is
+	// empty, the node takes none and passes none on.
+	Forward string `json:"forward,omitempty"`
 	// Regions maps the failure domains to regions.
 	Regions map[fleet.FailureDomain]fleet.Region `json:"regions"`
 	// KeepFor is how long callers may cache a look-up answer.
