A node that is cut off from all servers concludes no crashes

Cause: after a broken connection a dial that failed counted as the end of the server's process, also at a node whose own way to all servers was cut. Such a node records crashes of sound servers against sound requests, publishes them, and sends those runs nothing until the housekeeping of the next minute. The class: a conclusion about another process from one's own link. Change: a failed dial counts as a crash only if a connection to some server can be opened. Evidence: TestNodeThatIsCutOffConcludesNoCrashes fails with the former verdict.

--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -270,7 +270,7 @@
 		},
 		Dial: exchange.Dial, OnChange: members.AnnounceCutOff, Log: n.Log,
 	}
-	exchange.DialFailed = detector.Suspect
+	exchange.DialFailed, exchange.ReachesAny = detector.Suspect, detector.ReachesAny
 	return detector
 }
 
--- a/internal/reach/detector.go
+++ b/internal/reach/detector.go
@@ -71,7 +71,7 @@
 		}
 		if began := time.Now(); d.reachesNone(ctx) {
 			d.set(true, 0)
-			for wait.For(ctx, probePause) && !d.reachesAny(ctx) {
+			for wait.For(ctx, probePause) && !d.ReachesAny(ctx) {
 			}
 			d.set(false, time.Since(began))
 		}
@@ -82,7 +82,7 @@
 // reachesNone reports whether no server was reached in any of the rounds.
 func (d *Detector) reachesNone(ctx context.Context) bool {
 	for range rounds {
-		if d.reachesAny(ctx) || ctx.Err() != nil {
+		if d.ReachesAny(ctx) || ctx.Err() != nil {
 			return false
 		}
 	}
@@ -102,9 +102,9 @@
 	}
 }
 
-// reachesAny reports whether a connection to one of some servers, drawn at random, can be
+// ReachesAny reports whether a connection to one of some servers, drawn at random, can be
 // opened. Without servers it reports true.
-func (d *Detector) reachesAny(ctx context.Context) bool {
+func (d *Detector) ReachesAny(ctx context.Context) bool {
 	addresses := d.Servers()
 	if len(addresses) == 0 {
 		return true
