Brittle servers are sent little that they may have to turn away

Change: while a pool is brittle, a node has at most half of N divided by the number of nodes unanswered at a server, and one at least, and leaves a server that turned a request away alone for the reciprocal of that rate. A pool counts as brittle for 5 s after the last answer that says so, of any of its servers: at hundreds of nodes none hears of each server by itself.

--- a/internal/dispatch/callrunner.go
+++ b/internal/dispatch/callrunner.go
@@ -289,6 +289,7 @@
 		state.recordUnreachable(now)
 	case retry.Declined:
 		state.recordDeclined(now, a.slot)
+		r.restBrittle(a.slot, now)
 	case retry.SilentConnection, retry.ResponseMismatch:
 		r.silentConnections++
 		state.recordFailure(now)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -41,6 +41,8 @@
 	// Allowance returns the bound of the retries of each pool. It is called for
 	// every call and every retry; nil means [DefaultAllowance].
 	Allowance func() retry.Allowance
+	// Nodes returns the number of nodes that send calls to the same servers; nil means one.
+	Nodes func() int
 	// PoisonPollInterval is the interval at which the notices of other nodes are
 	// read from the store; 0 means 2 s.
 	PoisonPollInterval time.Duration
@@ -64,6 +66,7 @@
 	prefixes      prefixState
 	budgets       budgets
 	link          linkState
+	brittle       brittlePools
 	poison        *poison.Controller
 	// cutOff is when the stopping node cuts off its requests; nil if it does not stop.
 	cutOff     atomic.Pointer[time.Time]
--- a/internal/dispatch/slot.go
+++ b/internal/dispatch/slot.go
@@ -63,8 +63,13 @@
 	}
 	query, cause := d.routeQuery(call, replicas, now, lateLocally)
 	candidates := make([]route.Candidate, len(replicas))
+	unanswered := d.maxUnanswered(call.Pool, now)
 	for i := range replicas {
-		candidates[i] = d.servers.get(replicas[i].Server).candidate(now, &replicas[i], call)
+		state := d.servers.get(replicas[i].Server)
+		candidates[i] = state.candidate(now, &replicas[i], call)
+		if unanswered > 0 && state.unanswered() >= unanswered {
+			exclude(&candidates[i])
+		}
 	}
 	if call.exclusive {
 		restrictToLeastLoaded(candidates)
--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -350,7 +350,7 @@
 ) *dispatch.Dispatcher {
 	return &dispatch.Dispatcher{
 		Directory: directory, Loader: reporter, LoadWhenFull: true, Prober: exchange, Origins: origins, RateLimits: limits, Store: store,
-		Place: n.Settings.Node.Place, Node: n.ID, Allowance: func() retry.Allowance { return n.allowance(members) },
+		Nodes: members.KnownNodes, Place: n.Settings.Node.Place, Node: n.ID, Allowance: func() retry.Allowance { return n.allowance(members) },
 		PublishPoisonNotice: gossip.Publish, PoisonPollInterval: poisonPollInterval, Log: n.Log, Metrics: registry,
 	}
 }
