A run that was found ended is checked again

Callers saw: links of the plain servers cut one at a time for 0.3 s; from then on, for up to a minute, no node sent sound servers anything (Starved). Cause: a dial that failed counted as the end of the server's process, and nothing took that back before the minutely housekeeping.

--- a/internal/dispatch/isolate.go
+++ b/internal/dispatch/isolate.go
@@ -127,11 +127,14 @@
 	if !d.Prober.Crashed(ctx, taken.replica) {
 		return false
 	}
-	taken.server.recordCrash(time.Now(), taken.replica.Boot, func(runs []poison.Run) {
+	isNew := taken.server.recordCrash(time.Now(), taken.replica.Boot, func(runs []poison.Run) {
 		if !d.isDraining(taken) {
 			d.poison.RecordCrash(taken.replica.Server, taken.replica.Boot, runs)
 		}
 	})
+	if isNew && taken.replica.Boot != "" {
+		d.checkReturn(taken.replica)
+	}
 	return true
 }
 
--- a/internal/dispatch/servers.go
+++ b/internal/dispatch/servers.go
@@ -296,14 +296,15 @@
 // recordCrash records the end of a run of the server's process and calls record, once
 // for each run, with the requests that may be the cause: those that it had not begun to
 // answer, or had just begun to. It returns after record has returned, so that no request
-// that ran there is checked for a retry before the crash has been recorded.
-func (s *serverState) recordCrash(now time.Time, boot fleet.BootID, record func(runs []poison.Run)) {
+// that ran there is checked for a retry before the crash has been recorded. It reports
+// whether that end had not been recorded before.
+func (s *serverState) recordCrash(now time.Time, boot fleet.BootID, record func(runs []poison.Run)) (isNew bool) {
 	s.mu.Lock()
 	if boot != "" && s.endedBoot == boot {
 		recorded := s.crashRecorded
 		s.mu.Unlock()
 		<-recorded
-		return
+		return false
 	}
 	s.endedBoot = boot
 	recorded := make(chan struct{})
@@ -318,6 +319,7 @@
 	s.mu.Unlock()
 	defer close(recorded)
 	record(runs)
+	return true
 }
 
 // recordSuccess records that a call was answered.
