--- a/internal/roster/relay.go
+++ b/internal/roster/relay.go
@@ -205,27 +205,6 @@
 	})
 }
 
-// pausesSource reports whether the source has failed too recently to be tried again while
-// other readers may be asked. The caller holds the lock.
-func (r *Relay[T]) pausesSource(now time.Time) bool {
-	return !r.sourceFailedAt.IsZero() && now.Sub(r.sourceFailedAt) < sourceRetryPause
-}
-
-// lastWasList reports whether the last read was a list.
-func (r *Relay[T]) lastWasList() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.listed
-}
-
-// readsElsewhere reports whether the node reads from other nodes since the source could not
-// be read.
-func (r *Relay[T]) readsElsewhere() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return !r.sourceFailedAt.IsZero() && r.fromPeer
-}
-
 // List implements [Feed].
 func (r *Relay[T]) List(ctx context.Context) (entries []T, revision Revision, err error) {
 	reader, fallback := r.chooseReader(time.Now())
@@ -294,66 +273,6 @@
 	return changes, revision, err
 }
 
-// followSource waits for changes of the source.
-func (r *Relay[T]) followSource(
-	ctx context.Context, after Revision, wait time.Duration,
-) (changes []T, revision Revision, err error) {
-	switch {
-	case r.lastWasList():
-		wait = 0
-	case r.readsElsewhere():
-		// Nothing is read from other nodes meanwhile.
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, sourceRetryTimeout)
-		defer cancel()
-		wait = 0
-	case r.servesOthers(time.Now()):
-		wait = min(wait, maxRelayWait)
-	}
-	asked := currentInstant()
-	changes, revision, err = r.Source.Follow(ctx, after, wait)
-	if err == nil {
-		r.setAsOf(asked.afterWait(wait, len(changes) == 0))
-	}
-	r.recordRead(changes, revision, fromSource, err)
-	return changes, revision, err
-}
-
-// isSourceFailure reports whether an error of a read says that the source can't be read.
-func isSourceFailure(err error) bool {
-	return err != nil && !errors.Is(err, ErrCompacted) && !errors.Is(err, ErrResponseLost)
-}
-
-// readInPlaceOfSource asks the readers, one after the other, after the source could not be
-// read: the store may turn this node away and not others. It returns the error of the
-// source if none of them can read it either.
-func (r *Relay[T]) readInPlaceOfSource(
-	ctx context.Context, request changesRequest, sourceErr error,
-) (entries []T, revision Revision, err error) {
-	r.mu.Lock()
-	readers := r.usableReaders(time.Now(), readersOf(r.Ranked()))
-	r.mu.Unlock()
-	for timeouts := 0; len(readers) > 0 && timeouts < maxReaderTimeouts && ctx.Err() == nil; readers = readers[1:] {
-		entries, revision, err = r.requestChanges(ctx, readers[0], request)
-		switch {
-		case err == nil:
-			r.logPath(readPath(readers[0]))
-			flags := readFlags(0)
-			if request.List {
-				flags = completeList
-			}
-			r.update(entries, revision, flags)
-			return entries, revision, nil
-		case errors.Is(err, ErrCompacted):
-			return nil, 0, err
-		case !errors.Is(err, errSourceUnreachable) && !errors.Is(err, errNotReading):
-			timeouts++
-		}
-		r.avoid(readers[0], err)
-	}
-	return nil, 0, sourceErr
-}
-
 // mayAwaitList reports whether the node may go on to wait for a reader's first list in
 // place of reading the source.
 func (r *Relay[T]) mayAwaitList(now time.Time) bool {
@@ -518,57 +437,3 @@
 	r.copy.update(now, entries, r.Key, revision, flags)
 	r.copy.prune(now, r.IsRemoval)
 }
-
-// handleChanges handles another node's request. It waits until there are changes
-// or the time of the request is over.
-func (r *Relay[T]) handleChanges(ctx context.Context, request changesRequest) (response changesResponse, err error) {
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(request.WaitMs)*time.Millisecond)
-	defer cancel()
-	began := time.Now()
-	for {
-		r.mu.Lock()
-		r.readUntil = time.Now().Add(readDuration)
-		response, ready, err := r.copy.respond(request)
-		changed, age := r.copy.changed, r.asOf.age()
-		r.mu.Unlock()
-		if !request.List && response.err() == nil && r.isTooOld(age) {
-			return changesResponse{Lost: true}, nil
-		}
-		if ready || err != nil {
-			response.AgeMs, response.HeldMs = age.Milliseconds(), time.Since(began).Milliseconds()
-			return response, err
-		}
-		if !r.awaitChange(ctx, changed, age) {
-			// The wait is over: respond with the current state, changed or not.
-			request.WaitMs = 0
-		}
-	}
-}
-
-// isTooOld reports whether other nodes may not read a copy of an age.
-func (r *Relay[T]) isTooOld(age time.Duration) bool { return r.MaxAge > 0 && age >= r.MaxAge }
-
-// awaitChange waits until the copy of an age has changed or is too old. It reports false if
-// the context ends before.
-func (r *Relay[T]) awaitChange(ctx context.Context, changed <-chan struct{}, age time.Duration) bool {
-	tooOld := newStoppedTimer()
-	defer tooOld.Stop()
-	if r.MaxAge > 0 && !r.isTooOld(age) {
-		tooOld.Reset(r.MaxAge - age)
-	}
-	select {
-	case <-tooOld.C:
-		return true
-	case <-changed:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// newStoppedTimer returns a timer that does not run.
-func newStoppedTimer() *time.Timer {
-	timer := time.NewTimer(time.Hour)
-	timer.Stop()
-	return timer
-}
