TestManifestNeverGoesBack registers the exchange before the roster runs

Since the exchange is told of each newer manifest the roster reads that field then; a node registers it before anything runs, as the comment of Register now says. The test's draws, steps and checks are unchanged.

--- a/internal/roster/manifestexchange.go
+++ b/internal/roster/manifestexchange.go
@@ -81,7 +81,8 @@
 	ownFeedPatience = 600 * time.Millisecond
 )
 
-// Register registers the method that nodes call on each other.
+// Register registers the method that nodes call on each other, and the exchange with its
+// roster. It must be called before both run.
 func (e *ManifestExchange) Register() {
 	e.Log = logs.OrDiscard(e.Log)
 	e.behind, e.answered = wait.NewSignal(), wait.NewSignal()
--- a/internal/roster/outage_test.go
+++ b/internal/roster/outage_test.go
@@ -185,10 +185,13 @@
 		versions := rapid.SliceOfN(rapid.Uint64Range(1, 20), len(steps), len(steps)).Draw(rt, "versions")
 		synctest.Test(t, func(t *testing.T) {
 			c := qt.New(t)
-			s := start(t, func(s *fixture) { s.manifests.all = []*roster.Manifest{{Version: 1}} })
 			var network peertest.Network
-			exchange := &roster.ManifestExchange{Roster: &s.roster, Peers: peertest.Endpoint{Network: &network, Node: "a"}}
-			exchange.Register()
+			exchange := &roster.ManifestExchange{Peers: peertest.Endpoint{Network: &network, Node: "a"}}
+			s := start(t, func(s *fixture) {
+				s.manifests.all = []*roster.Manifest{{Version: 1}}
+				exchange.Roster = &s.roster
+				exchange.Register()
+			})
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
 			go func() { _ = exchange.Run(ctx) }()
