--- a/internal/hosted/endpoints.go
+++ b/internal/hosted/endpoints.go
@@ -100,7 +100,10 @@
 		e.servers = append(e.servers, server)
 		go func() { _ = server.Serve(e.listeners[i]) }()
 	}
-	e.requests = append([]*http.Server{e.servers[0]}, e.servers[4:]...)
+	e.requests = []*http.Server{e.servers[0]}
+	if e.addresses.Forward != "" {
+		e.requests = append(e.requests, e.servers[len(e.servers)-1])
+	}
 }
 
 // nearestAddresses returns the addresses of the nodes that a caller at a place may
--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -18,6 +18,7 @@
 	"github.com/guavatrack/guavatrack/internal/forward"
 	"github.com/guavatrack/guavatrack/internal/http1"
 	"github.com/guavatrack/guavatrack/internal/lease"
+	"github.com/guavatrack/guavatrack/internal/lookup"
 	"github.com/guavatrack/guavatrack/internal/member"
 	"github.com/guavatrack/guavatrack/internal/origin"
 	"github.com/guavatrack/guavatrack/internal/peer"
@@ -291,7 +292,8 @@
 	healthy := healthyNodes(members)
 	rand.Shuffle(len(healthy), func(i, j int) { healthy[i], healthy[j] = healthy[j], healthy[i] })
 	slices.SortStableFunc(healthy, func(a, b member.Info) int {
-		return cmp.Compare(n.distance(a.Place), n.distance(b.Place))
+		own := n.Settings.Node.Place
+		return cmp.Compare(lookup.Distance(own, a.Place), lookup.Distance(own, b.Place))
 	})
 	for i := range healthy {
 		info := &healthy[i]
@@ -302,18 +304,6 @@
 	return targets
 }
 
-// distance ranks a place by its distance from this node.
-func (n *Node) distance(place fleet.Place) int {
-	switch own := n.Settings.Node.Place; {
-	case place == own:
-		return 0
-	case place.Region == own.Region:
-		return 1
-	default:
-		return 2
-	}
-}
-
 func newOrigins(
 	n *Node, platformStore *platform.Store, store table.Store, rosterController *roster.Controller,
 	leaseController *lease.Controller, peers *peer.Peer, members *member.Controller, engines *platform.Engines,
--- a/internal/lookup/nearest.go
+++ b/internal/lookup/nearest.go
@@ -11,12 +11,28 @@
 // nodes. If a node has just failed, the caller can use another one.
 const minAddresses = 2
 
+// maxDistance is the distance of places in different regions.
+const maxDistance = 2
+
+// Distance ranks how far apart two places are: 0 in one failure domain, 1 in one region,
+// otherwise 2.
+func Distance(a, b fleet.Place) int {
+	switch {
+	case a == b:
+		return 0
+	case a.Region == b.Region:
+		return 1
+	default:
+		return maxDistance
+	}
+}
+
 // NearestAddresses returns the addresses of members for a caller at a place: those
 // in its failure domain and, while they are fewer than minAddresses, also those in
 // its region and then all others. Starting and leaving members are left out, and
 // each address is returned once.
 func NearestAddresses(place fleet.Place, members []member.Info, random *rand.Rand) []string {
-	tiers := [3][]string{}
+	tiers := [maxDistance + 1][]string{}
 	seen := make(map[string]bool, len(members))
 	for i := range members {
 		info := &members[i]
@@ -24,13 +40,7 @@
 			continue
 		}
 		seen[info.CallerAddress] = true
-		tier := 2
-		if info.Region == place.Region {
-			tier = 1
-		}
-		if info.Place == place {
-			tier = 0
-		}
+		tier := Distance(place, info.Place)
 		tiers[tier] = append(tiers[tier], info.CallerAddress)
 	}
 	var near []string
--- a/internal/roster/relayserve.go
+++ b/internal/roster/relayserve.go
@@ -37,13 +37,14 @@
 // awaitChange waits until the copy of an age has changed or is too old. It reports false if
 // the context ends before.
 func (r *Relay[T]) awaitChange(ctx context.Context, changed <-chan struct{}, age time.Duration) bool {
-	tooOld := newStoppedTimer()
-	defer tooOld.Stop()
+	var tooOld <-chan time.Time
 	if r.MaxAge > 0 && !r.isTooOld(age) {
-		tooOld.Reset(r.MaxAge - age)
+		timer := time.NewTimer(r.MaxAge - age)
+		defer timer.Stop()
+		tooOld = timer.C
 	}
 	select {
-	case <-tooOld.C:
+	case <-tooOld:
 		return true
 	case <-changed:
 		return true
@@ -51,10 +52,3 @@
 		return false
 	}
 }
-
-// newStoppedTimer returns a timer that does not run.
-func newStoppedTimer() *time.Timer {
-	timer := time.NewTimer(time.Hour)
-	timer.Stop()
-	return timer
-}
