Test of calm: the reports are counted once each engine has been read

Cause: the holder of the lease reads the report of each of the two engines once, after it has won the lease, about 1.2 s after the start. The test waited 1 s after the first stream by the wall clock and counted then: of the two reports one had come and the other came while the streams ran. Ruled out: a request that failed, since the test passes such rounds over, and a report in calm, since then the count would have passed 2.

Change: before it counts, the test waits until each engine has been read, and then for the second as before. The check is the same: in a round without a failed request no report more.

--- a/internal/hosted/otherrun_test.go
+++ b/internal/hosted/otherrun_test.go
@@ -105,13 +105,17 @@
 func TestEnginesAreNotAskedForTheirRunInCalm(t *testing.T) {
 	f := newFixture(t, versionSite(oldSoftware, oldSoftware), 1)
 	f.Check(f.softwareOfANewStream(0), qt.Equals, oldSoftware)
-	time.Sleep(settleTime)
 	reports := func() (sum int) {
 		for _, engine := range f.site.CurrentEngines() {
 			sum += engine.Reports()
 		}
 		return sum
 	}
+	// The holder of the lease reads what each engine holds, some time after the start.
+	f.waitFor(func() bool {
+		return !slices.ContainsFunc(f.site.CurrentEngines(), func(engine *standin.Engine) bool { return engine.Reports() == 0 })
+	})
+	time.Sleep(settleTime)
 	// A request that failed, as may happen on a busy machine, has the next one ask.
 	for range calmRounds {
 		before := reports()
