An adapter of a loaded model is expected at once

Cause: a node takes a load from disk (1.7 s there) for the time until an item is ready if it has no estimate of the scheduler for it, also for an adapter whose base model is loaded, and the adapter is there in milliseconds. The scheduler says so (0), but an estimate that has passed counts as none, and a refused call waits for nothing, so that the next one meets the same.

Change: the time is 0 for an adapter of a model that is loaded at an engine that may run the calls. TestAdapterOfALoadedModelIsExpectedAtOnce failed before.

--- a/internal/placement/reporter.go
+++ b/internal/placement/reporter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -150,13 +151,23 @@
 	return dispatch.Estimate{ReadyIn: r.defaultLoadTime(want)}, nil
 }
 
-// defaultLoadTime returns the time of a load from disk, which is the estimate
-// if the scheduler has sent none. The caller holds the lock.
+// defaultLoadTime returns the estimate if the scheduler has sent none: the time of a load
+// from disk, but none for an adapter of a model that is loaded where the calls may run,
+// since adapters load in milliseconds. The caller holds the lock.
 func (r *Reporter) defaultLoadTime(want dispatch.Demand) time.Duration {
-	if model := r.View().Model(want.Pool, want.Item.Model); model != nil {
-		return model.FromDisk
+	model := r.View().Model(want.Pool, want.Item.Model)
+	if model == nil || want.Item.Adapter != "" && r.isLoaded(want) {
+		return 0
 	}
-	return 0
+	return model.FromDisk
+}
+
+// isLoaded reports whether an engine that may run the calls has their model loaded, with or
+// without their adapter.
+func (r *Reporter) isLoaded(want dispatch.Demand) bool {
+	return slices.ContainsFunc(r.Directory.Replicas(fleet.Item{Model: want.Item.Model}, want.Pool), func(held dispatch.Replica) bool {
+		return !held.Draining && (want.Software == "" || held.Software == want.Software)
+	})
 }
 
 // triggerReport has a message sent without waiting for reportInterval.
