An adapter is not unloaded before the calls that it was loaded for

Cause: an adapter makes room for another one if it has been unused for 0.5 s, since nodes report what they use with a delay. A report of the engine also forgot when the scheduler had loaded it.

Change: an adapter counts as used when it became ready, and a report keeps that time.

--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -51,7 +51,8 @@
 }
 
 type heldAdapter struct {
-	// readyAt is when the adapter can be used.
+	// readyAt is since when the adapter can be used; zero if it was before the engine was
+	// first seen.
 	readyAt time.Time
 }
 
@@ -89,7 +90,8 @@
 
 // setHeld records the models and adapters that the engine holds. Adapters that
 // were ordered shortly before may be missing from a report; they are kept until
-// they should be ready and a report should show them.
+// they should be ready and a report should show them. Those that it shows are ready
+// since the time known before, at the latest now.
 func (e *engine) setHeld(from *roster.Engine, now time.Time) {
 	held := make(map[fleet.ModelID]*heldModel, len(from.LoadedModels))
 	for _, model := range from.LoadedModels {
@@ -99,7 +101,13 @@
 		}
 		if previous := e.held[model.Model]; previous != nil {
 			for id, adapter := range previous.adapters {
-				if entry.adapters[id] == nil && now.Before(adapter.readyAt.Add(reportLag)) {
+				shown := entry.adapters[id]
+				switch {
+				case shown != nil && adapter.readyAt.After(now):
+					shown.readyAt = now
+				case shown != nil:
+					shown.readyAt = adapter.readyAt
+				case now.Before(adapter.readyAt.Add(reportLag)):
 					entry.adapters[id] = adapter
 				}
 			}
@@ -171,6 +179,10 @@
 			if entry.LastUsed.After(held.LastUsed) {
 				held.LastUsed = entry.LastUsed
 			}
+			// The calls that it was loaded for are yet to be reported.
+			if state.readyAt.After(entry.LastUsed) {
+				entry.LastUsed = state.readyAt
+			}
 			if entry.Loading {
 				input.AdaptersLoading++
 			}
