Calls far beyond the replicas of a model bring one from the weight store in a small fleet too

Cause: a further replica comes from the weight store only if one engine in 64 may do that, so never in a fleet of fewer.

Change: one engine may in any fleet if the calls are one and a half times those that the replicas run or are about to run. The two cases of TestBusyModelOutgrowsItsCopies for that failed before; the others are as they were.

--- a/internal/residence/plan.go
+++ b/internal/residence/plan.go
@@ -47,6 +47,9 @@
 	// enginesPerStoreReplica is the number of engines for each of which one may load a
 	// further replica from the weight store, during which it swaps no models.
 	enginesPerStoreReplica = 64
+	// storeReplicaOverload is the ratio of the calls of a model to those that its replicas
+	// run from which one engine may do so in a fleet of any size.
+	storeReplicaOverload = 1.5
 )
 
 // planner is the working state of one call of [Plan].
--- a/internal/residence/replicas.go
+++ b/internal/residence/replicas.go
@@ -142,12 +142,17 @@
 
 // outgrowsCopies reports whether a further replica of a model may be loaded from the
 // weight store: its calls fill all replicas that it has or is about to get, and few
-// engines are kept from other loads by that. Calls that need a version have no such load.
+// engines are kept from other loads by that. One engine may always be if the calls are
+// storeReplicaOverload times those that the replicas run: the rest is refused until demand
+// falls. Calls that need a version have no such load.
 func (p *planner) outgrowsCopies(demand *Demand) bool {
 	model := demand.Item.Model
-	replicas := p.ready[model] + p.pending[model]
-	return demand.Software == "" && p.concurrency(model) >= float64(replicas*p.maxSlots) &&
-		p.storeReplicas < len(p.Engines)/enginesPerStoreReplica
+	calls, run := p.concurrency(model), float64((p.ready[model]+p.pending[model])*p.maxSlots)
+	most := len(p.Engines) / enginesPerStoreReplica
+	if calls >= storeReplicaOverload*run {
+		most = max(1, most)
+	}
+	return demand.Software == "" && calls >= run && p.storeReplicas < most
 }
 
 // canLoad reports whether an engine may get an order to load a model for its calls.
--- a/internal/residence/store_test.go
+++ b/internal/residence/store_test.go
@@ -13,19 +13,24 @@
 // TestBusyModelOutgrowsItsCopies answers the pattern of demand that moves to a model of
 // which few VMs have copies. In a large fleet a further replica comes from the weight
 // store; in a small one an engine that swaps no models during the load costs more than
-// the replica is worth.
+// the replica is worth, unless the calls are one and a half times those that the replicas run.
 func TestBusyModelOutgrowsItsCopies(t *testing.T) {
 	for _, test := range []struct {
 		name          string
 		engines       int
 		running       int
+		rate          float64
 		storeLoads    int
 		wantFromStore int
 	}{
-		{"large fleet", 128, 80, 2, 1},
-		{"calls fit the replicas", 128, 50, 2, 0},
-		{"no load may start", 128, 80, 0, 0},
-		{"small fleet", 18, 80, 2, 0},
+		{"large fleet", 128, 80, 60, 2, 1},
+		{"calls fit the replicas", 128, 50, 60, 2, 0},
+		{"no load may start", 128, 80, 60, 0, 0},
+		{"small fleet", 18, 80, 60, 2, 0},
+		{"small fleet, just below one and a half times the slots", 18, 64, 95, 2, 0},
+		{"small fleet, one and a half times the slots", 18, 64, 96, 2, 1},
+		{"small fleet, far more calls", 18, 64, 600, 2, 1},
+		{"small fleet, one and a half times the slots, no load may start", 18, 64, 96, 0, 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
@@ -43,7 +48,7 @@
 					Model: modelID(0), Running: test.running / 2, LastUsed: noon,
 				}
 			}
-			state.Demands = []residence.Demand{{Item: fleet.Item{Model: modelID(0)}, Rate: 60, ServiceTime: time.Second}}
+			state.Demands = []residence.Demand{{Item: fleet.Item{Model: modelID(0)}, Rate: test.rate, ServiceTime: time.Second}}
 			makesRoom := 0
 			for _, order := range residence.Plan(state) {
 				if order.MakesRoomFor == modelID(0) {
