A node whose reader has lost the store asks another reader before the store

Cause, traced in a logged play: of the readers of a region some are turned away by the store. They read from other readers and say so to theirs ("the reader has lost the store"), 1,319 times for the manifest and 477 times for the servers; each time the node that asked read the store itself, and two seconds later asked the same reader again. The age of copies, which the entry suspected, is not the cause: such a reader is lost whatever its copy's age.

Change: the node asks the other readers, for 0.15 s in all, and then the store, unless the store has turned it away as well. One of them that is slow is not passed over for that. TestFollowerOfALostReaderAsksAnotherOne failed before.

--- a/internal/roster/relay.go
+++ b/internal/roster/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -100,6 +99,9 @@
 	// maxReaderTimeouts bounds the readers that are asked in place of the source in one
 	// read and don't answer in time.
 	maxReaderTimeouts = 2
+	// otherReadersTime bounds the time for which other readers are asked in place of the
+	// source by a node whose reader has lost it. It is short since the source may have changes.
+	otherReadersTime = 150 * time.Millisecond
 )
 
 // readPath is where a feed is read from: a node, or one of the values below.
@@ -213,15 +215,9 @@
 		return nil, 0, errSourceUnreachable
 	}
 	if reader != "" {
-		r.logPath(readPath(reader))
-		entries, revision, err = r.requestChanges(ctx, reader, changesRequest{List: true, WaitMs: relayListPoll.Milliseconds()})
-		if err == nil {
-			r.update(entries, revision, completeList)
-			return entries, revision, nil
-		}
-		r.avoid(reader, err)
-		if errors.Is(err, errNotReading) && r.mayAwaitList(time.Now()) {
-			return nil, 0, err
+		entries, revision, err = r.listAtReaders(ctx, reader)
+		if err == nil || errors.Is(err, errNotReading) && r.mayAwaitList(time.Now()) {
+			return entries, revision, err
 		}
 	}
 	if !r.mayReadSource(fallback) {
@@ -250,17 +246,10 @@
 		return nil, 0, errSourceUnreachable
 	}
 	if reader != "" {
-		r.logPath(readPath(reader))
-		request := changesRequest{After: after, WaitMs: min(wait, maxRelayWait).Milliseconds()}
-		changes, revision, err = r.requestChanges(ctx, reader, request)
-		switch {
-		case err == nil:
-			r.update(changes, revision, 0)
-			return changes, revision, nil
-		case errors.Is(err, ErrCompacted):
-			return nil, 0, err
+		changes, revision, err = r.followReaders(ctx, reader, after, wait)
+		if err == nil || errors.Is(err, ErrCompacted) {
+			return changes, revision, err
 		}
-		r.avoid(reader, err)
 		wait = 0 // Changes may have arrived during the wait for the reader.
 	}
 	if !r.mayReadSource(fallback) {
@@ -343,25 +332,6 @@
 	return relayTimeout
 }
 
-// requestChanges requests changes from a reader.
-func (r *Relay[T]) requestChanges(ctx context.Context, reader fleet.NodeID, request changesRequest) (entries []T, revision Revision, err error) {
-	asked := currentInstant()
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(request.WaitMs)*time.Millisecond+r.responseTime())
-	defer cancel()
-	var response changesResponse
-	if err := r.Peers.Call(ctx, reader, r.method(), request, &response); err != nil {
-		return nil, 0, err
-	}
-	if err := response.err(); err != nil {
-		return nil, 0, err
-	}
-	if entries, err = packed.Decode[T](response.Packed); err != nil {
-		return nil, 0, errors.Wrapf(err, "decode response of reader %s", reader)
-	}
-	r.setAsOf(asked.add(time.Duration(response.HeldMs-response.AgeMs) * time.Millisecond))
-	return entries, response.At, nil
-}
-
 // setAsOf records when the source was as the node has read it, at the latest read.
 func (r *Relay[T]) setAsOf(asOf instant) {
 	r.mu.Lock()
@@ -376,25 +346,6 @@
 	return r.asOf
 }
 
-// avoid excludes a reader that failed for a while. One that does not read the
-// source yet is not excluded, since the request makes it start.
-func (r *Relay[T]) avoid(reader fleet.NodeID, err error) {
-	duration := avoidDuration
-	switch {
-	case errors.Is(err, errNotReading):
-		r.Log.Info("reader not reading yet", slog.String("feed", r.Name), slog.String("node", string(reader)))
-		return
-	case errors.Is(err, errSourceUnreachable):
-		duration = lostDuration
-	}
-	now := time.Now()
-	r.mu.Lock()
-	maps.DeleteFunc(r.avoidUntil, func(_ fleet.NodeID, until time.Time) bool { return !now.Before(until) })
-	r.avoidUntil[reader] = now.Add(duration)
-	r.mu.Unlock()
-	r.Log.Warn("reader unavailable", slog.String("feed", r.Name), slog.String("node", string(reader)), slog.Any("error", err))
-}
-
 // recordRead updates the copy after a read of the source.
 func (r *Relay[T]) recordRead(entries []T, revision Revision, flags readFlags, err error) {
 	switch {
--- a/internal/roster/relaysource.go
+++ b/internal/roster/relaysource.go
@@ -37,36 +37,6 @@
 	return err != nil && !errors.Is(err, ErrCompacted) && !errors.Is(err, ErrResponseLost)
 }
 
-// readInPlaceOfSource asks the readers, one after the other, after the source could not be
-// read: the store may turn this node away and not others. It returns the error of the
-// source if none of them can read it either.
-func (r *Relay[T]) readInPlaceOfSource(
-	ctx context.Context, request changesRequest, sourceErr error,
-) (entries []T, revision Revision, err error) {
-	r.mu.Lock()
-	readers := r.usableReaders(time.Now(), readersOf(r.Ranked()))
-	r.mu.Unlock()
-	for timeouts := 0; len(readers) > 0 && timeouts < maxReaderTimeouts && ctx.Err() == nil; readers = readers[1:] {
-		entries, revision, err = r.requestChanges(ctx, readers[0], request)
-		switch {
-		case err == nil:
-			r.logPath(readPath(readers[0]))
-			flags := readFlags(0)
-			if request.List {
-				flags = completeList
-			}
-			r.update(entries, revision, flags)
-			return entries, revision, nil
-		case errors.Is(err, ErrCompacted):
-			return nil, 0, err
-		case !errors.Is(err, errSourceUnreachable) && !errors.Is(err, errNotReading):
-			timeouts++
-		}
-		r.avoid(readers[0], err)
-	}
-	return nil, 0, sourceErr
-}
-
 // pausesSource reports whether the source has failed too recently to be tried again while
 // other readers may be asked. The caller holds the lock.
 func (r *Relay[T]) pausesSource(now time.Time) bool {
