A huge number of a brittle server means the same on both kinds of machine

Seen by reading the change: Server-Brittle may give any finite number, which was converted to an integer as it was. Beyond all integers that gives the largest on arm64, and the smallest on x86-64, where each node then had one unanswered call at each server of the pool.

Change: the number is bounded before the conversion, as for limits of servers.

Measured: TestHugeNumberOfABrittleServerBindsNothing passes, and fails on this machine (6 s in place of 1 s for six calls) with the conversion of x86-64 written out; it was not run on x86-64.

--- a/internal/dispatch/brittle.go
+++ b/internal/dispatch/brittle.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"math"
 	"sync"
 	"time"
 
@@ -93,7 +94,7 @@
 	if !brittle {
 		return 0
 	}
-	return max(1, int(perSecond))
+	return max(1, int(min(perSecond, math.MaxInt32)))
 }
 
 // nodeCount returns the number of nodes that send calls to the servers.
--- a/internal/dispatch/brittle_test.go
+++ b/internal/dispatch/brittle_test.go
@@ -126,3 +126,33 @@
 		c.Check(answered > 1500, qt.IsTrue, qt.Commentf("%d answered", answered))
 	})
 }
+
+// TestHugeNumberOfABrittleServerBindsNothing guards against a bound that depends on the kind of
+// machine: a number of calls beyond all integers became the smallest one on x86-64, and each
+// server was sent one call at a time.
+func TestHugeNumberOfABrittleServerBindsNothing(t *testing.T) {
+	for _, perSecond := range []float64{1e10, 1e19, 1e300} {
+		runInBubble(t, func(c *qt.C) {
+			s := &brittleServers{
+				fakeServers: newFakeServers(1), room: 6, perSecond: perSecond, began: time.Now(), random: rand.New(rand.NewPCG(1, 2)),
+				running: make(map[fleet.ServerID]int), turnedAway: make(map[string]int),
+			}
+			s.serviceTime = time.Second
+			s.replicas[0].Slots = 6
+			d := s.dispatcher()
+			do := func(id fleet.RequestID) error {
+				return d.Do(s.call(string(id), func(call *dispatch.Call) {
+					call.Message, call.Deadline = brittleMessage{servers: s}, time.Now().Add(10*time.Second)
+				}))
+			}
+			c.Assert(do("first"), qt.IsNil)
+			began := time.Now()
+			var group sync.WaitGroup
+			for i := range 6 {
+				group.Go(func() { c.Check(do(fleet.RequestID(fmt.Sprint("c", i))), qt.IsNil) })
+			}
+			group.Wait()
+			c.Check(time.Since(began) < 2*s.serviceTime, qt.IsTrue, qt.Commentf("%v for %v", time.Since(began), perSecond))
+		})
+	}
+}
