The number of nodes is counted for brittle pools only

Cause: each search for a slot counted the members, under their lock, before it was known whether the pool is brittle, which few are.

Change: what a server may turn away for this node is computed in one place, and only for a brittle pool. No behaviour changes.

--- a/internal/dispatch/brittle.go
+++ b/internal/dispatch/brittle.go
@@ -62,21 +62,31 @@
 	return !now.Before(before.until)
 }
 
-// rate returns how many calls a second a server of a pool may turn away for this node.
-func (b *brittlePools) rate(pool fleet.PoolID, nodes int, now time.Time) (perSecond float64, brittle bool) {
+// rate returns how many calls a second a server of a pool may turn away.
+func (b *brittlePools) rate(pool fleet.PoolID, now time.Time) (perSecond float64, brittle bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	found := b.pools[pool]
-	if !now.Before(found.until) {
+	return found.perSecond, now.Before(found.until)
+}
+
+// brittleRate returns how many calls a second a server of a pool may turn away for this node.
+func (d *Dispatcher) brittleRate(pool fleet.PoolID, now time.Time) (perSecond float64, brittle bool) {
+	perSecond, brittle = d.brittle.rate(pool, now)
+	if !brittle {
 		return 0, false
 	}
-	return max(minBrittleRate, brittleShare*found.perSecond/float64(max(1, nodes))), true
+	nodes := 1
+	if d.Nodes != nil {
+		nodes = max(1, d.Nodes())
+	}
+	return max(minBrittleRate, brittleShare*perSecond/float64(nodes)), true
 }
 
 // restBrittle has a brittle server get no calls of this node for a while after it turned one
 // away, so that all nodes together have it turn away few in a second.
 func (d *Dispatcher) restBrittle(taken *slot, now time.Time) {
-	perSecond, brittle := d.brittle.rate(taken.call.Pool, d.nodeCount(), now)
+	perSecond, brittle := d.brittleRate(taken.call.Pool, now)
 	if !brittle {
 		return
 	}
@@ -90,21 +100,13 @@
 // maxUnanswered returns how many calls that have not been answered a server of a pool may
 // have from this node: any of them may be turned away. It is 0 if there is no bound.
 func (d *Dispatcher) maxUnanswered(pool fleet.PoolID, now time.Time) int {
-	perSecond, brittle := d.brittle.rate(pool, d.nodeCount(), now)
+	perSecond, brittle := d.brittleRate(pool, now)
 	if !brittle {
 		return 0
 	}
 	return max(1, int(min(perSecond, math.MaxInt32)))
 }
 
-// nodeCount returns the number of nodes that send calls to the servers.
-func (d *Dispatcher) nodeCount() int {
-	if d.Nodes == nil {
-		return 1
-	}
-	return d.Nodes()
-}
-
 // unanswered returns the number of the node's calls on the server whose answer has not begun.
 func (s *serverState) unanswered() (count int) {
 	s.mu.Lock()
