--- a/internal/placement/reporter.go
+++ b/internal/placement/reporter.go
@@ -165,8 +165,9 @@
 // isLoaded reports whether an engine that may run the calls has their model loaded, with or
 // without their adapter.
 func (r *Reporter) isLoaded(want dispatch.Demand) bool {
+	key := wantOf(&want)
 	return slices.ContainsFunc(r.Directory.Replicas(fleet.Item{Model: want.Item.Model}, want.Pool), func(held dispatch.Replica) bool {
-		return !held.Draining && (want.Software == "" || held.Software == want.Software)
+		return !held.Draining && key.mayRun(held.Software)
 	})
 }
 
--- a/internal/placement/want.go
+++ b/internal/placement/want.go
@@ -30,8 +30,11 @@
 }
 
 // mayRun reports whether servers of a version may run the calls that wait.
-func (w *WaitingCalls) mayRun(software fleet.SoftwareVersion) bool {
-	return w.Software == "" || w.Software == software
+func (w *WaitingCalls) mayRun(software fleet.SoftwareVersion) bool { return w.want().mayRun(software) }
+
+// mayRun reports whether servers of a version may run the calls.
+func (k wantKey) mayRun(software fleet.SoftwareVersion) bool {
+	return k.software == "" || k.software == software
 }
 
 // wantRecord is what calls wait for and when that was recorded.
