--- a/review/_script2/main.go
+++ b/review/_script2/main.go
@@ -20,7 +20,9 @@
 )
 
 var cases = map[string]func(*run) error{
-	"silence": silentStoreChannels,
+	"silence":  silentStoreChannels,
+	"longrest": longRest,
+	"rest":     restingEngine,
 }
 
 func main() {
