--- a/review/_script2/client.go
+++ b/review/_script2/client.go
@@ -42,6 +42,8 @@
 	model   string
 	limit   time.Duration
 	headers map[string]string
+	// same is the end of the path, and the body, of a request that comes again; empty for one of its own.
+	same string
 }
 
 // ask sends a request to a node and waits for the answer.
@@ -49,7 +51,11 @@
 	id = fmt.Sprintf("%016x", 0x5eed000000000000+q.next.Add(1))
 	ctx, cancel := context.WithTimeout(context.Background(), wanted.limit)
 	defer cancel()
-	out, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.front()+wanted.path+id, strings.NewReader("body of "+id))
+	end, body := id, "body of "+id
+	if wanted.same != "" {
+		end, body = wanted.same, wanted.same
+	}
+	out, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.front()+wanted.path+end, strings.NewReader(body))
 	if err != nil {
 		return id, sentRequest{err: err}
 	}
--- a/review/_script2/main.go
+++ b/review/_script2/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(*run) error{
 	"silence":  silentStoreChannels,
 	"longrest": longRest,
+	"poison":   poison,
 	"rest":     restingEngine,
 }
 
