--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # Plays the case on loopback addresses. Exit status: 0 the rule held, 1 it was broken, 2 the case could not run.
-# With TROUBLE=0 the disruption is left out.
+# With TROUBLE=0 the disruption is left out. With LIMIT=0 the store takes calls of any size.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/guavatrack ] && [ -x target/review-2/script2 ] || exit 2
-exec target/review-2/script2 silence review/6/record.txt
+exec target/review-2/script2 drill review/6/record.txt
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 # With TROUBLE=0 the disruption is left out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/guavatrack ] && [ -x target/review-2/script2 ] || exit 2
-exec target/review-2/script2 poison review/7/record.txt
+exec target/review-2/script2 silence review/7/record.txt
--- a/review/_script2/main.go
+++ b/review/_script2/main.go
@@ -23,6 +23,7 @@
 	"silence":  silentStoreChannels,
 	"longrest": longRest,
 	"poison":   poison,
+	"drill":    drill,
 	"rest":     restingEngine,
 }
 
--- a/review/_script2/platform.go
+++ b/review/_script2/platform.go
@@ -1,11 +1,14 @@
 package main
 
 import (
+	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -67,16 +70,22 @@
 	onDisk            []string
 	// hook answers a request in the place of the backend and reports whether it did; nil means never.
 	hook func(w http.ResponseWriter, r *http.Request) bool
-	// work is how long a request runs; events is the number of events of a stream.
+	// work is how long a request runs, and the time between two events of a stream; events is the number
+	// of events of a stream.
 	work   time.Duration
 	events int
+	// software is the version of the server's software, which its streams name; empty means v1.
+	software string
 
 	mu       sync.Mutex
 	sequence int
 	busy     bool
 	arrivals []arrival
 	runs     map[string]int
-	server   *http.Server
+	// running holds the ids of the streams that run, kept the parts of prompts that were read.
+	running map[string]bool
+	kept    map[string]string
+	server  *http.Server
 }
 
 // arrival is a request that reached a backend.
@@ -104,13 +113,16 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	entry := map[string]any{
-		"service": b.pool, "address": b.address, "zone": zone, "version": "v1", "slots": b.slots, "state": "ready",
+		"service": b.pool, "address": b.address, "zone": zone, "version": b.version(), "slots": b.slots, "state": "ready",
 		"coldLeftMs": 0, "sequence": 1, "born": b.born,
 	}
 	b.addModels(entry)
 	return entry
 }
 
+// version returns the version of the server's software.
+func (b *backend) version() string { return cmp.Or(b.software, "v1") }
+
 // addModels adds what an engine holds. The caller holds the lock.
 func (b *backend) addModels(to map[string]any) {
 	if b.pool != modelsPool {
@@ -161,6 +173,8 @@
 		b.report(w)
 	case "/order":
 		b.order(w, r)
+	case "/kv-list":
+		b.listKept(w)
 	case "/health":
 		w.Header().Set("Guavatrack-Instance-Id", b.id)
 	default:
@@ -179,11 +193,48 @@
 	report := map[string]any{
 		"busy": b.busy, "sequence": b.sequence, "queued": 0, "running": 0, "kvUsed": 0, "kvTotal": 127016, "handles": 0, "born": b.born,
 	}
+	runs := make([][]any, 0, len(b.running))
+	for id := range b.running {
+		runs = append(runs, []any{id, 826, 1, 1})
+	}
+	report["runs"], report["running"] = runs, len(runs)
 	b.addModels(report)
 	b.mu.Unlock()
 	writeJSON(w, http.StatusOK, report)
 }
 
+// listKept answers with the parts of prompts that the engine keeps.
+func (b *backend) listKept(w http.ResponseWriter) {
+	b.mu.Lock()
+	held := make([][]any, 0, len(b.kept))
+	for part, model := range b.kept {
+		held = append(held, []any{"", part, 628, model})
+	}
+	b.mu.Unlock()
+	writeJSON(w, http.StatusOK, map[string]any{"epoch": 1, "next": 1, "held": held})
+}
+
+// keep records that a stream runs and that its prompt has been read. The returned function ends the run.
+func (b *backend) keep(r *http.Request) (end func()) {
+	id := r.Header.Get("Guavatrack-Attempt-Id")
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.running == nil {
+		b.running, b.kept = make(map[string]bool), make(map[string]string)
+	}
+	b.running[id] = true
+	for pair := range strings.SplitSeq(r.Header.Get("Guavatrack-Prompt-Prefix"), ",") {
+		if part, _, found := strings.Cut(pair, ":"); found {
+			b.kept[part] = r.Header.Get("Guavatrack-Model")
+		}
+	}
+	return func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		delete(b.running, id)
+	}
+}
+
 // order carries out an order to load or unload a model.
 func (b *backend) order(w http.ResponseWriter, r *http.Request) {
 	var order struct {
@@ -261,6 +312,7 @@
 }
 
 func (b *backend) stream(w http.ResponseWriter, r *http.Request) {
+	defer b.keep(r)()
 	w.Header().Set("Content-Type", "text/event-stream")
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	controller := http.NewResponseController(w)
@@ -270,7 +322,7 @@
 			return
 		case <-time.After(b.work):
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", event, event)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d of %s\n\n", event, event, b.version())
 		_ = controller.Flush()
 	}
 }
@@ -285,3 +337,69 @@
 	go func() { _ = http.Serve(listener, store) }()
 	return store, listener.Addr().String(), nil
 }
+
+// maxEntries and maxCallBytes bound a call that writes to the store.
+const (
+	maxEntries   = 100
+	maxCallBytes = 1 << 20
+)
+
+// limitedStore is a store that refuses calls beyond the bounds of the page on the protocol: "A call holds at
+// most 100 entries and at most 1 MB. The entries are `expectedRev` [...], `put` and `remove`."
+type limitedStore struct {
+	*standin.Store
+	run *run
+	// unlimited has the store take calls of any size.
+	unlimited bool
+
+	mu      sync.Mutex
+	refused int
+	largest int
+}
+
+// ServeHTTP implements http.Handler.
+func (s *limitedStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/rows-tx" {
+		s.Store.ServeHTTP(w, r)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	var call struct {
+		Conditions []json.RawMessage `json:"expectedRev"`
+		Put        []json.RawMessage `json:"put"`
+		Remove     []json.RawMessage `json:"remove"`
+	}
+	if json.Unmarshal(body, &call) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	entries := len(call.Conditions) + len(call.Put) + len(call.Remove)
+	if !s.unlimited && (entries > maxEntries || len(body) > maxCallBytes) {
+		s.mu.Lock()
+		s.refused++
+		s.largest = max(s.largest, entries)
+		first := s.refused == 1
+		s.mu.Unlock()
+		if first {
+			s.run.note("the store refuses a call of %d entries", entries)
+		}
+		http.Error(w, "a call holds at most 100 entries", http.StatusBadRequest)
+		return
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	s.Store.ServeHTTP(w, r)
+}
+
+// startLimitedStore serves a store with bounds on a free port of an address.
+func startLimitedStore(c *run, ip string) (store *limitedStore, address string, err error) {
+	store = &limitedStore{Store: standin.NewStore(), run: c, unlimited: os.Getenv("LIMIT") == "0"}
+	listener, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		return nil, "", err
+	}
+	go func() { _ = http.Serve(listener, store) }()
+	return store, listener.Addr().String(), nil
+}
