Review: runs of the scripts beside each other have addresses of their own

Copies of one script that started at one moment chose the same loopback addresses (both checked them before either used them). Twenty runs, four of each script, ten at a time: cases 6 and 7 could not run (exit 2) 5 times of 8, and a run of case 8 held, with nodes at shared addresses. Now each process has a block of its own.

--- a/review/_script2/node.go
+++ b/review/_script2/node.go
@@ -156,10 +156,12 @@
 	return fmt.Errorf("%s is not ready within %s", n.name, within)
 }
 
-// freeIPs returns loopback addresses on which the ports of a node are free.
+// freeIPs returns loopback addresses on which the ports of a node are free. Each process has a block of its own, so
+// that runs beside each other don't choose the same ones.
 func freeIPs(count int) (ips []string) {
+	block := os.Getpid() % (100 * 250)
 	for last := 11; last < 250 && len(ips) < count; last++ {
-		ip := "127.0.57." + strconv.Itoa(last)
+		ip := fmt.Sprintf("127.%d.%d.%d", 100+block/250, 1+block%250, last)
 		free := true
 		for _, port := range []string{"8149", "8141", "8143", "7380", "7381", "9464"} {
 			listener, err := net.Listen("tcp", ip+":"+port)
