Transactions stay within the bounds of the store that they are for

Cause: table.MaxWrites was one constant for every store, in writes, while the platform's store counts entries, and a write is a condition and a row. Refused calls counted as an outage, so no rest was given out.

What is beyond a bound is rejected before it is sent, with an error that names the bound (ErrRejected), which all callers take as nothing written. A ticket that is too large is answered 413, not 503 for good. Walked without a change: lease, member, marker, base, poison, budget and patterns (1 or 2 writes of bounded size), batch (2 writes).

Evidence: with the old batch sizes TestRecordsAreWrittenAgainInTransactionsThatFit, TestExpiredRecordsAreRemovedInTransactionsThatFit, TestRecordsOfAnotherNodeAreWrittenInTransactionsThatFit and TestTransactionBeyondABoundIsNotSent fail.

--- a/internal/batch/controller.go
+++ b/internal/batch/controller.go
@@ -117,7 +117,7 @@
 		c.submitted.Inc(1)
 		return job, nil
 	}
-	if errors.Is(err, table.ErrUnavailable) {
+	if table.NotWritten(err) {
 		return job, errors.Wrapf(err, "job %s", job.ID)
 	}
 	stored, _, fetchErr := c.Fetch(ctx, job.ID)
@@ -369,6 +369,9 @@
 		if errors.Is(err, table.ErrConflict) {
 			return
 		}
+		if errors.Is(err, table.ErrRejected) {
+			break // It would be rejected again.
+		}
 		time.Sleep(recordRetryPause)
 	}
 	c.Log.Warn("failed to record answer of job", slog.String("job", string(job.ID)), slog.Any("error", err))
--- a/internal/bench/slopesfleet.go
+++ b/internal/bench/slopesfleet.go
@@ -70,6 +70,8 @@
 	return s.fleet.table.Transact(ctx, token, writes)
 }
 
+func (s countedStore) Fit(writes []table.Write) int { return s.fleet.table.Fit(writes) }
+
 func newControlFleet(regions int, seed uint64) *controlFleet {
 	return &controlFleet{
 		table: standin.NewTable(), regions: regions, random: rand.New(rand.NewPCG(seed, 0)),
--- a/internal/claim/controller.go
+++ b/internal/claim/controller.go
@@ -143,7 +143,7 @@
 		return Event{Kind: Wrote}
 	case errors.Is(err, table.ErrConflict):
 		return Event{Kind: Conflicted}
-	case errors.Is(err, table.ErrUnavailable):
+	case table.NotWritten(err):
 		return Event{Kind: WriteRefused}
 	default:
 		return Event{Kind: WriteUnknown}
--- a/internal/claim/writer.go
+++ b/internal/claim/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -75,8 +76,14 @@
 		keys[pending.write.Key] = struct{}{}
 		group = append(group, pending)
 	}
-	g.queue = rest
-	return group
+	writes := make([]table.Write, len(group))
+	for i, pending := range group {
+		writes[i] = pending.write
+	}
+	// A write that doesn't fit alone is sent, so that its caller gets the error.
+	fit := max(g.store.Fit(writes), 1)
+	g.queue = slices.Concat(group[fit:], rest)
+	return group[:fit]
 }
 
 // commitAndRelease commits a group and then starts the transactions that had to
@@ -118,7 +125,7 @@
 	if !errors.Is(err, table.ErrOutcomeUnknown) {
 		return err
 	}
-	if retryErr := g.store.Transact(ctx, token, writes); !errors.Is(retryErr, table.ErrUnavailable) {
+	if retryErr := g.store.Transact(ctx, token, writes); !table.NotWritten(retryErr) {
 		return retryErr
 	}
 	return table.ErrOutcomeUnknown
--- a/internal/config/fleet_test.go
+++ b/internal/config/fleet_test.go
@@ -84,6 +84,8 @@
 	return target.Transact(ctx, token, writes)
 }
 
+func (s *nodeStore) Fit(writes []table.Write) int { return s.shared.Fit(writes) }
+
 func newTestFleet() *testFleet {
 	n := &testFleet{network: standin.NewNetwork(), table: standin.NewTable()}
 	n.network.Delay(func(string, string) time.Duration { return 2 * time.Millisecond })
--- a/internal/dynamo/dynamo.go
+++ b/internal/dynamo/dynamo.go
@@ -132,12 +132,35 @@
 	return input
 }
 
+// Bounds of one transaction of the service.
+const (
+	maxTransactItems = 100
+	maxTransactBytes = 4 << 20
+	// maxItemOverhead is more than an item takes beside its key and body, in bytes.
+	maxItemOverhead = 200
+)
+
+// Fit implements [table.Store].
+func (s *Store) Fit(writes []table.Write) int {
+	size := 0
+	for i, write := range writes[:min(len(writes), maxTransactItems)] {
+		size += maxItemOverhead + len(write.Key.Partition) + len(write.Key.Sort) + len(write.Body)
+		if size > maxTransactBytes {
+			return i
+		}
+	}
+	return min(len(writes), maxTransactItems)
+}
+
 // Transact implements [table.Store].
 func (s *Store) Transact(ctx context.Context, token table.Token, writes []table.Write) (err error) {
 	if len(writes) == 0 {
 		return nil
 	}
 	defer annotate(&err, "transact", writes[0].Key)
+	if fit := s.Fit(writes); fit < len(writes) {
+		return errors.Wrapf(table.ErrRejected, "transaction of %d writes, of which %d fit", len(writes), fit)
+	}
 	items := make([]types.TransactWriteItem, 0, len(writes))
 	for _, write := range writes {
 		items = append(items, s.writeItem(write))
--- a/internal/grant/commit.go
+++ b/internal/grant/commit.go
@@ -14,10 +14,8 @@
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
-// maxReleaseBatch is the maximum number of grants that one transaction releases.
-// Each needs a write of its item's record in addition to that of the server's
-// record.
-const maxReleaseBatch = table.MaxWrites / 2
+// maxReleaseBatch is the maximum number of grants that are released at once.
+const maxReleaseBatch = 50
 
 // outcome is the result of a transaction.
 type outcome int
@@ -53,7 +51,7 @@
 			return applied, nil
 		case errors.Is(err, table.ErrConflict) && !lost:
 			return conflicted, err
-		case errors.Is(err, table.ErrUnavailable) && !lost:
+		case table.NotWritten(err) && !lost:
 			c.counters.tableErrors.Inc(1)
 			return conflicted, errors.Wrap(ErrTableDown, err.Error())
 		}
@@ -137,6 +135,14 @@
 	if err != nil {
 		return err
 	}
+	if fit := c.Store.Fit(writes); fit < len(writes) {
+		// The first write is that of the server's record, each other one that of an item.
+		ids = ids[:max(fit-1, 1)]
+		next = Remove(record, ids)
+		if writes, err = c.releaseWrites(ctx, record, next, version, ids, gone); err != nil {
+			return err
+		}
+	}
 	began := time.Now()
 	end, err := c.commit(ctx, newToken(), writes, func(table.Record) bool { return false })
 	if end != applied {
--- a/internal/member/registration.go
+++ b/internal/member/registration.go
@@ -149,7 +149,7 @@
 			c.registration.version++
 			return nil
 		}
-		if errors.Is(err, table.ErrUnavailable) {
+		if table.NotWritten(err) {
 			return err
 		}
 		switch held, err := c.Store.Get(ctx, key); {
--- a/internal/operator/respond.go
+++ b/internal/operator/respond.go
@@ -57,6 +57,8 @@
 		return http.StatusConflict
 	case errors.Is(err, table.ErrNotFound):
 		return http.StatusNotFound
+	case errors.Is(err, table.ErrRejected):
+		return http.StatusRequestEntityTooLarge
 	case errors.Is(err, table.ErrUnavailable), errors.Is(err, config.ErrTableOutdated):
 		return http.StatusServiceUnavailable
 	case errors.Is(err, table.ErrOutcomeUnknown):
--- a/internal/origin/backlog_test.go
+++ b/internal/origin/backlog_test.go
@@ -9,7 +9,6 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/guavatrack/guavatrack/internal/standin"
-	"github.com/guavatrack/guavatrack/internal/table"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
@@ -26,7 +25,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 1, old)
 		c.list(old, next)
-		for i := range 10 * table.MaxWrites {
+		for i := range 10 * maxCallStreams {
 			c.begin(c.nodes[0], fleet.RequestID(fmt.Sprint("r", i)), next)
 		}
 		c.table.SetFaults(standin.TableFaults{Delay: 10 * time.Millisecond})
--- a/internal/origin/keep.go
+++ b/internal/origin/keep.go
@@ -63,8 +63,8 @@
 }
 
 func (c *Controller) handleKeep(_ context.Context, request keepRequest) (response struct{}, err error) {
-	if len(request.Streams) > table.MaxWrites {
-		return struct{}{}, errors.Errorf("streams: must be at most %d, found %d", table.MaxWrites, len(request.Streams))
+	if len(request.Streams) > maxCallStreams {
+		return struct{}{}, errors.Errorf("streams: must be at most %d, found %d", maxCallStreams, len(request.Streams))
 	}
 	now := time.Now()
 	c.mu.Lock()
--- a/internal/origin/peer.go
+++ b/internal/origin/peer.go
@@ -26,6 +26,8 @@
 	// maxPeers is the number of nodes that are asked, one after the other.
 	maxPeers    = 3
 	peerTimeout = 600 * time.Millisecond
+	// maxCallStreams is the maximum number of streams in one call.
+	maxCallStreams = 100
 )
 
 // findRequest asks which version began a stream.
@@ -97,8 +99,8 @@
 }
 
 func (c *Controller) handleWrite(ctx context.Context, request writeRequest) (response writeResponse, err error) {
-	if len(request.Streams) > table.MaxWrites {
-		return writeResponse{}, errors.Errorf("streams: must be at most %d, found %d", table.MaxWrites, len(request.Streams))
+	if len(request.Streams) > maxCallStreams {
+		return writeResponse{}, errors.Errorf("streams: must be at most %d, found %d", maxCallStreams, len(request.Streams))
 	}
 	err = c.transact(ctx, request.Streams)
 	if errors.Is(err, table.ErrConflict) {
--- a/internal/origin/record.go
+++ b/internal/origin/record.go
@@ -225,7 +225,7 @@
 		return nil
 	}
 	c.tookAgain = c.takesAgain()
-	batch, rest := splitBatch(c.pending, c.tookAgain)
+	batch, rest := splitBatch(c.pending, c.tookAgain, c.Store.Fit)
 	c.pending = rest
 	return batch
 }
@@ -240,18 +240,30 @@
 }
 
 // splitBatch divides records into those of the next transaction and the others. A
-// transaction writes no record twice, and either records that are written again or others.
-func splitBatch(records []*pendingRecord, again bool) (batch, rest []*pendingRecord) {
+// transaction writes no record twice, and either records that are written again or others;
+// fit returns how many writes fit into it. A record that doesn't fit alone is one by itself.
+func splitBatch(records []*pendingRecord, again bool, fit func([]table.Write) int) (batch, rest []*pendingRecord) {
 	taken := make(map[table.Key]bool)
+	var writes []table.Write
 	for _, record := range records {
-		if len(batch) == table.MaxWrites || taken[record.key] || record.again != again {
+		if len(batch) == maxCallStreams || taken[record.key] || record.again != again {
 			rest = append(rest, record)
 			continue
 		}
 		taken[record.key] = true
-		batch = append(batch, record)
+		batch, writes = append(batch, record), append(writes, newWrite(record.key, record.software))
 	}
-	return batch, rest
+	size := min(max(fit(writes), 1), len(batch))
+	return batch[:size], slices.Concat(batch[size:], rest)
+}
+
+// newWrite returns the write of the record of a stream, which must not exist.
+func newWrite(key table.Key, software fleet.SoftwareVersion) table.Write {
+	body, err := json.Marshal(streamRecord{Software: software})
+	if err != nil {
+		panic(err) // A text has a JSON form.
+	}
+	return table.Write{Key: key, Expect: table.Absent, Body: body}
 }
 
 func (c *Controller) putBack(records []*pendingRecord) {
@@ -284,19 +296,24 @@
 	Software fleet.SoftwareVersion `json:"software"`
 }
 
-// transact writes records in one transaction, none of which may exist.
+// transact writes records, none of which may exist, in as few transactions as they fit
+// into: records of another node may be more than this node's store takes at once. If one
+// transaction fails, the next ones are not sent.
 func (c *Controller) transact(ctx context.Context, records []streamWrite) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	writes := make([]table.Write, len(records))
 	for i, record := range records {
-		body, err := json.Marshal(streamRecord{Software: record.Software})
-		if err != nil {
+		writes[i] = newWrite(table.Key{Partition: partition, Sort: record.Key}, record.Software)
+	}
+	for len(writes) > 0 {
+		size := max(c.Store.Fit(writes), 1)
+		if err := c.Store.Transact(ctx, "", writes[:size]); err != nil {
 			return err
 		}
-		writes[i] = table.Write{Key: table.Key{Partition: partition, Sort: record.Key}, Expect: table.Absent, Body: body}
+		writes = writes[size:]
 	}
-	return c.Store.Transact(ctx, "", writes)
+	return nil
 }
 
 // maxSettleReads bounds the reads at once of settle.
--- a/internal/origin/sweep.go
+++ b/internal/origin/sweep.go
@@ -43,7 +43,7 @@
 	defer cancel()
 	expired, err := c.expiredRecords(ctx, now)
 	for len(expired) > 0 && err == nil {
-		size := min(len(expired), table.MaxWrites)
+		size := max(c.Store.Fit(expired), 1)
 		if err = c.Store.Transact(ctx, "", expired[:size]); errors.Is(err, table.ErrConflict) {
 			err = nil // Another node has removed some; the rest is removed by the next sweep.
 		}
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -1,12 +1,15 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/guavatrack/guavatrack/internal/table"
 )
 
@@ -32,6 +35,10 @@
 // Table is a table service in memory. It implements [table.Store], so tests use
 // it without HTTP.
 type Table struct {
+	// MaxWrites is the maximum number of writes in a transaction; 0 means that of the
+	// [TableServer]. It is set before use.
+	MaxWrites int
+
 	mu      sync.Mutex
 	records map[table.Key]table.Record
 	// sorted holds the sort keys of each partition in ascending order.
@@ -52,6 +59,14 @@
 	}
 }
 
+// maxWrites is the maximum number of writes in a transaction of a table service.
+const maxWrites = 100
+
+// Fit implements [table.Store].
+func (t *Table) Fit(writes []table.Write) int {
+	return min(len(writes), cmp.Or(t.MaxWrites, maxWrites))
+}
+
 // SetFaults replaces the faults.
 func (t *Table) SetFaults(faults TableFaults) {
 	t.mu.Lock()
@@ -144,6 +159,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.counts.Transactions++
+	if fit := t.Fit(writes); fit < len(writes) {
+		return errors.Wrapf(table.ErrRejected, "transaction of %d writes, of which %d fit", len(writes), fit)
+	}
 	t.counts.Writes += len(writes)
 	if t.faults.LoseRequests > 0 {
 		t.faults.LoseRequests--
--- a/internal/standin/tableserver.go
+++ b/internal/standin/tableserver.go
@@ -244,8 +244,8 @@
 	if err := decodeTable(r, &request); err != nil {
 		return nil, err
 	}
-	if len(request.TransactItems) > table.MaxWrites {
-		return nil, invalid("%d writes, at most %d", len(request.TransactItems), table.MaxWrites)
+	if len(request.TransactItems) > maxWrites {
+		return nil, invalid("%d writes, at most %d", len(request.TransactItems), maxWrites)
 	}
 	writes := make([]table.Write, 0, len(request.TransactItems))
 	for _, item := range request.TransactItems {
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -8,7 +8,8 @@
 // [Store.Transact], which applies all writes of a transaction or none.
 //
 // A transaction has three possible outcomes. Without an error it took effect.
-// With [ErrConflict] or [ErrUnavailable] it did not take effect and never will.
+// With [ErrConflict], [ErrUnavailable] or [ErrRejected] it did not take effect and never
+// will.
 // With [ErrOutcomeUnknown] the answer was lost and the outcome is unknown: the
 // calling code must read the affected records, or send the same transaction
 // again under the same token, before it relies on either outcome.
@@ -29,6 +30,10 @@
 	// ErrUnavailable reports that the service throttled the call or was
 	// unreachable, and that nothing was written.
 	ErrUnavailable = errors.New("table unavailable")
+	// ErrRejected reports that the service refuses the call for what it asks, such as a
+	// transaction beyond a bound. Nothing was written, and the same call would be refused
+	// again.
+	ErrRejected = errors.New("call rejected by the table")
 	// ErrOutcomeUnknown reports that the answer was lost and the transaction may
 	// or may not have taken effect.
 	ErrOutcomeUnknown = errors.New("outcome of the write unknown")
@@ -89,9 +94,6 @@
 	CheckOnly bool
 }
 
-// MaxWrites is the maximum number of writes in one transaction.
-const MaxWrites = 100
-
 // Range selects records of one partition in ascending order of sort key.
 type Range struct {
 	Partition string
@@ -129,6 +131,15 @@
 	// is not a snapshot. It fails with ErrUnavailable.
 	Query(ctx context.Context, span Range) ([]Record, error)
 	// Transact applies all writes or none. It fails with ErrConflict,
-	// ErrUnavailable or ErrOutcomeUnknown.
+	// ErrUnavailable, ErrRejected or ErrOutcomeUnknown.
 	Transact(ctx context.Context, token Token, writes []Write) error
+	// Fit returns how many of the writes, from the first one on, fit into one
+	// transaction. It makes no call. More writes are rejected by Transact.
+	Fit(writes []Write) int
+}
+
+// NotWritten reports whether the error of a transaction says that nothing was written,
+// other than for a conflict.
+func NotWritten(err error) bool {
+	return errors.Is(err, ErrUnavailable) || errors.Is(err, ErrRejected)
 }
