A refusal of a call is told from an outage of the store

Cause: statusError made 400, 403, 404, 413, 429 and 507 an unavailable store. Origin records took that for an outage: the call was sent again every 100 ms for good, through other nodes too, all other records of the node waited behind it, streams were restricted to the base version, and the time after a restoration began anew with each answer, so that the lack of a record proved nothing.

A rejected transaction of records is divided (table.WriteAll); the record that is rejected by itself is set aside with a log line and its stream ended at once, also where another node writes it. A store that answers restarts no era. Since throttling no longer does, records are not complete while this node still has some to write again.

Evidence: on the old mapping TestStatusSaysWhetherTheStoreAnswers (400, 403, 404, 413, 429, 507), TestRejectedRecordHoldsUpNoOther, TestStreamWhoseRecordIsRejectedIsEndedAtOnce and TestThrottledStoreIsNotAway fail; without the last condition TestLackOfARecordProvesNothingWhileRecordsAreWrittenAgain fails.

--- a/internal/origin/era.go
+++ b/internal/origin/era.go
@@ -76,7 +76,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	since := now.Sub(c.eraSince)
-	rewritten := c.knows && c.unwritableSince.IsZero() && since >= rewriteTime && !c.lostMany(alive)
+	rewritten := c.knows && c.unwritableSince.IsZero() && since >= rewriteTime && !c.writesAgain() && !c.lostMany(alive)
 	if !rewritten && since < retention {
 		return false
 	}
@@ -85,6 +85,12 @@
 	return true
 }
 
+// writesAgain reports whether records of this node are still to be written again. The
+// caller holds the lock.
+func (c *Controller) writesAgain() bool {
+	return c.writing && c.tookAgain || slices.ContainsFunc(c.pending, func(record *pendingRecord) bool { return record.again })
+}
+
 // lostFraction is the part of the nodes whose loss, with that of keepers and one more nodes
 // at least, is likely to have taken all copies of some records.
 const lostFraction = 3
@@ -127,7 +133,7 @@
 	complete := c.recordsComplete()
 	c.mu.Lock()
 	era, unread := c.era, c.markerReadAt.IsZero()
-	again := slices.ContainsFunc(c.pending, func(record *pendingRecord) bool { return record.again })
+	again := c.writesAgain()
 	writes := complete && !again && c.markedEra != era && (c.Sweeps == nil || c.Sweeps())
 	c.mu.Unlock()
 	switch {
--- a/internal/origin/peer.go
+++ b/internal/origin/peer.go
@@ -53,7 +53,7 @@
 // writeResponse is the answer to a writeRequest.
 type writeResponse struct {
 	// Written is set if all records exist, but for Conflicts: the keys of the streams that
-	// another version began before.
+	// another version began before, and of those whose records the store rejects.
 	Written   bool     `json:"written"`
 	Conflicts []string `json:"conflicts,omitempty"`
 }
@@ -102,7 +102,7 @@
 	if len(request.Streams) > maxCallStreams {
 		return writeResponse{}, errors.Errorf("streams: must be at most %d, found %d", maxCallStreams, len(request.Streams))
 	}
-	err = c.transact(ctx, request.Streams)
+	response.Conflicts, err = c.transact(ctx, request.Streams)
 	if errors.Is(err, table.ErrConflict) {
 		response.Conflicts, err = c.writeMissing(ctx, request.Streams)
 	}
@@ -129,7 +129,8 @@
 	if len(missing) == 0 {
 		return conflicts, nil
 	}
-	return conflicts, c.transact(ctx, missing)
+	rejected, err := c.transact(ctx, missing)
+	return append(conflicts, rejected...), err
 }
 
 // peers returns the nodes to ask while the store is unreachable.
--- a/internal/origin/record.go
+++ b/internal/origin/record.go
@@ -199,7 +199,7 @@
 func confirm(batch []*pendingRecord, conflicts []string) (written []*pendingRecord) {
 	for _, record := range batch {
 		if slices.Contains(conflicts, record.key.Sort) {
-			record.done <- errors.New("the request began a stream of another version before")
+			record.done <- errors.New("the request began a stream of another version before, or the store rejects the record")
 			continue
 		}
 		record.done <- nil
@@ -272,17 +272,18 @@
 	c.pending = append(records, c.pending...)
 }
 
-// write writes records in one transaction, by another node if the store is unreachable. It
-// returns the keys of those that name another version than their record.
+// write writes records in one transaction, by another node if this one can't. It returns the
+// keys of those that name another version than their record and of those that the store
+// rejects.
 func (c *Controller) write(ctx context.Context, batch []*pendingRecord) (conflicts []string, err error) {
 	writes := make([]streamWrite, len(batch))
 	for i, record := range batch {
 		writes[i] = streamWrite{Key: record.key.Sort, Software: record.software}
 	}
-	err = c.transact(ctx, writes)
+	conflicts, err = c.transact(ctx, writes)
 	c.recordStoreCall(err)
 	if err == nil || errors.Is(err, table.ErrConflict) {
-		return nil, err
+		return conflicts, err
 	}
 	conflicts, err = c.writeByPeer(ctx, writes, err)
 	c.setStuck(err != nil)
@@ -297,23 +298,28 @@
 }
 
 // transact writes records, none of which may exist, in as few transactions as they fit
-// into: records of another node may be more than this node's store takes at once. If one
-// transaction fails, the next ones are not sent.
-func (c *Controller) transact(ctx context.Context, records []streamWrite) error {
+// into: records of another node may be more than this node's store takes at once. It returns
+// the keys of those that the store rejects.
+func (c *Controller) transact(ctx context.Context, records []streamWrite) (rejected []string, err error) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	writes := make([]table.Write, len(records))
 	for i, record := range records {
 		writes[i] = newWrite(table.Key{Partition: partition, Sort: record.Key}, record.Software)
 	}
-	for len(writes) > 0 {
-		size := max(c.Store.Fit(writes), 1)
-		if err := c.Store.Transact(ctx, "", writes[:size]); err != nil {
-			return err
-		}
-		writes = writes[size:]
+	refused, err := table.WriteAll(ctx, c.Store, writes)
+	c.logRejected(refused)
+	for _, write := range refused {
+		rejected = append(rejected, write.Key.Sort)
+	}
+	return rejected, err
+}
+
+// logRejected logs the writes that the store rejects, which are not repeated.
+func (c *Controller) logRejected(rejected []table.Write) {
+	for _, write := range rejected {
+		c.Log.Error("record of a stream rejected by the store", slog.String("key", write.Key.Sort), slog.Int("bytes", len(write.Body)))
 	}
-	return nil
 }
 
 // maxSettleReads bounds the reads at once of settle.
@@ -382,10 +388,11 @@
 	return body, version != table.Absent, err
 }
 
-// recordStoreCall records whether the store could be reached.
+// recordStoreCall records whether the store could be reached. One that rejects a call or has
+// too many of them is.
 func (c *Controller) recordStoreCall(err error) {
 	now := time.Now()
-	failed := err != nil && !errors.Is(err, table.ErrConflict)
+	failed := !table.Answered(err)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !failed {
@@ -403,7 +410,7 @@
 		}
 		c.unwritableSince = time.Time{}
 	}
-	c.stuck = c.stuck && failed
+	c.stuck = c.stuck && (failed || errors.Is(err, table.ErrThrottled))
 }
 
 // setStuck records whether records can be written, by this node or another one.
--- a/internal/origin/sweep.go
+++ b/internal/origin/sweep.go
@@ -44,9 +44,11 @@
 	expired, err := c.expiredRecords(ctx, now)
 	for len(expired) > 0 && err == nil {
 		size := max(c.Store.Fit(expired), 1)
-		if err = c.Store.Transact(ctx, "", expired[:size]); errors.Is(err, table.ErrConflict) {
+		var rejected []table.Write
+		if rejected, err = table.WriteAll(ctx, c.Store, expired[:size]); errors.Is(err, table.ErrConflict) {
 			err = nil // Another node has removed some; the rest is removed by the next sweep.
 		}
+		c.logRejected(rejected)
 		expired = expired[size:]
 	}
 	if err != nil {
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -30,6 +30,9 @@
 	// ErrUnavailable reports that the service throttled the call or was
 	// unreachable, and that nothing was written.
 	ErrUnavailable = errors.New("table unavailable")
+	// ErrThrottled is the [ErrUnavailable] of a service that answers, but turns the call
+	// away for now.
+	ErrThrottled = errors.Wrap(ErrUnavailable, "too many calls")
 	// ErrRejected reports that the service refuses the call for what it asks, such as a
 	// transaction beyond a bound. Nothing was written, and the same call would be refused
 	// again.
@@ -138,6 +141,16 @@
 	Fit(writes []Write) int
 }
 
+// Answered reports whether the error of a call shows that the service is reachable.
+func Answered(err error) bool {
+	for _, answer := range []error{ErrNotFound, ErrConflict, ErrThrottled, ErrRejected} {
+		if errors.Is(err, answer) {
+			return true
+		}
+	}
+	return err == nil
+}
+
 // NotWritten reports whether the error of a transaction says that nothing was written,
 // other than for a conflict.
 func NotWritten(err error) bool {
