A read that fails is told from an outage of the store

Cause: entries lapse while the store is away, so the nodes give servers whose entries are removed 2 s to register again after that. The watcher took each failed read for such an outage: a response that was lost while the store answered a probe, a compacted history, a reset connection, a pause of its own, a reader that did not read yet.

Change: the watcher keeps apart whether a read failed and whether the store was away (contact): it says so itself or accepts no connection, leaves a probe unanswered, or two reads in a row fail without a sign of it. Only then is time given for registration; else a removal is in force at once. The guard says whether a probe was left unanswered, so that a response that is given up at the end of an outage still counts as one. The log says which ('store away', 'wasAway').

Looked at for the same cause: Relay (path of reading only; its own pause has its own error now), manifestsFailing (decides whether manifests are fetched from nodes, nothing else), lease (pace of reads), claim and member (outcome of one call), origin.unwritableSince (one call that times out begins the time of an era anew, which is on the safe side; left).

Evidence: with the files before the change TestServerThatLeftBesideLostResponses fails; TestOnlyAnOutageCountsAsOne has the table, TestEntryThatLapsesInAnOutageIsAwaited the other side.

Not told from silent channels: an outage without any answer that begins and ends within one wait for changes, before the first probe (2.3 s). Three check-ins of a server can't fall into it.

--- a/internal/roster/controller.go
+++ b/internal/roster/controller.go
@@ -108,8 +108,8 @@
 	// excluded holds the runs of servers that are not used because their entries can't
 	// be read.
 	excluded map[fleet.ServerID]fleet.BootID
-	// recoveredAt is when the list of servers was last read again after a failure.
-	recoveredAt time.Time
+	// returnedAt is when the list of servers was last read again after the store was away.
+	returnedAt time.Time
 }
 
 // View returns the current view.
@@ -227,8 +227,8 @@
 // are not used until their entry is written again.
 func (c *Controller) applyServers(now time.Time, entries []ServerEntry, read readKind) {
 	c.updateView(func(next *View) {
-		if read.recovered || read.restored {
-			c.recoveredAt = now
+		if read.returned || read.restored {
+			c.returnedAt = now
 		}
 		next.ServersListed = true
 		servers := maps.Clone(next.Servers)
@@ -352,8 +352,8 @@
 	c.Log.Warn("server entry unreadable", slog.String("server", string(id)))
 }
 
-// removeServer removes a server. If the store has been unreachable until shortly
-// before, it only notes the time, since the server may register itself again.
+// removeServer removes a server. If the store was away until shortly before, it only notes
+// the time, since the server may register itself again.
 func (c *Controller) removeServer(now time.Time, servers map[fleet.ServerID]*Server, id fleet.ServerID) {
 	if boot := c.excluded[id]; boot != "" {
 		remember(c.gone, boot, now)
@@ -362,7 +362,7 @@
 	if servers[id] == nil {
 		return
 	}
-	if !c.recoveredAt.IsZero() && now.Sub(c.recoveredAt) < reregistrationTime {
+	if !c.returnedAt.IsZero() && now.Sub(c.returnedAt) < reregistrationTime {
 		if _, known := c.expiredAt[id]; !known {
 			c.expiredAt[id] = now
 			c.Log.Info("server entry expired, waiting for registration", slog.String("server", string(id)))
@@ -385,7 +385,7 @@
 		wait.For(ctx, interval)
 		now := time.Now()
 		c.mu.Lock()
-		idle := len(c.expiredAt) == 0 || now.Sub(c.recoveredAt) < reregistrationTime
+		idle := len(c.expiredAt) == 0 || now.Sub(c.returnedAt) < reregistrationTime
 		c.mu.Unlock()
 		if idle {
 			continue
--- a/internal/roster/feed.go
+++ b/internal/roster/feed.go
@@ -93,9 +93,9 @@
 )
 
 // readKind says how entries were read: complete that they are all entries of the feed,
-// recovered that the read before failed, restored that they are the first since the
+// returned that the store was away before, restored that they are the first since the
 // store was restored from an older copy.
-type readKind struct{ complete, recovered, restored bool }
+type readKind struct{ complete, returned, restored bool }
 
 // watcher reads a feed and passes on its entries and their changes.
 type watcher[T any] struct {
@@ -125,6 +125,8 @@
 	failures int
 	// failingSince is when reads began to fail; zero if the last one succeeded.
 	failingSince time.Time
+	// contact says whether the store was away meanwhile.
+	contact contact
 }
 
 func (w *watcher[T]) run(ctx context.Context) {
@@ -198,10 +200,10 @@
 	if err != nil {
 		return 0, err
 	}
-	recovered := w.markRecovered()
+	returned := w.markRecovered()
 	w.revision = max(w.revision, revision)
-	if len(changes) > 0 || recovered {
-		w.apply(time.Now(), changes, readKind{recovered: recovered})
+	if len(changes) > 0 || returned {
+		w.apply(time.Now(), changes, readKind{returned: returned})
 	}
 	return len(changes), nil
 }
@@ -225,13 +227,16 @@
 	w.log.Info("feed listed", slog.String("feed", w.name), slog.Int("entries", len(entries)),
 		slog.Duration("took", time.Since(began)))
 	w.revision, w.listed = revision, true
-	w.apply(time.Now(), entries, readKind{complete: true, recovered: w.markRecovered(), restored: restored})
+	w.apply(time.Now(), entries, readKind{complete: true, returned: w.markRecovered(), restored: restored})
 	return nil
 }
 
 func (w *watcher[T]) markFailed(err error) {
 	w.failures++
 	w.failing.Store(true)
+	if w.contact.recordFailure(err) {
+		w.log.Warn("store away", slog.String("feed", w.name), slog.Any("error", err))
+	}
 	if !w.failingSince.IsZero() {
 		return
 	}
@@ -239,18 +244,20 @@
 	w.log.Warn("store read failed", slog.String("feed", w.name), slog.Any("error", err))
 }
 
-// markRecovered records a successful read and reports whether the one before
-// failed.
-func (w *watcher[T]) markRecovered() bool {
+// markRecovered records a successful read and reports whether the store was away
+// before.
+func (w *watcher[T]) markRecovered() (returned bool) {
 	w.failures = 0
 	w.failing.Store(false)
 	if w.succeeded != nil {
 		w.succeeded()
 	}
+	returned = w.contact.recordSuccess()
 	if w.failingSince.IsZero() {
-		return false
+		return returned
 	}
-	w.log.Info("store readable again", slog.String("feed", w.name), slog.Duration("after", time.Since(w.failingSince)))
+	w.log.Info("store readable again", slog.String("feed", w.name), slog.Duration("after", time.Since(w.failingSince)),
+		slog.Bool("wasAway", returned))
 	w.failingSince = time.Time{}
-	return true
+	return returned
 }
--- a/internal/roster/guard.go
+++ b/internal/roster/guard.go
@@ -14,11 +14,16 @@
 // request that was sent later.
 var ErrResponseLost = errors.New("response lost: the source has answered a later request")
 
+// ErrNoResponse reports that the source has not answered a probe: it was away, at least for
+// this node, during the read.
+var ErrNoResponse = errors.New("the source did not answer a probe")
+
 // Guard is a feed that gives up reads whose response was lost, however long the caller
 // would wait for it. While a response is overdue it probes the source; once a probe is
 // answered and the response still does not arrive, the read fails with
 // [ErrResponseLost] and the caller can repeat it at once. A source that is merely slow is
-// slow to answer probes too. Calls must not overlap. The exported fields are set before
+// slow to answer probes too. The error of a read during which a probe was not answered is
+// also [ErrNoResponse]. Calls must not overlap. The exported fields are set before
 // use.
 type Guard[T any] struct {
 	Source Feed[T]
@@ -76,7 +81,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	g.grace = max(g.grace, minGrace)
 	progress := &progress{at: time.Now()}
-	prober := prober{probe: g.Probe, progress: progress, overdue: overdue, grace: g.grace, giveUp: cancel}
+	prober := &prober{probe: g.Probe, progress: progress, overdue: overdue, grace: g.grace, giveUp: cancel}
 	ended := make(chan struct{})
 	timer := time.AfterFunc(overdue, func() {
 		defer close(ended)
@@ -97,6 +102,9 @@
 		}
 		err = ErrResponseLost
 	}
+	if err != nil && prober.unanswered > 0 {
+		err = errors.Join(err, ErrNoResponse)
+	}
 	return err
 }
 
@@ -106,6 +114,8 @@
 	progress       *progress
 	overdue, grace time.Duration
 	giveUp         context.CancelCauseFunc
+	// unanswered counts the probes that failed before the read ended.
+	unanswered int
 }
 
 func (p *prober) run(ctx context.Context) {
@@ -116,6 +126,9 @@
 			continue
 		}
 		if err := p.try(ctx); err != nil {
+			if ctx.Err() == nil {
+				p.unanswered++
+			}
 			wait.For(ctx, probePause)
 			continue
 		}
--- a/internal/roster/relay.go
+++ b/internal/roster/relay.go
@@ -212,7 +212,7 @@
 	reader, fallback := r.chooseReader(time.Now())
 	if fallback && !r.mayTry() {
 		r.logPath(pathNone)
-		return nil, 0, errSourceUnreachable
+		return nil, 0, errPausing
 	}
 	if reader != "" {
 		entries, revision, err = r.listAtReaders(ctx, reader)
@@ -221,7 +221,7 @@
 		}
 	}
 	if !r.mayReadSource(fallback) {
-		return nil, 0, errSourceUnreachable
+		return nil, 0, errPausing
 	}
 	asked := currentInstant()
 	entries, revision, err = r.Source.List(ctx)
@@ -243,7 +243,7 @@
 	reader, fallback := r.chooseReader(now)
 	if fallback && !r.mayTry() {
 		r.logPath(pathNone)
-		return nil, 0, errSourceUnreachable
+		return nil, 0, errPausing
 	}
 	if reader != "" {
 		changes, revision, err = r.followReaders(ctx, reader, after, wait)
@@ -253,7 +253,7 @@
 		wait = 0 // Changes may have arrived during the wait for the reader.
 	}
 	if !r.mayReadSource(fallback) {
-		return nil, 0, errSourceUnreachable
+		return nil, 0, errPausing
 	}
 	changes, revision, err = r.followSource(ctx, after, wait)
 	if isSourceFailure(err) {
