--- a/internal/table/writeall_test.go
+++ b/internal/table/writeall_test.go
@@ -40,9 +40,10 @@
 func TestWriteAllLeavesOutOnlyWhatIsRejected(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		store := &rejectingStore{maxWrites: rapid.IntRange(1, 10).Draw(t, "maxWrites")}
-		var writes []table.Write
+		count := rapid.IntRange(0, 40).Draw(t, "writes")
+		writes := make([]table.Write, 0, count)
 		var good, bad []string
-		for i := range rapid.IntRange(0, 40).Draw(t, "writes") {
+		for i := range count {
 			sort := fmt.Sprint(i)
 			writes = append(writes, table.Write{Key: table.Key{Sort: sort}})
 			if rapid.IntRange(0, 5).Draw(t, "kind") == 0 {
@@ -53,7 +54,7 @@
 		}
 		store.rejects = bad
 		rejected, err := table.WriteAll(context.Background(), store, writes)
-		var found []string
+		found := make([]string, 0, len(rejected))
 		for _, write := range rejected {
 			found = append(found, write.Key.Sort)
 		}
