Requests whose servers go dark are held against them once the run has ended

Cause: only a connection that broke was taken for a crash, neither a silent server that takes no connections nor an attempt without an answer at its deadline.

Change: such a run is watched for 10 s while other servers can be reached. If it is no longer listed, or a later run is at its address, the crash is recorded against the digests of the requests that it may have begun. Parts of prompts, which sound requests share, are not blamed. Ruled out: blaming silence alone, since a server that was cut off or stood still goes on as the same run.

--- a/internal/dispatch/callrunner.go
+++ b/internal/dispatch/callrunner.go
@@ -187,7 +187,9 @@
 			a.answer, a.err = r.call.Message.Open(a.ctx, a)
 		}
 		if a.err == nil {
-			taken.recordAnswer(time.Now())
+			now := time.Now()
+			taken.recordAnswer(now)
+			taken.server.recordAnswering(now)
 		}
 		results <- a
 	}()
@@ -241,6 +243,7 @@
 	}
 	if _, refused := refusal.As(a.err); refused || r.call.Context.Err() != nil {
 		state.recordAbandoned()
+		r.checkUnanswered(a.slot)
 		return
 	}
 	kind := a.failureKind()
--- a/internal/dispatch/replacement.go
+++ b/internal/dispatch/replacement.go
@@ -173,6 +173,7 @@
 	if !s.alive {
 		kind, a.silence = retry.SilentServer, ErrSilentServer
 		r.meters.silentServers.Inc(1)
+		r.suspectSilentEnd(a.slot)
 	}
 	r.recordSilence(a, kind)
 	return true
--- a/internal/dispatch/servers.go
+++ b/internal/dispatch/servers.go
@@ -75,6 +75,11 @@
 	// crashRecorded is closed after the end of endedBoot has been recorded against
 	// the requests that ran there.
 	crashRecorded chan struct{}
+	// silent is a run that is silent and takes no connections; nil if there is none.
+	// answeredAt is when the server last began an answer, probedAt when it was last probed for
+	// an attempt that ended without one.
+	silent               *silentRun
+	answeredAt, probedAt time.Time
 }
 
 // slotGroup bounds the calls of the replicas that share the slots of a server.
