An engine that wants no requests is not asked for its run

Cause: the report that an order or the rest of a stream is preceded by was read without recording what the answer says of the server; for other calls to engines and for requests that is recorded.

Evidence: TestEngineThatWantsNoRequestsIsAskedOnce (order, rest of a stream) fails before.

--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -409,6 +409,7 @@
 	p.Directory.View, p.Directory.Leaving = p.Roster.View, p.LeaveNotices
 	p.Scheduler.Limited = p.RateLimits.IsLimited
 	p.Engines.Leaving, p.Engines.Rests, p.Engines.Limits = p.LeaveNotices, p.Dispatcher, p.RateLimits
+	p.Exchange.Rests = p.Dispatcher
 	p.Peers.Resolve, p.Peers.InOtherRegion = p.Members.Resolve, p.Members.InOtherRegion
 	p.Store.OnRestored = n.storeRestored
 	p.Members.Register()
