--- a/internal/dispatch/brittle.go
+++ b/internal/dispatch/brittle.go
@@ -91,7 +91,7 @@
 		return
 	}
 	rest := min(time.Duration(float64(time.Second)/perSecond), maxBrittleRest)
-	if taken.server.recordRest(now.Add(rest)) {
+	if taken.server.recordRest(taken.replica.Boot, now.Add(rest)) {
 		d.Log.Info("brittle server gets no requests", slog.String("server", string(taken.replica.Server)),
 			slog.Duration("for", rest))
 	}
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -226,7 +226,7 @@
 // RecordRest records that the server declined the call and wants no requests of this
 // node for a time.
 func (a *Attempt) RecordRest(duration time.Duration) {
-	a.dispatcher.RecordRest(a.Replica.Server, duration)
+	a.dispatcher.RecordRest(a.Replica.Server, a.Replica.Boot, duration)
 }
 
 // AddRequestSize records the size of the request in bytes.
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -180,7 +180,7 @@
 func (d *Dispatcher) shortestRest(replicas []Replica, now time.Time) (shortest time.Duration) {
 	for i := range replicas {
 		id := replicas[i].Server
-		left := max(d.servers.get(id).restLeft(now), d.RateLimits.ReadyIn(id, replicas[i].Boot))
+		left := max(d.servers.get(id).restLeft(now, replicas[i].Boot), d.RateLimits.ReadyIn(id, replicas[i].Boot))
 		if left > 0 && d.countsLocally(replicas, i) && (shortest == 0 || left < shortest) {
 			shortest = left
 		}
--- a/internal/dispatch/rest.go
+++ b/internal/dispatch/rest.go
@@ -7,34 +7,42 @@
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
-// RecordRest records that a server wants no requests of this node for a time. That
-// says nothing about its health.
-func (d *Dispatcher) RecordRest(server fleet.ServerID, duration time.Duration) {
+// RecordRest records that a run of a server's process wants no requests of this node for a
+// time. That says nothing about its health.
+func (d *Dispatcher) RecordRest(server fleet.ServerID, boot fleet.BootID, duration time.Duration) {
 	d.once.Do(d.setUp)
 	until := time.Now().Add(duration)
-	if d.servers.get(server).recordRest(until) {
+	if d.servers.get(server).recordRest(boot, until) {
 		d.Log.Info("server wants no requests", slog.String("server", string(server)), slog.Duration("for", duration))
 	}
 }
 
-// RestUntil returns until when a server wants no requests of this node.
-func (d *Dispatcher) RestUntil(server fleet.ServerID) time.Time {
+// RestUntil returns until when a run of a server's process wants no requests of this node.
+func (d *Dispatcher) RestUntil(server fleet.ServerID, boot fleet.BootID) time.Time {
 	d.once.Do(d.setUp)
 	state := d.servers.get(server)
 	state.mu.Lock()
 	defer state.mu.Unlock()
-	return state.restUntil
+	return state.restOf(boot)
 }
 
-// recordRest records until when the server wants no requests and reports whether that
-// is later than recorded before.
-func (s *serverState) recordRest(until time.Time) (later bool) {
+// restOf returns until when a run wants no requests. The caller holds the lock.
+func (s *serverState) restOf(boot fleet.BootID) (until time.Time) {
+	if boot != s.restBoot {
+		return time.Time{}
+	}
+	return s.restUntil
+}
+
+// recordRest records until when a run wants no requests and reports whether that is later
+// than recorded before.
+func (s *serverState) recordRest(boot fleet.BootID, until time.Time) (later bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !until.After(s.restUntil) {
+	if !until.After(s.restOf(boot)) {
 		return false
 	}
-	s.restUntil = until
+	s.restBoot, s.restUntil = boot, until
 	return true
 }
 
@@ -55,12 +63,12 @@
 
 // closedToLocked is closedTo for a caller that holds the lock.
 func (s *serverState) closedToLocked(now time.Time, boot fleet.BootID) bool {
-	return now.Before(s.restUntil) || boot != "" && boot == s.leavingBoot
+	return now.Before(s.restOf(boot)) || boot != "" && boot == s.leavingBoot
 }
 
-// restLeft returns the time for which the server still wants no requests.
-func (s *serverState) restLeft(now time.Time) time.Duration {
+// restLeft returns the time for which a run still wants no requests.
+func (s *serverState) restLeft(now time.Time, boot fleet.BootID) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return max(0, s.restUntil.Sub(now))
+	return max(0, s.restOf(boot).Sub(now))
 }
--- a/internal/dispatch/rest_test.go
+++ b/internal/dispatch/rest_test.go
@@ -54,7 +54,7 @@
 		c.Check(time.Since(began) < restTime+300*time.Millisecond, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
 		c.Check(s.runs["patient"], qt.HasLen, 2)
 
-		d.RecordRest("s0", restTime)
+		d.RecordRest("s0", "", restTime)
 		refusedAt := time.Now()
 		err := d.Do(s.call("short", func(call *dispatch.Call) { call.Deadline = call.Started.Add(time.Second) }))
 		found, refused := refusal.As(err)
@@ -64,6 +64,22 @@
 	})
 }
 
+// TestRestEndsWithTheRun guards against a server that gets no calls although it has started
+// again since it wanted none.
+func TestRestEndsWithTheRun(t *testing.T) {
+	runInBubble(t, func(c *qt.C) {
+		s := newFakeServers(1)
+		s.replicas[0].Boot = "first"
+		d := s.dispatcher()
+		d.RecordRest("s0", "first", time.Hour)
+		c.Check(d.Do(s.call("a", nil)), qt.IsNotNil)
+		s.replicas[0].Boot = "second"
+		c.Check(d.Do(s.call("b", nil)), qt.IsNil)
+		c.Check(d.RestUntil("s0", "first").After(time.Now()), qt.IsTrue)
+		c.Check(d.RestUntil("s0", "second").IsZero(), qt.IsTrue)
+	})
+}
+
 // TestLeavingServerGetsNoCalls has a server report with an answer that it leaves. It
 // gets no calls until it has another run.
 func TestLeavingServerGetsNoCalls(t *testing.T) {
--- a/internal/dispatch/servers.go
+++ b/internal/dispatch/servers.go
@@ -66,8 +66,10 @@
 	// unreachableCount how often in a row it was paused for that.
 	unreachableUntil time.Time
 	unreachableCount int
-	// restUntil is until when the server wants no requests of this node.
+	// restUntil is until when restBoot, a run of the server's process, wants no requests of
+	// this node.
 	restUntil time.Time
+	restBoot  fleet.BootID
 	// leavingBoot is the run of the server's process that reported that it leaves.
 	leavingBoot fleet.BootID
 	// endedBoot is the latest run of the server's process known to have ended.
