Models of broken streams are kept after a loss of all nodes

Cause: models of broken streams look unused to the next holder of the lease, which gives them up for new calls in the ten seconds before callers take the streams up again.

Change: while several versions serve a pool whose streams may be continued, the holder leaves the models in use in the lease's record. A holder whose process is younger than 15 s keeps them until callers have come back (from the routes' objectives and pauses), but for one at each engine. Nothing is written while one version serves. Ruled out before: costs (kept none), records of each stream (a call each).

Evidence: without what is inherited the model of TestModelsOfBrokenStreamsAreKept is given up.

--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -408,6 +408,7 @@
 func connect(n *Node, p components) {
 	p.Directory.View, p.Directory.Leaving = p.Roster.View, p.LeaveNotices
 	p.Scheduler.Limited = p.RateLimits.IsLimited
+	p.Scheduler.Inherited, p.Lease.Note = p.Lease.Inherited, p.Scheduler.Note
 	p.Engines.Leaving, p.Engines.Rests, p.Engines.Limits = p.LeaveNotices, p.Dispatcher, p.RateLimits
 	p.Exchange.Rests = p.Dispatcher
 	p.Peers.Resolve, p.Peers.InOtherRegion = p.Members.Resolve, p.Members.InOtherRegion
--- a/internal/lease/controller.go
+++ b/internal/lease/controller.go
@@ -50,7 +50,9 @@
 	// first. If it or Peers is nil, no deputy is named.
 	Deputies func() []fleet.NodeID
 	Peers    Peers
-	Log      *slog.Logger
+	// Note returns what this process, as the holder, leaves to the next one; it may be nil.
+	Note func() string
+	Log  *slog.Logger
 
 	once sync.Once
 	mu   sync.Mutex
@@ -113,6 +115,14 @@
 	return c.State.isHolder && c.Clock() < c.State.actUntil
 }
 
+// Inherited returns the note of the holder before this one.
+func (c *Controller) Inherited() string {
+	c.init()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.State.inherited
+}
+
 // Holder returns the process that held the lease when the record was last read;
 // empty if it is unknown or has released the lease.
 func (c *Controller) Holder() fleet.NodeID {
@@ -287,9 +297,14 @@
 
 // renew renews the lease and reports whether that succeeded.
 func (c *Controller) renew(ctx context.Context) bool {
+	note := ""
+	if c.Note != nil {
+		note = c.Note()
+	}
 	c.mu.Lock()
 	record, expect := c.State.Renewal(c.Clock(), c.chooseDeputy())
 	c.mu.Unlock()
+	record.Note = note
 	sent := c.Clock()
 	err := c.writeRecord(ctx, record, expect)
 	if errors.Is(err, table.ErrOutcomeUnknown) || errors.Is(err, table.ErrConflict) {
--- a/internal/lease/controller_test.go
+++ b/internal/lease/controller_test.go
@@ -22,12 +22,18 @@
 // startController starts a controller and returns it with a function that stops
 // it.
 func startController(t *testing.T, store table.Store, vm string) (*lease.Controller, context.CancelFunc) {
+	t.Helper()
+	return startLeaving(t, store, vm, nil)
+}
+
+// startLeaving is startController for a process that leaves a note to the next holder.
+func startLeaving(t *testing.T, store table.Store, vm string, note func() string) (*lease.Controller, context.CancelFunc) {
 	t.Helper()
 	began := time.Now()
 	c := &lease.Controller{
 		State: lease.State{VM: vm, Node: fleet.NodeID(vm + "-process"), LeaseDuration: leaseDuration, HandoverDelay: handoverDelay},
 		Store: store, Key: table.Key{Partition: "orders", Sort: "lease"},
-		Clock: func() time.Duration { return time.Since(began) },
+		Clock: func() time.Duration { return time.Since(began) }, Note: note,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -394,3 +400,24 @@
 		c.Assert(err, qt.ErrorIs, table.ErrConflict)
 	}
 }
+
+// TestNoteIsLeftToTheNextHolder guards against a holder that starts after the loss of all
+// others and finds nothing of what they have left, also after a second loss at once.
+func TestNoteIsLeftToTheNextHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := standin.NewTable()
+		first, stop := startLeaving(t, store, "a", func() string { return "left" })
+		c.Check(first.Inherited(), qt.Equals, "")
+		time.Sleep(5 * time.Second)
+		stop()
+		for _, vm := range []string{"b", "c"} {
+			next, stop := startController(t, store, vm)
+			for !next.IsHolder() {
+				time.Sleep(100 * time.Millisecond)
+			}
+			c.Check(next.Inherited(), qt.Equals, "left")
+			stop()
+		}
+	})
+}
--- a/internal/lease/state.go
+++ b/internal/lease/state.go
@@ -23,6 +23,8 @@
 	// Deputy is the process that may claim the lease before it expires; empty if
 	// there is none.
 	Deputy fleet.NodeID `json:"deputy,omitempty"`
+	// Note is what the holder leaves to the next one; empty if it leaves nothing.
+	Note string `json:"note,omitempty"`
 	// Era is the era of the table in which the record was written.
 	Era table.Era `json:"era,omitempty"`
 }
@@ -51,8 +53,10 @@
 	changedAt time.Duration
 	// actFrom and actUntil bound the time in which this process may act.
 	actFrom, actUntil time.Duration
-	// isHolder reports whether this process is the holder.
-	isHolder bool
+	// isHolder reports whether this process is the holder, inherited is the note of the
+	// holder before.
+	isHolder  bool
+	inherited string
 	deputyState
 	eraState
 }
@@ -100,7 +104,7 @@
 		return Record{}, 0, false
 	}
 	s.claimPending = true
-	record = Record{Holder: s.VM, Node: s.Node, Fencing: s.nextFencing(), Acting: s.skipsHandover(), Era: s.era}
+	record = Record{Holder: s.VM, Node: s.Node, Fencing: s.nextFencing(), Acting: s.skipsHandover(), Era: s.era, Note: s.record.Note}
 	return record, s.version, true
 }
 
@@ -133,7 +137,7 @@
 	if !record.Acting {
 		s.actFrom = now + s.HandoverDelay + clockMargin
 	}
-	s.record, s.version, s.changedAt = record, version, now
+	s.record, s.version, s.changedAt, s.inherited = record, version, now, record.Note
 	s.isHolder, s.actUntil = true, sent+s.LeaseDuration
 	s.deputyState = deputyState{shortLeaseEnd: sent + s.ShortLeaseDuration}
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -224,6 +224,9 @@
 	network     *peertest.Network
 	directories [2]*placement.Directory
 	reporters   [2]*placement.Reporter
+	scheduler   *placement.Scheduler
+	// note is what the holder before has left to the scheduler.
+	note atomic.Pointer[string]
 }
 
 // newCluster returns a cluster with engines that hold two models each: m0 and
@@ -273,7 +276,13 @@
 			Node: node, StoreLoads: 4, AdapterLoads: 30,
 		}
 		if i == 0 {
-			scheduler.Lease = s.lease
+			scheduler.Lease, s.scheduler = s.lease, scheduler
+			scheduler.Inherited = func() string {
+				if note := s.note.Load(); note != nil {
+					return *note
+				}
+				return ""
+			}
 		}
 		placement.Register(peers, scheduler, s.reporters[i])
 		running.Go(func() { _ = scheduler.Run(ctx) })
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -57,6 +57,8 @@
 	Node        fleet.NodeID
 	// Limited reports whether a run of an engine has named a limit of requests. It may be nil.
 	Limited func(fleet.ServerID, fleet.BootID) bool
+	// Inherited returns what [Scheduler.Note] of the holder before has left; it may be nil.
+	Inherited func() string
 	// StoreLoads is the number of concurrent loads from the weight store that
 	// run at full speed, AdapterLoads that of adapters.
 	StoreLoads, AdapterLoads int
@@ -69,8 +71,12 @@
 	// version counts the changes of engines in the current term of the lease.
 	version uint64
 	shared  sharedUpdates
-	// termBegan is when the current term of the lease began.
-	termBegan time.Time
+	// termBegan is when the current term of the lease began, startedAt when Run began.
+	termBegan, startedAt time.Time
+	// kept are the models of each engine that are kept until keptUntil for the callers of
+	// broken streams, those with the most calls first.
+	kept      map[fleet.ServerID][]fleet.ModelID
+	keptUntil time.Time
 	// modelsBySpec holds the models of each pool's engines under the manifest.
 	manifest     *roster.Manifest
 	modelsBySpec map[*roster.EngineSpec]map[fleet.ModelID]residence.Model
@@ -142,6 +148,7 @@
 func (s *Scheduler) Run(ctx context.Context) error {
 	s.mu.Lock()
 	s.init()
+	s.startedAt = time.Now()
 	s.mu.Unlock()
 	defer s.running.Wait()
 	for ctx.Err() == nil {
@@ -174,6 +181,7 @@
 	}
 	if fencing != s.fencing {
 		s.beginTerm(fencing)
+		s.inherit(now, view.Manifest)
 	}
 	s.syncEngines(ctx, now, view)
 	if !holds {
@@ -337,6 +345,7 @@
 		input := e.planInput(now, pool.Engine, usages)
 		input.Limited = s.Limited != nil && s.Limited(e.server.ID, e.server.Boot)
 		s.reserveForLateOrders(now, e, &input, state.Models)
+		s.markKept(now, &input)
 		state.AdapterLoads -= input.AdaptersLoading
 		state.Engines = append(state.Engines, input)
 	}
--- a/internal/residence/cost.go
+++ b/internal/residence/cost.go
@@ -44,7 +44,7 @@
 // unloadCost returns the cost of unloading a model in favour of a demand, as a
 // time, and false if the model must not be unloaded.
 func (p *planner) unloadCost(engine *Engine, victim *ResidentModel, demand *Demand) (cost time.Duration, allowed bool) {
-	if victim.Unloading || p.Models[victim.Model].Size <= 0 {
+	if victim.Unloading || victim.Kept || p.Models[victim.Model].Size <= 0 {
 		return 0, false
 	}
 	needed := p.neededAtVersion(engine, victim.Model)
--- a/internal/residence/state.go
+++ b/internal/residence/state.go
@@ -70,6 +70,8 @@
 	Model fleet.ModelID
 	// Unloading reports whether the model is being unloaded.
 	Unloading bool
+	// Kept reports whether the model must not be unloaded although it looks unused.
+	Kept bool
 	// Running is the number of calls in progress, including those on adapters.
 	Running int
 	// LastUsed is when the model or one of its adapters was last used.
