A note that the store rejects doesn't keep the lease from being renewed

Cause: the models in use are part of the lease's record. A store whose rows are smaller than the note would reject each renewal, and nobody would hold the lease.

Change: a record that is rejected with its note is written without it, with a log line. The usages of models are only added up while a pool has several versions.

Evidence: without that TestNoteThatIsTooLargeIsLeftOut fails.

--- a/internal/lease/controller.go
+++ b/internal/lease/controller.go
@@ -383,7 +383,20 @@
 	c.Log.Warn("lease record cannot be decoded", slog.Any("error", err))
 }
 
+// writeRecord writes the record, without its note if the table rejects it with that: the note
+// may be more than it takes.
 func (c *Controller) writeRecord(ctx context.Context, record Record, expect table.Version) error {
+	err := c.writeOnce(ctx, record, expect)
+	if record.Note == "" || !errors.Is(err, table.ErrRejected) {
+		return err
+	}
+	c.Log.Warn("lease record rejected, written without its note", slog.Int("noteBytes", len(record.Note)), slog.Any("error", err))
+	record.Note = ""
+	return c.writeOnce(ctx, record, expect)
+}
+
+// writeOnce writes the record once.
+func (c *Controller) writeOnce(ctx context.Context, record Record, expect table.Version) error {
 	body, err := json.Marshal(record)
 	if err != nil {
 		return errors.Wrap(err, "encode lease record")
--- a/internal/lease/controller_test.go
+++ b/internal/lease/controller_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -421,3 +422,33 @@
 		}
 	})
 }
+
+// narrowStore rejects records beyond a size.
+type narrowStore struct {
+	table.Store
+	maxBody int
+}
+
+func (s narrowStore) Transact(ctx context.Context, token table.Token, writes []table.Write) error {
+	for _, write := range writes {
+		if len(write.Body) > s.maxBody {
+			return table.ErrRejected
+		}
+	}
+	return s.Store.Transact(ctx, token, writes)
+}
+
+// TestNoteThatIsTooLargeIsLeftOut guards against a fleet without a holder, since the table
+// rejects each renewal for the size of the note.
+func TestNoteThatIsTooLargeIsLeftOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		note := strings.Repeat("x", 1000)
+		holder, stop := startLeaving(t, narrowStore{standin.NewTable(), len(note)}, "a", func() string { return note })
+		defer stop()
+		for range 20 {
+			time.Sleep(time.Second)
+			c.Check(holder.IsHolder(), qt.IsTrue)
+		}
+	})
+}
--- a/internal/placement/inherit.go
+++ b/internal/placement/inherit.go
@@ -52,8 +52,11 @@
 	if view.Manifest == nil {
 		return ""
 	}
-	var used []modelInUse
 	mixed := mixedPools(view)
+	if len(mixed) == 0 {
+		return ""
+	}
+	var used []modelInUse
 	for key, usage := range s.modelUsages(time.Now()) {
 		server := view.Servers[key.server]
 		if usage > 0 && server != nil && mixed[server.Pool] {
