Records count as complete only once other nodes have written theirs too

Cause: 3 s after a restoration a node without records of its own to write took the lack of a record for proof, while others still wrote theirs.

Change: a node asks three others twice a second, after a restoration only and until the records are complete, whether they still write; nodes of an older build don't say so, and count as they did. Rests whose record may be lost wait meanwhile, as in the first 3 s.

Evidence: without that TestLackOfARecordProvesNothingWhileOtherNodesWriteTheirs finds v1 in place of v2. Measured: the tests of internal/origin pass three times, and once with the race detector.

--- a/internal/origin/bounds_test.go
+++ b/internal/origin/bounds_test.go
@@ -19,8 +19,9 @@
 // newBoundedCluster starts nodes whose store takes fewWrites in a transaction.
 func newBoundedCluster(t *testing.T, nodes int) *cluster {
 	t.Helper()
-	c := newCluster(t, nodes, old)
+	c := &cluster{C: qt.New(t), table: standin.NewTable()}
 	c.table.MaxWrites = fewWrites
+	c.startAll(t, nodes, old)
 	c.list(old, next)
 	return c
 }
--- a/internal/origin/controller.go
+++ b/internal/origin/controller.go
@@ -103,6 +103,8 @@
 	// answered last.
 	peerEra   table.Era
 	reachedAt time.Time
+	// othersWroteAt is when another node last said that it writes records again.
+	othersWroteAt time.Time
 	// firstListed holds when a sweep first saw each record.
 	firstListed map[string]time.Time
 	sweptAt     time.Time
--- a/internal/origin/era.go
+++ b/internal/origin/era.go
@@ -76,7 +76,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	since := now.Sub(c.eraSince)
-	rewritten := c.knows && c.unwritableSince.IsZero() && since >= rewriteTime && !c.writesAgain() && !c.lostMany(alive)
+	rewritten := c.knows && c.unwritableSince.IsZero() && since >= rewriteTime && !c.anyWrites(now) && !c.lostMany(alive)
 	if !rewritten && since < retention {
 		return false
 	}
@@ -91,6 +91,16 @@
 	return c.writing && c.tookAgain || slices.ContainsFunc(c.pending, func(record *pendingRecord) bool { return record.again })
 }
 
+// othersWriteAge is how long after another node has said that it writes records again it may
+// still do so: the time between two checks, and that of their calls.
+const othersWriteAge = 2*checkInterval + peerTimeout
+
+// anyWrites reports whether this node, or one of those that it asked lately, still writes
+// records again. The caller holds the lock.
+func (c *Controller) anyWrites(now time.Time) bool {
+	return c.writesAgain() || now.Sub(c.othersWroteAt) < othersWriteAge
+}
+
 // lostFraction is the part of the nodes whose loss, with that of keepers and one more nodes
 // at least, is likely to have taken all copies of some records.
 const lostFraction = 3
@@ -202,7 +212,9 @@
 // rewriting reports whether the nodes may be writing their records again.
 func (c *Controller) rewriting() bool {
 	since := c.sinceEra()
-	return since >= 0 && since < rewriteTime
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return since >= 0 && (since < rewriteTime || c.anyWrites(time.Now()))
 }
 
 // sinceEra returns the time since this node saw that the store was restored; below 0 if it
--- a/internal/origin/find.go
+++ b/internal/origin/find.go
@@ -72,7 +72,7 @@
 				from = sourceTraces
 				return software, nil
 			}
-			if c.sinceEra() >= rewriteTime+maxFindTime {
+			if c.sinceEra() >= rewriteTime+maxFindTime && !c.rewriting() {
 				return "", errors.Wrapf(ErrUnknown, "%v", err)
 			}
 		}
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -163,6 +163,14 @@
 func newCluster(t *testing.T, nodes int, versions ...fleet.SoftwareVersion) *cluster {
 	t.Helper()
 	c := &cluster{C: qt.New(t), table: standin.NewTable()}
+	c.startAll(t, nodes, versions...)
+	return c
+}
+
+// startAll starts a number of nodes, which are stopped at the end of the test, and waits until
+// they can tell what a restoration took: they were there before.
+func (c *cluster) startAll(t *testing.T, nodes int, versions ...fleet.SoftwareVersion) {
+	t.Helper()
 	for range nodes {
 		c.start(versions...)
 	}
@@ -171,9 +179,7 @@
 			node.stop()
 		}
 	})
-	// Nodes can tell what a restoration took only if they were there before.
 	time.Sleep(maxCopyAge)
-	return c
 }
 
 func (c *cluster) currentEra() table.Era {
--- a/internal/origin/peer.go
+++ b/internal/origin/peer.go
@@ -64,6 +64,9 @@
 // eraResponse is the answer to an eraRequest.
 type eraResponse struct {
 	Era table.Era `json:"era"`
+	// Writing is set while the node writes records again that the store has lost with the
+	// beginning of the era. Nodes of an older build don't say so.
+	Writing bool `json:"writing,omitempty"`
 }
 
 // Handler registers the methods that nodes call on each other.
@@ -82,7 +85,9 @@
 
 func (c *Controller) handleEra(context.Context, eraRequest) (response eraResponse, err error) {
 	c.checkEra(time.Now())
-	return eraResponse{Era: c.seenEra()}, nil
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return eraResponse{Era: c.era, Writing: c.writesAgain()}, nil
 }
 
 func (c *Controller) handleFind(ctx context.Context, request findRequest) (response findResponse, err error) {
@@ -198,13 +203,16 @@
 }
 
 // learnEra asks other nodes whether the store was restored, if this node has records to
-// write again then and has not reached the store lately itself.
+// write again then and has not reached the store lately itself. After a restoration it asks
+// them whether they still write theirs.
 func (c *Controller) learnEra(ctx context.Context) {
+	retention := c.retention()
 	c.mu.Lock()
 	recent := time.Since(c.reachedAt) < ownEraAge
 	recorded := len(c.kept) > 0 || c.hasRecorded()
+	awaits := c.era > 0 && c.completeEra != c.era && time.Since(c.eraSince) < retention
 	c.mu.Unlock()
-	if recent || !recorded {
+	if (recent || !recorded) && !awaits {
 		return
 	}
 	var group sync.WaitGroup
@@ -217,6 +225,9 @@
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			c.peerEra = max(c.peerEra, response.Era)
+			if response.Writing {
+				c.othersWroteAt = time.Now()
+			}
 		})
 	}
 	group.Wait()
--- a/internal/origin/rejected_test.go
+++ b/internal/origin/rejected_test.go
@@ -52,6 +52,20 @@
 	return nil
 }
 
+// reject has the store reject the record of a stream.
+func (s *refusingStore) reject(request fleet.RequestID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rejects = streamKey{pool: pool, request: request}.tableKey().Sort
+}
+
+// reachesStore reports whether the node has reached the store with its last call.
+func (n *testNode) reachesStore() bool {
+	n.Controller.mu.Lock()
+	defer n.Controller.mu.Unlock()
+	return n.unwritableSince.IsZero()
+}
+
 func (s *refusingStore) setThrottles(throttles bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -72,15 +86,7 @@
 		refusing.Store = store
 		return refusing
 	}}
-	for range nodes {
-		c.start(old)
-	}
-	t.Cleanup(func() {
-		for _, node := range c.nodes {
-			node.stop()
-		}
-	})
-	time.Sleep(maxCopyAge)
+	c.startAll(t, nodes, old)
 	c.list(old, next)
 	return c, refusing
 }
@@ -91,10 +97,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		c, store := newRefusingCluster(t, 2)
 		requests := c.beginMany(c.nodes[0], 20)
-		store.rejects = streamKey{pool: pool, request: requests[7]}.tableKey().Sort
+		store.reject(requests[7])
 		c.restore()
 		time.Sleep(rewriteTime + settled)
-		c.Check(c.nodes[0].unwritableSince.IsZero(), qt.IsTrue)
+		c.Check(c.nodes[0].reachesStore(), qt.IsTrue)
 		c.Check(store.countRefused() < 20, qt.IsTrue, qt.Commentf("%d", store.countRefused()))
 		c.kill(0)
 		for i, request := range requests {
@@ -111,7 +117,7 @@
 func TestStreamWhoseRecordIsRejectedIsEndedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c, store := newRefusingCluster(t, 2)
-		store.rejects = streamKey{pool: pool, request: "rejected"}.tableKey().Sort
+		store.reject("rejected")
 		began := time.Now()
 		err := c.nodes[0].Record(t.Context(), pool, "rejected", next)
 		c.Check(err, qt.ErrorIs, ErrNotRecorded)
@@ -132,7 +138,7 @@
 		time.Sleep(rewriteTime / 2)
 		store.setThrottles(false)
 		time.Sleep(settled)
-		c.Check(c.nodes[0].unwritableSince.IsZero(), qt.IsTrue)
+		c.Check(c.nodes[0].reachesStore(), qt.IsTrue)
 		c.Check(c.nodes[0].rewriting(), qt.IsFalse)
 		c.checkFound(c.nodes[0], "of the base version", old)
 		c.checkFound(c.nodes[1], "a", next)
@@ -156,3 +162,23 @@
 		c.Check(c.nodes[0].recordsComplete(), qt.IsTrue)
 	})
 }
+
+// Guards against a stream that goes on at the base version since the node that is asked has
+// no records to write again, while others still write theirs.
+func TestLackOfARecordProvesNothingWhileOtherNodesWriteTheirs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, store := newRefusingCluster(t, 3)
+		requests := c.beginMany(c.nodes[0], 20)
+		time.Sleep(2 * keepTime) // The others keep none of the records any more.
+		store.setThrottles(true)
+		c.restore()
+		for range 4 {
+			time.Sleep(rewriteTime / 2)
+			c.checkFound(c.nodes[1], requests[3], next) // The node that began it is asked.
+		}
+		store.setThrottles(false)
+		time.Sleep(settled + othersWriteAge)
+		c.checkFound(c.nodes[1], requests[3], next)
+		c.checkFound(c.nodes[2], "of the base version", old)
+	})
+}
