--- a/internal/claim/writer.go
+++ b/internal/claim/writer.go
@@ -76,14 +76,18 @@
 		keys[pending.write.Key] = struct{}{}
 		group = append(group, pending)
 	}
+	size := len(table.FirstBatch(g.store, writesOf(group)))
+	g.queue = slices.Concat(group[size:], rest)
+	return group[:size]
+}
+
+// writesOf returns the writes of a group.
+func writesOf(group []*pendingWrite) []table.Write {
 	writes := make([]table.Write, len(group))
 	for i, pending := range group {
 		writes[i] = pending.write
 	}
-	// A write that doesn't fit alone is sent, so that its caller gets the error.
-	fit := max(g.store.Fit(writes), 1)
-	g.queue = slices.Concat(group[fit:], rest)
-	return group[:fit]
+	return writes
 }
 
 // commitAndRelease commits a group and then starts the transactions that had to
@@ -99,12 +103,7 @@
 // commit writes a group in one transaction. On a conflict it commits the writes
 // one by one, since the error does not tell which of them conflicted.
 func (g *groupWriter) commit(group []*pendingWrite) {
-	token := table.Token(uuid.NewString())
-	writes := make([]table.Write, len(group))
-	for i, pending := range group {
-		writes[i] = pending.write
-	}
-	err := g.transact(token, writes)
+	err := g.transact(table.Token(uuid.NewString()), writesOf(group))
 	if errors.Is(err, table.ErrConflict) && len(group) > 1 {
 		for i := range group {
 			g.commit(group[i : i+1])
--- a/internal/origin/sweep.go
+++ b/internal/origin/sweep.go
@@ -43,13 +43,13 @@
 	defer cancel()
 	expired, err := c.expiredRecords(ctx, now)
 	for len(expired) > 0 && err == nil {
-		size := max(c.Store.Fit(expired), 1)
+		batch := table.FirstBatch(c.Store, expired)
 		var rejected []table.Write
-		if rejected, err = table.WriteAll(ctx, c.Store, expired[:size]); errors.Is(err, table.ErrConflict) {
+		if rejected, err = table.WriteAll(ctx, c.Store, batch); errors.Is(err, table.ErrConflict) {
 			err = nil // Another node has removed some; the rest is removed by the next sweep.
 		}
 		c.logRejected(rejected)
-		expired = expired[size:]
+		expired = expired[len(batch):]
 	}
 	if err != nil {
 		c.Log.Warn("expired records of streams not removed", slog.Any("error", err))
--- a/internal/origin/write.go
+++ b/internal/origin/write.go
@@ -88,7 +88,7 @@
 		return nil
 	}
 	c.tookAgain = c.takesAgain()
-	batch, rest := splitBatch(c.pending, c.tookAgain, c.Store.Fit)
+	batch, rest := splitBatch(c.Store, c.pending, c.tookAgain)
 	c.pending = rest
 	return batch
 }
@@ -103,9 +103,10 @@
 }
 
 // splitBatch divides records into those of the next transaction and the others. A
-// transaction writes no record twice, and either records that are written again or others;
-// fit returns how many writes fit into it. A record that doesn't fit alone is one by itself.
-func splitBatch(records []*pendingRecord, again bool, fit func([]table.Write) int) (batch, rest []*pendingRecord) {
+// transaction writes no record twice, and either records that are written again or others. It
+// has no more than fit into it at this node's store, since another node that is asked to make
+// it may be of a build that does not divide it.
+func splitBatch(store table.Store, records []*pendingRecord, again bool) (batch, rest []*pendingRecord) {
 	taken := make(map[table.Key]bool)
 	var writes []table.Write
 	for _, record := range records {
@@ -116,7 +117,7 @@
 		taken[record.key] = true
 		batch, writes = append(batch, record), append(writes, newWrite(record.key, record.software))
 	}
-	size := min(max(fit(writes), 1), len(batch))
+	size := len(table.FirstBatch(store, writes))
 	return batch[:size], slices.Concat(batch[size:], rest)
 }
 
--- a/internal/table/writeall.go
+++ b/internal/table/writeall.go
@@ -12,17 +12,23 @@
 // writes before it may have taken effect.
 func WriteAll(ctx context.Context, store Store, writes []Write) (rejected []Write, err error) {
 	for len(writes) > 0 {
-		size := max(store.Fit(writes), 1)
-		found, err := writeDivided(ctx, store, writes[:size])
+		batch := FirstBatch(store, writes)
+		found, err := writeDivided(ctx, store, batch)
 		rejected = append(rejected, found...)
 		if err != nil {
 			return rejected, err
 		}
-		writes = writes[size:]
+		writes = writes[len(batch):]
 	}
 	return rejected, nil
 }
 
+// FirstBatch returns the first of the writes, as many as fit into one transaction. A write that
+// doesn't fit alone is a batch by itself, which the store rejects.
+func FirstBatch(store Store, writes []Write) []Write {
+	return writes[:min(len(writes), max(store.Fit(writes), 1))]
+}
+
 // writeDivided makes writes in one transaction, or in several if it is rejected.
 func writeDivided(ctx context.Context, store Store, writes []Write) (rejected []Write, err error) {
 	err = store.Transact(ctx, "", writes)
