--- a/internal/dispatch/silentend.go
+++ b/internal/dispatch/silentend.go
@@ -62,7 +62,7 @@
 		return
 	}
 	end := &silentEnd{Dispatcher: d, state: taken.server, replica: taken.replica, lister: lister, since: time.Now()}
-	time.AfterFunc(0, end.begin)
+	go end.begin()
 }
 
 // begin makes sure that other servers can be reached, so that it is not this node that is
--- a/internal/origin/base.go
+++ b/internal/origin/base.go
@@ -64,7 +64,7 @@
 
 // checkBases reads, creates and replaces the base versions as necessary.
 func (c *Controller) checkBases(ctx context.Context, now time.Time) {
-	listed := c.listedVersions()
+	listed := c.View().ResumableVersions()
 	c.recordListed(now, listed)
 	if !c.mustRead(now, listed) {
 		return
@@ -80,32 +80,6 @@
 	}
 }
 
-// listedVersions counts the servers of each version in each pool whose streams may be
-// continued and that has servers.
-func (c *Controller) listedVersions() map[fleet.PoolID]map[fleet.SoftwareVersion]int {
-	view := c.View()
-	listed := make(map[fleet.PoolID]map[fleet.SoftwareVersion]int)
-	if !view.ServersListed {
-		return listed
-	}
-	for _, route := range resumableRoutes(view.Manifest) {
-		for _, target := range route.Targets {
-			listed[target.Pool] = make(map[fleet.SoftwareVersion]int)
-		}
-	}
-	for _, server := range view.Servers {
-		if versions := listed[server.Pool]; versions != nil {
-			versions[server.Software]++
-		}
-	}
-	for pool, versions := range listed {
-		if len(versions) == 0 {
-			delete(listed, pool)
-		}
-	}
-	return listed
-}
-
 // recordListed records which pools list servers of their base version and of others.
 func (c *Controller) recordListed(now time.Time, listed map[fleet.PoolID]map[fleet.SoftwareVersion]int) {
 	c.mu.Lock()
--- a/internal/origin/controller.go
+++ b/internal/origin/controller.go
@@ -188,27 +188,12 @@
 // retention returns for how long the version that began a stream must be found.
 func (c *Controller) retention() time.Duration {
 	longest := minRetention
-	for _, route := range resumableRoutes(c.View().Manifest) {
+	for _, route := range c.View().Manifest.ResumableRoutes() {
 		longest = max(longest, timeoutsPerRetention*route.Timeout)
 	}
 	return longest
 }
 
-// resumableRoutes returns the routes whose streams may be continued.
-func resumableRoutes(manifest *roster.Manifest) (routes []*roster.Route) {
-	if manifest == nil {
-		return nil
-	}
-	for _, hosted := range manifest.Hosts {
-		for _, route := range hosted {
-			if route.Kind == roster.Stream && route.Resumable {
-				routes = append(routes, route)
-			}
-		}
-	}
-	return routes
-}
-
 // remember keeps a stream that this node began. It returns the era in which a restoration
 // of the store would have its record written again.
 func (c *Controller) remember(key streamKey, stream ownStream) table.Era {
--- a/internal/origin/find.go
+++ b/internal/origin/find.go
@@ -145,7 +145,7 @@
 // listsOthers returns the base version of a pool and whether servers of other versions are
 // listed, or none at all.
 func (c *Controller) listsOthers(pool fleet.PoolID) (software fleet.SoftwareVersion, mixed bool) {
-	listed := c.listedVersions()
+	listed := c.View().ResumableVersions()
 	c.recordListed(time.Now(), listed)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/origin/history_test.go
+++ b/internal/origin/history_test.go
@@ -192,7 +192,7 @@
 
 // begin begins a stream at a server of a version, if the node lists one.
 func (h *history) begin(ctx context.Context, node *testNode, software fleet.SoftwareVersion) {
-	if node.listedVersions()[pool][software] == 0 || !h.runs(software) {
+	if node.View().ResumableVersions()[pool][software] == 0 || !h.runs(software) {
 		return
 	}
 	request := fleet.RequestID(fmt.Sprint("r", h.requests.Add(1)))
--- a/internal/origin/peer.go
+++ b/internal/origin/peer.go
@@ -206,11 +206,10 @@
 // write again then and has not reached the store lately itself. After a restoration it asks
 // them whether they still write theirs.
 func (c *Controller) learnEra(ctx context.Context) {
-	retention := c.retention()
 	c.mu.Lock()
 	recent := time.Since(c.reachedAt) < ownEraAge
 	recorded := len(c.kept) > 0 || c.hasRecorded()
-	awaits := c.era > 0 && c.completeEra != c.era && time.Since(c.eraSince) < retention
+	awaits := c.era > 0 && c.completeEra != c.era
 	c.mu.Unlock()
 	if (recent || !recorded) && !awaits {
 		return
--- a/internal/placement/inherit.go
+++ b/internal/placement/inherit.go
@@ -49,17 +49,15 @@
 	defer s.mu.Unlock()
 	s.init()
 	view := s.View()
-	if view.Manifest == nil {
-		return ""
-	}
-	mixed := mixedPools(view)
+	mixed := view.ResumableVersions()
+	maps.DeleteFunc(mixed, func(_ fleet.PoolID, versions map[fleet.SoftwareVersion]int) bool { return len(versions) == 1 })
 	if len(mixed) == 0 {
 		return ""
 	}
 	var used []modelInUse
 	for key, usage := range s.modelUsages(time.Now()) {
 		server := view.Servers[key.server]
-		if usage > 0 && server != nil && mixed[server.Pool] {
+		if usage > 0 && server != nil && mixed[server.Pool] != nil {
 			used = append(used, modelInUse{Server: key.server, Model: key.item.Model, calls: usage})
 		}
 	}
@@ -87,39 +85,14 @@
 	return usages
 }
 
-// mixedPools returns the pools whose streams may be continued and that list servers of
-// several software versions.
-func mixedPools(view *roster.View) map[fleet.PoolID]bool {
-	gaps := streamGaps(view.Manifest)
-	first, mixed := make(map[fleet.PoolID]fleet.SoftwareVersion), make(map[fleet.PoolID]bool)
-	for _, server := range view.Servers {
-		if _, resumable := gaps[server.Pool]; !resumable {
-			continue
-		}
-		if version, seen := first[server.Pool]; seen && version != server.Software {
-			mixed[server.Pool] = true
-		}
-		first[server.Pool] = server.Software
+// streamGap returns the longest gap after which a caller takes a stream that may be continued
+// for broken.
+func streamGap(manifest *roster.Manifest) time.Duration {
+	gap := time.Duration(0)
+	for _, route := range manifest.ResumableRoutes() {
+		gap = max(gap, minStreamGap, gapObjectives*route.Objective, gapPauses*route.MaxEventGap)
 	}
-	return mixed
-}
-
-// streamGaps returns, for each pool whose streams may be continued, the longest gap after
-// which a caller takes a stream for broken.
-func streamGaps(manifest *roster.Manifest) map[fleet.PoolID]time.Duration {
-	gaps := make(map[fleet.PoolID]time.Duration)
-	for _, routes := range manifest.Hosts {
-		for _, route := range routes {
-			if route.Kind != roster.Stream || !route.Resumable {
-				continue
-			}
-			gap := max(minStreamGap, gapObjectives*route.Objective, gapPauses*route.MaxEventGap)
-			for _, target := range route.Targets {
-				gaps[target.Pool] = max(gaps[target.Pool], gap)
-			}
-		}
-	}
-	return gaps
+	return gap
 }
 
 // inherit takes over the models that were in use under the holder before, if this process
@@ -142,11 +115,7 @@
 	for _, model := range used {
 		s.kept[model.Server] = append(s.kept[model.Server], model.Model)
 	}
-	longest := time.Duration(0)
-	for gap := range maps.Values(streamGaps(manifest)) {
-		longest = max(longest, gap)
-	}
-	s.keptUntil = now.Add(longest + returnTime)
+	s.keptUntil = now.Add(streamGap(manifest) + returnTime)
 	s.Log.Info("models in use under the holder before are kept", slog.Int("models", len(used)), slog.Int("engines", len(s.kept)),
 		slog.Duration("for", s.keptUntil.Sub(now)))
 }
--- a/internal/roster/controller.go
+++ b/internal/roster/controller.go
@@ -73,6 +73,31 @@
 	return v.Manifest.Pools[pool].Engine
 }
 
+// ResumableVersions counts the servers of each software version in each pool whose streams
+// may be continued and that has servers. There are none before the list has been read.
+func (v *View) ResumableVersions() map[fleet.PoolID]map[fleet.SoftwareVersion]int {
+	listed := make(map[fleet.PoolID]map[fleet.SoftwareVersion]int)
+	if !v.ServersListed {
+		return listed
+	}
+	for _, route := range v.Manifest.ResumableRoutes() {
+		for _, target := range route.Targets {
+			listed[target.Pool] = make(map[fleet.SoftwareVersion]int)
+		}
+	}
+	for _, server := range v.Servers {
+		if versions := listed[server.Pool]; versions != nil {
+			versions[server.Software]++
+		}
+	}
+	for pool, versions := range listed {
+		if len(versions) == 0 {
+			delete(listed, pool)
+		}
+	}
+	return listed
+}
+
 // Controller watches the platform's list of servers and its manifest. Its exported
 // fields are set before Run.
 type Controller struct {
--- a/internal/roster/manifest.go
+++ b/internal/roster/manifest.go
@@ -37,6 +37,21 @@
 	return true
 }
 
+// ResumableRoutes returns the routes whose streams may be continued. The manifest may be nil.
+func (m *Manifest) ResumableRoutes() (routes []*Route) {
+	if m == nil {
+		return nil
+	}
+	for _, hosted := range m.Hosts {
+		for _, route := range hosted {
+			if route.Kind == Stream && route.Resumable {
+				routes = append(routes, route)
+			}
+		}
+	}
+	return routes
+}
+
 // complete reports whether no model is nil. There may be no description of engines.
 func (e *EngineSpec) complete() bool {
 	if e == nil {
