--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -29,6 +29,10 @@
 	Pool fleet.PoolID
 	// Rank is the priority class of the call; 0 is the most urgent.
 	Rank int
+	// Account is charged with Charge tokens for each attempt of the call; nil if the
+	// caller's organisation has no quota.
+	Account Account
+	Charge  int
 	// Concurrency is the number of calls of the item that a replica runs at
 	// once. It is used for estimates while there is no replica.
 	Concurrency int
@@ -94,6 +98,18 @@
 	answerStarted atomic.Bool
 }
 
+// Account is the quota of an organisation.
+type Account interface {
+	// Admit fails with a refusal if a call of so many tokens is known not to get them
+	// soon. It does not block and takes none.
+	Admit(tokens int) error
+	// Spend takes tokens for an attempt that is about to be sent. It may wait a short
+	// time and fails with a refusal if it gets none.
+	Spend(ctx context.Context, tokens int) error
+	// Refund gives back the tokens of an attempt that no server has run.
+	Refund(tokens int)
+}
+
 // Sent reports whether the call may have run on a server or may still run.
 func (c *Call) Sent() bool { return c.sent.Load() > 0 }
 
--- a/internal/roster/manifest.go
+++ b/internal/roster/manifest.go
@@ -16,6 +16,10 @@
 	Hosts  map[string][]*Route    `json:"hosts,omitempty"`
 	Pools  map[fleet.PoolID]*Pool `json:"pools,omitempty"`
 	Limits Limits                 `json:"limits,omitempty"`
+	// Organisations is empty if callers need no key. Keys maps the keys of callers to
+	// them; keys must not be logged.
+	Organisations map[fleet.OrganisationID]*Organisation `json:"organisations,omitempty"`
+	Keys          map[string]fleet.OrganisationID        `json:"keys,omitempty"`
 }
 
 // complete reports whether no part of the manifest is nil. One that was sent by another
@@ -100,6 +104,8 @@
 	MaxAttempts int `json:"maxAttempts,omitempty"`
 	// Resumable reports whether another server may continue an interrupted stream.
 	Resumable bool `json:"resumable,omitempty"`
+	// Public reports whether its callers need no key although there are organisations.
+	Public bool `json:"public,omitempty"`
 }
 
 // Target is a pool that serves a route. Pools are chosen in proportion to their
--- a/pkg/fleet/ids.go
+++ b/pkg/fleet/ids.go
@@ -24,6 +24,10 @@
 // CallerID names an authenticated caller.
 type CallerID string
 
+// OrganisationID names an organisation: a customer whose callers share keys, a priority
+// and a quota.
+type OrganisationID string
+
 // RequestID identifies one request through all of its attempts.
 type RequestID string
 
--- a/pkg/refusal/refusal.go
+++ b/pkg/refusal/refusal.go
@@ -56,6 +56,8 @@
 	Poisonous Reason = "poisonous"
 	// Overloaded means that too many requests are queued.
 	Overloaded Reason = "overloaded"
+	// QuotaExceeded means that the organisation of the caller has used its quota.
+	QuotaExceeded Reason = "quotaExceeded"
 	// DeadlineUnreachable means that the request can't be started before its deadline.
 	DeadlineUnreachable Reason = "deadlineUnreachable"
 	// NoServer means that no backend server is available.
@@ -111,6 +113,7 @@
 	KeyReused:           {http.StatusUnprocessableEntity, NotRun, kindInvalid},
 	Poisonous:           {http.StatusUnprocessableEntity, NotRun, kindInvalid},
 	Overloaded:          {http.StatusTooManyRequests, NotRun, kindLimit},
+	QuotaExceeded:       {http.StatusTooManyRequests, NotRun, kindLimit},
 	DeadlineUnreachable: {http.StatusServiceUnavailable, NotRun, kindServer},
 	NoServer:            {http.StatusServiceUnavailable, NotRun, kindServer},
 	TableUnavailable:    {http.StatusServiceUnavailable, NotRun, kindServer},
