--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -120,8 +120,8 @@
 		Name:      "manifest",
 		Source:    guarded[*roster.Manifest](store, &platform.Manifests{Store: store, Log: n.Log, Metrics: registry}),
 		Key:       func(*roster.Manifest) string { return "" },
-		IsRemoval: func(*roster.Manifest) bool { return false },
-		Node:      n.ID, Ranked: func() []fleet.NodeID { return members.Ranked("manifest") }, Peers: peers,
+		IsRemoval: func(*roster.Manifest) bool { return false }, Format: roster.ManifestFormat,
+		Node: n.ID, Ranked: func() []fleet.NodeID { return members.Ranked("manifest") }, Peers: peers,
 		MaxAge: maxManifestCopyAge, Log: n.Log,
 	}
 }
--- a/internal/origin/controller.go
+++ b/internal/origin/controller.go
@@ -110,7 +110,8 @@
 	sweptAt     time.Time
 }
 
-// streamKey identifies a stream by the request that brought its first event.
+// streamKey identifies a stream by the request that brought its first event, and its caller:
+// request is a [dispatch.StreamID].
 type streamKey struct {
 	pool    fleet.PoolID
 	request fleet.RequestID
--- a/internal/origin/find.go
+++ b/internal/origin/find.go
@@ -43,7 +43,7 @@
 func (c *Controller) Find(ctx context.Context, rest dispatch.Rest) (software fleet.SoftwareVersion, err error) {
 	c.init()
 	began := time.Now()
-	key := streamKey{pool: rest.Pool, request: rest.Request}
+	key := streamKey{pool: rest.Pool, request: dispatch.StreamID(rest.Request, rest.Caller)}
 	var from source
 	defer func() { c.logFound(ctx, key, software, from, time.Since(began), err) }()
 	if rest.Request == "" {
@@ -172,12 +172,12 @@
 ) {
 	if err != nil {
 		c.counts.unknown.Inc(1)
-		c.Log.LogAttrs(ctx, slog.LevelWarn, "version of a stream not found", slog.String("resumes", string(key.request)),
+		c.Log.LogAttrs(ctx, slog.LevelWarn, "version of a stream not found", slog.String("resumes", string(dispatch.StreamRequest(key.request))),
 			slog.String("pool", string(key.pool)),
 			slog.Duration("took", took), slog.Any("error", err))
 		return
 	}
 	c.counts.found.Inc(1)
-	c.Log.LogAttrs(ctx, slog.LevelInfo, "version of a stream found", slog.String("resumes", string(key.request)),
+	c.Log.LogAttrs(ctx, slog.LevelInfo, "version of a stream found", slog.String("resumes", string(dispatch.StreamRequest(key.request))),
 		slog.String("pool", string(key.pool)), slog.String("software", string(software)), slog.String("source", string(from)), slog.Duration("took", took))
 }
--- a/internal/origin/record.go
+++ b/internal/origin/record.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/guavatrack/guavatrack/internal/dispatch"
 	"github.com/guavatrack/guavatrack/internal/poison"
 	"github.com/guavatrack/guavatrack/internal/table"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
@@ -107,14 +108,14 @@
 	}
 	readAge := time.Since(known.readAt)
 	c.mu.Unlock()
-	c.Log.LogAttrs(ctx, slog.LevelInfo, "stream begun at the base version", slog.String("request", string(key.request)),
+	c.Log.LogAttrs(ctx, slog.LevelInfo, "stream begun at the base version", slog.String("request", string(dispatch.StreamRequest(key.request))),
 		slog.String("pool", string(key.pool)), slog.String("software", string(software)), slog.Duration("baseAge", readAge))
 }
 
 // logRecorded logs and counts the attempt to write the record of a stream.
 func (c *Controller) logRecorded(ctx context.Context, key streamKey, software fleet.SoftwareVersion, took time.Duration, err error) {
 	attributes := []slog.Attr{
-		slog.String("request", string(key.request)), slog.String("pool", string(key.pool)),
+		slog.String("request", string(dispatch.StreamRequest(key.request))), slog.String("pool", string(key.pool)),
 		slog.String("software", string(software)), slog.Duration("took", took),
 	}
 	if err != nil {
--- a/internal/roster/manifest.go
+++ b/internal/roster/manifest.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
@@ -20,8 +22,19 @@
 	// them; keys must not be logged.
 	Organisations map[fleet.OrganisationID]*Organisation `json:"organisations,omitempty"`
 	Keys          map[string]fleet.OrganisationID        `json:"keys,omitempty"`
+	// AnonymousClasses are the classes of callers without a key on public routes, see
+	// [Organisation.Classes].
+	AnonymousClasses map[int]int `json:"anonymousClasses,omitempty"`
 }
 
+// ManifestFormat is the format in which this build passes a manifest on to other nodes. A
+// build drops the fields that it does not know: before format 1 all about organisations, so
+// that a node that took such a manifest would serve callers without a key.
+const ManifestFormat = 1
+
+// errOlderFormat reports entries that an older build has passed on.
+var errOlderFormat = errors.New("passed on by an older build, without the fields that it does not know")
+
 // complete reports whether no part of the manifest is nil. One that was sent by another
 // node may have such parts.
 func (m *Manifest) complete() bool {
@@ -38,6 +51,11 @@
 			return false
 		}
 	}
+	for _, organisation := range m.Organisations {
+		if organisation == nil {
+			return false
+		}
+	}
 	return true
 }
 
--- a/internal/roster/manifestexchange.go
+++ b/internal/roster/manifestexchange.go
@@ -64,6 +64,8 @@
 // manifestResponse holds the manifest; no entry if the node has none that is newer.
 type manifestResponse struct {
 	Packed packed.List `json:"packed"`
+	// Format is the [ManifestFormat] of the node.
+	Format int `json:"format,omitempty"`
 }
 
 const (
@@ -195,6 +197,9 @@
 	if err == nil {
 		manifests, err = packed.Decode[*Manifest](response.Packed)
 	}
+	if err == nil && response.Format < ManifestFormat {
+		err = errOlderFormat
+	}
 	if err != nil {
 		e.Log.Warn("manifest not fetched from another node", slog.String("node", string(newer.from)),
 			slog.Uint64("version", newer.version), slog.Uint64("own", own), slog.Any("error", err))
@@ -215,6 +220,7 @@
 
 // handle handles another node's request.
 func (e *ManifestExchange) handle(_ context.Context, request manifestRequest) (response manifestResponse, err error) {
+	response.Format = ManifestFormat
 	manifest := e.Roster.View().Manifest
 	if manifest == nil || manifest.Version <= request.After {
 		return response, nil
--- a/internal/roster/organisation.go
+++ b/internal/roster/organisation.go
@@ -5,9 +5,9 @@
 // Organisation is a customer whose callers share keys, a priority and a quota.
 type Organisation struct {
 	ID fleet.OrganisationID `json:"id,omitempty"`
-	// Rank is the urgency of its requests, which goes before that of their routes; 0 is
-	// the most urgent.
-	Rank int `json:"rank,omitempty"`
+	// Classes maps the rank of a route to the priority class of the organisation's
+	// requests there; 0 is the most urgent.
+	Classes map[int]int `json:"classes,omitempty"`
 	// Quota bounds its requests over all nodes; nil if it has none.
 	Quota *Quota `json:"quota,omitempty"`
 }
--- a/internal/roster/relay.go
+++ b/internal/roster/relay.go
@@ -33,7 +33,10 @@
 	Key func(T) string
 	// IsRemoval reports whether an entry only marks a removal.
 	IsRemoval func(T) bool
-	Node      fleet.NodeID
+	// Format is the format in which this build passes entries on. Responses of nodes with a
+	// lower one lack fields and are not used.
+	Format int
+	Node   fleet.NodeID
 	// Ranked returns the nodes of the region that may be readers, the best first.
 	// Nodes that have the same list of members return the same order.
 	Ranked func() []fleet.NodeID
@@ -145,6 +148,8 @@
 	// long the reader waited for changes before it. Nodes of an older build send neither.
 	AgeMs  int64 `json:"ageMs,omitempty"`
 	HeldMs int64 `json:"heldMs,omitempty"`
+	// Format is the format of the entries, see [Relay.Format].
+	Format int `json:"format,omitempty"`
 }
 
 func (r *changesResponse) err() error {
--- a/internal/roster/relayreaders.go
+++ b/internal/roster/relayreaders.go
@@ -57,6 +57,9 @@
 	if entries, err = packed.Decode[T](response.Packed); err != nil {
 		return nil, 0, errors.Wrapf(err, "decode response of reader %s", reader)
 	}
+	if len(entries) > 0 && response.Format < r.Format {
+		return nil, 0, errOlderFormat
+	}
 	r.setAsOf(asked.add(time.Duration(response.HeldMs-response.AgeMs) * time.Millisecond))
 	return entries, response.At, nil
 }
--- a/internal/roster/relayserve.go
+++ b/internal/roster/relayserve.go
@@ -22,6 +22,7 @@
 		}
 		if ready || err != nil {
 			response.AgeMs, response.HeldMs = age.Milliseconds(), time.Since(began).Milliseconds()
+			response.Format = r.Format
 			return response, err
 		}
 		if !r.awaitChange(ctx, changed, age) {
