Quotas of organisations over all nodes

Refused callers are told to return when their turn would be. The lease is claimed only once a manifest has a quota. Ruled out: the owner by rendezvous hashing, since two nodes may hold themselves for it while members disagree; fixed shares, which are below one request for most organisations on 84 nodes.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -98,18 +98,6 @@
 	answerStarted atomic.Bool
 }
 
-// Account is the quota of an organisation.
-type Account interface {
-	// Admit fails with a refusal if a call of so many tokens is known not to get them
-	// soon. It does not block and takes none.
-	Admit(tokens int) error
-	// Spend takes tokens for an attempt that is about to be sent. It may wait a short
-	// time and fails with a refusal if it gets none.
-	Spend(ctx context.Context, tokens int) error
-	// Refund gives back the tokens of an attempt that no server has run.
-	Refund(tokens int)
-}
-
 // Sent reports whether the call may have run on a server or may still run.
 func (c *Call) Sent() bool { return c.sent.Load() > 0 }
 
@@ -188,6 +176,8 @@
 	silentProgress uint64
 	// probing is set while the server is probed because the attempt makes no progress.
 	probing bool
+	// charged is set once the account of the call was charged for it.
+	charged bool
 	// failedNumber is its position among the failed attempts of the call, from 1; 0 if
 	// it is none of them.
 	failedNumber int
--- a/internal/dispatch/callrunner.go
+++ b/internal/dispatch/callrunner.go
@@ -183,6 +183,9 @@
 		if a.err == nil && exclusive {
 			a.err = r.checkStop(r.call)
 		}
+		if a.err == nil {
+			a.err = a.spend()
+		}
 		if a.err == nil {
 			a.answer, a.err = r.call.Message.Open(a.ctx, a)
 		}
@@ -236,6 +239,7 @@
 // call ended, is not counted as a failure.
 func (r *callRunner) recordFailure(a *Attempt) {
 	a.retractSent()
+	a.refund()
 	now := time.Now()
 	state := a.slot.server
 	if errors.Is(r.call.Context.Err(), context.DeadlineExceeded) {
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -26,6 +26,7 @@
 	"github.com/guavatrack/guavatrack/internal/peer"
 	"github.com/guavatrack/guavatrack/internal/placement"
 	"github.com/guavatrack/guavatrack/internal/poison"
+	"github.com/guavatrack/guavatrack/internal/quota"
 	"github.com/guavatrack/guavatrack/internal/ratelimit"
 	"github.com/guavatrack/guavatrack/internal/reach"
 	"github.com/guavatrack/guavatrack/internal/roster"
@@ -85,6 +86,8 @@
 	Poison           *poison.Gossip
 	LeaveNotices     *roster.LeaveNotices
 	RateLimits       *ratelimit.Controller
+	QuotaLease       quotaLease
+	Quotas           *quota.Controller
 	Engines          *platform.Engines
 	Endpoints        *endpoints
 }
@@ -141,6 +144,10 @@
 		{Name: "dispatcher", Run: n.components.Dispatcher.Run},
 		{Name: "notices", Run: n.receiveNotices},
 		{Name: "rateLimits", Run: n.components.RateLimits.Run},
+		{Name: "quotaLease", Run: func(ctx context.Context) error {
+			return n.components.Quotas.RunLease(ctx, n.components.QuotaLease.Run)
+		}},
+		{Name: "quotas", Run: n.components.Quotas.Run},
 		{Name: "pauses", Run: n.watchPauses},
 		{Name: "reach", Run: n.components.Reach.Run},
 	}
@@ -245,6 +252,9 @@
 	n.leaving.Store(true)
 	n.components.Members.AnnounceLeaving()
 	n.background.Go(func() { n.components.Lease.Release(ctx) })
+	if n.components.Quotas.InUse() {
+		n.background.Go(func() { n.components.QuotaLease.Release(ctx) })
+	}
 	wait.For(ctx, time.Duration(acceptShare*float64(grace)))
 	n.draining.Store(true)
 	cutOff = n.finishRequests(ctx, n.components.Endpoints, time.Duration((answeredShare-cutOffShare)*float64(grace)))
@@ -289,6 +299,9 @@
 	n.Log.Warn("store restored from an older copy", slog.Uint64("era", uint64(era)))
 	n.components.Members.RegisterAgain()
 	n.components.Lease.Suspect()
+	if n.components.Quotas.InUse() {
+		n.components.QuotaLease.Suspect()
+	}
 }
 
 // Resources of requests. A request uses one connection to its caller and one to a
@@ -333,5 +346,6 @@
 		MaxRunning:    (n.Settings.Platform.Descriptors - reservedDescriptors) / descriptorsPerRequest,
 		MaxBodyMemory: int64(n.Settings.Platform.Memory) / bodyMemoryDivisor,
 		Edge:          n.edge,
+		Quotas:        n.components.Quotas,
 	}
 }
--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -24,6 +24,7 @@
 	"github.com/guavatrack/guavatrack/internal/peer"
 	"github.com/guavatrack/guavatrack/internal/placement"
 	"github.com/guavatrack/guavatrack/internal/poison"
+	"github.com/guavatrack/guavatrack/internal/quota"
 	"github.com/guavatrack/guavatrack/internal/ratelimit"
 	"github.com/guavatrack/guavatrack/internal/reach"
 	"github.com/guavatrack/guavatrack/internal/retry"
@@ -37,7 +38,7 @@
 // that depend on each other are set by connect.
 var providers = fx.Provide(
 	metrics.NewRegistry, newStore, newTable, newServerRelay, newManifestRelay, newRoster, newManifestExchange, newPeers, newMembers, newLease,
-	newDirectory, newReporter, platform.NewEngines, newScheduler, newExchange, newReach, newForwarder, newOrigins, newDispatcher, newGossip, newLeaveNotices, newRateLimits, newEndpoints,
+	newDirectory, newReporter, platform.NewEngines, newScheduler, newExchange, newReach, newForwarder, newOrigins, newDispatcher, newGossip, newLeaveNotices, newRateLimits, newQuotaLease, newQuotas, newEndpoints,
 )
 
 const (
@@ -76,7 +77,7 @@
 }
 
 func newTable(store *platform.Store) table.Store {
-	return &platform.Table{Store: store, Guarded: map[string]bool{leaseKey.Partition: true}}
+	return &platform.Table{Store: store, Guarded: map[string]bool{leaseKey.Partition: true, quotaLeaseKey.Partition: true}}
 }
 
 func newServerRelay(
@@ -176,6 +177,36 @@
 	}
 }
 
+// quotaLease is the lease of the owner of the organisations' accounts.
+type quotaLease struct{ *lease.Controller }
+
+// quotaLeaseKey is the key of its record.
+var quotaLeaseKey = table.Key{Partition: "quota", Sort: "lease"}
+
+// quotaShortLease is the time after which a deputy may replace an owner of the accounts.
+// Meanwhile no tokens are granted, so it is as short as a promise of the deputy lasts.
+const quotaShortLease = time.Second
+
+func newQuotaLease(
+	n *Node, platformStore *platform.Store, store table.Store, members *member.Controller, peers *peer.Peer,
+) quotaLease {
+	return quotaLease{&lease.Controller{
+		Name:     "quota",
+		State:    lease.State{VM: n.vmID(), Node: n.ID, LeaseDuration: leaseDuration, ShortLeaseDuration: quotaShortLease},
+		Deputies: func() []fleet.NodeID { return n.deputies(members) }, Peers: peers,
+		Store: store, Era: platformStore.Era, Key: quotaLeaseKey, ClaimDelay: func() time.Duration { return n.claimDelay(members) }, Log: n.Log,
+	}}
+}
+
+func newQuotas(
+	n *Node, rosterController *roster.Controller, owner quotaLease, peers *peer.Peer, registry metrics.Registry,
+) *quota.Controller {
+	return &quota.Controller{
+		Node: n.ID, Lease: owner, Peers: peers, Manifest: func() *roster.Manifest { return rosterController.View().Manifest },
+		Log: n.Log, Metrics: registry,
+	}
+}
+
 const (
 	// claimDelayPerNode is how long a node delays its claim of the lease for each
 	// node with a higher lease priority, maxClaimDelay the upper bound of the sum.
@@ -419,6 +450,8 @@
 	p.ServerRelay.Register()
 	p.ManifestRelay.Register()
 	p.RateLimits.Register()
+	p.QuotaLease.Register()
+	p.Quotas.Register()
 	p.ManifestExchange.Register()
 	p.Members.Stamp, p.Members.OnStamp = p.ManifestExchange.Stamp, p.ManifestExchange.ReceiveStamp
 	placement.Register(p.Peers, p.Scheduler, p.Reporter)
--- a/internal/lease/controller.go
+++ b/internal/lease/controller.go
@@ -36,6 +36,8 @@
 // Controller acquires and renews a lease, or watches which process holds it. Its
 // exported fields are set before Run.
 type Controller struct {
+	// Name distinguishes the lease from others of the same nodes; it may be empty for one.
+	Name  string
 	State State
 	Store table.Store
 	Key   table.Key
@@ -80,6 +82,9 @@
 			c.Clock = wait.BootTime
 		}
 		c.Log = logs.OrDiscard(c.Log)
+		if c.Name != "" {
+			c.Log = c.Log.With(slog.String("lease", c.Name))
+		}
 	})
 }
 
@@ -135,6 +140,23 @@
 	return c.State.record.Node
 }
 
+// Deputy returns the process that was named as the deputy when the record was last read;
+// empty if there is none.
+func (c *Controller) Deputy() fleet.NodeID {
+	c.init()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.State.record.Deputy
+}
+
+// Suspected reports whether the holder is suspected to have failed.
+func (c *Controller) Suspected() bool {
+	c.init()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.suspect
+}
+
 // Suspect makes the controller read the record, because the holder does not
 // respond or says that it is not the holder.
 func (c *Controller) Suspect() {
--- a/internal/lease/promise.go
+++ b/internal/lease/promise.go
@@ -34,6 +34,14 @@
 
 const methodPromise = "lease.promise"
 
+// promiseMethod returns the method of promise requests, which differs between leases.
+func (c *Controller) promiseMethod() string {
+	if c.Name == "" {
+		return methodPromise
+	}
+	return methodPromise + "." + c.Name
+}
+
 // promiseRequest asks the deputy to promise not to claim the lease for a while. It
 // carries the holder's latest record.
 type promiseRequest struct {
@@ -48,7 +56,7 @@
 // Register registers the handler of promise requests with the peers.
 func (c *Controller) Register() {
 	c.init()
-	c.Peers.Handle(methodPromise, peer.Typed(func(_ context.Context, request promiseRequest) (promiseResponse, error) {
+	c.Peers.Handle(c.promiseMethod(), peer.Typed(func(_ context.Context, request promiseRequest) (promiseResponse, error) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.lastRequestAt = c.Clock()
@@ -84,7 +92,7 @@
 	ctx, cancel := context.WithTimeout(ctx, promiseTimeout)
 	defer cancel()
 	var response promiseResponse
-	return c.Peers.Call(ctx, deputy, methodPromise, request, &response) == nil && response.Promised
+	return c.Peers.Call(ctx, deputy, c.promiseMethod(), request, &response) == nil && response.Promised
 }
 
 // chooseDeputy returns the process to name as the deputy in the next renewal: the
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -18,6 +18,7 @@
 	"github.com/guavatrack/guavatrack/internal/placement"
 	"github.com/guavatrack/guavatrack/internal/poison"
 	"github.com/guavatrack/guavatrack/internal/policy"
+	"github.com/guavatrack/guavatrack/internal/quota"
 	"github.com/guavatrack/guavatrack/internal/ratelimit"
 	"github.com/guavatrack/guavatrack/internal/roster"
 	"github.com/guavatrack/guavatrack/internal/vmlist"
@@ -28,7 +29,7 @@
 func Metrics() []metric.Doc {
 	return slices.Concat(
 		batch.Metrics, caller.Metrics, claim.Metrics, config.Metrics, dispatch.Metrics, edgelog.Metrics, grant.Metrics, lookup.Metrics,
-		member.Metrics, origin.Metrics, peer.Metrics, placement.Metrics, platform.Metrics, poison.Metrics, policy.Metrics, ratelimit.Metrics,
+		member.Metrics, origin.Metrics, peer.Metrics, placement.Metrics, platform.Metrics, poison.Metrics, policy.Metrics, quota.Metrics, ratelimit.Metrics,
 		roster.Metrics,
 		vmlist.Metrics,
 	)
--- /dev/null
+++ b/internal/quota/controller.go
@@ -0,0 +1,408 @@
+package quota
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/guavatrack/guavatrack/internal/dispatch"
+	"github.com/guavatrack/guavatrack/internal/logs"
+	"github.com/guavatrack/guavatrack/internal/metric"
+	"github.com/guavatrack/guavatrack/internal/peer"
+	"github.com/guavatrack/guavatrack/internal/roster"
+	"github.com/guavatrack/guavatrack/internal/wait"
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+	"github.com/guavatrack/guavatrack/pkg/refusal"
+)
+
+// Metrics lists the metrics that a [Controller] registers.
+var Metrics = []metric.Doc{
+	{Name: grantedMetric, Kind: metric.Counter, Help: "tokens that this node, as the owner of the accounts, has granted"},
+	{Name: givenBackMetric, Kind: metric.Counter, Help: "granted tokens that nodes have given back unspent"},
+	{Name: lapsedMetric, Kind: metric.Counter, Help: "tokens that lapsed at this node before they were spent"},
+	{Name: refusedMetric, Kind: metric.Counter, Help: "requests that this node refused since their organisation had used its quota"},
+	{Name: noOwnerMetric, Kind: metric.Counter, Help: "requests that this node refused since it reached no owner of the accounts"},
+	{Name: askedMetric, Kind: metric.Counter, Help: "requests for tokens that this node sent to the owner"},
+	{Name: ownerMetric, Kind: metric.Gauge, Help: "1 if this node is the owner of the accounts"},
+}
+
+const (
+	grantedMetric   = "quota.granted"
+	givenBackMetric = "quota.givenBack"
+	lapsedMetric    = "quota.lapsed"
+	refusedMetric   = "quota.refused"
+	noOwnerMetric   = "quota.noOwner"
+	askedMetric     = "quota.asked"
+	ownerMetric     = "quota.owner"
+)
+
+// Peers sends calls to other nodes and registers handlers for theirs.
+type Peers interface {
+	Call(ctx context.Context, node fleet.NodeID, method string, in, out any) error
+	Handle(method string, handler peer.Handler)
+}
+
+// Lease says which node is the owner of the accounts.
+type Lease interface {
+	// Holds reports whether this node may grant tokens now, and in which term.
+	Holds() (fleet.FencingNumber, bool)
+	// Holder and Deputy return the owner and the node that follows it, as last read; empty if
+	// unknown.
+	Holder() fleet.NodeID
+	Deputy() fleet.NodeID
+	// Suspect has the owner determined anew until ClearSuspicion says that it answers;
+	// Suspected reports whether that is the case.
+	Suspect()
+	Suspected() bool
+	ClearSuspicion()
+}
+
+// Controller holds this node's tokens and, while it is the owner, the accounts. Its exported
+// fields are set before Register.
+type Controller struct {
+	Node  fleet.NodeID
+	Lease Lease
+	Peers Peers
+	// Manifest returns the manifest in force; nil if there is none.
+	Manifest func() *roster.Manifest
+	// Window is the window in which quotas are kept; 0 means [DefaultWindow].
+	Window time.Duration
+	// Clock includes the time for which the VM was suspended; nil means [wait.BootTime].
+	Clock func() time.Duration
+	Log   *slog.Logger
+	// Metrics may be nil.
+	Metrics metrics.Registry
+
+	meters struct {
+		granted, givenBack, lapsed, refused, noOwner, asked metrics.Counter
+		owner                                               metrics.Gauge
+	}
+	wake wait.Signal
+
+	mu      sync.Mutex
+	wallets map[fleet.OrganisationID]*wallet
+	// owner and deputy are the nodes to ask, as the last answer says; empty if unknown.
+	owner, deputy fleet.NodeID
+	// failedAsks counts the failed requests since the last answer of an owner.
+	failedAsks int
+
+	ledgerMu sync.Mutex
+	ledger   Ledger
+	// term is the term for which the ledger is open; 0 if it was never.
+	term fleet.FencingNumber
+}
+
+const (
+	askMethod  = "quota.ask"
+	askTimeout = 300 * time.Millisecond
+	// askFailedPause is the pause after a request that no owner answered.
+	askFailedPause = 30 * time.Millisecond
+	// asksUntilSuspicion is the number of failed requests after which the lease is read.
+	asksUntilSuspicion = 6
+	// maxWait bounds how long an attempt waits for tokens, maxOwnerWait the same while no
+	// owner answers.
+	maxWait      = 300 * time.Millisecond
+	maxOwnerWait = time.Second
+	// checkInterval is the time between two checks for credits that lapse.
+	checkInterval = 100 * time.Millisecond
+	// inUseInterval is the time between two checks whether the manifest has a quota.
+	inUseInterval = 250 * time.Millisecond
+	// maxEntries bounds the organisations in a message.
+	maxEntries = 10_000
+	// noOwnerRetryAfter is the Retry-After while no owner answers: about the time that
+	// another one takes to follow.
+	noOwnerRetryAfter = time.Second
+)
+
+// askEntry asks for tokens of one organisation, and gives back others.
+type askEntry struct {
+	Organisation fleet.OrganisationID `json:"organisation"`
+	// Need is the smallest amount that is of use; Want the whole.
+	Need     Tokens `json:"need,omitempty"`
+	Want     Tokens `json:"want,omitempty"`
+	GiveBack Tokens `json:"giveBack,omitempty"`
+	// Refused are the tokens of requests that the node has refused since it last asked.
+	Refused Tokens `json:"refused,omitempty"`
+}
+
+// askRequest asks the owner for tokens.
+type askRequest struct {
+	Node    fleet.NodeID `json:"node"`
+	Entries []askEntry   `json:"entries"`
+}
+
+// grantEntry is what the owner grants for one organisation.
+type grantEntry struct {
+	Organisation fleet.OrganisationID `json:"organisation"`
+	Tokens       Tokens               `json:"tokens,omitempty"`
+	RetryInMs    int64                `json:"retryInMs,omitempty"`
+}
+
+// askResponse is the answer of the owner, or of a node that is not.
+type askResponse struct {
+	NotOwner bool         `json:"notOwner,omitempty"`
+	Owner    fleet.NodeID `json:"owner,omitempty"`
+	Deputy   fleet.NodeID `json:"deputy,omitempty"`
+	Entries  []grantEntry `json:"entries,omitempty"`
+}
+
+// Register registers the methods that nodes call on each other.
+func (c *Controller) Register() {
+	c.Log = logs.OrDiscard(c.Log)
+	c.Metrics = metric.OrNew(c.Metrics)
+	c.meters.granted = metrics.GetOrRegisterCounter(grantedMetric, c.Metrics)
+	c.meters.givenBack = metrics.GetOrRegisterCounter(givenBackMetric, c.Metrics)
+	c.meters.lapsed = metrics.GetOrRegisterCounter(lapsedMetric, c.Metrics)
+	c.meters.refused = metrics.GetOrRegisterCounter(refusedMetric, c.Metrics)
+	c.meters.noOwner = metrics.GetOrRegisterCounter(noOwnerMetric, c.Metrics)
+	c.meters.asked = metrics.GetOrRegisterCounter(askedMetric, c.Metrics)
+	c.meters.owner = metrics.GetOrRegisterGauge(ownerMetric, c.Metrics)
+	if c.Clock == nil {
+		c.Clock = wait.BootTime
+	}
+	c.wake, c.wallets, c.ledger.Window = wait.NewSignal(), make(map[fleet.OrganisationID]*wallet), c.Window
+	c.Peers.Handle(askMethod, peer.Typed(c.handleAsk))
+}
+
+// quotaOf returns the quota of an organisation in the manifest in force; nil if there is none.
+func (c *Controller) quotaOf(id fleet.OrganisationID) *roster.Quota {
+	manifest := c.Manifest()
+	if manifest == nil || manifest.Organisations[id] == nil {
+		return nil
+	}
+	return manifest.Organisations[id].Quota
+}
+
+// InUse reports whether the manifest in force has a quota.
+func (c *Controller) InUse() bool {
+	manifest := c.Manifest()
+	if manifest == nil {
+		return false
+	}
+	for _, organisation := range manifest.Organisations {
+		if organisation.Quota != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// wallet returns the wallet of an organisation. The caller holds the lock.
+func (c *Controller) wallet(id fleet.OrganisationID) *wallet {
+	found := c.wallets[id]
+	if found == nil {
+		found = &wallet{}
+		c.wallets[id] = found
+	}
+	return found
+}
+
+// Run asks the owner for the tokens that attempts wait for, until the context ends.
+func (c *Controller) Run(ctx context.Context) error {
+	for !c.InUse() && wait.For(ctx, inUseInterval) {
+	}
+	for ctx.Err() == nil {
+		c.wake.Wait(ctx, checkInterval)
+		for ctx.Err() == nil && c.askOnce(ctx) {
+		}
+		c.recordOwner()
+	}
+	return ctx.Err()
+}
+
+// askOnce sends one request to the owner if there is something to ask for, and reports whether
+// it was answered with tokens.
+func (c *Controller) askOnce(ctx context.Context) (granted bool) {
+	now := c.Clock()
+	c.mu.Lock()
+	request, awaited := c.nextRequest(now)
+	target := c.target()
+	c.mu.Unlock()
+	// While the owner is suspected, a request without entries finds out whether it answers.
+	if len(request.Entries) == 0 && !c.Lease.Suspected() {
+		return false
+	}
+	response, err := c.send(ctx, target, request)
+	if err != nil {
+		c.recordFailure(target, awaited, err)
+		wait.For(ctx, askFailedPause)
+		return awaited
+	}
+	return c.receive(now, response)
+}
+
+// nextRequest returns the request to send now. awaited reports whether attempts wait for it. The
+// caller holds the lock.
+func (c *Controller) nextRequest(now time.Duration) (request askRequest, awaited bool) {
+	request.Node = c.Node
+	for id, held := range c.wallets {
+		entry := askEntry{Organisation: id, GiveBack: held.lapsing(now)}
+		c.dropOverdue(now, held)
+		if len(held.waiting) > 0 && now >= held.askAt {
+			entry.Need, entry.Want = held.needs()
+			awaited = true
+		}
+		entry.Refused, held.refused = min(held.refused, maxAmount), 0
+		c.meters.lapsed.Inc(int64(held.lapsed))
+		held.lapsed = 0
+		if entry.Want > 0 || entry.GiveBack > 0 || entry.Refused > 0 {
+			request.Entries = append(request.Entries, entry)
+		}
+	}
+	return request, awaited
+}
+
+// dropOverdue ends the waiting of attempts whose time is over. The caller holds the lock.
+func (c *Controller) dropOverdue(now time.Duration, held *wallet) {
+	limit := maxWait
+	if c.failedAsks > 0 {
+		limit = maxOwnerWait
+	}
+	for _, waiting := range slices.Clone(held.waiting) {
+		if now-waiting.since >= limit && held.remove(waiting) {
+			waiting.result <- spendResult{err: c.noTokens(held, waiting.need)}
+		}
+	}
+}
+
+// noTokens returns the refusal of an attempt that got no tokens. The caller holds the lock.
+func (c *Controller) noTokens(held *wallet, need Tokens) error {
+	if c.failedAsks > 0 {
+		c.meters.noOwner.Inc(1)
+		return &refusal.Refusal{
+			Reason: refusal.NoServer, Message: "the quota of the organisation cannot be read", RetryAfter: noOwnerRetryAfter,
+		}
+	}
+	c.meters.refused.Inc(1)
+	held.refused += need
+	return &refusal.Refusal{
+		Reason: refusal.QuotaExceeded, Message: "the organisation has used its quota", RetryAfter: spread(held.retryIn),
+	}
+}
+
+// spread returns a time up to half as long again, so that refused callers don't return at the
+// same time.
+func spread(d time.Duration) time.Duration { return d + time.Duration(rand.Float64()*float64(d)/2) }
+
+// target returns the node to ask: the owner and its deputy in turn while neither answers. The
+// caller holds the lock.
+func (c *Controller) target() fleet.NodeID {
+	if _, holds := c.Lease.Holds(); holds {
+		return c.Node
+	}
+	owner, deputy := c.owner, c.deputy
+	if owner == "" {
+		owner = c.Lease.Holder()
+	}
+	if deputy == "" {
+		deputy = c.Lease.Deputy()
+	}
+	if c.failedAsks%2 == 1 && deputy != "" || owner == "" {
+		return deputy
+	}
+	return owner
+}
+
+// errNoOwner reports that a node is not the owner.
+var errNoOwner = errors.New("no owner of the accounts is known")
+
+// send sends a request to the owner, which may be this node.
+func (c *Controller) send(ctx context.Context, target fleet.NodeID, request askRequest) (response askResponse, err error) {
+	c.meters.asked.Inc(1)
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	switch target {
+	case "":
+		return askResponse{}, errNoOwner
+	case c.Node:
+		response, err = c.handleAsk(ctx, request)
+	default:
+		err = c.Peers.Call(ctx, target, askMethod, request, &response)
+	}
+	if err == nil && response.NotOwner {
+		c.follow(target, response)
+		err = errNoOwner
+	}
+	return response, err
+}
+
+// follow records whom a node that is not the owner names instead.
+func (c *Controller) follow(target fleet.NodeID, response askResponse) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if response.Owner != target {
+		c.owner = response.Owner
+	}
+	if response.Deputy != "" {
+		c.deputy = response.Deputy
+	}
+}
+
+// recordFailure records that no owner answered. The tokens that were given back are lost.
+func (c *Controller) recordFailure(target fleet.NodeID, awaited bool, err error) {
+	c.mu.Lock()
+	c.failedAsks++
+	failed := c.failedAsks
+	if failed%asksUntilSuspicion == 0 {
+		c.owner, c.deputy = "", ""
+	}
+	c.mu.Unlock()
+	if failed == 1 {
+		c.Log.Info("no tokens of the owner of the accounts", slog.String("node", string(target)),
+			slog.Bool("awaited", awaited), slog.Any("error", err))
+	}
+	if failed%asksUntilSuspicion == 0 || target == "" {
+		c.Lease.Suspect()
+	}
+}
+
+// receive gives what was granted to the attempts that wait for it, and reports whether
+// anything was. Credits count from when they were asked for.
+func (c *Controller) receive(asked time.Duration, response askResponse) (granted bool) {
+	c.Lease.ClearSuspicion()
+	now := c.Clock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failedAsks > 0 {
+		c.Log.Info("owner of the accounts answers", slog.String("node", string(response.Owner)), slog.Int("failedBefore", c.failedAsks))
+	}
+	c.owner, c.deputy, c.failedAsks = response.Owner, response.Deputy, 0
+	for _, entry := range response.Entries {
+		held := c.wallet(entry.Organisation)
+		if entry.Tokens > 0 {
+			granted = true
+			held.add(credit{tokens: entry.Tokens, expires: asked + CreditLifetime})
+			held.serve(now)
+			continue
+		}
+		held.recordRefusal(now, time.Duration(entry.RetryInMs)*time.Millisecond, func(need Tokens) error { return c.noTokens(held, need) })
+	}
+	return granted
+}
+
+func (c *Controller) recordOwner() {
+	value := int64(0)
+	if _, holds := c.Lease.Holds(); holds {
+		value = 1
+	}
+	c.meters.owner.Update(value)
+}
+
+// RunLease runs the lease of the owner, from when the manifest first has a quota until the
+// context ends.
+func (c *Controller) RunLease(ctx context.Context, run func(context.Context) error) error {
+	for !c.InUse() && wait.For(ctx, inUseInterval) {
+	}
+	return run(ctx)
+}
+
+// Account returns the account of an organisation for one call.
+func (c *Controller) Account(id fleet.OrganisationID) dispatch.Account {
+	return &charge{controller: c, organisation: id}
+}
