--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -183,16 +183,17 @@
 // quotaLeaseKey is the key of its record.
 var quotaLeaseKey = table.Key{Partition: "quota", Sort: "lease"}
 
-// quotaShortLease is the time after which a deputy may replace an owner of the accounts.
-// Meanwhile no tokens are granted, so it is as short as a promise of the deputy lasts.
-const quotaShortLease = time.Second
+// quotaLeaseDuration is how long the lease is valid without a renewal while the deputy
+// promises not to claim it: longer than the store turns single nodes away, since no tokens are
+// granted from then on until another owner has followed.
+const quotaLeaseDuration = 16 * time.Second
 
 func newQuotaLease(
 	n *Node, platformStore *platform.Store, store table.Store, members *member.Controller, peers *peer.Peer,
 ) quotaLease {
 	return quotaLease{&lease.Controller{
 		Name:     "quota",
-		State:    lease.State{VM: n.vmID(), Node: n.ID, LeaseDuration: leaseDuration, ShortLeaseDuration: quotaShortLease},
+		State:    lease.State{VM: n.vmID(), Node: n.ID, LeaseDuration: quotaLeaseDuration, ShortLeaseDuration: shortLeaseDuration},
 		Deputies: func() []fleet.NodeID { return n.deputies(members) }, Peers: peers,
 		Store: store, Era: platformStore.Era, Key: quotaLeaseKey, ClaimDelay: func() time.Duration { return n.claimDelay(members) }, Log: n.Log,
 	}}
