Tests of keys between nodes, and of older builds beside this one

Cause: nothing tested that a manifest that an older build passed on is not used, nor that a removed key is gone at all nodes; TestManifestNeverGoesBack served manifests without their format, so that its nodes took none from each other. Change: regions of nodes of which some drop organisations and state no format; keys that change with each manifest while nodes are killed and turned away; the stand-in node of TestManifestNeverGoesBack states the format; streams that two callers began under one id.

--- a/internal/dispatch/origin_test.go
+++ b/internal/dispatch/origin_test.go
@@ -41,7 +41,7 @@
 func (o *fakeOrigins) Find(_ context.Context, rest dispatch.Rest) (fleet.SoftwareVersion, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	software, found := o.versions[rest.Request]
+	software, found := o.versions[dispatch.StreamID(rest.Request, rest.Caller)]
 	if !found {
 		return "", errors.New("not found")
 	}
@@ -76,7 +76,7 @@
 
 func (m *eventMessage) Relay() error {
 	m.call.MarkAnswerStarted()
-	_, err := m.origins.Find(m.call.Context, dispatch.Rest{Pool: m.call.Pool, Request: m.call.ID})
+	_, err := m.origins.Find(m.call.Context, dispatch.Rest{Pool: m.call.Pool, Request: m.call.ID, Caller: m.call.Caller})
 	m.recordedBefore = err == nil
 	return nil
 }
@@ -167,3 +167,38 @@
 		}
 	})
 }
+
+// Guards against a stream that goes on for another caller than the one that began it, which
+// only needs the id of its request, and against two callers with the same id of which one
+// gets the version of the other.
+func TestStreamGoesOnOnlyForItsCaller(t *testing.T) {
+	runInBubble(t, func(c *qt.C) {
+		servers, origins, d := twoVersions()
+		stream := func(caller fleet.CallerID, resumes fleet.RequestID) (software fleet.SoftwareVersion, err error) {
+			call, message := servers.streamCall("same", origins)
+			call.Caller, call.Resumes, call.Continued = caller, resumes, resumes != ""
+			if err := d.Do(call); err != nil {
+				c.Check(message.servers, qt.HasLen, 0)
+				return "", err
+			}
+			return origins.versions[dispatch.StreamID("same", caller)], nil
+		}
+		_, err := stream("A", "")
+		c.Assert(err, qt.IsNil)
+		_, err = stream("B", "same")
+		c.Check(err, qt.ErrorMatches, ".*not found.*")
+		_, err = stream("", "same")
+		c.Check(err, qt.ErrorMatches, ".*not found.*")
+		for range 20 {
+			for _, caller := range []fleet.CallerID{"A", "B"} {
+				began, err := stream(caller, "")
+				c.Assert(err, qt.IsNil)
+				call, message := servers.streamCall("rest", origins)
+				call.Caller, call.Resumes, call.Continued = caller, "same", true
+				c.Assert(d.Do(call), qt.IsNil)
+				want := map[fleet.SoftwareVersion]string{"v1": "s[024]", "v2": "s[135]"}[began]
+				c.Check(string(message.servers[0]), qt.Matches, want)
+			}
+		}
+	})
+}
--- a/internal/roster/outage_test.go
+++ b/internal/roster/outage_test.go
@@ -235,6 +235,6 @@
 	peertest.Endpoint{Network: network, Node: "b"}.Handle("roster.manifest",
 		func(context.Context, json.RawMessage) (any, error) {
 			list, err := packed.Encode([]*roster.Manifest{manifest})
-			return map[string]packed.List{"packed": list}, err
+			return map[string]any{"packed": list, "format": roster.ManifestFormat}, err
 		})
 }
--- a/internal/roster/outageregion_test.go
+++ b/internal/roster/outageregion_test.go
@@ -144,6 +144,12 @@
 	stamps bool
 	// turnedAway holds the nodes that get no response from the store.
 	turnedAway map[fleet.NodeID]*outage
+	// older holds the nodes of a build that does not know organisations.
+	older map[fleet.NodeID]bool
+	// manifest, if set, changes each manifest before it is deployed.
+	manifest func(next *roster.Manifest)
+	// onManifest, if set, is called with each manifest that comes into force at a node.
+	onManifest func(node fleet.NodeID, manifest *roster.Manifest)
 }
 
 // newOutageRegion starts a region whose nodes learn of the manifest by their own feeds
@@ -175,7 +181,11 @@
 // deploy writes the next manifest.
 func (r *outageRegion) deploy() {
 	r.version++
-	r.manifests.put(&roster.Manifest{Version: r.version})
+	next := &roster.Manifest{Version: r.version}
+	if r.manifest != nil {
+		r.manifest(next)
+	}
+	r.manifests.put(next)
 }
 
 // compact has the store drop its history, the next manifest included.
@@ -200,7 +210,7 @@
 	r.mu.Lock()
 	r.ranked = append(r.ranked, node)
 	r.mu.Unlock()
-	endpoint := peertest.Endpoint{Network: &r.network, Node: node}
+	endpoint := r.endpoint(node)
 	servers := &roster.Relay[roster.ServerEntry]{
 		Name: "servers", Source: r.serverSource(node),
 		Key:       func(entry roster.ServerEntry) string { return string(entry.ID) },
@@ -210,12 +220,22 @@
 	manifests := &roster.Relay[*roster.Manifest]{
 		Name: "manifest", Source: r.manifestSource(node),
 		Key:       func(*roster.Manifest) string { return "" },
-		IsRemoval: func(*roster.Manifest) bool { return false },
-		Node:      node, Ranked: r.rank, Peers: endpoint, MaxAge: 2 * time.Second,
+		IsRemoval: func(*roster.Manifest) bool { return false }, Format: roster.ManifestFormat,
+		Node: node, Ranked: r.rank, Peers: endpoint, MaxAge: 2 * time.Second,
 	}
 	servers.Register()
 	manifests.Register()
 	controller := &roster.Controller{Servers: servers, Manifests: manifests}
+	if r.older[node] {
+		manifests.Format = 0
+	}
+	if r.onManifest != nil {
+		controller.OnChange = func(view *roster.View) {
+			if view.Manifest != nil {
+				r.onManifest(node, view.Manifest)
+			}
+		}
+	}
 	members := &stampExchange{region: r, node: node, peers: endpoint}
 	members.manifests = &roster.ManifestExchange{Roster: controller, Peers: endpoint, Announce: members.announce}
 	members.manifests.Register()
@@ -236,7 +256,7 @@
 type stampExchange struct {
 	region    *outageRegion
 	node      fleet.NodeID
-	peers     peertest.Endpoint
+	peers     roster.Peers
 	manifests *roster.ManifestExchange
 	next      int
 	due       atomic.Bool
@@ -308,7 +328,11 @@
 
 func (r *outageRegion) manifestSource(node fleet.NodeID) roster.Feed[*roster.Manifest] {
 	seen := r.outageOf(node)
-	return &roster.Guard[*roster.Manifest]{Source: &storeFeed[*roster.Manifest]{&r.manifests, seen}, Probe: seen.probe}
+	source := roster.Feed[*roster.Manifest](&storeFeed[*roster.Manifest]{&r.manifests, seen})
+	if r.older[node] {
+		source = olderSource{source}
+	}
+	return &roster.Guard[*roster.Manifest]{Source: source, Probe: seen.probe}
 }
 
 // kill stops a node and starts another one in its place, which is a node of its own. The
--- a/internal/roster/relay_test.go
+++ b/internal/roster/relay_test.go
@@ -94,8 +94,8 @@
 	manifests := &roster.Relay[*roster.Manifest]{
 		Name: "manifest", Source: &countedFeed[*roster.Manifest]{&r.manifests, r.reads[node], r.cuts[node], &r.failures},
 		Key:       func(*roster.Manifest) string { return "" },
-		IsRemoval: func(*roster.Manifest) bool { return false },
-		Node:      node, Ranked: ranked, Peers: peertest.Endpoint{Network: &r.network, Node: node},
+		IsRemoval: func(*roster.Manifest) bool { return false }, Format: roster.ManifestFormat,
+		Node: node, Ranked: ranked, Peers: peertest.Endpoint{Network: &r.network, Node: node},
 	}
 	servers.Register()
 	manifests.Register()
