A key that was removed while the process stood still is not served

Cause: a node that was suspended for some seconds went on with the manifest from before until its next read, up to 0.6 s after its return, and served keys that had been removed for more than 4 s. Change: with organisations in the manifest, a request and each attempt first look at when the manifest was last read. If that is longer ago than it can be while reads succeed (3.5 s), and reads have not failed for a second, they wait for the next read, for at most a second. During an outage, and without organisations, nothing waits. A read counts once its entries have been processed, not before. Ruled out: 503 after a standstill, since the wait is short; and after 3.5 s without a read whatever the cause, which would close the site in each outage of the store.

--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -341,7 +341,8 @@
 func (n *Node) newCallers() *platform.Callers {
 	return &platform.Callers{
 		View: n.components.Roster.View, ManifestAge: n.components.Roster.ManifestAge,
-		Dispatcher: n.components.Dispatcher, Servers: n.components.Exchange,
+		AwaitManifest: n.components.Roster.AwaitManifest,
+		Dispatcher:    n.components.Dispatcher, Servers: n.components.Exchange,
 		Draining: n.draining.Load, Closing: n.leaving.Load, Active: &n.activeRequests,
 		MaxRunning:    (n.Settings.Platform.Descriptors - reservedDescriptors) / descriptorsPerRequest,
 		MaxBodyMemory: int64(n.Settings.Platform.Memory) / bodyMemoryDivisor,
--- a/internal/roster/controller.go
+++ b/internal/roster/controller.go
@@ -118,6 +118,8 @@
 	serversRead atomic.Pointer[instant]
 	// manifestRead is when the store held the manifest that was last read; nil if none was.
 	manifestRead atomic.Pointer[instant]
+	// manifestFailedAt is when reads of the manifest began to fail; nil while they succeed.
+	manifestFailedAt atomic.Pointer[instant]
 
 	mu   sync.Mutex
 	view atomic.Pointer[View]
@@ -153,6 +155,34 @@
 // this node had read, with the time for which the process or its VM stood still.
 func (c *Controller) ManifestAge() time.Duration { return ageOf(&c.manifestRead) }
 
+const (
+	// calmManifestAge is above the age of the manifest as long as reads succeed: a wait for
+	// changes, the time allowed for its response and a pause.
+	calmManifestAge = watchWait + responseTimeout + manifestPause + 500*time.Millisecond
+	// maxManifestAwait bounds the wait for a read of the manifest, manifestAwaitPoll is the
+	// pause between two looks.
+	maxManifestAwait  = time.Second
+	manifestAwaitPoll = 20 * time.Millisecond
+)
+
+// AwaitManifest waits for the next read of the manifest if the process may have stood still:
+// the last one is older than it can be otherwise, and reads have not failed for long. It
+// returns after maxManifestAwait at the latest, and at once while the store is away.
+func (c *Controller) AwaitManifest(ctx context.Context) {
+	for began := time.Now(); c.mayHaveStoodStill() && time.Since(began) < maxManifestAwait; {
+		if !wait.For(ctx, manifestAwaitPoll) {
+			return
+		}
+	}
+}
+
+// mayHaveStoodStill reports whether the manifest was last read too long ago for a process that
+// runs, other than because reads fail.
+func (c *Controller) mayHaveStoodStill() bool {
+	read, failedAt := c.manifestRead.Load(), c.manifestFailedAt.Load()
+	return read != nil && read.age() >= calmManifestAge && (failedAt == nil || failedAt.age() < maxManifestAwait)
+}
+
 // ageOf returns the time since a read; the longest possible one if there was none.
 func ageOf(last *atomic.Pointer[instant]) time.Duration {
 	if read := last.Load(); read != nil {
@@ -217,7 +247,11 @@
 		watch := watcher[*Manifest]{
 			name: "manifest", feed: c.Manifests, minPause: manifestPause, apply: c.applyManifests,
 			maxTimeout: maxManifestTimeout, failing: &c.manifestsFailing, log: c.Log,
-			succeeded: func() { c.manifestRead.Store(readAt(c.Manifests)) },
+			succeeded: func() {
+				c.manifestRead.Store(readAt(c.Manifests))
+				c.manifestFailedAt.Store(nil)
+			},
+			failed: func() { c.manifestFailedAt.Store(currentInstant()) },
 		}
 		watch.run(ctx)
 	})
--- a/internal/roster/feed.go
+++ b/internal/roster/feed.go
@@ -110,9 +110,12 @@
 	maxTimeout time.Duration
 	// failing reports whether reads fail, or none has succeeded yet.
 	failing *atomic.Bool
-	// succeeded is called after each read that succeeds. It may be nil.
+	// succeeded is called after each read that succeeds, once its entries have been
+	// processed. It may be nil.
 	succeeded func()
-	log       *slog.Logger
+	// failed is called when reads begin to fail. It may be nil.
+	failed func()
+	log    *slog.Logger
 
 	// revision is the revision up to which the feed was read.
 	revision Revision
@@ -205,6 +208,7 @@
 	if len(changes) > 0 || returned {
 		w.apply(time.Now(), changes, readKind{returned: returned})
 	}
+	w.markRead()
 	return len(changes), nil
 }
 
@@ -228,9 +232,17 @@
 		slog.Duration("took", time.Since(began)))
 	w.revision, w.listed = revision, true
 	w.apply(time.Now(), entries, readKind{complete: true, returned: w.markRecovered(), restored: restored})
+	w.markRead()
 	return nil
 }
 
+// markRead records a read whose entries have been processed.
+func (w *watcher[T]) markRead() {
+	if w.succeeded != nil {
+		w.succeeded()
+	}
+}
+
 func (w *watcher[T]) markFailed(err error) {
 	w.failures++
 	w.failing.Store(true)
@@ -241,6 +253,9 @@
 		return
 	}
 	w.failingSince = time.Now()
+	if w.failed != nil {
+		w.failed()
+	}
 	w.log.Warn("store read failed", slog.String("feed", w.name), slog.Any("error", err))
 }
 
@@ -249,9 +264,6 @@
 func (w *watcher[T]) markRecovered() (returned bool) {
 	w.failures = 0
 	w.failing.Store(false)
-	if w.succeeded != nil {
-		w.succeeded()
-	}
 	returned = w.contact.recordSuccess()
 	if w.failingSince.IsZero() {
 		return returned
--- a/internal/roster/organisation_test.go
+++ b/internal/roster/organisation_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -206,3 +207,62 @@
 		})
 	}
 }
+
+// stalledFeed is a feed whose reads stand still with their process while stalled is set, also
+// beyond the end of their context.
+type stalledFeed struct {
+	sharedFeed[*roster.Manifest]
+	stalled, down atomic.Bool
+}
+
+func (f *stalledFeed) Follow(ctx context.Context, after roster.Revision, maxWait time.Duration) ([]*roster.Manifest, roster.Revision, error) {
+	if f.down.Load() {
+		return nil, 0, errDown
+	}
+	manifests, revision, err := f.sharedFeed.Follow(ctx, after, maxWait)
+	for f.stalled.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	if ctx.Err() != nil {
+		return nil, 0, ctx.Err()
+	}
+	return manifests, revision, err
+}
+
+// TestManifestIsAwaitedAfterAStandstill guards against a request with a key that was removed
+// while the process stood still, and is served before the manifest is read again; and against
+// requests that wait in calm, or during an outage of the store.
+func TestManifestIsAwaitedAfterAStandstill(t *testing.T) {
+	awaited := func(t *testing.T, controller *roster.Controller) time.Duration {
+		began := time.Now()
+		controller.AwaitManifest(t.Context())
+		return time.Since(began)
+	}
+	synctest.Test(t, func(t *testing.T) {
+		manifests := &stalledFeed{}
+		manifests.put(&roster.Manifest{Version: 1})
+		s := start(t, func(s *fixture) { s.roster.Manifests = manifests })
+		for range 300 {
+			time.Sleep(100 * time.Millisecond)
+			s.Assert(awaited(t, &s.roster), qt.Equals, time.Duration(0))
+		}
+		for _, length := range []time.Duration{4 * time.Second, 5 * time.Second, 30 * time.Second} {
+			manifests.stalled.Store(true)
+			time.Sleep(length / 2)
+			version := s.roster.View().Manifest.Version + 1
+			manifests.put(&roster.Manifest{Version: version})
+			time.Sleep(length / 2)
+			manifests.stalled.Store(false)
+			s.Check(awaited(t, &s.roster) <= time.Second, qt.IsTrue)
+			s.Check(s.roster.View().Manifest.Version, qt.Equals, version, qt.Commentf("stood still for %s", length))
+			time.Sleep(5 * time.Second)
+		}
+		manifests.down.Store(true)
+		waits := time.Duration(0)
+		for range 100 {
+			waits += awaited(t, &s.roster)
+			time.Sleep(100 * time.Millisecond)
+		}
+		s.Check(waits <= time.Second, qt.IsTrue, qt.Commentf("%s", waits))
+	})
+}
