Soak: callers with keys of organisations, of which one loses its key

Cause: the soak sent no keys, so that nothing looked for keys at servers beside faults. Change: a run may have organisations; callers send their keys, none, one that nobody holds, and a forged Guavatrack-Tenant. The key of the last organisation is taken away in the middle; once all nodes refuse it, each run of a request with it is a breach.

--- a/cmd/guavasoak/main.go
+++ b/cmd/guavasoak/main.go
@@ -16,19 +16,21 @@
 )
 
 type options struct {
-	Binary       string        `long:"binary" required:"true" description:"the guavatrack program"`
-	Logs         string        `long:"logs" default:"out/soak" description:"directory for the nodes' logs, one below it for each seed"`
-	First        uint64        `long:"first" default:"1" description:"first seed"`
-	Seeds        uint64        `long:"seeds" default:"50" description:"number of seeds"`
-	Nodes        int           `long:"nodes" default:"4" description:"nodes"`
-	Engines      int           `long:"engines" default:"3" description:"engines"`
-	Callers      int           `long:"callers" default:"8" description:"callers"`
-	Faults       int           `long:"faults" default:"10" description:"faults in a run"`
-	ServerFaults int           `long:"server-faults" default:"3" description:"faults in a run that backend servers play"`
-	Releases     int           `long:"releases" default:"4" description:"changes of an engine's software version in a run"`
-	Refusals     int           `long:"refusals" default:"2" description:"times in a run in which backend servers write refusals once more"`
-	Span         time.Duration `long:"span" default:"10s" description:"time within which all faults begin and end"`
-	Verbose      bool          `long:"verbose" description:"print each fault"`
+	Binary        string        `long:"binary" required:"true" description:"the guavatrack program"`
+	Logs          string        `long:"logs" default:"out/soak" description:"directory for the nodes' logs, one below it for each seed"`
+	First         uint64        `long:"first" default:"1" description:"first seed"`
+	Seeds         uint64        `long:"seeds" default:"50" description:"number of seeds"`
+	Nodes         int           `long:"nodes" default:"4" description:"nodes"`
+	Engines       int           `long:"engines" default:"3" description:"engines"`
+	Callers       int           `long:"callers" default:"8" description:"callers"`
+	Faults        int           `long:"faults" default:"10" description:"faults in a run"`
+	ServerFaults  int           `long:"server-faults" default:"3" description:"faults in a run that backend servers play"`
+	Releases      int           `long:"releases" default:"4" description:"changes of an engine's software version in a run"`
+	Refusals      int           `long:"refusals" default:"2" description:"times in a run in which backend servers write refusals once more"`
+	Organisations int           `long:"organisations" default:"0" description:"organisations whose keys callers send; without any they need none"`
+	RemoveKey     bool          `long:"remove-key" description:"take the key of the last organisation away in the middle of a run"`
+	Span          time.Duration `long:"span" default:"10s" description:"time within which all faults begin and end"`
+	Verbose       bool          `long:"verbose" description:"print each fault"`
 }
 
 func main() {
@@ -59,6 +61,7 @@
 	run := &soak.Run{
 		Binary: o.Binary, Dir: dir, Seed: seed, Nodes: o.Nodes, Engines: o.Engines, Callers: o.Callers,
 		Faults: o.Faults, ServerFaults: o.ServerFaults, RefusalFaults: o.Refusals, Releases: o.Releases, Span: o.Span,
+		Organisations: o.Organisations, RemoveKey: o.RemoveKey,
 		Log: func(format string, args ...any) {
 			if o.Verbose {
 				fmt.Printf(format+"\n", args...)
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -33,6 +33,7 @@
 	}
 	request, err := standin.NewRequest(n.config.Callers.Listen, method, path+"x", model, requestBody)
 	r.recordError(err)
+	r.authorize(request, r.drawKey(random))
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 	defer cancel()
 	answer, err := standin.Send(request.WithContext(ctx))
@@ -56,8 +57,10 @@
 // sendResumable requests a stream at a random node, and the rest of it at others if it
 // breaks off.
 func (r *Run) sendResumable(random *rand.Rand) {
+	key := r.drawKey(random)
 	caller := standin.StreamCaller{
-		Model: fmt.Sprint("m", random.IntN(r.site.Models)), Tries: streamTries,
+		Prepare: func(request *http.Request) { r.authorize(request, key) },
+		Model:   fmt.Sprint("m", random.IntN(r.site.Models)), Tries: streamTries,
 		Node: func(int) string { return r.nodes[random.IntN(len(r.nodes))].config.Callers.Listen },
 	}
 	stream, err := caller.Do(context.Background())
@@ -134,9 +137,13 @@
 // waitAllServed waits until every node serves every model. After the limit it
 // returns the last failure.
 func (r *Run) waitAllServed(limit time.Duration) error {
-	var last error
+	return poll(limit, r.allServed)
+}
+
+// poll calls check until it succeeds. After the limit it returns the last failure.
+func poll(limit time.Duration, check func() error) (last error) {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-		if last = r.allServed(); last == nil {
+		if last = check(); last == nil {
 			return nil
 		}
 	}
@@ -147,7 +154,12 @@
 func (r *Run) allServed() error {
 	for _, n := range r.nodes {
 		for at := range r.site.Models {
-			answer, err := standin.Ask(n.config.Callers.Listen, http.MethodPost, standin.Resumable+"x", fmt.Sprint("m", at), requestBody)
+			request, err := standin.NewRequest(n.config.Callers.Listen, http.MethodPost, standin.Resumable+"x", fmt.Sprint("m", at), requestBody)
+			if err != nil {
+				return err
+			}
+			r.authorize(request, keyOf(0))
+			answer, err := standin.Send(request)
 			if err != nil || answer.Status != http.StatusOK {
 				return errors.Errorf("%s, m%d: status %d, error %v", n.name, at, answer.Status, err)
 			}
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -7,7 +7,8 @@
 // or reset it, or stall one direction. Processes are paused, resumed, stopped and
 // killed by signals, and started again. A run injects several faults, which may
 // overlap. Engines may be replaced meanwhile by engines of another software version, and
-// back, while callers ask for the rest of streams that broke off.
+// back, while callers ask for the rest of streams that broke off. The manifest may have
+// organisations, whose keys callers send, and lose a key meanwhile.
 //
 // Only properties that do not depend on the speed of the machine are checked: which
 // requests ran, what callers received, and that every model is served again within
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -55,7 +55,12 @@
 	// Releases is the number of times that an engine is replaced by one of another
 	// software version or comes back with it.
 	Releases int
-	Span     time.Duration
+	// Organisations is the number of organisations whose keys callers send; 0 means that
+	// callers need no key. RemoveKey has the key of the last one, of at least two, taken
+	// away in the middle of Span.
+	Organisations int
+	RemoveKey     bool
+	Span          time.Duration
 	// Log is called once for each fault.
 	Log func(format string, args ...any)
 
@@ -88,6 +93,9 @@
 // Do runs the soak. It fails if the run could not be carried out, or if some node
 // does not serve some model within recoveryLimit at the start or after the faults.
 func (r *Run) Do() (outcome Outcome, err error) {
+	if r.RemoveKey && r.Organisations < minOrganisations {
+		return outcome, errors.Errorf("a key is removed: at least %d organisations are needed", minOrganisations)
+	}
 	defer r.close()
 	if err := r.start(); err != nil {
 		return outcome, errors.Wrap(err, "start")
@@ -111,9 +119,12 @@
 		})
 	}
 	r.inject()
+	if r.RemoveKey {
+		err = r.checkRemovedKey()
+	}
 	close(done)
 	callers.Wait()
-	err = r.waitAllServed(recoveryLimit)
+	err = errors.Join(err, r.waitAllServed(recoveryLimit))
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	outcome = Outcome{
@@ -121,7 +132,7 @@
 		Breaches: append(r.site.Ledger.Breaches(), r.breaches...),
 	}
 	if err != nil {
-		return outcome, errors.Wrap(err, "not served after the faults")
+		return outcome, errors.Wrap(err, "after the faults")
 	}
 	return outcome, r.failure
 }
@@ -139,7 +150,7 @@
 func (r *Run) start() error {
 	r.site = &standin.Site{
 		Engines: r.Engines, Services: 2, Models: 3 * r.Engines, EventTime: r.eventTime(), HandOver: handOver,
-		Excused: r.orderLatenessExcused,
+		Excused: r.orderLatenessExcused, Organisations: r.organisations(),
 	}
 	if err := r.site.Start(); err != nil {
 		return err
@@ -200,6 +211,9 @@
 			end()
 		})
 	}
+	if r.RemoveKey {
+		group.Go(r.removeKey)
+	}
 	group.Wait()
 	for _, n := range r.nodes {
 		// Overlapping faults may have left the process paused or ended.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -61,6 +61,17 @@
 	}
 }
 
+// keySeeds lists the seeds of the short run with organisations, of which one loses its key.
+var keySeeds = []uint64{1}
+
+// TestKeysUnderFaults guards against keys and wrong organisations at servers, and requests
+// with a removed key that run, beside faults.
+func TestKeysUnderFaults(t *testing.T) {
+	for _, seed := range keySeeds {
+		runSeed(t, &soak.Run{Seed: seed, Faults: 5, ServerFaults: 1, Organisations: 3, RemoveKey: true})
+	}
+}
+
 // runSeed builds the program and does a run, of which the seed and faults are set.
 func runSeed(t *testing.T, run *soak.Run) {
 	t.Helper()
