Requests wait after a standstill only until the manifest is read

The age may also pass 3.5 s in calm if a change ends a long wait. Change: what counts is when a read ended during which the process can't have stood still, and a read that follows such a standstill does not wait for changes. TestNoNodeOfACalmRegionAwaitsTheManifest: no wait in 40 s at 8 nodes with 18 manifests. go test ./internal/roster ./platform: ok.

--- a/internal/roster/controller.go
+++ b/internal/roster/controller.go
@@ -118,6 +118,9 @@
 	serversRead atomic.Pointer[instant]
 	// manifestRead is when the store held the manifest that was last read; nil if none was.
 	manifestRead atomic.Pointer[instant]
+	// manifestSoundAt is when a read of the manifest last ended during which the process
+	// has not stood still; nil if none has.
+	manifestSoundAt atomic.Pointer[instant]
 	// manifestFailedAt is when reads of the manifest began to fail; nil while they succeed.
 	manifestFailedAt atomic.Pointer[instant]
 
@@ -156,9 +159,9 @@
 func (c *Controller) ManifestAge() time.Duration { return ageOf(&c.manifestRead) }
 
 const (
-	// calmManifestAge is above the age of the manifest as long as reads succeed: a wait for
-	// changes, the time allowed for its response and a pause.
-	calmManifestAge = watchWait + responseTimeout + manifestPause + 500*time.Millisecond
+	// maxCalmPause is above the time between the ends of two reads of the manifest that
+	// succeed.
+	maxCalmPause = maxCalmRead + manifestPause + 200*time.Millisecond
 	// maxManifestAwait bounds the wait for a read of the manifest, manifestAwaitPoll is the
 	// pause between two looks.
 	maxManifestAwait  = time.Second
@@ -179,8 +182,8 @@
 // mayHaveStoodStill reports whether the manifest was last read too long ago for a process that
 // runs, other than because reads fail.
 func (c *Controller) mayHaveStoodStill() bool {
-	read, failedAt := c.manifestRead.Load(), c.manifestFailedAt.Load()
-	return read != nil && read.age() >= calmManifestAge && (failedAt == nil || failedAt.age() < maxManifestAwait)
+	read, failedAt := c.manifestSoundAt.Load(), c.manifestFailedAt.Load()
+	return read != nil && read.age() >= maxCalmPause && (failedAt == nil || failedAt.age() < maxManifestAwait)
 }
 
 // ageOf returns the time since a read; the longest possible one if there was none.
@@ -239,7 +242,7 @@
 		watch := watcher[ServerEntry]{
 			name: "servers", feed: c.Servers, minPause: serversPause, apply: c.applyServers,
 			maxTimeout: maxServersTimeout, failing: new(atomic.Bool), log: c.Log,
-			succeeded: func() { c.serversRead.Store(currentInstant()) },
+			succeeded: func(bool) { c.serversRead.Store(currentInstant()) },
 		}
 		watch.run(ctx)
 	})
@@ -247,9 +250,12 @@
 		watch := watcher[*Manifest]{
 			name: "manifest", feed: c.Manifests, minPause: manifestPause, apply: c.applyManifests,
 			maxTimeout: maxManifestTimeout, failing: &c.manifestsFailing, log: c.Log,
-			succeeded: func() {
+			succeeded: func(stoodStill bool) {
 				c.manifestRead.Store(readAt(c.Manifests))
 				c.manifestFailedAt.Store(nil)
+				if !stoodStill {
+					c.manifestSoundAt.Store(currentInstant())
+				}
 			},
 			failed: func() { c.manifestFailedAt.Store(currentInstant()) },
 		}
--- a/internal/roster/feed.go
+++ b/internal/roster/feed.go
@@ -77,6 +77,8 @@
 	responseTimeout = 700 * time.Millisecond
 	listTimeout     = 20 * time.Second
 	timeoutFactor   = 3
+	// maxCalmRead is above the duration of a wait for changes with its response.
+	maxCalmRead = watchWait + responseTimeout + 300*time.Millisecond
 	// pausePerChange is the pause for each change that was read: the nodes of a
 	// region share its link to the store, and the manifest has to pass it too. If few
 	// nodes of the region read the store, each pauses for readerPausePerChange, and the
@@ -111,8 +113,9 @@
 	// failing reports whether reads fail, or none has succeeded yet.
 	failing *atomic.Bool
 	// succeeded is called after each read that succeeds, once its entries have been
-	// processed. It may be nil.
-	succeeded func()
+	// processed, and told whether the process may have stood still during the read: the
+	// entries may then be those from before. It may be nil.
+	succeeded func(stoodStill bool)
 	// failed is called when reads begin to fail. It may be nil.
 	failed func()
 	log    *slog.Logger
@@ -124,6 +127,8 @@
 	timeout time.Duration
 	// timedOut reports whether the last response timed out.
 	timedOut bool
+	// stoodStill reports whether the process may have stood still during the last read.
+	stoodStill bool
 	// failures is the number of consecutive reads that failed.
 	failures int
 	// failingSince is when reads began to fail; zero if the last one succeeded.
@@ -185,10 +190,10 @@
 	if !w.listed {
 		return 0, w.list(ctx)
 	}
-	// After a failure the first read does not wait for changes, so that the end of
-	// the failure is noticed at once.
-	maxWait := watchWait
-	if !w.failingSince.IsZero() {
+	// After a failure or a standstill the first read does not wait for changes, so that
+	// the end of the failure, or what was missed, is noticed at once.
+	maxWait, began := watchWait, currentInstant()
+	if !w.failingSince.IsZero() || w.stoodStill {
 		maxWait = 0
 	}
 	following, cancel := context.WithTimeout(ctx, maxWait+w.timeout)
@@ -208,12 +213,12 @@
 	if len(changes) > 0 || returned {
 		w.apply(time.Now(), changes, readKind{returned: returned})
 	}
-	w.markRead()
+	w.markRead(began)
 	return len(changes), nil
 }
 
 func (w *watcher[T]) list(ctx context.Context) error {
-	began := time.Now()
+	began := currentInstant()
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	entries, revision, err := w.feed.List(ctx)
@@ -229,17 +234,19 @@
 			slog.Uint64("era", uint64(revision.Era())), slog.Uint64("revision", revision.Changes()))
 	}
 	w.log.Info("feed listed", slog.String("feed", w.name), slog.Int("entries", len(entries)),
-		slog.Duration("took", time.Since(began)))
+		slog.Duration("took", time.Since(began.at)))
 	w.revision, w.listed = revision, true
 	w.apply(time.Now(), entries, readKind{complete: true, returned: w.markRecovered(), restored: restored})
-	w.markRead()
+	w.markRead(began)
 	return nil
 }
 
-// markRead records a read whose entries have been processed.
-func (w *watcher[T]) markRead() {
+// markRead records a read whose entries have been processed. In one that takes longer than
+// it may the process has stood still, or it was a long list.
+func (w *watcher[T]) markRead(began *instant) {
+	w.stoodStill = began.age() >= maxCalmRead
 	if w.succeeded != nil {
-		w.succeeded()
+		w.succeeded(w.stoodStill)
 	}
 }
 
--- a/internal/roster/organisation_test.go
+++ b/internal/roster/organisation_test.go
@@ -242,9 +242,12 @@
 		manifests := &stalledFeed{}
 		manifests.put(&roster.Manifest{Version: 1})
 		s := start(t, func(s *fixture) { s.roster.Manifests = manifests })
-		for range 300 {
+		for step := range 300 {
 			time.Sleep(100 * time.Millisecond)
 			s.Assert(awaited(t, &s.roster), qt.Equals, time.Duration(0))
+			if step%37 == 0 {
+				manifests.put(&roster.Manifest{Version: s.roster.View().Manifest.Version + 1})
+			}
 		}
 		for _, length := range []time.Duration{4 * time.Second, 5 * time.Second, 30 * time.Second} {
 			manifests.stalled.Store(true)
@@ -266,3 +269,23 @@
 		s.Check(waits <= time.Second, qt.IsTrue, qt.Commentf("%s", waits))
 	})
 }
+
+// TestNoNodeOfACalmRegionAwaitsTheManifest guards against requests that wait since manifests
+// change, or since the node reads them from another one.
+func TestNoNodeOfACalmRegionAwaitsTheManifest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newStampedRegion(t, 8)
+		time.Sleep(5 * time.Second)
+		for step := range 400 {
+			if step%23 == 0 {
+				r.deploy()
+			}
+			time.Sleep(100 * time.Millisecond)
+			for _, controller := range r.nodes {
+				began := time.Now()
+				controller.AwaitManifest(t.Context())
+				r.Assert(time.Since(began), qt.Equals, time.Duration(0))
+			}
+		}
+	})
+}
