--- a/internal/roster/organisation_test.go
+++ b/internal/roster/organisation_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -65,15 +66,34 @@
 	return endpoint
 }
 
+// removalBound is how long after the acknowledgement of a manifest a key that it lacks may be
+// served.
+const removalBound = 4 * time.Second
+
 // useKeys has each manifest hold one organisation with the key of its version, and checks that
 // no node of this build has one without in force, and that none goes back.
 func (r *outageRegion) useKeys() {
+	var mu sync.Mutex
 	r.manifest = func(next *roster.Manifest) {
 		next.Organisations = map[fleet.OrganisationID]*roster.Organisation{"A": {ID: "A"}}
 		next.Keys = map[string]fleet.OrganisationID{keyOf(next.Version): "A"}
 	}
+	deployedAt := make(map[uint64]time.Time)
+	keyed := r.manifest
+	r.manifest = func(next *roster.Manifest) {
+		keyed(next)
+		mu.Lock()
+		defer mu.Unlock()
+		deployedAt[next.Version] = time.Now()
+	}
 	r.deploy()
 	r.onManifest = func(node fleet.NodeID, manifest *roster.Manifest) {
+		mu.Lock()
+		replaced, found := deployedAt[manifest.Version+1]
+		mu.Unlock()
+		if found && time.Since(replaced) > removalBound {
+			r.Errorf("%s: version %d comes into force %s after the next one was deployed", node, manifest.Version, time.Since(replaced))
+		}
 		if !r.older[node] && (manifest.Organisations["A"] == nil || manifest.Keys[keyOf(manifest.Version)] != "A") {
 			r.Errorf("%s has version %d without its organisation in force", node, manifest.Version)
 		}
