Wait queues: start-time fair queueing in tokens between callers

Cause: callers of a class were served by counts of requests, so that a caller with large requests got more than its share, and the classes were strict, so that a surge of an urgent caller was paid by all less urgent ones.

Change: the waiting requests of a caller in a class are a flow with a virtual start time that advances by tokens / weight. Classes have a head start and a larger share instead of strict precedence while several callers wait. Estimates follow the same order and sum the work ahead. While one caller waits the former order holds.

--- /dev/null
+++ b/internal/admission/flow.go
@@ -0,0 +1,375 @@
+package admission
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+)
+
+// flowKey identifies the waiting requests of one caller in one class.
+type flowKey struct {
+	class  int
+	caller fleet.CallerID
+}
+
+// flow holds the waiting requests of one caller in one class, in order of deadline.
+type flow struct {
+	flowKey
+	requests []Request
+	// start is the virtual start time of the next request to be served.
+	start  float64
+	weight float64
+	// size is the sum of the sizes of the requests.
+	size float64
+}
+
+// classRatio is the factor between the shares of a class and of the next less urgent one
+// when more work waits than can be served. Over the ten classes the shares differ by a
+// factor of 7.5 at most, so the least urgent class still gets 0.3 of the average share.
+const classRatio = 1.25
+
+// weightOf returns the weight of a flow, given the weight of its caller; 0 means 1.
+func weightOf(class int, weight float64) float64 {
+	if weight <= 0 {
+		weight = 1
+	}
+	return weight * math.Pow(classRatio, float64(-class))
+}
+
+// tokens returns the size of the request for the accounts of flows.
+func (r *Request) tokens() float64 { return float64(max(1, r.Tokens)) }
+
+// cost returns the virtual time that the service of a request takes.
+func (f *flow) cost(request *Request) float64 { return request.tokens() / f.weight }
+
+// fairShare is the start-time fair queueing of the flows of a [Queue]. Each flow has a
+// virtual start time, which advances by the tokens of each served request divided by the
+// weight of the flow.
+type fairShare struct {
+	flows map[flowKey]*flow
+	// callers is the number of flows of each caller that waits.
+	callers map[fleet.CallerID]int
+	// finished are the virtual finish times of flows without waiting requests that are
+	// later than the virtual time.
+	finished map[flowKey]float64
+	// virtualTime is the earliest virtual start time of the flows that waited when a
+	// request was last started. A flow that begins to wait starts there.
+	virtualTime float64
+	// meanTokens is the moving average of the sizes of requests.
+	meanTokens float64
+}
+
+// contended reports whether requests of more than one caller wait.
+func (s *fairShare) contended() bool { return len(s.callers) > 1 }
+
+// contendedFor reports whether requests of other callers wait than the given one.
+func (s *fairShare) contendedFor(caller fleet.CallerID) bool {
+	_, waits := s.callers[caller]
+	return len(s.callers) > 1 || len(s.callers) == 1 && !waits
+}
+
+// ofClass returns the requests of a class while those of one caller at most wait.
+func (s *fairShare) ofClass(class int) []Request {
+	for caller := range s.callers {
+		if found := s.flows[flowKey{class: class, caller: caller}]; found != nil {
+			return found.requests
+		}
+	}
+	return nil
+}
+
+// recordSize adds the size of a request to the average.
+func (s *fairShare) recordSize(request *Request) {
+	if s.meanTokens == 0 {
+		s.meanTokens = request.tokens()
+		return
+	}
+	s.meanTokens += averageWeight * (request.tokens() - s.meanTokens)
+}
+
+// reset forgets all served work. It is called only while nothing waits.
+func (s *fairShare) reset() {
+	clear(s.finished)
+	s.virtualTime = 0
+}
+
+// startOf returns the virtual start time of the next request of a flow.
+func (s *fairShare) startOf(key flowKey) float64 {
+	if found := s.flows[key]; found != nil {
+		return found.start
+	}
+	return max(s.virtualTime, s.finished[key])
+}
+
+// add adds a request to its flow.
+func (s *fairShare) add(request Request) {
+	key := request.flow()
+	found := s.flows[key]
+	if found == nil {
+		if s.flows == nil {
+			s.flows = make(map[flowKey]*flow)
+			s.callers = make(map[fleet.CallerID]int)
+			s.finished = make(map[flowKey]float64)
+		}
+		found = &flow{flowKey: key, start: s.startOf(key)}
+		s.flows[key] = found
+		s.callers[key.caller]++
+		delete(s.finished, key)
+	}
+	found.weight = weightOf(key.class, request.Weight)
+	i, _ := slices.BinarySearchFunc(found.requests, request, compareDeadlines)
+	found.requests = slices.Insert(found.requests, i, request)
+	found.size += request.tokens()
+}
+
+// remove removes a request without service and reports whether it was waiting.
+func (s *fairShare) remove(request Request) bool {
+	found := s.flows[request.flow()]
+	if found == nil {
+		return false
+	}
+	i, waits := slices.BinarySearchFunc(found.requests, request, compareDeadlines)
+	if !waits {
+		return false
+	}
+	found.size -= request.tokens()
+	found.requests = slices.Delete(found.requests, i, i+1)
+	if len(found.requests) > 0 {
+		return true
+	}
+	delete(s.flows, found.flowKey)
+	if s.callers[found.caller]--; s.callers[found.caller] == 0 {
+		delete(s.callers, found.caller)
+	}
+	if found.start > s.virtualTime {
+		s.finished[found.flowKey] = found.start
+	}
+	return true
+}
+
+// removeStarted removes a request that starts to run and charges its flow for it.
+func (s *fairShare) removeStarted(request Request) bool {
+	found := s.flows[request.flow()]
+	if found == nil {
+		return false
+	}
+	start := found.start
+	found.start += found.cost(&request)
+	if !s.remove(request) {
+		found.start = start
+		return false
+	}
+	if least, waits := s.leastServed(); waits {
+		start = least
+	}
+	if start > s.virtualTime {
+		s.virtualTime = start
+		for key, finish := range s.finished {
+			if finish <= s.virtualTime {
+				delete(s.finished, key)
+			}
+		}
+	}
+	return true
+}
+
+// leastServed returns the earliest virtual start time of the waiting flows.
+func (s *fairShare) leastServed() (least float64, found bool) {
+	for _, waiting := range s.flows {
+		if !found || waiting.start < least {
+			least, found = waiting.start, true
+		}
+	}
+	return least, found
+}
+
+// classHeadStart is the precedence of a class over the next less urgent one, as a number
+// of requests of average size: a flow of the more urgent class is served first until it is
+// ahead by that much. Deadlines are a few service times away, so that a longer head start
+// would have the less urgent requests refused instead of delayed.
+const classHeadStart = 2
+
+// key returns the position in the order of service of a request with a virtual start time.
+func (s *fairShare) key(class int, start float64) float64 {
+	return start + float64(class)*classHeadStart*s.meanTokens
+}
+
+// place is the position of a request in the order of service.
+type place struct {
+	key float64
+	// urgency orders requests of equal key; it is 0 if they are ordered by deadline.
+	urgency int
+	request *Request
+}
+
+func (p place) before(other place) bool {
+	if order := cmp.Or(cmp.Compare(p.key, other.key), cmp.Compare(p.urgency, other.urgency)); order != 0 {
+		return order < 0
+	}
+	return compareDeadlines(*p.request, *other.request) < 0
+}
+
+// next returns the next request in the order of service among those that the filter
+// accepts. With leastServed it is one of the flow with the earliest virtual start time,
+// whatever its class, and of the least urgent one among equals.
+func (s *fairShare) next(accept func(Request) bool, leastServed bool) (best Request, found bool) {
+	var first place
+	for _, waiting := range s.flows {
+		at := slices.IndexFunc(waiting.requests, accept)
+		if at < 0 {
+			continue
+		}
+		candidate := place{key: s.key(waiting.class, waiting.start), request: &waiting.requests[at]}
+		if leastServed {
+			candidate.key, candidate.urgency = waiting.start, -waiting.class
+		}
+		if !found || candidate.before(first) {
+			first, found = candidate, true
+		}
+	}
+	if !found {
+		return Request{}, false
+	}
+	return *first.request, true
+}
+
+// ahead returns the number of waiting requests that are served before a new one, and the
+// sum of their work.
+func (s *fairShare) ahead(request Request) (count int, work float64) {
+	own := request.flow()
+	start, weight := s.startOf(own), weightOf(own.class, request.Weight)
+	if waiting := s.flows[own]; waiting != nil {
+		for i := range waiting.requests {
+			if compareDeadlines(waiting.requests[i], request) > 0 {
+				break
+			}
+			count++
+			work += waiting.requests[i].work()
+			start += waiting.requests[i].tokens() / weight
+		}
+	}
+	position := place{key: s.key(own.class, start), request: &request}
+	for key, waiting := range s.flows {
+		if key == own {
+			continue
+		}
+		start := waiting.start
+		for i := range waiting.requests {
+			other := &waiting.requests[i]
+			if !(place{key: s.key(key.class, start), request: other}).before(position) {
+				break
+			}
+			count++
+			work += other.work()
+			start += waiting.cost(other)
+		}
+	}
+	return count, work
+}
+
+// inOrder calls visit for each waiting request in the order of service. A request for which
+// it returns false is not served, so that the following ones of its flow take its place.
+func (s *fairShare) inOrder(visit func(Request) bool) {
+	type cursor struct {
+		*flow
+		at    int
+		start float64
+	}
+	cursors := make([]cursor, 0, len(s.flows))
+	for _, waiting := range s.flows {
+		cursors = append(cursors, cursor{flow: waiting, start: waiting.start})
+	}
+	for len(cursors) > 0 {
+		best := 0
+		var first place
+		for i := range cursors {
+			c := &cursors[i]
+			candidate := place{key: s.key(c.class, c.start), request: &c.requests[c.at]}
+			if i == 0 || candidate.before(first) {
+				best, first = i, candidate
+			}
+		}
+		c := &cursors[best]
+		if visit(*first.request) {
+			c.start += c.cost(first.request)
+		}
+		if c.at++; c.at == len(c.requests) {
+			cursors[best] = cursors[len(cursors)-1]
+			cursors = cursors[:len(cursors)-1]
+		}
+	}
+}
+
+// busiest returns the flow of a class with the most waiting work relative to its weight;
+// nil if nothing of the class waits. Only the flows of the callers that the filter accepts
+// count.
+func (s *fairShare) busiest(class int, only func(fleet.CallerID) bool) (busiest *flow) {
+	for key, waiting := range s.flows {
+		if key.class != class || !only(key.caller) {
+			continue
+		}
+		if busiest == nil || waiting.load() > busiest.load() ||
+			waiting.load() == busiest.load() && key.caller < busiest.caller {
+			busiest = waiting
+		}
+	}
+	return busiest
+}
+
+// load returns the waiting work of the flow relative to its weight.
+func (f *flow) load() float64 { return f.size / f.weight }
+
+// isBusiest reports whether a caller has more work waiting, relative to its weight, than
+// each other caller.
+func (s *fairShare) isBusiest(caller fleet.CallerID) bool {
+	loads := make(map[fleet.CallerID]float64, len(s.callers))
+	for _, waiting := range s.flows {
+		loads[waiting.caller] += waiting.load()
+	}
+	for other, load := range loads {
+		if other != caller && load >= loads[caller] {
+			return false
+		}
+	}
+	return true
+}
+
+// displaced returns the request that gives way to a new one in a full queue: the last one
+// of the flow with the most waiting work in the least urgent class. In the class of the new
+// request that flow must be left with as much as the flow of the new request then has. If
+// several callers wait, the one with the most waiting work displaces only its own requests.
+func (s *fairShare) displaced(request Request) (displaced Request, found bool) {
+	own := request.flow()
+	only := func(fleet.CallerID) bool { return true }
+	if s.contendedFor(own.caller) && s.isBusiest(own.caller) {
+		only = func(caller fleet.CallerID) bool { return caller == own.caller }
+	}
+	for class := classCount - 1; class >= own.class; class-- {
+		busiest := s.busiest(class, only)
+		if busiest == nil {
+			continue
+		}
+		last := busiest.requests[len(busiest.requests)-1]
+		if class > own.class {
+			return last, true
+		}
+		load := request.tokens() / weightOf(own.class, request.Weight)
+		if waiting := s.flows[own]; waiting != nil {
+			load += waiting.load()
+		}
+		if busiest.load()-busiest.cost(&last) >= load {
+			return last, true
+		}
+	}
+	return Request{}, false
+}
+
+// compareDeadlines orders by deadline, then by ticket, that is by arrival.
+func compareDeadlines(a, b Request) int {
+	if order := a.Deadline.Compare(b.Deadline); order != 0 {
+		return order
+	}
+	return int(int64(a.Ticket) - int64(b.Ticket))
+}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -30,8 +30,15 @@
 	// Work is the service time of the request relative to that of others; 0
 	// means 1.
 	Work float64
+	// Tokens is the size by which the request is charged to its caller; 0 means 1.
+	Tokens int
+	// Weight is the share of the caller relative to that of other callers; 0 means 1.
+	Weight float64
 }
 
+// flow returns the key of the flow of the request.
+func (r *Request) flow() flowKey { return flowKey{class: classOf(r.Rank), caller: r.Caller} }
+
 // work returns Work or its default.
 func (r *Request) work() float64 {
 	if r.Work <= 0 {
@@ -92,22 +99,30 @@
 const DefaultBound = 512
 
 // reversedInterval is the interval, in started requests, at which the classes
-// are served in reverse order, so that the least urgent one is not starved.
+// are served in reverse order, so that the least urgent one is not starved. If
+// several callers wait, the least served of them is served instead.
 const reversedInterval = 8
 
+// servedMemory is how long a queue without requests remembers what it has
+// served.
+const servedMemory = 5 * time.Second
+
 // minRetryAfter is the minimum of [Decision.RetryAfter] of a refused request.
 const minRetryAfter = 100 * time.Millisecond
 
-// Queue orders the waiting requests of one model. The most urgent class is
-// served first; within a class, the caller with the fewest served requests; for
-// a caller, the request with the earliest deadline.
+// Queue orders the waiting requests of one model. While one caller waits, its
+// most urgent class is served first and within a class the request with the
+// earliest deadline. If several callers wait, they share the capacity by
+// start-time fair queueing in tokens, in which a class has a head start before
+// less urgent ones.
 type Queue struct {
 	// Bound is the maximum number of waiting requests; 0 means [DefaultBound].
 	Bound int
 
-	classes      [classCount]classQueue
+	fair         fairShare
 	size         int
 	startedCount int
+	offeredAt    time.Time
 	// meanServiceTime is the moving average of the service time for one unit of
 	// work, meanDeviation that of the absolute deviation from it.
 	meanServiceTime, meanDeviation time.Duration
@@ -171,15 +186,25 @@
 // Estimate returns the estimated start and end of a request if it were queued
 // now.
 func (q *Queue) Estimate(now time.Time, request Request, capacity Capacity) (start, end time.Time) {
-	ahead := q.countAhead(request) - capacity.Free
-	wait := capacity.ReadyIn
-	if ahead >= 0 {
-		wait += capacity.startTime(ahead+1, q.meanServiceTime)
-	}
-	start = now.Add(wait)
+	count, work := q.countAhead(request)
+	start = now.Add(q.startIn(count, work, capacity))
 	return start, start.Add(request.scale(q.serviceTimeBound()))
 }
 
+// startIn returns the time until a request starts, given the number of requests that are
+// served before it and the sum of their work.
+func (q *Queue) startIn(ahead int, work float64, capacity Capacity) time.Duration {
+	position := ahead - capacity.Free
+	if position < 0 {
+		return capacity.ReadyIn
+	}
+	serviceTime := q.meanServiceTime
+	if work != float64(ahead) {
+		serviceTime = time.Duration(float64(serviceTime) * work / float64(ahead))
+	}
+	return capacity.ReadyIn + capacity.startTime(position+1, serviceTime)
+}
+
 // lateness returns by how much a request that starts and ends at these times
 // would exceed StartBy or Deadline, whichever is more; 0 if neither.
 func (r *Request) lateness(start, end time.Time) time.Duration {
@@ -191,36 +216,40 @@
 }
 
 // countAhead returns the number of waiting requests that would run before a new
-// one.
-func (q *Queue) countAhead(request Request) int {
-	count := 0
-	class := classOf(request.Rank)
-	for i := range class {
-		count += q.classes[i].size
+// one, and the sum of their work. While one caller waits, each counts as one unit
+// of work.
+func (q *Queue) countAhead(request Request) (count int, work float64) {
+	if q.fair.contendedFor(request.Caller) {
+		return q.fair.ahead(request)
 	}
-	own := len(q.classes[class].callers[request.Caller])
-	for _, requests := range q.classes[class].callers {
-		count += min(len(requests), own+1)
+	for class := range classOf(request.Rank) + 1 {
+		count += len(q.fair.ofClass(class))
 	}
-	return count
+	return count, float64(count)
 }
 
 // Offer adds a request to the queue unless it would be late or the queue is
 // full.
 func (q *Queue) Offer(now time.Time, request Request, capacity Capacity) Decision {
+	if q.size == 0 && now.Sub(q.offeredAt) > servedMemory {
+		q.fair.reset()
+	}
+	q.offeredAt = now
+	q.fair.recordSize(&request)
 	if lateness := request.lateness(q.Estimate(now, request, capacity)); lateness > 0 {
 		return Decision{Outcome: Late, RetryAfter: max(minRetryAfter, lateness)}
 	}
 	decision := Decision{}
 	if q.size >= q.bound() {
-		displaced, found := q.displace(request)
+		displaced, found := q.fair.displaced(request)
 		if !found {
 			wait := capacity.startTime(q.size, q.meanServiceTime)
 			return Decision{Outcome: Full, RetryAfter: max(minRetryAfter, wait/2)}
 		}
-		decision.Displaced = displaced
+		q.Remove(displaced)
+		decision.Displaced = displaced.Ticket
 	}
-	q.classes[classOf(request.Rank)].add(request)
+	q.fair.add(request)
 	q.size++
 	return decision
 }
@@ -232,27 +261,9 @@
 	return DefaultBound
 }
 
-// displace removes the last request of the caller with the most requests in the
-// least urgent class, if that class is less urgent than the new request's or, in
-// the same class, that caller has at least two requests more than the new one's.
-func (q *Queue) displace(request Request) (displaced Ticket, found bool) {
-	for class := classCount - 1; class >= classOf(request.Rank); class-- {
-		queue := &q.classes[class]
-		caller, count := queue.busiestCaller()
-		own := len(queue.callers[request.Caller])
-		if count == 0 || class == classOf(request.Rank) && count <= own+1 {
-			continue
-		}
-		last := queue.callers[caller][count-1]
-		q.Remove(last)
-		return last.Ticket, true
-	}
-	return 0, false
-}
-
 // Remove removes a request and reports whether it was waiting.
 func (q *Queue) Remove(request Request) bool {
-	if !q.classes[classOf(request.Rank)].remove(request) {
+	if !q.fair.remove(request) {
 		return false
 	}
 	q.size--
@@ -265,7 +276,7 @@
 	waits := q.Remove(request)
 	request.Deadline = deadline
 	if waits {
-		q.classes[classOf(request.Rank)].add(request)
+		q.fair.add(request)
 		q.size++
 	}
 	return request
@@ -274,13 +285,17 @@
 // Next returns the next request to run among those that the filter accepts. It
 // stays in the queue until RemoveStarted removes it.
 func (q *Queue) Next(accept func(Request) bool) (request Request, found bool) {
-	for i := range classCount {
-		class := i
-		if q.startedCount%reversedInterval == reversedInterval-1 {
-			class = classCount - 1 - i
+	reversed := q.startedCount%reversedInterval == reversedInterval-1
+	if q.fair.contended() {
+		return q.fair.next(accept, reversed)
+	}
+	for class := range classCount {
+		if reversed {
+			class = classCount - 1 - class
 		}
-		if request, found = q.classes[class].next(accept); found {
-			return request, true
+		requests := q.fair.ofClass(class)
+		if at := slices.IndexFunc(requests, accept); at >= 0 {
+			return requests[at], true
 		}
 	}
 	return Request{}, false
@@ -288,9 +303,9 @@
 
 // RemoveStarted removes a request that starts to run and counts it as served.
 func (q *Queue) RemoveStarted(request Request) {
-	if q.Remove(request) {
+	if q.fair.removeStarted(request) {
+		q.size--
 		q.startedCount++
-		q.classes[classOf(request.Rank)].recordServed(request.Caller)
 	}
 }
 
@@ -298,147 +313,33 @@
 // little time left and those with too many others ahead of them. The caller must
 // refuse them at once.
 func (q *Queue) Expire(now time.Time, capacity Capacity) (expired []Request) {
-	position := -capacity.Free
-	for i := range q.classes {
-		for _, request := range q.classes[i].byDeadline() {
-			wait := capacity.ReadyIn
-			if position >= 0 {
-				wait += capacity.startTime(position+1, q.meanServiceTime)
-			}
-			start := now.Add(wait)
-			if request.lateness(start, start.Add(request.scale(q.serviceTimeBound()))) > 0 {
-				expired = append(expired, request)
-				continue
-			}
-			position++
+	count, work := 0, 0.0
+	contended := q.fair.contended()
+	visit := func(request Request) bool {
+		start := now.Add(q.startIn(count, work, capacity))
+		if request.lateness(start, start.Add(request.scale(q.serviceTimeBound()))) > 0 {
+			expired = append(expired, request)
+			return false
 		}
-	}
-	for _, request := range expired {
-		q.Remove(request)
-	}
-	return expired
-}
-
-// classQueue holds the waiting requests of one class.
-type classQueue struct {
-	callers map[fleet.CallerID][]Request
-	// servedCounts is the number of served requests of each caller. A caller
-	// that begins to wait starts at the minimum of the others.
-	servedCounts map[fleet.CallerID]int
-	size         int
-}
-
-func (c *classQueue) add(request Request) {
-	if c.callers == nil {
-		c.callers = make(map[fleet.CallerID][]Request)
-		c.servedCounts = make(map[fleet.CallerID]int)
-	}
-	if _, waits := c.callers[request.Caller]; !waits {
-		c.servedCounts[request.Caller] = c.minServed()
-	}
-	requests := c.callers[request.Caller]
-	i, _ := slices.BinarySearchFunc(requests, request, compareDeadlines)
-	c.callers[request.Caller] = slices.Insert(requests, i, request)
-	c.size++
-}
-
-// compareDeadlines orders by deadline, then by ticket, that is by arrival.
-func compareDeadlines(a, b Request) int {
-	if order := a.Deadline.Compare(b.Deadline); order != 0 {
-		return order
-	}
-	return int(int64(a.Ticket) - int64(b.Ticket))
-}
-
-// minServed returns the lowest count of served requests; 0 if there is none.
-func (c *classQueue) minServed() int {
-	least, found := 0, false
-	for _, count := range c.servedCounts {
-		if !found || count < least {
-			least, found = count, true
+		count++
+		if contended {
+			work += request.work()
+		} else {
+			work++
 		}
-	}
-	return least
-}
-
-func (c *classQueue) remove(request Request) bool {
-	requests := c.callers[request.Caller]
-	i, found := slices.BinarySearchFunc(requests, request, compareDeadlines)
-	if !found {
-		return false
-	}
-	c.size--
-	if len(requests) == 1 {
-		delete(c.callers, request.Caller)
 		return true
 	}
-	c.callers[request.Caller] = slices.Delete(requests, i, i+1)
-	return true
-}
-
-// recordServed counts a served request of a caller. The count of a caller
-// without waiting requests is deleted once all others have been served as
-// often.
-func (c *classQueue) recordServed(caller fleet.CallerID) {
-	c.servedCounts[caller]++
-	least := 0
-	if c.size > 0 {
-		least = -1
-		for waiting := range c.callers {
-			if least < 0 || c.servedCounts[waiting] < least {
-				least = c.servedCounts[waiting]
-			}
-		}
-	}
-	for known, count := range c.servedCounts {
-		if _, waits := c.callers[known]; !waits && (c.size == 0 || count <= least) {
-			delete(c.servedCounts, known)
-		}
-	}
-}
-
-// next returns the next request of the class among those that the filter
-// accepts.
-func (c *classQueue) next(accept func(Request) bool) (best Request, found bool) {
-	for caller, requests := range c.callers {
-		for _, request := range requests {
-			if !accept(request) {
-				continue
+	if contended {
+		q.fair.inOrder(visit)
+	} else {
+		for class := range classCount {
+			for _, request := range q.fair.ofClass(class) {
+				visit(request)
 			}
-			if !found || c.runsBefore(request, best, caller) {
-				best, found = request, true
-			}
-			break
 		}
 	}
-	return best, found
-}
-
-// runsBefore reports whether a request of the caller is served before best.
-func (c *classQueue) runsBefore(request, best Request, caller fleet.CallerID) bool {
-	if difference := c.servedCounts[caller] - c.servedCounts[best.Caller]; difference != 0 {
-		return difference < 0
-	}
-	return compareDeadlines(request, best) < 0
-}
-
-// busiestCaller returns the caller with the most waiting requests, and their
-// number.
-func (c *classQueue) busiestCaller() (busiest fleet.CallerID, count int) {
-	for caller, requests := range c.callers {
-		if len(requests) > count || len(requests) == count && caller < busiest {
-			busiest, count = caller, len(requests)
-		}
-	}
-	return busiest, count
-}
-
-// byDeadline returns all requests of the class in order of deadline.
-func (c *classQueue) byDeadline() []Request {
-	all := make([]Request, 0, c.size)
-	for _, requests := range c.callers {
-		all = append(all, requests...)
+	for _, request := range expired {
+		q.Remove(request)
 	}
-	slices.SortFunc(all, compareDeadlines)
-	return all
+	return expired
 }
