--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
@@ -26,9 +27,9 @@
 }
 
 // classRatio is the factor between the shares of a class and of the next less urgent one
-// when more work waits than can be served. Over the ten classes the shares differ by a
-// factor of 7.5 at most, so the least urgent class still gets 0.3 of the average share.
-const classRatio = 1.25
+// when more work waits than can be served. Nine classes differ by a factor of 2.1. A larger
+// ratio, or strict classes, let a surge in an urgent class be paid by the less urgent ones.
+const classRatio = 1.1
 
 // weightOf returns the weight of a flow, given the weight of its caller; 0 means 1.
 func weightOf(class int, weight float64) float64 {
@@ -54,11 +55,16 @@
 	// finished are the virtual finish times of flows without waiting requests that are
 	// later than the virtual time.
 	finished map[flowKey]float64
-	// virtualTime is the earliest virtual start time of the flows that waited when a
-	// request was last started. A flow that begins to wait starts there.
+	// virtualTime is the latest virtual start time of a request that was started. A flow
+	// that begins to wait starts there.
 	virtualTime float64
-	// meanTokens is the moving average of the sizes of requests.
-	meanTokens float64
+	// paceGain is by how much the virtual time advanced in paceTime seconds in which
+	// several callers waited; both decay.
+	paceGain, paceTime float64
+	// The other fields are the state when the pace was last updated.
+	observedAt        time.Time
+	observedTime      float64
+	observedContended bool
 }
 
 // contended reports whether requests of more than one caller wait.
@@ -80,19 +86,42 @@
 	return nil
 }
 
-// recordSize adds the size of a request to the average.
-func (s *fairShare) recordSize(request *Request) {
-	if s.meanTokens == 0 {
-		s.meanTokens = request.tokens()
-		return
+// observe updates the pace of the virtual time. It is called at each arrival and at each
+// check for late requests.
+func (s *fairShare) observe(now time.Time) {
+	passed := now.Sub(s.observedAt)
+	decay := math.Exp(-float64(passed) / float64(paceWindow))
+	s.paceTime, s.paceGain = s.paceTime*decay, s.paceGain*decay
+	if s.observedContended && s.contended() {
+		s.paceTime += passed.Seconds()
+		s.paceGain += s.virtualTime - s.observedTime
 	}
-	s.meanTokens += averageWeight * (request.tokens() - s.meanTokens)
+	s.observedAt, s.observedContended, s.observedTime = now, s.contended(), s.virtualTime
+}
+
+// paceWindow is the time constant of the average pace of the virtual time. The pace counts
+// only if several callers waited for minPaceTime of it: if others wait now and then only,
+// requests are served sooner than by the pace of those times.
+const (
+	paceWindow  = time.Second
+	minPaceTime = 800 * time.Millisecond
+)
+
+// reachedIn returns the time until the virtual time reaches the given one at its present
+// pace; 0 if the pace is not known. Callers that go on to send as they do are served before
+// a request that starts later than the virtual time, also with requests that arrive later.
+func (s *fairShare) reachedIn(start float64) time.Duration {
+	if start <= s.virtualTime || s.paceTime < minPaceTime.Seconds() || s.paceGain <= 0 {
+		return 0
+	}
+	seconds := (start - s.virtualTime) * s.paceTime / s.paceGain
+	return time.Duration(min(seconds, time.Hour.Seconds()) * float64(time.Second))
 }
 
 // reset forgets all served work. It is called only while nothing waits.
 func (s *fairShare) reset() {
 	clear(s.finished)
-	s.virtualTime = 0
+	s.virtualTime, s.observedTime = 0, 0
 }
 
 // startOf returns the virtual start time of the next request of a flow.
@@ -149,21 +178,21 @@
 	return true
 }
 
-// removeStarted removes a request that starts to run and charges its flow for it.
+// removeStarted removes a request that starts to run and, if requests of other callers
+// wait, charges its flow for it.
 func (s *fairShare) removeStarted(request Request) bool {
 	found := s.flows[request.flow()]
 	if found == nil {
 		return false
 	}
 	start := found.start
-	found.start += found.cost(&request)
+	if s.contended() {
+		found.start += found.cost(&request)
+	}
 	if !s.remove(request) {
 		found.start = start
 		return false
 	}
-	if least, waits := s.leastServed(); waits {
-		start = least
-	}
 	if start > s.virtualTime {
 		s.virtualTime = start
 		for key, finish := range s.finished {
@@ -175,56 +204,31 @@
 	return true
 }
 
-// leastServed returns the earliest virtual start time of the waiting flows.
-func (s *fairShare) leastServed() (least float64, found bool) {
-	for _, waiting := range s.flows {
-		if !found || waiting.start < least {
-			least, found = waiting.start, true
-		}
-	}
-	return least, found
-}
-
-// classHeadStart is the precedence of a class over the next less urgent one, as a number
-// of requests of average size: a flow of the more urgent class is served first until it is
-// ahead by that much. Deadlines are a few service times away, so that a longer head start
-// would have the less urgent requests refused instead of delayed.
-const classHeadStart = 2
-
-// key returns the position in the order of service of a request with a virtual start time.
-func (s *fairShare) key(class int, start float64) float64 {
-	return start + float64(class)*classHeadStart*s.meanTokens
-}
-
-// place is the position of a request in the order of service.
+// place is the position of a request in the order of service: by virtual start time, then
+// by class, then by deadline.
 type place struct {
-	key float64
-	// urgency orders requests of equal key; it is 0 if they are ordered by deadline.
-	urgency int
+	start   float64
+	class   int
 	request *Request
 }
 
 func (p place) before(other place) bool {
-	if order := cmp.Or(cmp.Compare(p.key, other.key), cmp.Compare(p.urgency, other.urgency)); order != 0 {
+	if order := cmp.Or(cmp.Compare(p.start, other.start), cmp.Compare(p.class, other.class)); order != 0 {
 		return order < 0
 	}
 	return compareDeadlines(*p.request, *other.request) < 0
 }
 
 // next returns the next request in the order of service among those that the filter
-// accepts. With leastServed it is one of the flow with the earliest virtual start time,
-// whatever its class, and of the least urgent one among equals.
-func (s *fairShare) next(accept func(Request) bool, leastServed bool) (best Request, found bool) {
-	var first place
+// accepts.
+func (s *fairShare) next(accept func(Request) bool) (Request, bool) {
+	first, found := place{}, false
 	for _, waiting := range s.flows {
 		at := slices.IndexFunc(waiting.requests, accept)
 		if at < 0 {
 			continue
 		}
-		candidate := place{key: s.key(waiting.class, waiting.start), request: &waiting.requests[at]}
-		if leastServed {
-			candidate.key, candidate.urgency = waiting.start, -waiting.class
-		}
+		candidate := place{start: waiting.start, class: waiting.class, request: &waiting.requests[at]}
 		if !found || candidate.before(first) {
 			first, found = candidate, true
 		}
@@ -235,11 +239,12 @@
 	return *first.request, true
 }
 
-// ahead returns the number of waiting requests that are served before a new one, and the
-// sum of their work.
-func (s *fairShare) ahead(request Request) (count int, work float64) {
+// ahead returns the number of waiting requests that are served before a new one, the sum
+// of their work, and the virtual start time of the new one.
+func (s *fairShare) ahead(request Request) (count int, work, start float64) {
 	own := request.flow()
-	start, weight := s.startOf(own), weightOf(own.class, request.Weight)
+	var weight float64
+	start, weight = s.startOf(own), weightOf(own.class, request.Weight)
 	if waiting := s.flows[own]; waiting != nil {
 		for i := range waiting.requests {
 			if compareDeadlines(waiting.requests[i], request) > 0 {
@@ -250,7 +255,7 @@
 			start += waiting.requests[i].tokens() / weight
 		}
 	}
-	position := place{key: s.key(own.class, start), request: &request}
+	position := place{start: start, class: own.class, request: &request}
 	for key, waiting := range s.flows {
 		if key == own {
 			continue
@@ -258,7 +263,7 @@
 		start := waiting.start
 		for i := range waiting.requests {
 			other := &waiting.requests[i]
-			if !(place{key: s.key(key.class, start), request: other}).before(position) {
+			if !(place{start: start, class: key.class, request: other}).before(position) {
 				break
 			}
 			count++
@@ -266,7 +271,7 @@
 			start += waiting.cost(other)
 		}
 	}
-	return count, work
+	return count, work, start
 }
 
 // inOrder calls visit for each waiting request in the order of service. A request for which
@@ -286,7 +291,7 @@
 		var first place
 		for i := range cursors {
 			c := &cursors[i]
-			candidate := place{key: s.key(c.class, c.start), request: &c.requests[c.at]}
+			candidate := place{start: c.start, class: c.class, request: &c.requests[c.at]}
 			if i == 0 || candidate.before(first) {
 				best, first = i, candidate
 			}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -186,8 +186,8 @@
 // Estimate returns the estimated start and end of a request if it were queued
 // now.
 func (q *Queue) Estimate(now time.Time, request Request, capacity Capacity) (start, end time.Time) {
-	count, work := q.countAhead(request)
-	start = now.Add(q.startIn(count, work, capacity))
+	count, work, wait := q.countAhead(request)
+	start = now.Add(max(wait, q.startIn(count, work, capacity)))
 	return start, start.Add(request.scale(q.serviceTimeBound()))
 }
 
@@ -216,16 +216,18 @@
 }
 
 // countAhead returns the number of waiting requests that would run before a new
-// one, and the sum of their work. While one caller waits, each counts as one unit
-// of work.
-func (q *Queue) countAhead(request Request) (count int, work float64) {
+// one, the sum of their work, and the time until its caller's turn comes at the
+// present pace. While one caller waits, each request counts as one unit of work
+// and there are no turns.
+func (q *Queue) countAhead(request Request) (count int, work float64, turnIn time.Duration) {
 	if q.fair.contendedFor(request.Caller) {
-		return q.fair.ahead(request)
+		count, work, start := q.fair.ahead(request)
+		return count, work, q.fair.reachedIn(start)
 	}
 	for class := range classOf(request.Rank) + 1 {
 		count += len(q.fair.ofClass(class))
 	}
-	return count, float64(count)
+	return count, float64(count), 0
 }
 
 // Offer adds a request to the queue unless it would be late or the queue is
@@ -235,7 +237,7 @@
 		q.fair.reset()
 	}
 	q.offeredAt = now
-	q.fair.recordSize(&request)
+	q.fair.observe(now)
 	if lateness := request.lateness(q.Estimate(now, request, capacity)); lateness > 0 {
 		return Decision{Outcome: Late, RetryAfter: max(minRetryAfter, lateness)}
 	}
@@ -285,10 +287,10 @@
 // Next returns the next request to run among those that the filter accepts. It
 // stays in the queue until RemoveStarted removes it.
 func (q *Queue) Next(accept func(Request) bool) (request Request, found bool) {
-	reversed := q.startedCount%reversedInterval == reversedInterval-1
 	if q.fair.contended() {
-		return q.fair.next(accept, reversed)
+		return q.fair.next(accept)
 	}
+	reversed := q.startedCount%reversedInterval == reversedInterval-1
 	for class := range classCount {
 		if reversed {
 			class = classCount - 1 - class
@@ -314,6 +316,7 @@
 // refuse them at once.
 func (q *Queue) Expire(now time.Time, capacity Capacity) (expired []Request) {
 	count, work := 0, 0.0
+	q.fair.observe(now)
 	contended := q.fair.contended()
 	visit := func(request Request) bool {
 		start := now.Add(q.startIn(count, work, capacity))
