Waiting calls of organisations: shares, refusals that state when room is expected, metrics

Cause: the queue did not know sizes and shares of calls, refused callers were told the mean service time and came back together, and an operator could not see who was refused why.

Change: calls are queued with their tokens and the share of their organisation. Retry-After of organisations' calls is the time until the queue has room, times 1 to 1.5, at most a third of the time left; other calls are told what they were told before. Counters of refusals by reason, a gauge of waiting organisations, and a log line for each waiting call of an organisation that is refused.

--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -178,22 +178,24 @@
 	return true
 }
 
-// removeStarted removes a request that starts to run and, if requests of other callers
-// wait, charges its flow for it.
+// removeStarted removes a request that starts to run and charges its flow for it. While no
+// requests of other callers wait, the flow is charged for its last request only: a caller
+// that comes then goes first, and owes nothing for the time before.
 func (s *fairShare) removeStarted(request Request) bool {
 	found := s.flows[request.flow()]
 	if found == nil {
 		return false
 	}
-	start := found.start
-	if s.contended() {
-		found.start += found.cost(&request)
+	start, contended := found.start, s.contended()
+	if !contended {
+		found.start = s.virtualTime
 	}
+	found.start += found.cost(&request)
 	if !s.remove(request) {
 		found.start = start
 		return false
 	}
-	if start > s.virtualTime {
+	if contended && start > s.virtualTime {
 		s.virtualTime = start
 		for key, finish := range s.finished {
 			if finish <= s.virtualTime {
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -200,11 +200,16 @@
 	}
 	serviceTime := q.meanServiceTime
 	if work != float64(ahead) {
-		serviceTime = time.Duration(float64(serviceTime) * work / float64(ahead))
+		serviceTime = time.Duration(min(float64(serviceTime)*work/float64(ahead), float64(time.Hour)))
 	}
 	return capacity.ReadyIn + capacity.startTime(position+1, serviceTime)
 }
 
+// RoomIn returns the time until a request like the given one would be queued.
+func (q *Queue) RoomIn(now time.Time, request Request, capacity Capacity) time.Duration {
+	return max(minRetryAfter, request.lateness(q.Estimate(now, request, capacity)))
+}
+
 // lateness returns by how much a request that starts and ends at these times
 // would exceed StartBy or Deadline, whichever is more; 0 if neither.
 func (r *Request) lateness(start, end time.Time) time.Duration {
--- a/internal/admission/usual.go
+++ b/internal/admission/usual.go
@@ -32,6 +32,11 @@
 	// usualPrior is the work in tokens that each flow is assumed to have sent in addition,
 	// so that the first requests at a node don't set the weights.
 	usualPrior = 10_000
+	// maxTokens bounds the size of a request that counts, since callers state it.
+	maxTokens = 16_384
+	// maxWeight bounds the weight of a flow, so that a caller that always sends far more
+	// than others doesn't take all of a queue.
+	maxWeight = 8
 	// usualRescale is the age at which sums are scaled, to keep the growth bounded.
 	usualRescale = 10 * usualWindow
 )
@@ -49,9 +54,9 @@
 	}
 	growth := math.Exp(float64(max(0, now.Sub(u.scaledAt))) / float64(usualWindow))
 	key := flowKey{class: classOf(rank), caller: caller}
-	u.recent[key] += float64(max(1, tokens)) * growth
+	u.recent[key] += float64(min(max(1, tokens), maxTokens)) * growth
 	prior := usualPrior * growth
-	return (u.sums[key] + prior) / (u.total/float64(max(1, len(u.sums))) + prior)
+	return min(maxWeight, (u.sums[key]+prior)/(u.total/float64(max(1, len(u.sums)))+prior))
 }
 
 // endInterval has the requests of the interval before the present one count as usual.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -62,6 +62,7 @@
 	meters        meters
 	servers       serverShards
 	queues        queueShards
+	sharing       sharing
 	loadRefusals  loadRefusalChecks
 	prefixes      prefixState
 	budgets       budgets
@@ -90,6 +91,7 @@
 	d.leaveRecorder, _ = d.Directory.(LeaveRecorder)
 	d.Rand = SharedRand(d.Rand)
 	d.queues.setUp()
+	d.sharing.setUp(d.Metrics)
 	d.budgets.setUp()
 	d.link.setUp()
 	d.poison = &poison.Controller{
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -17,6 +17,10 @@
 	{Name: silentServersName, Kind: metric.Counter, Help: "attempts that were silent while the backend server took no new connections"},
 	{Name: overdueAttemptsName, Kind: metric.Counter, Help: "attempts that went on after their request had ended"},
 	{Name: stopRefusalsName, Kind: metric.Counter, Help: "requests refused and further attempts not made because the stopping node would cut them off"},
+	{Name: refusedLateName, Kind: metric.Counter, Help: "requests not queued because they would be late"},
+	{Name: refusedFullName, Kind: metric.Counter, Help: "requests refused because their queue is full, before or while they waited"},
+	{Name: refusedWaitingName, Kind: metric.Counter, Help: "requests refused while they waited because they would be late"},
+	{Name: waitingOrganisationsName, Kind: metric.Gauge, Help: "organisations of which requests wait"},
 	{Name: loadRefusalsName, Kind: metric.Counter, Help: "requests refused because their model will not be loaded in time"},
 	{
 		Name: loadRefusalsFalseName, Kind: metric.Counter,
@@ -36,16 +40,24 @@
 	silentServersName     = "requests.silentServers"
 	overdueAttemptsName   = "requests.overdueAttempts"
 	stopRefusalsName      = "requests.stopRefusals"
+	refusedLateName       = "requests.refusedLate"
+	refusedFullName       = "requests.refusedFull"
+	refusedWaitingName    = "requests.refusedWaiting"
 	loadRefusalsName      = "requests.loadRefusals"
 	loadRefusalsFalseName = "requests.loadRefusalsFalse"
 	noLocalName           = "link.bytesNoLocal"
 	deadlineName          = "link.bytesDeadline"
 	fullName              = "link.bytesFull"
 	retryName             = "link.bytesRetry"
+
+	waitingOrganisationsName = "requests.waitingOrganisations"
 )
 
 type meters struct {
 	sends, retries, hedges, silentConnections, silentServers, overdueAttempts, stopRefusals metrics.Counter
+	// refusedLate and refusedFull count requests that were not queued, refusedWaiting those
+	// that waited and would be late; refusedFull also those that lost their place.
+	refusedLate, refusedFull, refusedWaiting metrics.Counter
 	// loadRefusals counts the refusals for late loads that are checked, loadRefusalsFalse
 	// those that proved false.
 	loadRefusals, loadRefusalsFalse metrics.Counter
@@ -61,6 +73,9 @@
 	m.stopRefusals = metrics.GetOrRegisterCounter(stopRefusalsName, registry)
 	m.overdueAttempts = metrics.GetOrRegisterCounter(overdueAttemptsName, registry)
 	m.silentServers = metrics.GetOrRegisterCounter(silentServersName, registry)
+	m.refusedLate = metrics.GetOrRegisterCounter(refusedLateName, registry)
+	m.refusedFull = metrics.GetOrRegisterCounter(refusedFullName, registry)
+	m.refusedWaiting = metrics.GetOrRegisterCounter(refusedWaitingName, registry)
 	m.loadRefusals = metrics.GetOrRegisterCounter(loadRefusalsName, registry)
 	m.loadRefusalsFalse = metrics.GetOrRegisterCounter(loadRefusalsFalseName, registry)
 	m.crossRegionBytes = map[route.Cause]metrics.Counter{
--- /dev/null
+++ b/internal/dispatch/sharing.go
@@ -0,0 +1,103 @@
+package dispatch
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/guavatrack/guavatrack/internal/admission"
+	"github.com/guavatrack/guavatrack/pkg/fleet"
+	"github.com/guavatrack/guavatrack/pkg/refusal"
+)
+
+// sharing holds what the node knows of callers that share its queues. Calls without a
+// caller are not recorded.
+type sharing struct {
+	mu sync.Mutex
+	// usual holds the usual work of the callers by pool, since the sizes of calls of
+	// different pools can't be compared.
+	usual map[fleet.PoolID]*admission.UsualWork
+	// waiting is the number of waiting calls of each caller.
+	waiting map[fleet.CallerID]int
+	gauge   metrics.Gauge
+}
+
+func (s *sharing) setUp(registry metrics.Registry) {
+	s.usual = make(map[fleet.PoolID]*admission.UsualWork)
+	s.waiting = make(map[fleet.CallerID]int)
+	s.gauge = metrics.GetOrRegisterGauge(waitingOrganisationsName, registry)
+}
+
+// setShare records a call and sets its share, unless that is done or it has no caller.
+func (s *sharing) setShare(call *Call) {
+	if call.Caller == "" || call.share != 0 {
+		return
+	}
+	s.mu.Lock()
+	usual := s.usual[call.Pool]
+	if usual == nil {
+		usual = &admission.UsualWork{}
+		s.usual[call.Pool] = usual
+	}
+	s.mu.Unlock()
+	call.share = usual.Record(call.Started, call.Caller, call.Rank, call.Tokens)
+}
+
+// addWaiting adds to the number of waiting calls of a caller.
+func (s *sharing) addWaiting(caller fleet.CallerID, count int) {
+	if caller == "" {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.waiting[caller] += count; s.waiting[caller] == 0 {
+		delete(s.waiting, caller)
+	}
+	s.gauge.Update(int64(len(s.waiting)))
+}
+
+const (
+	// retrySpread is the most by which the time until room is expected is lengthened, as a
+	// part of it, so that refused callers don't come back at once.
+	retrySpread = 0.5
+	// retryPart is the part of the time left to a caller that Retry-After doesn't exceed,
+	// since callers don't wait longer.
+	retryPart = 3
+)
+
+// spreadRetry returns the error with the Retry-After of a refusal spread and bounded by the
+// time that the caller has left. Refusals of calls without a caller remain as they are.
+func (d *Dispatcher) spreadRetry(call *Call, err error) error {
+	refused, isRefusal := refusal.As(err)
+	if call.Caller == "" || !isRefusal || refused.RetryAfter <= 0 {
+		return err
+	}
+	spread := *refused
+	most := max(0, call.TimeLeft()/retryPart)
+	spread.RetryAfter = min(most, time.Duration((1+retrySpread*d.Rand.Float64())*float64(min(most, refused.RetryAfter))))
+	return &spread
+}
+
+// roomIn returns the time after which a call that is refused while it waits should be sent
+// again: that until the queue has room for it, or otherwise if it has no caller. The caller
+// holds the lock.
+func (q *waitQueue) roomIn(waiting *waiter, now time.Time, capacity admission.Capacity, otherwise time.Duration) time.Duration {
+	if waiting.call.Caller == "" {
+		return otherwise
+	}
+	return max(capacity.ReadyIn, q.pending.RoomIn(now, waiting.request, capacity))
+}
+
+// recordRefused counts and logs that a waiting call is refused.
+func (q *waitQueue) recordRefused(waiting *waiter, counter metrics.Counter, outcome string) {
+	counter.Inc(1)
+	if waiting.call.Caller == "" {
+		return
+	}
+	q.dispatcher.Log.LogAttrs(context.WithoutCancel(waiting.call.Context), slog.LevelInfo, "waiting request refused",
+		slog.String("request", string(waiting.call.ID)), slog.String("organisation", string(waiting.call.Caller)),
+		slog.Int("class", waiting.call.Rank), slog.String("outcome", outcome), slog.Int("waiting", q.pending.Len()))
+}
--- a/internal/dispatch/waitqueue.go
+++ b/internal/dispatch/waitqueue.go
@@ -112,13 +112,16 @@
 // acquire waits for a slot at a replica until the context ends. It fails with a refusal
 // as soon as the call can no longer end before its deadline.
 func (q *waitQueue) acquire(ctx context.Context, call *Call) (*slot, error) {
+	q.dispatcher.sharing.setShare(call)
 	waiting, taken, err := q.admit(call)
 	if waiting == nil {
-		return taken, err
+		return taken, q.dispatcher.spreadRetry(call, err)
 	}
+	q.dispatcher.sharing.addWaiting(call.Caller, 1)
+	defer q.dispatcher.sharing.addWaiting(call.Caller, -1)
 	select {
 	case result := <-waiting.result:
-		return result.slot, result.err
+		return result.slot, q.dispatcher.spreadRetry(call, result.err)
 	case <-ctx.Done():
 		q.withdraw(waiting)
 		return nil, context.Cause(ctx)
@@ -148,7 +151,7 @@
 	q.lastTicket++
 	request := admission.Request{
 		Ticket: q.lastTicket, Caller: call.Caller, Rank: call.Rank, Item: call.Item, Deadline: endBy,
-		StartBy: call.StartBy, Work: call.Work,
+		StartBy: call.StartBy, Work: call.Work, Tokens: call.Tokens, Weight: call.share,
 	}
 	capacity := q.dispatcher.capacity(call, now, readyIn)
 	decision := q.pending.Offer(now, request, capacity)
@@ -158,15 +161,20 @@
 			return nil, taken, nil
 		}
 	}
-	if decision.Outcome == admission.Late {
+	switch decision.Outcome {
+	case admission.Queued:
+	case admission.Late:
+		q.dispatcher.meters.refusedLate.Inc(1)
 		return nil, nil, q.lateRefusal(call, now, decision.RetryAfter)
-	}
-	if decision.Outcome != admission.Queued {
+	default:
+		q.dispatcher.meters.refusedFull.Inc(1)
 		return nil, nil, admissionRefusal(decision)
 	}
 	if displaced, found := q.waiters[decision.Displaced]; found && decision.Displaced != 0 {
+		q.recordRefused(displaced, q.dispatcher.meters.refusedFull, "displaced")
+		retryAfter := q.roomIn(displaced, now, capacity, q.pending.MeanServiceTime())
 		q.resolve(displaced, admissionResult{err: admissionRefusal(admission.Decision{
-			Outcome: admission.Full, RetryAfter: q.pending.MeanServiceTime(),
+			Outcome: admission.Full, RetryAfter: retryAfter,
 		})})
 	}
 	waiting := &waiter{
@@ -239,9 +247,9 @@
 	capacity := q.bestCapacity(now)
 	for _, request := range q.pending.Expire(now, capacity) {
 		waiting := q.waiters[request.Ticket]
-		q.resolve(waiting, admissionResult{
-			err: q.lateRefusal(waiting.call, now, max(q.pending.MeanServiceTime(), capacity.ReadyIn)),
-		})
+		q.recordRefused(waiting, q.dispatcher.meters.refusedWaiting, "would be late")
+		retryAfter := q.roomIn(waiting, now, capacity, max(q.pending.MeanServiceTime(), capacity.ReadyIn))
+		q.resolve(waiting, admissionResult{err: q.lateRefusal(waiting.call, now, retryAfter)})
 	}
 }
 
