Order loads by the rank of waiting calls where callers belong to organisations

Cause: the order of loads did not use the rank that demand messages carry, so that with 778 models at 140 engines the models of urgent organisations waited behind all others of an earlier objective.

Change: with organisations in the manifest the objective of a demand counts as 200 ms later for each class, so that urgent demands overtake others for a bounded time. Otherwise the order is as before.

Measured: go test ./internal/residence ./internal/placement passes; the test shows the order with and without the delay.

--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -114,6 +114,10 @@
 	// reportLag is how old a report may be.
 	reportLag         = 150 * time.Millisecond
 	reportReadTimeout = 500 * time.Millisecond
+	// organisationRankDelay is by how much later calls of a less urgent class count as due,
+	// for each class, where callers belong to organisations. Over ten classes that is about
+	// two loads from a disk.
+	organisationRankDelay = 200 * time.Millisecond
 	// replacedInPlaceDelay is how long an engine that has come back under its id with another
 	// software version gets no orders. It holds no model meanwhile, so that no stream begins
 	// there until all nodes list its run, or know that their list is old.
@@ -338,6 +342,9 @@
 		RatesSettled: now.Sub(s.termBegan) > rateSettleTime,
 		StoreLoads:   s.availableStoreLoads(now, pool.Engine.LoadsPerSecond), AdapterLoads: s.AdapterLoads, Random: rand.Float64,
 	}
+	if len(s.manifest.Organisations) > 0 {
+		state.RankDelay = organisationRankDelay
+	}
 	for _, e := range s.engines {
 		if e.server.Pool != pool.ID {
 			continue
--- a/internal/residence/plan_test.go
+++ b/internal/residence/plan_test.go
@@ -73,6 +73,34 @@
 	}})
 }
 
+// Guards against organisations of high priority that wait for loads behind all others, and
+// against those of low priority that are overtaken without end. Without organisations the
+// ranks must not matter.
+func TestLoadsAreOrderedByRankForATime(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		delay, earlier time.Duration
+		first          int
+	}{
+		{0, 100 * time.Millisecond, 6},
+		{200 * time.Millisecond, 100 * time.Millisecond, 7},
+		{200 * time.Millisecond, time.Second, 6},
+	} {
+		state := newState(1, 8)
+		state.RankDelay = test.delay
+		addIdleModels(&state.Engines[0], 0, 1)
+		for i := 6; i <= 7; i++ {
+			state.Engines[0].OnDisk[modelID(i)] = true
+			addWaitingCalls(&state, i, 1)
+		}
+		state.Demands[0].Rank = 4
+		state.Demands[1].Objective = state.Demands[0].Objective.Add(test.earlier)
+		orders := residence.Plan(state)
+		c.Assert(orders, qt.HasLen, 1)
+		c.Check(orders[0].Item.Model, qt.Equals, modelID(test.first), qt.Commentf("%+v", test))
+	}
+}
+
 // TestReservedMemoryIsFilledAtOnce covers successive swaps: once memory has
 // been freed for a model, its load is ordered at once and not only after the
 // reservation has expired.
--- a/internal/residence/replicas.go
+++ b/internal/residence/replicas.go
@@ -72,7 +72,8 @@
 		if a.benefit >= highBenefit || b.benefit >= highBenefit {
 			return cmp.Or(cmp.Compare(b.benefit, a.benefit), compareCalls(a.Demand, b.Demand))
 		}
-		return cmp.Or(cmp.Compare(a.lateness, b.lateness), a.Objective.Compare(b.Objective), compareCalls(a.Demand, b.Demand))
+		return cmp.Or(cmp.Compare(a.lateness, b.lateness), p.rankedObjective(a.Demand).Compare(p.rankedObjective(b.Demand)),
+			compareCalls(a.Demand, b.Demand))
 	})
 	for _, request := range requests {
 		// A replica for an earlier request may run the calls of this one.
@@ -82,6 +83,12 @@
 	}
 }
 
+// rankedObjective returns the objective of a demand by which it is ordered. Less urgent
+// demands count as due later, so that more urgent ones overtake them but not without end.
+func (p *planner) rankedObjective(demand *Demand) time.Time {
+	return demand.Objective.Add(time.Duration(demand.Rank) * p.RankDelay)
+}
+
 // compareCalls orders demands by model; calls that need a version go first, since their
 // replica serves the others too.
 func compareCalls(a, b *Demand) int {
--- a/internal/residence/state.go
+++ b/internal/residence/state.go
@@ -20,6 +20,9 @@
 	// StoreLoads is the number of loads from the weight store that may start
 	// now, AdapterLoads the number of adapter loads.
 	StoreLoads, AdapterLoads int
+	// RankDelay is by how much later the objective of a demand counts for each class that
+	// it is less urgent; 0 if classes don't matter.
+	RankDelay time.Duration
 	// Random returns a number in [0, 1) that breaks ties.
 	Random func() float64
 }
