Organisations that surge lose their precedence; classes share 1.2 to 1

Cause: with a small ratio between classes the urgent ones had little precedence in a burst of all; with a larger one the surge of an urgent organisation was paid by the less urgent ones.

Change: a caller whose work of the last seconds, relative to that of the others, is twice its usual has the share of the least urgent class until that ends. So the classes may differ by 1.2 each instead of 1.1. The full queue displaces by waiting work relative to the usual, without regard to shares of classes. Estimate updates the pace as Offer does: the two could differ (found by TestEveryRequestLeavesTheQueueOnce with 20,000 draws). The property test draws sizes, weights and surges as well.

--- a/internal/admission/fair_test.go
+++ b/internal/admission/fair_test.go
@@ -133,10 +133,11 @@
 				arrived[last], kindOf[last] = now, [2]int{i, k}
 				work := (0.4 + 1.2*random.Float64()) * kind.serves.Seconds() / meanService
 				caller, rank, tokens := fleet.CallerID(fmt.Sprint(i)), i%levels*len(kinds)+k, int(1500*work)
+				weight, surges := usual.Record(now, caller, rank, tokens)
 				request := admission.Request{
 					Ticket: last, Caller: caller, Rank: rank, Work: work, Tokens: tokens,
 					StartBy: now.Add(kind.startBy), Deadline: now.Add(kind.deadline),
-					Weight: usual.Record(now, caller, rank, tokens),
+					Weight: weight, Surges: surges,
 				}
 				decision := queue.Offer(now, request, capacity())
 				count(last, func(t *tally) {
@@ -221,12 +222,12 @@
 					was, is := usual.of(others(kind)), result.of(others(kind))
 					comment := qt.Commentf("%d nodes, organisation %d times %v, kind %d: served %.2f, usually %.2f; waited %v, usually %v",
 						shape.nodes, surging, factor, kind, is.rate(), was.rate(), is.meanWait(), was.meanWait())
-					c.Check(is.rate() >= 0.75*was.rate(), qt.IsTrue, comment)
+					c.Check(is.rate() >= 0.85*was.rate(), qt.IsTrue, comment)
 					c.Check(is.meanWait() <= was.meanWait()+kinds[kind].startBy/4, qt.IsTrue, comment)
 				}
 				for i := range organisations {
 					is, was := result.of(ofOrganisation(i)).rate(), usual.of(ofOrganisation(i)).rate()
-					c.Check(i == surging || is >= 0.6*was, qt.IsTrue, qt.Commentf("organisation %d: %.2f, usually %.2f", i, is, was))
+					c.Check(i == surging || is >= 0.75*was, qt.IsTrue, qt.Commentf("organisation %d: %.2f, usually %.2f", i, is, was))
 				}
 			}
 		}
--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -20,23 +20,34 @@
 	flowKey
 	requests []Request
 	// start is the virtual start time of the next request to be served.
-	start  float64
-	weight float64
+	start float64
+	// usual is the usual work of the caller, weight its share of the capacity.
+	usual, weight float64
 	// size is the sum of the sizes of the requests.
 	size float64
 }
 
 // classRatio is the factor between the shares of a class and of the next less urgent one
-// when more work waits than can be served. Nine classes differ by a factor of 2.1. A larger
-// ratio, or strict classes, let a surge in an urgent class be paid by the less urgent ones.
-const classRatio = 1.1
+// when more work waits than can be served. Nine classes differ by a factor of 4.3; 1.25 left
+// organisations of the least urgent class 0.4 of the average share in a burst of all, 1.2
+// leaves them half.
+const classRatio = 1.2
 
-// weightOf returns the weight of a flow, given the weight of its caller; 0 means 1.
-func weightOf(class int, weight float64) float64 {
-	if weight <= 0 {
-		weight = 1
+// weightOf returns the weight of the flow of a request.
+func weightOf(request *Request) float64 {
+	class := classOf(request.Rank)
+	if request.Surges {
+		class = MaxRank
 	}
-	return weight * math.Pow(classRatio, float64(-class))
+	return request.usual() * math.Pow(classRatio, float64(-class))
+}
+
+// usual returns Weight or its default.
+func (r *Request) usual() float64 {
+	if r.Weight <= 0 {
+		return 1
+	}
+	return r.Weight
 }
 
 // tokens returns the size of the request for the accounts of flows.
@@ -86,10 +97,10 @@
 	return nil
 }
 
-// observe updates the pace of the virtual time. It is called at each arrival and at each
-// check for late requests.
+// observe updates the pace of the virtual time. It is called before each estimate and at
+// each check for late requests.
 func (s *fairShare) observe(now time.Time) {
-	passed := now.Sub(s.observedAt)
+	passed := max(0, now.Sub(s.observedAt))
 	decay := math.Exp(-float64(passed) / float64(paceWindow))
 	s.paceTime, s.paceGain = s.paceTime*decay, s.paceGain*decay
 	if s.observedContended && s.contended() {
@@ -104,7 +115,7 @@
 // requests are served sooner than by the pace of those times.
 const (
 	paceWindow  = time.Second
-	minPaceTime = 800 * time.Millisecond
+	minPaceTime = 600 * time.Millisecond
 )
 
 // reachedIn returns the time until the virtual time reaches the given one at its present
@@ -147,7 +158,7 @@
 		s.callers[key.caller]++
 		delete(s.finished, key)
 	}
-	found.weight = weightOf(key.class, request.Weight)
+	found.usual, found.weight = request.usual(), weightOf(&request)
 	i, _ := slices.BinarySearchFunc(found.requests, request, compareDeadlines)
 	found.requests = slices.Insert(found.requests, i, request)
 	found.size += request.tokens()
@@ -246,7 +257,7 @@
 func (s *fairShare) ahead(request Request) (count int, work, start float64) {
 	own := request.flow()
 	var weight float64
-	start, weight = s.startOf(own), weightOf(own.class, request.Weight)
+	start, weight = s.startOf(own), weightOf(&request)
 	if waiting := s.flows[own]; waiting != nil {
 		for i := range waiting.requests {
 			if compareDeadlines(waiting.requests[i], request) > 0 {
@@ -309,7 +320,7 @@
 	}
 }
 
-// busiest returns the flow of a class with the most waiting work relative to its weight;
+// busiest returns the flow of a class with the most waiting work relative to the usual;
 // nil if nothing of the class waits. Only the flows of the callers that the filter accepts
 // count.
 func (s *fairShare) busiest(class int, only func(fleet.CallerID) bool) (busiest *flow) {
@@ -325,11 +336,11 @@
 	return busiest
 }
 
-// load returns the waiting work of the flow relative to its weight.
-func (f *flow) load() float64 { return f.size / f.weight }
+// load returns the waiting work of the flow relative to the usual.
+func (f *flow) load() float64 { return f.size / f.usual }
 
-// isBusiest reports whether a caller has more work waiting, relative to its weight, than
-// each other caller.
+// isBusiest reports whether a caller has more work waiting, relative to its usual, than each
+// other caller.
 func (s *fairShare) isBusiest(caller fleet.CallerID) bool {
 	loads := make(map[fleet.CallerID]float64, len(s.callers))
 	for _, waiting := range s.flows {
@@ -362,11 +373,11 @@
 		if class > own.class {
 			return last, true
 		}
-		load := request.tokens() / weightOf(own.class, request.Weight)
+		load := request.tokens() / request.usual()
 		if waiting := s.flows[own]; waiting != nil {
 			load += waiting.load()
 		}
-		if busiest.load()-busiest.cost(&last) >= load {
+		if busiest.load()-last.tokens()/busiest.usual >= load {
 			return last, true
 		}
 	}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -34,6 +34,9 @@
 	Tokens int
 	// Weight is the share of the caller relative to that of other callers; 0 means 1.
 	Weight float64
+	// Surges is set if the caller sends more than usual. Its share is then that of the
+	// least urgent class.
+	Surges bool
 }
 
 // flow returns the key of the flow of the request.
@@ -186,6 +189,7 @@
 // Estimate returns the estimated start and end of a request if it were queued
 // now.
 func (q *Queue) Estimate(now time.Time, request Request, capacity Capacity) (start, end time.Time) {
+	q.fair.observe(now)
 	count, work, wait := q.countAhead(request)
 	start = now.Add(max(wait, q.startIn(count, work, capacity)))
 	return start, start.Add(request.scale(q.serviceTimeBound()))
@@ -242,7 +246,6 @@
 		q.fair.reset()
 	}
 	q.offeredAt = now
-	q.fair.observe(now)
 	if lateness := request.lateness(q.Estimate(now, request, capacity)); lateness > 0 {
 		return Decision{Outcome: Late, RetryAfter: max(minRetryAfter, lateness)}
 	}
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -34,7 +34,9 @@
 	m.last++
 	request := admission.Request{
 		Ticket: m.last, Caller: fleet.CallerID(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "caller")),
-		Rank:     rapid.SampledFrom(ranks).Draw(t, "rank"),
+		Rank:   rapid.SampledFrom(ranks).Draw(t, "rank"),
+		Tokens: rapid.IntRange(0, 4000).Draw(t, "tokens"), Weight: rapid.Float64Range(0, 8).Draw(t, "weight"),
+		Surges:   rapid.Bool().Draw(t, "surges"),
 		Deadline: m.now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "patience")) * time.Millisecond),
 	}
 	capacity := admission.Capacity{Slots: m.slots}
@@ -179,7 +181,7 @@
 	var queue admission.Queue
 	offerMany(&queue, 1, 20, "q", admission.MaxRank)
 	offerMany(&queue, 100, 20, "i", 0)
-	qt.Assert(t, startOrder(&queue, 16), qt.Equals, "iqiiqiiqiiiqiiqi")
+	qt.Assert(t, startOrder(&queue, 16), qt.Equals, "iqiiiiiqiiiiiqii")
 }
 
 // Guards against shares by count: a caller of large requests would get four times the work.
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -89,10 +89,12 @@
 	abandonedAttempts int
 	// software is the only software version at which the call may run; nil if any may.
 	software atomic.Pointer[fleet.SoftwareVersion]
-	// share is the share of the caller in wait queues; 0 as long as it is not set.
-	share float64
-	queue *waitQueue
-	slot  *slot
+	// share is the share of the caller in wait queues; 0 as long as it is not set. surges is
+	// set if the caller sends more than usual.
+	share  float64
+	surges bool
+	queue  *waitQueue
+	slot   *slot
 	// sent counts the attempts of which any byte may have reached a server,
 	// without those that the server is known not to have run.
 	sent atomic.Int32
--- a/internal/dispatch/sharing.go
+++ b/internal/dispatch/sharing.go
@@ -43,7 +43,7 @@
 		s.usual[call.Pool] = usual
 	}
 	s.mu.Unlock()
-	call.share = usual.Record(call.Started, call.Caller, call.Rank, call.Tokens)
+	call.share, call.surges = usual.Record(call.Started, call.Caller, call.Rank, call.Tokens)
 }
 
 // addWaiting adds to the number of waiting calls of a caller.
--- a/internal/dispatch/waitqueue.go
+++ b/internal/dispatch/waitqueue.go
@@ -151,7 +151,7 @@
 	q.lastTicket++
 	request := admission.Request{
 		Ticket: q.lastTicket, Caller: call.Caller, Rank: call.Rank, Item: call.Item, Deadline: endBy,
-		StartBy: call.StartBy, Work: call.Work, Tokens: call.Tokens, Weight: call.share,
+		StartBy: call.StartBy, Work: call.Work, Tokens: call.Tokens, Weight: call.share, Surges: call.surges,
 	}
 	capacity := q.dispatcher.capacity(call, now, readyIn)
 	decision := q.pending.Offer(now, request, capacity)
