Bounds of weights and sizes; a surge is no demand for loads

Cause: the second of two requests of an organisation that sends next to nothing waited for tens of seconds at a busy node, a request that states a huge size kept its caller from being served, and the calls of a surge were counted as demand for loads, which unloads the models that others use.

Change: weights are at least an eighth of the average, sizes count as 65,536 at most. In the demand for loads the waiting calls of surging callers count as one and as least urgent.

--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -51,7 +51,7 @@
 }
 
 // tokens returns the size of the request for the accounts of flows.
-func (r *Request) tokens() float64 { return float64(max(1, r.Tokens)) }
+func (r *Request) tokens() float64 { return float64(min(max(1, r.Tokens), maxTokens)) }
 
 // cost returns the virtual time that the service of a request takes.
 func (f *flow) cost(request *Request) float64 { return request.tokens() / f.weight }
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -197,6 +197,22 @@
 	qt.Assert(t, strings.Count(startOrder(&queue, 20), "large"), qt.Equals, 4)
 }
 
+// Guards against a caller that is not served any more after a request that states a huge size.
+func TestHugeRequestDoesNotBarItsCaller(t *testing.T) {
+	var queue admission.Queue
+	for i, tokens := range []int{1 << 31, 1} {
+		queue.Offer(start, admission.Request{
+			Ticket: admission.Ticket(900 + i), Caller: "huge", Tokens: tokens, Deadline: start.Add(time.Duration(i+1) * time.Minute),
+		}, admission.Capacity{Slots: 1})
+	}
+	for i := range 100 {
+		queue.Offer(start, admission.Request{
+			Ticket: admission.Ticket(1 + i), Caller: "other", Tokens: 1000, Deadline: start.Add(time.Hour),
+		}, admission.Capacity{Slots: 1})
+	}
+	qt.Assert(t, strings.Count(startOrder(&queue, 70), "huge"), qt.Equals, 2)
+}
+
 // Guards against traces in the accounts of callers that leave while they wait, or whose
 // requests a stopping node gives an earlier deadline: they would be served later, or the
 // queue would grow.
--- a/internal/admission/usual.go
+++ b/internal/admission/usual.go
@@ -56,11 +56,14 @@
 	// usualPrior is the work in tokens that each flow is assumed to have sent in addition,
 	// so that the first requests at a node don't set the weights.
 	usualPrior = 10_000
-	// maxTokens bounds the size of a request that counts, since callers state it.
-	maxTokens = 16_384
+	// maxTokens bounds the size of a request that counts, since callers state it. It is about
+	// the memory of an engine.
+	maxTokens = 1 << 16
 	// maxWeight bounds the weight of a flow, so that a caller that always sends far more
-	// than others doesn't take all of a queue.
+	// than others doesn't take all of a queue, and minWeight that of one that sends next to
+	// nothing, so that the second of two requests doesn't wait for tens of seconds.
 	maxWeight = 8
+	minWeight = 0.125
 	// surgeWindow is the time constant of the present work of callers. A caller surges if
 	// its work relative to that of the others is surgeFactor times the usual, and
 	// surgeTokens more, since single requests say nothing.
@@ -89,7 +92,8 @@
 	size := float64(min(max(1, tokens), maxTokens))
 	u.recent[key] += size * growth
 	prior := usualPrior * growth
-	return min(maxWeight, (u.sums[key]+prior)/(u.total/float64(max(1, len(u.sums)))+prior)), u.surges(now, caller, size)
+	weight = (u.sums[key] + prior) / (u.total/float64(max(1, len(u.sums))) + prior)
+	return min(max(weight, minWeight), maxWeight), u.surges(now, caller, size)
 }
 
 // surges adds a request to the present work and reports whether its caller surges.
--- a/internal/admission/usual_test.go
+++ b/internal/admission/usual_test.go
@@ -39,6 +39,8 @@
 	c.Check(weight < 1.1*before, qt.IsTrue)
 	weight, _ = send(time.Hour, 1, 1<<30, "large")
 	c.Check(weight <= 8, qt.IsTrue, qt.Commentf("%v", weight))
+	rare, _ := usual.Record(now, "rare", 0, 1000)
+	c.Check(rare >= 0.125, qt.IsTrue, qt.Commentf("%v", rare))
 	now = now.Add(100 * time.Hour)
 	send(time.Minute, 1, 1000, "small", "smaller", "large")
 	weight, surges = send(time.Minute, 1, 1000, "small", "smaller", "large")
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -109,30 +109,40 @@
 }
 
 // demand summarises the calls that wait for the same replicas as a call, including the
-// call itself. The caller holds the lock.
+// call itself. The calls of callers that surge count as one, and as least urgent, so that a
+// surge doesn't have the models of others unloaded. The caller holds the lock.
 func (q *waitQueue) demand(call *Call) Demand {
 	wanted := q.dispatcher.eligibility(call)
 	demand := Demand{
 		Item: call.Item, Pool: call.Pool, Software: wanted.software, Since: call.Started, Rank: call.Rank,
 		Objective: call.Objective, Deadline: call.Deadline,
 	}
-	counted := false
+	if call.surges {
+		demand.Rank = admission.MaxRank
+	}
+	counted, surging := false, 0
 	for _, waiting := range q.waiters {
 		if waiting.eligibility == wanted {
 			demand.add(waiting.call)
 			counted = counted || waiting.call == call
+			if waiting.call.surges {
+				surging++
+			}
 		}
 	}
 	if !counted {
 		demand.Waiting++
 	}
+	demand.Waiting -= max(0, surging-1)
 	return demand
 }
 
 // add adds a waiting call.
 func (d *Demand) add(call *Call) {
 	d.Waiting++
-	d.Rank = min(d.Rank, call.Rank)
+	if !call.surges {
+		d.Rank = min(d.Rank, call.Rank)
+	}
 	if call.Started.Before(d.Since) {
 		d.Since = call.Started
 	}
--- a/internal/dispatch/sharing_test.go
+++ b/internal/dispatch/sharing_test.go
@@ -84,6 +84,45 @@
 	})
 }
 
+// Guards against a surge that has its models loaded before those that other organisations
+// wait for: loads are ordered by the number and rank of waiting calls.
+func TestSurgeIsNoDemandForLoads(t *testing.T) {
+	runInBubble(t, func(c *qt.C) {
+		s := newFakeServers(1)
+		d := s.dispatcher()
+		ctx, leave := context.WithCancel(context.Background())
+		model := func(call *dispatch.Call) {
+			call.Context, call.Tokens, call.Rank, call.Item = ctx, 2000, 3, fleet.Item{Model: "m"}
+		}
+		for range 60 {
+			for _, organisation := range []string{"surging", "other"} {
+				c.Assert(<-s.offer(d, organisation, 1, model), qt.IsNil)
+				time.Sleep(time.Second)
+			}
+		}
+		s.replicas = nil
+		loader := newDemandLoader(time.Second)
+		d.Loader = loader
+		surge := s.offer(d, "surging", 20, model)
+		time.Sleep(500 * time.Millisecond)
+		demands := loader.of("")
+		c.Check(demands[len(demands)-1].Waiting < 8, qt.IsTrue, qt.Commentf("%+v", demands))
+		other := s.offer(d, "other", 2, model)
+		time.Sleep(500 * time.Millisecond)
+		demands = loader.of("")
+		c.Check(demands[len(demands)-1].Waiting < 10, qt.IsTrue, qt.Commentf("%+v", demands))
+		c.Check(demands[len(demands)-1].Rank, qt.Equals, 3)
+		leave()
+		for range 20 {
+			c.Check(<-surge, qt.Not(qt.IsNil))
+		}
+		for range 2 {
+			c.Check(<-other, qt.Not(qt.IsNil))
+		}
+		time.Sleep(time.Second)
+	})
+}
+
 // Guards against traces of calls whose callers leave while they wait, and of those that wait
 // at a node that stops: the count of waiting organisations, or slots that stay taken.
 func TestCallsThatLeaveTheQueueLeaveNoTrace(t *testing.T) {
