Shares only where callers are organisations

Cause: the run of all tests failed in internal/caller (TestLoadLongerThanDeadlineIsRefusedAtOnce: Retry-After 2 instead of 20): the callers of nodes without a platform have ids too, so that they got the shares and the Retry-After of organisations.

Change: Dispatcher.Organisations switches shares on; internal/hosted sets it.

--- a/internal/admission/fair_test.go
+++ b/internal/admission/fair_test.go
@@ -90,7 +90,7 @@
 
 func (l load) playNode(result *tallies, random *rand.Rand) {
 	var (
-		queue   admission.Queue
+		queue   = admission.Queue{Shares: true}
 		usual   admission.UsualWork
 		ends    []time.Time
 		arrived = make(map[admission.Ticket]time.Time)
--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -233,8 +233,12 @@
 }
 
 // next returns the next request in the order of service among those that the filter
-// accepts.
-func (s *fairShare) next(accept func(Request) bool) (Request, bool) {
+// accepts. While one caller waits, its most urgent class is served first, or its least
+// urgent one with reversed.
+func (s *fairShare) next(accept func(Request) bool, reversed bool) (Request, bool) {
+	if !s.contended() {
+		return s.nextOfOne(accept, reversed)
+	}
 	first, found := place{}, false
 	for _, waiting := range s.flows {
 		at := slices.IndexFunc(waiting.requests, accept)
@@ -252,9 +256,37 @@
 	return *first.request, true
 }
 
-// ahead returns the number of waiting requests that are served before a new one, the sum
+// nextOfOne is next while one caller waits.
+func (s *fairShare) nextOfOne(accept func(Request) bool, reversed bool) (Request, bool) {
+	for class := range classCount {
+		if reversed {
+			class = classCount - 1 - class
+		}
+		requests := s.ofClass(class)
+		if at := slices.IndexFunc(requests, accept); at >= 0 {
+			return requests[at], true
+		}
+	}
+	return Request{}, false
+}
+
+// ahead returns the number of requests that would be served before a new one, the sum of
+// their work, and the time until its caller's turn comes at the present pace. While one
+// caller waits, each request counts as one unit of work and there are no turns.
+func (s *fairShare) ahead(request Request) (count int, work float64, turnIn time.Duration) {
+	if s.contendedFor(request.Caller) {
+		count, work, start := s.aheadOf(request)
+		return count, work, s.reachedIn(start)
+	}
+	for class := range classOf(request.Rank) + 1 {
+		count += len(s.ofClass(class))
+	}
+	return count, float64(count), 0
+}
+
+// aheadOf returns the number of waiting requests that are served before a new one, the sum
 // of their work, and the virtual start time of the new one.
-func (s *fairShare) ahead(request Request) (count int, work, start float64) {
+func (s *fairShare) aheadOf(request Request) (count int, work, start float64) {
 	own := request.flow()
 	var weight float64
 	start, weight = s.startOf(own), weightOf(&request)
@@ -289,7 +321,15 @@
 
 // inOrder calls visit for each waiting request in the order of service. A request for which
 // it returns false is not served, so that the following ones of its flow take its place.
-func (s *fairShare) inOrder(visit func(Request) bool) {
+func (s *fairShare) inOrder(visit func(request Request, work float64) bool) {
+	if !s.contended() {
+		for class := range classCount {
+			for _, request := range s.ofClass(class) {
+				visit(request, 1)
+			}
+		}
+		return
+	}
 	type cursor struct {
 		*flow
 		at    int
@@ -310,7 +350,7 @@
 			}
 		}
 		c := &cursors[best]
-		if visit(*first.request) {
+		if visit(*first.request, first.request.work()) {
 			c.start += c.cost(first.request)
 		}
 		if c.at++; c.at == len(c.requests) {
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -6,7 +6,6 @@
 package admission
 
 import (
-	"slices"
 	"time"
 
 	"github.com/guavatrack/guavatrack/pkg/fleet"
@@ -102,8 +101,7 @@
 const DefaultBound = 512
 
 // reversedInterval is the interval, in started requests, at which the classes
-// are served in reverse order, so that the least urgent one is not starved. If
-// several callers wait, the least served of them is served instead.
+// are served in reverse order, so that the least urgent one is not starved.
 const reversedInterval = 8
 
 // servedMemory is how long a queue without requests remembers what it has
@@ -113,16 +111,19 @@
 // minRetryAfter is the minimum of [Decision.RetryAfter] of a refused request.
 const minRetryAfter = 100 * time.Millisecond
 
-// Queue orders the waiting requests of one model. While one caller waits, its
-// most urgent class is served first and within a class the request with the
-// earliest deadline. If several callers wait, they share the capacity by
-// start-time fair queueing in tokens, in which a class has a head start before
-// less urgent ones.
+// Queue orders the waiting requests of one model. The most urgent class is
+// served first; within a class, the caller with the fewest served requests; for
+// a caller, the request with the earliest deadline. With Shares, the callers
+// share the capacity by start-time fair queueing in tokens while several wait.
 type Queue struct {
 	// Bound is the maximum number of waiting requests; 0 means [DefaultBound].
 	Bound int
+	// Shares is set if callers share the capacity by their work. It must not be
+	// changed after the first request.
+	Shares bool
 
-	fair         fairShare
+	counts       countOrder
+	flows        fairShare
 	size         int
 	startedCount int
 	offeredAt    time.Time
@@ -131,6 +132,38 @@
 	meanServiceTime, meanDeviation time.Duration
 }
 
+// serviceOrder is the order in which the requests of a queue are served.
+type serviceOrder interface {
+	add(request Request)
+	// remove removes a request without service and reports whether it was waiting.
+	remove(request Request) bool
+	// removeStarted removes a request that starts to run and counts it as served.
+	removeStarted(request Request) bool
+	// next returns the next request among those that the filter accepts. Reversed
+	// asks for the order that keeps the least urgent class from starving.
+	next(accept func(Request) bool, reversed bool) (Request, bool)
+	// ahead returns the number of requests that would be served before a new one,
+	// the sum of their work, and the time until its caller's turn comes.
+	ahead(request Request) (count int, work float64, turnIn time.Duration)
+	// inOrder calls visit for each request with its work until visit has seen all.
+	// One for which it returns false is not served.
+	inOrder(visit func(request Request, work float64) bool)
+	// displaced returns the request that gives way to a new one in a full queue.
+	displaced(request Request) (Request, bool)
+	// observe is called before each estimate and each check for late requests.
+	observe(now time.Time)
+	// reset forgets what was served, while no request waits.
+	reset()
+}
+
+// order returns the order of service of the queue.
+func (q *Queue) order() serviceOrder {
+	if q.Shares {
+		return &q.flows
+	}
+	return &q.counts
+}
+
 // MaxRank is the rank of the least urgent requests.
 const MaxRank = 9
 
@@ -189,8 +222,8 @@
 // Estimate returns the estimated start and end of a request if it were queued
 // now.
 func (q *Queue) Estimate(now time.Time, request Request, capacity Capacity) (start, end time.Time) {
-	q.fair.observe(now)
-	count, work, wait := q.countAhead(request)
+	q.order().observe(now)
+	count, work, wait := q.order().ahead(request)
 	start = now.Add(max(wait, q.startIn(count, work, capacity)))
 	return start, start.Add(request.scale(q.serviceTimeBound()))
 }
@@ -224,26 +257,11 @@
 	return lateness
 }
 
-// countAhead returns the number of waiting requests that would run before a new
-// one, the sum of their work, and the time until its caller's turn comes at the
-// present pace. While one caller waits, each request counts as one unit of work
-// and there are no turns.
-func (q *Queue) countAhead(request Request) (count int, work float64, turnIn time.Duration) {
-	if q.fair.contendedFor(request.Caller) {
-		count, work, start := q.fair.ahead(request)
-		return count, work, q.fair.reachedIn(start)
-	}
-	for class := range classOf(request.Rank) + 1 {
-		count += len(q.fair.ofClass(class))
-	}
-	return count, float64(count), 0
-}
-
 // Offer adds a request to the queue unless it would be late or the queue is
 // full.
 func (q *Queue) Offer(now time.Time, request Request, capacity Capacity) Decision {
 	if q.size == 0 && now.Sub(q.offeredAt) > servedMemory {
-		q.fair.reset()
+		q.order().reset()
 	}
 	q.offeredAt = now
 	if lateness := request.lateness(q.Estimate(now, request, capacity)); lateness > 0 {
@@ -251,7 +269,7 @@
 	}
 	decision := Decision{}
 	if q.size >= q.bound() {
-		displaced, found := q.fair.displaced(request)
+		displaced, found := q.order().displaced(request)
 		if !found {
 			wait := capacity.startTime(q.size, q.meanServiceTime)
 			return Decision{Outcome: Full, RetryAfter: max(minRetryAfter, wait/2)}
@@ -259,7 +277,7 @@
 		q.Remove(displaced)
 		decision.Displaced = displaced.Ticket
 	}
-	q.fair.add(request)
+	q.order().add(request)
 	q.size++
 	return decision
 }
@@ -273,7 +291,7 @@
 
 // Remove removes a request and reports whether it was waiting.
 func (q *Queue) Remove(request Request) bool {
-	if !q.fair.remove(request) {
+	if !q.order().remove(request) {
 		return false
 	}
 	q.size--
@@ -286,7 +304,7 @@
 	waits := q.Remove(request)
 	request.Deadline = deadline
 	if waits {
-		q.fair.add(request)
+		q.order().add(request)
 		q.size++
 	}
 	return request
@@ -295,25 +313,12 @@
 // Next returns the next request to run among those that the filter accepts. It
 // stays in the queue until RemoveStarted removes it.
 func (q *Queue) Next(accept func(Request) bool) (request Request, found bool) {
-	if q.fair.contended() {
-		return q.fair.next(accept)
-	}
-	reversed := q.startedCount%reversedInterval == reversedInterval-1
-	for class := range classCount {
-		if reversed {
-			class = classCount - 1 - class
-		}
-		requests := q.fair.ofClass(class)
-		if at := slices.IndexFunc(requests, accept); at >= 0 {
-			return requests[at], true
-		}
-	}
-	return Request{}, false
+	return q.order().next(accept, q.startedCount%reversedInterval == reversedInterval-1)
 }
 
 // RemoveStarted removes a request that starts to run and counts it as served.
 func (q *Queue) RemoveStarted(request Request) {
-	if q.fair.removeStarted(request) {
+	if q.order().removeStarted(request) {
 		q.size--
 		q.startedCount++
 	}
@@ -323,32 +328,18 @@
 // little time left and those with too many others ahead of them. The caller must
 // refuse them at once.
 func (q *Queue) Expire(now time.Time, capacity Capacity) (expired []Request) {
-	count, work := 0, 0.0
-	q.fair.observe(now)
-	contended := q.fair.contended()
-	visit := func(request Request) bool {
-		start := now.Add(q.startIn(count, work, capacity))
+	q.order().observe(now)
+	ahead, workAhead := 0, 0.0
+	q.order().inOrder(func(request Request, work float64) bool {
+		start := now.Add(q.startIn(ahead, workAhead, capacity))
 		if request.lateness(start, start.Add(request.scale(q.serviceTimeBound()))) > 0 {
 			expired = append(expired, request)
 			return false
 		}
-		count++
-		if contended {
-			work += request.work()
-		} else {
-			work++
-		}
+		ahead++
+		workAhead += work
 		return true
-	}
-	if contended {
-		q.fair.inOrder(visit)
-	} else {
-		for class := range classCount {
-			for _, request := range q.fair.ofClass(class) {
-				visit(request)
-			}
-		}
-	}
+	})
 	for _, request := range expired {
 		q.Remove(request)
 	}
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -110,7 +110,7 @@
 			now: start, waiting: make(map[admission.Ticket]admission.Request),
 			slots: rapid.IntRange(1, 8).Draw(t, "slots"),
 		}
-		m.queue.Bound = 12
+		m.queue.Bound, m.queue.Shares = 12, rapid.Bool().Draw(t, "shares")
 		for range rapid.IntRange(1, 150).Draw(t, "steps") {
 			m.now = m.now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "passes")) * time.Millisecond)
 			switch rapid.IntRange(0, 6).Draw(t, "step") {
@@ -165,20 +165,14 @@
 
 func TestUrgentClassRunsFirstWithoutStarvation(t *testing.T) {
 	var queue admission.Queue
-	offerMany(&queue, 1, 20, "", admission.MaxRank)
-	offerMany(&queue, 100, 20, "", 0)
-	order := ""
-	for range 16 {
-		request, _ := queue.Next(func(admission.Request) bool { return true })
-		queue.RemoveStarted(request)
-		order += fmt.Sprint(request.Rank)
-	}
-	qt.Assert(t, order, qt.Equals, "0000000900000009")
+	offerMany(&queue, 1, 20, "q", admission.MaxRank)
+	offerMany(&queue, 100, 20, "i", 0)
+	qt.Assert(t, startOrder(&queue, 16), qt.Equals, "iiiiiiiqiiiiiiiq")
 }
 
 // Guards against a class of one caller that takes all from a less urgent one of another.
 func TestClassesOfDifferentCallersShare(t *testing.T) {
-	var queue admission.Queue
+	queue := admission.Queue{Shares: true}
 	offerMany(&queue, 1, 20, "q", admission.MaxRank)
 	offerMany(&queue, 100, 20, "i", 0)
 	qt.Assert(t, startOrder(&queue, 16), qt.Equals, "iqiiiiiqiiiiiqii")
@@ -186,7 +180,7 @@
 
 // Guards against shares by count: a caller of large requests would get four times the work.
 func TestCallersShareByTokens(t *testing.T) {
-	var queue admission.Queue
+	queue := admission.Queue{Shares: true}
 	for i := range 20 {
 		for caller, tokens := range map[fleet.CallerID]int{"large": 4000, "small": 1000} {
 			queue.Offer(start, admission.Request{
@@ -199,7 +193,7 @@
 
 // Guards against a caller that is not served any more after a request that states a huge size.
 func TestHugeRequestDoesNotBarItsCaller(t *testing.T) {
-	var queue admission.Queue
+	queue := admission.Queue{Shares: true}
 	for i, tokens := range []int{1 << 31, 1} {
 		queue.Offer(start, admission.Request{
 			Ticket: admission.Ticket(900 + i), Caller: "huge", Tokens: tokens, Deadline: start.Add(time.Duration(i+1) * time.Minute),
@@ -219,7 +213,7 @@
 func TestRequestsThatLeaveAreNotCharged(t *testing.T) {
 	c := qt.New(t)
 	order := func(leave bool) string {
-		var queue admission.Queue
+		queue := admission.Queue{Shares: true}
 		offerMany(&queue, 1, 10, "a", 0)
 		offerMany(&queue, 100, 10, "b", 0)
 		before := startOrder(&queue, 4)
@@ -248,7 +242,7 @@
 // Guards against an organisation that fills a queue and has the requests of others displaced.
 func TestFullQueueDisplacesTheCallerWithTheMostWork(t *testing.T) {
 	c := qt.New(t)
-	queue := admission.Queue{Bound: 6}
+	queue := admission.Queue{Bound: 6, Shares: true}
 	offerMany(&queue, 1, 5, "surging", 0)
 	offerMany(&queue, 10, 1, "other", admission.MaxRank)
 	offer := func(ticket admission.Ticket, caller fleet.CallerID, rank int) admission.Decision {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -29,7 +29,10 @@
 	// additional replicas are requested while the present ones have no free slot.
 	Loader       Loader
 	LoadWhenFull bool
-	Prober       Prober
+	// Organisations is set if the callers of calls are organisations, which share the
+	// capacity by their usual work. A call without a caller belongs to none.
+	Organisations bool
+	Prober        Prober
 	// Origins is nil if all servers of a pool have one software version.
 	Origins Origins
 	// RateLimits is nil if servers name no limits.
--- a/internal/dispatch/sharing.go
+++ b/internal/dispatch/sharing.go
@@ -13,8 +13,7 @@
 	"github.com/guavatrack/guavatrack/pkg/refusal"
 )
 
-// sharing holds what the node knows of callers that share its queues. Calls without a
-// caller are not recorded.
+// sharing holds what the node knows of the organisations that share its queues.
 type sharing struct {
 	mu sync.Mutex
 	// usual holds the usual work of the callers by pool, since the sizes of calls of
@@ -31,11 +30,13 @@
 	s.gauge = metrics.GetOrRegisterGauge(waitingOrganisationsName, registry)
 }
 
-// setShare records a call and sets its share, unless that is done or it has no caller.
-func (s *sharing) setShare(call *Call) {
-	if call.Caller == "" || call.share != 0 {
+// setShare records a call and sets its share, unless that is done or the call belongs to no
+// organisation.
+func (d *Dispatcher) setShare(call *Call) {
+	if !d.Organisations || call.Caller == "" || call.share != 0 {
 		return
 	}
+	s := &d.sharing
 	s.mu.Lock()
 	usual := s.usual[call.Pool]
 	if usual == nil {
@@ -46,15 +47,19 @@
 	call.share, call.surges = usual.Record(call.Started, call.Caller, call.Rank, call.Tokens)
 }
 
-// addWaiting adds to the number of waiting calls of a caller.
-func (s *sharing) addWaiting(caller fleet.CallerID, count int) {
-	if caller == "" {
+// ofOrganisation reports whether the call belongs to an organisation. It is set once the call
+// asks for a slot.
+func (c *Call) ofOrganisation() bool { return c.share != 0 }
+
+// addWaiting adds to the number of waiting calls of the organisation of a call.
+func (s *sharing) addWaiting(call *Call, count int) {
+	if !call.ofOrganisation() {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.waiting[caller] += count; s.waiting[caller] == 0 {
-		delete(s.waiting, caller)
+	if s.waiting[call.Caller] += count; s.waiting[call.Caller] == 0 {
+		delete(s.waiting, call.Caller)
 	}
 	s.gauge.Update(int64(len(s.waiting)))
 }
@@ -69,10 +74,10 @@
 )
 
 // spreadRetry returns the error with the Retry-After of a refusal spread and bounded by the
-// time that the caller has left. Refusals of calls without a caller remain as they are.
+// time that the caller has left. Refusals of other calls than those of organisations remain as they are.
 func (d *Dispatcher) spreadRetry(call *Call, err error) error {
 	refused, isRefusal := refusal.As(err)
-	if call.Caller == "" || !isRefusal || refused.RetryAfter <= 0 {
+	if !call.ofOrganisation() || !isRefusal || refused.RetryAfter <= 0 {
 		return err
 	}
 	spread := *refused
@@ -82,10 +87,10 @@
 }
 
 // roomIn returns the time after which a call that is refused while it waits should be sent
-// again: that until the queue has room for it, or otherwise if it has no caller. The caller
-// holds the lock.
+// again: that until the queue has room for it, or otherwise if it belongs to no organisation.
+// The caller holds the lock.
 func (q *waitQueue) roomIn(waiting *waiter, now time.Time, capacity admission.Capacity, otherwise time.Duration) time.Duration {
-	if waiting.call.Caller == "" {
+	if !waiting.call.ofOrganisation() {
 		return otherwise
 	}
 	return max(capacity.ReadyIn, q.pending.RoomIn(now, waiting.request, capacity))
@@ -94,7 +99,7 @@
 // recordRefused counts and logs that a waiting call is refused.
 func (q *waitQueue) recordRefused(waiting *waiter, counter metrics.Counter, outcome string) {
 	counter.Inc(1)
-	if waiting.call.Caller == "" {
+	if !waiting.call.ofOrganisation() {
 		return
 	}
 	q.dispatcher.Log.LogAttrs(context.WithoutCancel(waiting.call.Context), slog.LevelInfo, "waiting request refused",
--- a/internal/dispatch/sharing_test.go
+++ b/internal/dispatch/sharing_test.go
@@ -21,7 +21,7 @@
 	s := newFakeServers(1)
 	s.replicas[0].Slots = 1
 	d := s.dispatcher()
-	d.Metrics = metrics.NewRegistry()
+	d.Organisations, d.Metrics = true, metrics.NewRegistry()
 	c.Assert(d.Do(s.call("usual", nil)), qt.IsNil)
 	return s, d
 }
@@ -65,11 +65,12 @@
 // told anything else than before.
 func TestRetryAfterIsSpreadForOrganisations(t *testing.T) {
 	runInBubble(t, func(c *qt.C) {
-		for _, organisation := range []string{"", "surging"} {
+		for _, caller := range []string{"", "caller", "surging"} {
 			s, d := sharedServer(c)
+			d.Organisations = caller != "caller"
 			short := func(call *dispatch.Call) { call.Deadline = call.Started.Add(2 * time.Second) }
 			began := time.Now()
-			results := s.offer(d, organisation, 40, short)
+			results := s.offer(d, caller, 40, short)
 			told := make(map[time.Duration]bool)
 			for range 10 {
 				refused, isRefusal := refusal.As(<-results)
@@ -78,7 +79,7 @@
 				told[refused.RetryAfter] = true
 			}
 			c.Check(time.Since(began), qt.Equals, time.Duration(0))
-			c.Check(len(told) > 5, qt.Equals, organisation != "", qt.Commentf("%v", told))
+			c.Check(len(told) > 5, qt.Equals, caller == "surging", qt.Commentf("%v", told))
 			time.Sleep(3 * time.Second)
 		}
 	})
@@ -90,6 +91,7 @@
 	runInBubble(t, func(c *qt.C) {
 		s := newFakeServers(1)
 		d := s.dispatcher()
+		d.Organisations = true
 		ctx, leave := context.WithCancel(context.Background())
 		model := func(call *dispatch.Call) {
 			call.Context, call.Tokens, call.Rank, call.Item = ctx, 2000, 3, fleet.Item{Model: "m"}
--- a/internal/dispatch/waitqueue.go
+++ b/internal/dispatch/waitqueue.go
@@ -67,7 +67,7 @@
 	queue := shard.queues[key]
 	if queue == nil {
 		queue = &waitQueue{
-			dispatcher: d, waiters: make(map[admission.Ticket]*waiter), loads: make(map[eligibility]*loadState),
+			dispatcher: d, pending: admission.Queue{Shares: d.Organisations}, waiters: make(map[admission.Ticket]*waiter), loads: make(map[eligibility]*loadState),
 		}
 		shard.queues[key] = queue
 	}
@@ -112,13 +112,13 @@
 // acquire waits for a slot at a replica until the context ends. It fails with a refusal
 // as soon as the call can no longer end before its deadline.
 func (q *waitQueue) acquire(ctx context.Context, call *Call) (*slot, error) {
-	q.dispatcher.sharing.setShare(call)
+	q.dispatcher.setShare(call)
 	waiting, taken, err := q.admit(call)
 	if waiting == nil {
 		return taken, q.dispatcher.spreadRetry(call, err)
 	}
-	q.dispatcher.sharing.addWaiting(call.Caller, 1)
-	defer q.dispatcher.sharing.addWaiting(call.Caller, -1)
+	q.dispatcher.sharing.addWaiting(call, 1)
+	defer q.dispatcher.sharing.addWaiting(call, -1)
 	select {
 	case result := <-waiting.result:
 		return result.slot, q.dispatcher.spreadRetry(call, result.err)
@@ -198,7 +198,7 @@
 		slog.Int("free", capacity.Free), slog.Duration("readyIn", capacity.ReadyIn),
 		slog.Duration("left", call.TimeLeft()), slog.Duration("retryAfter", decision.RetryAfter),
 	}
-	if call.Caller != "" {
+	if call.ofOrganisation() {
 		attributes = append(attributes, slog.String("organisation", string(call.Caller)),
 			slog.Int("class", call.Rank), slog.Float64("share", call.share), slog.Bool("surges", call.surges))
 	}
--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -370,7 +370,7 @@
 	registry metrics.Registry,
 ) *dispatch.Dispatcher {
 	return &dispatch.Dispatcher{
-		Directory: directory, Loader: reporter, LoadWhenFull: true, Prober: exchange, Origins: origins, RateLimits: limits, Store: store,
+		Directory: directory, Loader: reporter, LoadWhenFull: true, Organisations: true, Prober: exchange, Origins: origins, RateLimits: limits, Store: store,
 		Nodes: members.KnownNodes, Place: n.Settings.Node.Place, Node: n.ID, Allowance: func() retry.Allowance { return n.allowance(members) },
 		PublishPoisonNotice: gossip.Publish, PoisonPollInterval: poisonPollInterval, Log: n.Log, Metrics: registry,
 	}
