Keep the reason of a refusal whose Retry-After is spread

Cause: a call of an organisation that waited for a server of its stream's version lost the reason, so that a begun stream ended with a refusal instead of the error of its attempt. Callers with little time left were all told the same time.

Change: the spread refusal wraps its cause; Retry-After is drawn below the bound.

Measured: TestStreamOfAnOrganisationEndsOnceItsVersionHasLeft fails before the change ('noServer: no server of software version v1 is in service' for 'broken') and passes after it; go test ./internal/dispatch ./platform passes.

--- a/internal/dispatch/sharing.go
+++ b/internal/dispatch/sharing.go
@@ -73,17 +73,29 @@
 	retryPart = 3
 )
 
+// spreadError is a refusal with another Retry-After than that of its cause.
+type spreadError struct {
+	*refusal.Refusal
+	cause error
+}
+
+// Unwrap returns the refusal, which is found first, and its cause.
+func (s spreadError) Unwrap() []error { return []error{s.Refusal, s.cause} }
+
 // spreadRetry returns the error with the Retry-After of a refusal spread and bounded by the
-// time that the caller has left. Refusals of other calls than those of organisations remain as they are.
+// time that the caller has left. Refusals of calls that belong to no organisation remain as
+// they are.
 func (d *Dispatcher) spreadRetry(call *Call, err error) error {
 	refused, isRefusal := refusal.As(err)
 	if !call.ofOrganisation() || !isRefusal || refused.RetryAfter <= 0 {
 		return err
 	}
-	spread := *refused
 	most := max(0, call.TimeLeft()/retryPart)
-	spread.RetryAfter = min(most, time.Duration((1+retrySpread*d.Rand.Float64())*float64(min(most, refused.RetryAfter))))
-	return &spread
+	least := min(refused.RetryAfter, time.Duration(float64(most)/(1+retrySpread)))
+	longest := min(time.Duration((1+retrySpread)*float64(least)), most)
+	spread := *refused
+	spread.RetryAfter = least + time.Duration(d.Rand.Float64()*float64(longest-least))
+	return spreadError{Refusal: &spread, cause: err}
 }
 
 // roomIn returns the time after which a call that is refused while it waits should be sent
--- a/internal/dispatch/sharing_test.go
+++ b/internal/dispatch/sharing_test.go
@@ -85,6 +85,24 @@
 	})
 }
 
+// Guards against a stream of an organisation that ends with a refusal instead of the error of
+// its attempt, because the reason is lost when Retry-After is spread.
+func TestStreamOfAnOrganisationEndsOnceItsVersionHasLeft(t *testing.T) {
+	runInBubble(t, func(c *qt.C) {
+		s, d := versionHolders(c, 4)
+		d.Organisations = true
+		call, message := s.streamOf("a", breaksAfterEvents(), answers())
+		call.Caller = "organisation"
+		message.onForward = func(replica *dispatch.Replica) {
+			s.change(replica.Software, func(other *dispatch.Replica) { s.holders[other.Server] = false })
+			time.AfterFunc(200*time.Millisecond, func() {
+				s.change(replica.Software, func(other *dispatch.Replica) { other.Draining = true })
+			})
+		}
+		c.Assert(d.Do(call), qt.ErrorMatches, "broken")
+	})
+}
+
 // Guards against a surge that has its models loaded before those that other organisations
 // wait for: loads are ordered by the number and rank of waiting calls.
 func TestSurgeIsNoDemandForLoads(t *testing.T) {
