--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -29,7 +29,10 @@
 	// additional replicas are requested while the present ones have no free slot.
 	Loader       Loader
 	LoadWhenFull bool
-	Prober       Prober
+	// Organisations is set if the callers of calls are organisations, which share the
+	// capacity by their usual work. A call without a caller belongs to none.
+	Organisations bool
+	Prober        Prober
 	// Origins is nil if all servers of a pool have one software version.
 	Origins Origins
 	// RateLimits is nil if servers name no limits.
@@ -62,6 +65,7 @@
 	meters        meters
 	servers       serverShards
 	queues        queueShards
+	sharing       sharing
 	loadRefusals  loadRefusalChecks
 	prefixes      prefixState
 	budgets       budgets
@@ -90,6 +94,7 @@
 	d.leaveRecorder, _ = d.Directory.(LeaveRecorder)
 	d.Rand = SharedRand(d.Rand)
 	d.queues.setUp()
+	d.sharing.setUp(d.Metrics)
 	d.budgets.setUp()
 	d.link.setUp()
 	d.poison = &poison.Controller{
