Choice by the pace of servers, and a start window

A server's load counts times its slowdown, times to the first byte and service times are recorded corrected by it, and expected work is that of the servers' average. The calls of a node at a server that has started or recovered are bounded by its window. Both apply where servers of the pool report a fourth figure in their load, where the manifest has organisations, or with the setting platform.serverPace adaptive; off switches them off.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -220,6 +220,13 @@
 	a.slot.server.recordLoad(time.Now(), a.slot, running+queued)
 }
 
+// RecordSlowdown records that the server reported with its answer how long work takes there
+// now, relative to the usual. The number must be above 0.
+func (a *Attempt) RecordSlowdown(factor float64) {
+	a.dispatcher.pace.recordReport(a.slot.call.Pool)
+	a.slot.server.recordSlowdown(time.Now(), factor)
+}
+
 // RecordLeaving records that the server reported with its answer that it leaves, so
 // that it gets no further calls in this run of its process.
 func (a *Attempt) RecordLeaving() {
--- a/internal/dispatch/callrunner.go
+++ b/internal/dispatch/callrunner.go
@@ -34,7 +34,7 @@
 	for {
 		err := r.runAttempt(taken)
 		if err == nil {
-			call.queue.recordServed(time.Since(taken.started), call.Work)
+			call.queue.recordServed(time.Since(taken.started), r.workAt(taken))
 			return nil
 		}
 		if _, refused := refusal.As(err); refused || call.Context.Err() != nil || len(call.failedAttempts) == 0 {
@@ -295,15 +295,16 @@
 	case retry.Unreachable:
 		state.recordUnreachable(now)
 	case retry.Declined:
+		r.countStartRejection(a.slot)
 		state.recordDeclined(now, a.slot)
 		r.restBrittle(a.slot, now)
 	case retry.SilentConnection, retry.ResponseMismatch:
 		r.silentConnections++
-		state.recordFailure(now)
+		state.recordFailure(now, a.slot)
 	case retry.Occupied:
 		state.recordAbandoned()
 	case retry.Crashed:
 	default:
-		state.recordFailure(now)
+		state.recordFailure(now, a.slot)
 	}
 }
--- a/internal/dispatch/directory.go
+++ b/internal/dispatch/directory.go
@@ -40,6 +40,9 @@
 	// ReadySince is when the replica was first observed to be ready; zero if
 	// that was long ago.
 	ReadySince time.Time
+	// ListedAt is when the node first listed this run of the server's process; zero if it
+	// was listed when the node started, or if that is unknown.
+	ListedAt time.Time
 }
 
 // Directory lists the backend servers.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -33,6 +33,8 @@
 	// others is the number of calls of other nodes that the servers report in
 	// addition to this node's; with 0 they report no load.
 	others int
+	// slowdown returns how long work takes at a server, which reports it; nil if none does.
+	slowdown func(fleet.ServerID) float64
 }
 
 func newFakeServers(count int) *fakeServers {
@@ -87,6 +89,9 @@
 	if reportsLoad {
 		attempt.RecordLoad(load, 0)
 	}
+	if m.slowdown != nil {
+		attempt.RecordSlowdown(m.slowdown(server))
+	}
 	defer func() {
 		m.mu.Lock()
 		defer m.mu.Unlock()
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -43,6 +43,8 @@
 	Allowance func() retry.Allowance
 	// Nodes returns the number of nodes that send calls to the same servers; nil means one.
 	Nodes func() int
+	// Pace says whether the pace of servers counts; nil means [PaceReported].
+	Pace func() PaceMode
 	// PoisonPollInterval is the interval at which the notices of other nodes are
 	// read from the store; 0 means 2 s.
 	PoisonPollInterval time.Duration
@@ -67,6 +69,7 @@
 	budgets       budgets
 	link          linkState
 	brittle       brittlePools
+	pace          paceState
 	poison        *poison.Controller
 	// cutOff is when the stopping node cuts off its requests; nil if it does not stop.
 	cutOff     atomic.Pointer[time.Time]
@@ -99,6 +102,8 @@
 	d.servers.timestamps, _ = d.Directory.(TimestampedDirectory)
 	d.servers.loads, _ = d.Directory.(LoadDirectory)
 	d.servers.rateLimits = d.RateLimits
+	d.pace.setUp(d)
+	d.servers.pace = &d.pace
 	d.servers.setUp()
 }
 
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -155,7 +155,7 @@
 		}
 		candidate := d.servers.get(replicas[i].Server).candidate(now, &replicas[i], call)
 		capacity.Slots += candidate.Limit
-		capacity.Free += max(0, candidate.Limit-candidate.InFlight)
+		capacity.Free += max(0, candidate.MaxInFlight()-candidate.InFlight)
 	}
 	if capacity.Slots == 0 {
 		// There is no replica, or none that accepts calls now: assume one that is
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -22,6 +22,8 @@
 		Name: loadRefusalsFalseName, Kind: metric.Counter,
 		Help: "those of them whose model was loaded when their time was up (a lower bound)",
 	},
+	{Name: startWindowsName, Kind: metric.Gauge, Help: "backend servers that have just started or recovered and get few requests of this node"},
+	{Name: startRejectionsName, Kind: metric.Counter, Help: "attempts that such servers rejected"},
 	{Name: noLocalName, Kind: metric.Counter, Help: "bytes between regions because the region has no server for a request"},
 	{Name: deadlineName, Kind: metric.Counter, Help: "bytes between regions because a deadline would be missed"},
 	{Name: fullName, Kind: metric.Counter, Help: "bytes between regions because all servers of the region are full"},
@@ -38,6 +40,8 @@
 	stopRefusalsName      = "requests.stopRefusals"
 	loadRefusalsName      = "requests.loadRefusals"
 	loadRefusalsFalseName = "requests.loadRefusalsFalse"
+	startWindowsName      = "servers.startWindows"
+	startRejectionsName   = "servers.startRejections"
 	noLocalName           = "link.bytesNoLocal"
 	deadlineName          = "link.bytesDeadline"
 	fullName              = "link.bytesFull"
@@ -49,6 +53,9 @@
 	// loadRefusals counts the refusals for late loads that are checked, loadRefusalsFalse
 	// those that proved false.
 	loadRefusals, loadRefusalsFalse metrics.Counter
+	// startWindows is the number of servers in their start window.
+	startWindows    metrics.Gauge
+	startRejections metrics.Counter
 	// crossRegionBytes counts the bytes sent and received between regions.
 	crossRegionBytes map[route.Cause]metrics.Counter
 }
@@ -63,6 +70,8 @@
 	m.silentServers = metrics.GetOrRegisterCounter(silentServersName, registry)
 	m.loadRefusals = metrics.GetOrRegisterCounter(loadRefusalsName, registry)
 	m.loadRefusalsFalse = metrics.GetOrRegisterCounter(loadRefusalsFalseName, registry)
+	m.startWindows = metrics.GetOrRegisterGauge(startWindowsName, registry)
+	m.startRejections = metrics.GetOrRegisterCounter(startRejectionsName, registry)
 	m.crossRegionBytes = map[route.Cause]metrics.Counter{
 		route.CauseNoLocal:  metrics.GetOrRegisterCounter(noLocalName, registry),
 		route.CauseDeadline: metrics.GetOrRegisterCounter(deadlineName, registry),
--- a/internal/dispatch/race.go
+++ b/internal/dispatch/race.go
@@ -43,7 +43,7 @@
 	s := &raceState{results: make(chan *Attempt, maxRaceAttempts), suspicions: make(chan suspicion, maxRaceAttempts)}
 	defer func() { r.stopSearch(s.search) }()
 	r.join(s, taken)
-	hedgeAfter, silentAfter := r.call.queue.firstByteTimeouts(r.call.Stream)
+	hedgeAfter, silentAfter := r.firstByteTimeouts(taken)
 	hedgeTimer := newTimer(hedgeAfter, hedgeAfter > 0 && r.mayHedge())
 	defer hedgeTimer.Stop()
 	silenceTimer := newTimer(r.silenceTimeout(silentAfter), r.call.Idempotent)
@@ -238,9 +238,9 @@
 		if a.failedNumber == 0 {
 			r.call.abandonedAttempts++
 		}
-		a.slot.server.recordFirstByte(now, now.Sub(a.slot.started))
+		a.slot.server.recordFirstByte(now, r.usualTime(a.slot, now))
 		if a.slot.started.Before(winner.slot.started) {
-			a.slot.server.recordFailure(now)
+			a.slot.server.recordFailure(now, a.slot)
 		}
 		if a.silence != nil {
 			a.cancel(a.silence)
@@ -253,10 +253,11 @@
 // recordOpened records the time to the first byte of an attempt.
 func (r *callRunner) recordOpened(a *Attempt) {
 	now := time.Now()
-	elapsed := now.Sub(a.slot.started)
-	a.slot.firstByte = elapsed
-	r.call.queue.recordFirstByte(r.call.Stream, elapsed)
-	a.slot.server.recordFirstByte(now, elapsed)
+	a.slot.firstByte = now.Sub(a.slot.started)
+	usual := r.usualTime(a.slot, now)
+	r.call.queue.recordFirstByte(r.call.Stream, usual)
+	a.slot.server.recordFirstByte(now, usual)
+	r.recordStartAnswer(a.slot, now, usual)
 }
 
 // releaseLosers closes the attempts that are still pending and releases their
--- a/internal/dispatch/rest.go
+++ b/internal/dispatch/rest.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/guavatrack/guavatrack/internal/pace"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
@@ -12,7 +13,9 @@
 func (d *Dispatcher) RecordRest(server fleet.ServerID, boot fleet.BootID, duration time.Duration) {
 	d.once.Do(d.setUp)
 	until := time.Now().Add(duration)
-	if d.servers.get(server).recordRest(boot, until) {
+	state := d.servers.get(server)
+	if state.recordRest(boot, until) {
+		state.expectRecovery(pace.Rested)
 		d.Log.Info("server wants no requests", slog.String("server", string(server)), slog.Duration("for", duration))
 	}
 }
--- a/internal/dispatch/servers.go
+++ b/internal/dispatch/servers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/guavatrack/guavatrack/internal/admission"
+	"github.com/guavatrack/guavatrack/internal/pace"
 	"github.com/guavatrack/guavatrack/internal/poison"
 	"github.com/guavatrack/guavatrack/internal/route"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
@@ -25,6 +26,7 @@
 	// loads is nil if the directory counts no calls.
 	loads      LoadDirectory
 	rateLimits RateLimits
+	pace       *paceState
 }
 
 type serverShard struct {
@@ -40,6 +42,7 @@
 	timestamps TimestampedDirectory
 	loads      LoadDirectory
 	rateLimits RateLimits
+	pace       *paceState
 
 	mu      sync.Mutex
 	health  route.Health
@@ -82,6 +85,7 @@
 	// an attempt that ended without one.
 	silent               *silentRun
 	answeredAt, probedAt time.Time
+	serverPace
 }
 
 // slotGroup bounds the calls of the replicas that share the slots of a server.
@@ -105,7 +109,7 @@
 	state := shard.servers[id]
 	if state == nil {
 		state = &serverState{
-			id: id, timestamps: s.timestamps, loads: s.loads, rateLimits: s.rateLimits, running: make(map[*slot]struct{}), groups: make(map[string]*slotGroup),
+			id: id, timestamps: s.timestamps, loads: s.loads, rateLimits: s.rateLimits, pace: s.pace, running: make(map[*slot]struct{}), groups: make(map[string]*slotGroup),
 			absentItems: make(map[fleet.Item]itemAbsence),
 		}
 		shard.servers[id] = state
@@ -114,7 +118,7 @@
 }
 
 // removeIdle removes the state of servers that run no request of this node, except
-// of those that want no requests for some time or leave.
+// of those that want no requests for some time, leave, or have a start window.
 func (s *serverShards) removeIdle(now time.Time) {
 	for i := range s.shards {
 		shard := &s.shards[i]
@@ -139,7 +143,7 @@
 func (s *serverState) idle(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.running) == 0 && !now.Before(s.restUntil) && s.leavingBoot == ""
+	return len(s.running) == 0 && !now.Before(s.restUntil) && s.leavingBoot == "" && !s.windowStays(now)
 }
 
 // slotGroup returns the slot group of a replica, with its bound updated. The
@@ -190,7 +194,9 @@
 		decay := math.Exp(-float64(now.Sub(s.firstByteAt)) / float64(firstByteDecay))
 		candidate.TimeToFirstByte = time.Duration(float64(s.firstByte) * decay)
 	}
-	if s.rateLimits.Available(s.id, replica.Boot) == 0 || s.unavailable(now, replica, call) || !s.fitsCache(replica, call) {
+	available := !s.unavailable(now, replica, call)
+	s.applyPace(now, replica, call.Pool, &candidate, available)
+	if s.rateLimits.Available(s.id, replica.Boot) == 0 || !available || !s.fitsCache(replica, call) {
 		exclude(&candidate)
 	}
 	return candidate
@@ -203,11 +209,16 @@
 // fixedSlotLimit returns how many calls the node may run on a server whose number
 // of slots is known: the slots that the other nodes leave, but at least 1.
 func fixedSlotLimit(now time.Time, replica *Replica, others int, asOf time.Time) int {
+	return max(1, replica.Slots-decayedOthers(now, others, asOf))
+}
+
+// decayedOthers returns the reported number of calls of other nodes, decayed; 0 if there was
+// no report.
+func decayedOthers(now time.Time, others int, asOf time.Time) int {
 	if asOf.IsZero() {
-		return replica.Slots
+		return 0
 	}
-	weight := math.Exp(-float64(max(0, now.Sub(asOf))) / float64(othersDecay))
-	return max(1, replica.Slots-int(weight*float64(others)))
+	return int(math.Exp(-float64(max(0, now.Sub(asOf)))/float64(othersDecay)) * float64(others))
 }
 
 // recordLoad records the number of calls of all nodes that the server reported with
@@ -262,6 +273,7 @@
 	s.slotsTaken++
 	taken.number = s.slotsTaken
 	s.running[taken] = struct{}{}
+	s.window.RecordSent()
 	s.health.RecordStart(now)
 	if taken.call.exclusive {
 		s.exclusive = taken.call
@@ -317,6 +329,7 @@
 	recorded := make(chan struct{})
 	s.crashRecorded = recorded
 	s.health.RecordCrash(now)
+	s.recovers = pace.Crashed
 	var runs []poison.Run
 	for taken := range s.running {
 		if taken.replica.Boot == boot && taken.sent.Load() && taken.mayHaveBegun(now) {
@@ -352,6 +365,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.health.RecordFailure(now)
+	s.recovers = pace.Unreachable
 	if now.Before(s.unreachableUntil) {
 		return
 	}
@@ -389,10 +403,13 @@
 }
 
 // recordFailure records a failure that counts against the health of the server.
-func (s *serverState) recordFailure(now time.Time) {
+func (s *serverState) recordFailure(now time.Time, taken *slot) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.health.RecordFailure(now)
+	s.window.RecordTrouble(now, taken.started)
+	if s.health.RecordFailure(now) {
+		s.recovers = pace.Ejected
+	}
 }
 
 // recordAbandoned records that an attempt ended without evidence for or against
@@ -409,5 +426,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.health.RecordAbandoned()
+	s.window.RecordTrouble(now, taken.started)
 	s.slotGroup(&taken.replica).limit.RecordDecline(now)
 }
--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -103,7 +103,7 @@
 	if !stops {
 		return nil
 	}
-	expected := q.pending.ExpectedServiceTime(call.Work)
+	expected := q.pending.ExpectedServiceTime(q.dispatcher.expectedWork(call, now))
 	if expected == 0 && !call.Idempotent {
 		expected = unknownServiceTime
 	}
@@ -145,7 +145,7 @@
 // the lock.
 func (q *waitQueue) lateRefusal(call *Call, now time.Time, retryAfter time.Duration) *refusal.Refusal {
 	if _, stops := q.dispatcher.endBy(call); stops {
-		return q.dispatcher.refuseForStop(call, now, q.pending.ExpectedServiceTime(call.Work))
+		return q.dispatcher.refuseForStop(call, now, q.pending.ExpectedServiceTime(q.dispatcher.expectedWork(call, now)))
 	}
 	return admissionRefusal(admission.Decision{Outcome: admission.Late, RetryAfter: retryAfter})
 }
--- a/internal/dispatch/waitqueue.go
+++ b/internal/dispatch/waitqueue.go
@@ -148,7 +148,7 @@
 	q.lastTicket++
 	request := admission.Request{
 		Ticket: q.lastTicket, Caller: call.Caller, Rank: call.Rank, Item: call.Item, Deadline: endBy,
-		StartBy: call.StartBy, Work: call.Work,
+		StartBy: call.StartBy, Work: q.dispatcher.expectedWork(call, now),
 	}
 	capacity := q.dispatcher.capacity(call, now, readyIn)
 	decision := q.pending.Offer(now, request, capacity)
--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -29,6 +29,7 @@
 	"github.com/guavatrack/guavatrack/internal/reach"
 	"github.com/guavatrack/guavatrack/internal/retry"
 	"github.com/guavatrack/guavatrack/internal/roster"
+	"github.com/guavatrack/guavatrack/internal/settings"
 	"github.com/guavatrack/guavatrack/internal/table"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 	"github.com/guavatrack/guavatrack/platform"
@@ -367,15 +368,32 @@
 func newDispatcher(
 	n *Node, directory *placement.Directory, reporter *placement.Reporter, exchange *platform.Exchange,
 	members *member.Controller, store table.Store, gossip *poison.Gossip, origins *origin.Controller, limits *ratelimit.Controller,
-	registry metrics.Registry,
+	rosterController *roster.Controller, registry metrics.Registry,
 ) *dispatch.Dispatcher {
 	return &dispatch.Dispatcher{
 		Directory: directory, Loader: reporter, LoadWhenFull: true, Prober: exchange, Origins: origins, RateLimits: limits, Store: store,
 		Nodes: members.KnownNodes, Place: n.Settings.Node.Place, Node: n.ID, Allowance: func() retry.Allowance { return n.allowance(members) },
+		Pace: func() dispatch.PaceMode {
+			return paceMode(n.current.Load().ServerPace, rosterController.View().Manifest)
+		},
 		PublishPoisonNotice: gossip.Publish, PoisonPollInterval: poisonPollInterval, Log: n.Log, Metrics: registry,
 	}
 }
 
+// paceMode returns whether the pace of servers counts, by the setting and the manifest, which
+// may be nil. Organisations compete for little room, which a recovered server that is flooded
+// or idle lacks.
+func paceMode(setting string, manifest *roster.Manifest) dispatch.PaceMode {
+	switch {
+	case setting == settings.ServerPaceOff:
+		return dispatch.PaceNever
+	case setting == settings.ServerPaceAdaptive, manifest != nil && len(manifest.Organisations) > 0:
+		return dispatch.PaceAlways
+	default:
+		return dispatch.PaceReported
+	}
+}
+
 // poisonPollInterval is the time between two reads of notices from the store. It is
 // long because gossip delivers them sooner.
 const poisonPollInterval = time.Minute
--- a/internal/placement/directory.go
+++ b/internal/placement/directory.go
@@ -61,6 +61,9 @@
 type rosterEntry struct {
 	server     *roster.Server
 	receivedAt time.Time
+	// runListedAt is when the run of the server was first listed; zero if that was with the
+	// first servers that the node listed.
+	runListedAt time.Time
 }
 
 // entryLag is how much later than the scheduler's state a roster entry has to
@@ -74,11 +77,18 @@
 	defer d.mu.Unlock()
 	defer d.notify()
 	d.init()
+	isFirst := len(d.rosterEntries) == 0
 	for id, server := range view.Servers {
-		if d.rosterEntries[id].server != server {
-			d.rosterEntries[id] = rosterEntry{server: server, receivedAt: now}
-			d.index.markStale(id)
+		before := d.rosterEntries[id]
+		if before.server == server {
+			continue
+		}
+		entry := rosterEntry{server: server, receivedAt: now, runListedAt: before.runListedAt}
+		if !isFirst && (before.server == nil || before.server.Boot != server.Boot) {
+			entry.runListedAt = now
 		}
+		d.rosterEntries[id] = entry
+		d.index.markStale(id)
 	}
 	for id := range d.rosterEntries {
 		if view.Servers[id] == nil {
@@ -241,6 +251,7 @@
 	replica := dispatch.Replica{
 		Server: server.ID, Boot: server.Boot, Address: server.Address, Place: server.Place, Pool: server.Pool,
 		Software: server.Software, Ready: true, Draining: server.Draining, Slots: server.Slots, FixedSlots: true,
+		ListedAt: d.rosterEntries[server.ID].runListedAt,
 	}
 	if spec := view.Engine(server.Pool); spec != nil {
 		replica.Tokens = spec.CacheTokens
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -22,6 +22,9 @@
 	// their maximum.
 	InFlight int
 	Limit    int
+	// Window is the maximum of the node's own requests while the server has just started
+	// or recovered; 0 if there is none. It does not change the server's load.
+	Window int
 	// OtherNodesInFlight is the number of requests of other nodes in the last
 	// report, which describes the server at ReportedAt.
 	OtherNodesInFlight int
@@ -32,6 +35,9 @@
 	// TimeToFirstByte is the recent average time to the first byte; 0 if
 	// unknown.
 	TimeToFirstByte time.Duration
+	// Slowdown is the time that work takes at the server relative to the usual; 0 if
+	// unknown.
+	Slowdown float64
 	// ReadySince is when the server became able to serve; zero if long ago.
 	ReadySince time.Time
 	// Ejected reports whether the server is ejected because it failed.
@@ -132,10 +138,18 @@
 
 // hasRoom reports whether the node may send the server another request.
 func (c *Candidate) hasRoom(now time.Time) bool {
-	limit := int(math.Ceil(float64(c.Limit) * c.share(now)))
+	limit := int(math.Ceil(float64(c.MaxInFlight()) * c.share(now)))
 	return c.InFlight < max(1, limit)
 }
 
+// MaxInFlight returns the maximum of the node's own requests at the server.
+func (c *Candidate) MaxInFlight() int {
+	if c.Window > 0 {
+		return min(c.Limit, c.Window)
+	}
+	return c.Limit
+}
+
 // share returns the share of its full load that a server gets, from minShare
 // for a new one to 1.
 func (c *Candidate) share(now time.Time) float64 {
@@ -256,6 +270,9 @@
 	if firstByte := cmp.Or(c.TimeToFirstByte, unmeasured); firstByte > 0 {
 		load *= firstByte.Seconds()
 	}
+	if c.Slowdown > 0 {
+		load *= c.Slowdown
+	}
 	if c.PrefixCached {
 		load *= prefixDiscount
 	}
--- a/internal/settings/platform.go
+++ b/internal/settings/platform.go
@@ -45,5 +45,8 @@
 	if p.Retries.Slack < 0 {
 		c.problems.Add("platform.retries.slack", "must not be below 0")
 	}
+	if p.ServerPace != "" {
+		c.oneOf("platform.serverPace", p.ServerPace, ServerPaceAdaptive, ServerPaceOff)
+	}
 	return c.problems
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -61,8 +61,18 @@
 	// Cores is the process's limit of processor time, in seconds per second; 0 if
 	// unknown. Nodes with more cores are preferred as scheduler.
 	Cores float64 `json:"cores,omitempty"`
+	// ServerPace says whether the pace of servers counts when one is chosen, and whether a
+	// server that has started or recovered gets few requests at first: adaptive, off, or
+	// empty. If it is empty, that depends on the manifest and the servers.
+	ServerPace string `json:"serverPace,omitempty"`
 }
 
+// Values of [Platform.ServerPace].
+const (
+	ServerPaceAdaptive = "adaptive"
+	ServerPaceOff      = "off"
+)
+
 // Retries limits the attempts beyond the first of each request, for each pool
 // over all nodes.
 type Retries struct {
