Load tests of pace, and a setting to ask servers before a request

The tests found that a turn which is lost unused leaves a server idle with few requests at each node: turns now stay until used, and count from the time at which the run was listed.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -45,6 +45,9 @@
 	Nodes func() int
 	// Pace says whether the pace of servers counts; nil means [PaceReported].
 	Pace func() PaceMode
+	// ReadPace has a call ask its server how long work takes there now before it is sent, if
+	// the servers of its pool report that and the Prober is a [LoadReader].
+	ReadPace bool
 	// PoisonPollInterval is the interval at which the notices of other nodes are
 	// read from the store; 0 means 2 s.
 	PoisonPollInterval time.Duration
@@ -156,6 +159,7 @@
 		d.logAbsentVersion(call, err)
 		return err
 	}
+	call.slot = d.confirmPace(call, call.slot)
 	return d.runCall(call)
 }
 
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -24,6 +24,8 @@
 	},
 	{Name: startWindowsName, Kind: metric.Gauge, Help: "backend servers that have just started or recovered and get few requests of this node"},
 	{Name: startRejectionsName, Kind: metric.Counter, Help: "attempts that such servers rejected"},
+	{Name: paceReadsName, Kind: metric.Counter, Help: "backend servers asked how long work takes there before a request was sent"},
+	{Name: paceMovesName, Kind: metric.Counter, Help: "requests that went to another backend server since the one they were for was slow or full then"},
 	{Name: noLocalName, Kind: metric.Counter, Help: "bytes between regions because the region has no server for a request"},
 	{Name: deadlineName, Kind: metric.Counter, Help: "bytes between regions because a deadline would be missed"},
 	{Name: fullName, Kind: metric.Counter, Help: "bytes between regions because all servers of the region are full"},
@@ -42,6 +44,8 @@
 	loadRefusalsFalseName = "requests.loadRefusalsFalse"
 	startWindowsName      = "servers.startWindows"
 	startRejectionsName   = "servers.startRejections"
+	paceReadsName         = "servers.paceReads"
+	paceMovesName         = "servers.paceMoves"
 	noLocalName           = "link.bytesNoLocal"
 	deadlineName          = "link.bytesDeadline"
 	fullName              = "link.bytesFull"
@@ -54,8 +58,8 @@
 	// those that proved false.
 	loadRefusals, loadRefusalsFalse metrics.Counter
 	// startWindows is the number of servers in their start window.
-	startWindows    metrics.Gauge
-	startRejections metrics.Counter
+	startWindows                          metrics.Gauge
+	startRejections, paceReads, paceMoves metrics.Counter
 	// crossRegionBytes counts the bytes sent and received between regions.
 	crossRegionBytes map[route.Cause]metrics.Counter
 }
@@ -72,6 +76,8 @@
 	m.loadRefusalsFalse = metrics.GetOrRegisterCounter(loadRefusalsFalseName, registry)
 	m.startWindows = metrics.GetOrRegisterGauge(startWindowsName, registry)
 	m.startRejections = metrics.GetOrRegisterCounter(startRejectionsName, registry)
+	m.paceReads = metrics.GetOrRegisterCounter(paceReadsName, registry)
+	m.paceMoves = metrics.GetOrRegisterCounter(paceMovesName, registry)
 	m.crossRegionBytes = map[route.Cause]metrics.Counter{
 		route.CauseNoLocal:  metrics.GetOrRegisterCounter(noLocalName, registry),
 		route.CauseDeadline: metrics.GetOrRegisterCounter(deadlineName, registry),
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -131,7 +131,7 @@
 	candidate.Slowdown = s.factor.Estimate(now.Add(candidate.TimeToFirstByte / 2))
 	s.noticeRun(now, replica)
 	if available && !candidate.Ejected && s.recovers != "" {
-		s.beginWindow(now, replica.Boot)
+		s.beginWindow(now, replica)
 	}
 	if !s.window.Active() {
 		return
@@ -170,13 +170,17 @@
 }
 
 // beginWindow begins the window of the server. The caller holds the lock.
-func (s *serverState) beginWindow(now time.Time, boot fleet.BootID) {
+func (s *serverState) beginWindow(now time.Time, replica *Replica) {
 	if !s.window.Active() {
 		s.pace.gauge.Update(s.pace.windows.Add(1))
 	}
-	s.window.Begin(now, s.recovers)
+	began := now
+	if s.recovers == pace.Started && !replica.ListedAt.IsZero() {
+		began = replica.ListedAt
+	}
+	s.window.Begin(began, s.recovers)
 	s.recovers = ""
-	s.pace.log.Info("start window begins", slog.String("server", string(s.id)), slog.String("boot", string(boot)),
+	s.pace.log.Info("start window begins", slog.String("server", string(s.id)), slog.String("boot", string(replica.Boot)),
 		slog.String("cause", string(s.window.Cause)))
 }
 
--- a/internal/pace/doc.go
+++ b/internal/pace/doc.go
@@ -15,13 +15,15 @@
 //
 // # Window
 //
-// A window bounds the requests of one node at a server that has just started or recovered.
-// It begins at 0 and opens in turns:
+// A window bounds the requests of one node at a server that has just started or recovered. It
+// begins when the node first listed the new run, or can send requests to the server again. It
+// begins at 0 and opens in turns:
 //
 //   - In each 100 ms the node gets a turn with the probability of 4 / nodes, so that about
 //     four nodes try the server at once. If the load reports show that more requests of
 //     other nodes run there, about as many nodes get a turn, but no more than there are
-//     free slots. After a sign of overload a turn comes in 500 ms on average at the most.
+//     free slots. A turn stays until it is used. After a sign of overload it comes in 500 ms
+//     on average at the soonest.
 //   - A node that has had no turn for 500 ms since it first wanted one gets it.
 //   - A turn allows one request, or 4 / nodes if that is more.
 //
--- a/internal/pace/window.go
+++ b/internal/pace/window.go
@@ -65,8 +65,8 @@
 	// closedSince is when the node first wanted to send a request since the last turn;
 	// zero if it has not.
 	closedSince time.Time
-	// drawn is the number of the last interval for which a turn was drawn, turn its result,
-	// and turnSize the number of requests that a turn allows.
+	// drawn is the number of the last interval for which a turn was drawn, turn is set if the
+	// node has one, and turnSize the number of requests that a turn allows.
 	drawn    time.Duration
 	turn     bool
 	turnSize int
@@ -125,8 +125,12 @@
 	if now.Sub(w.closedSince) >= maxClosed {
 		return w.turnSize
 	}
-	if interval := now.Sub(w.Began) / turnInterval; interval != w.drawn {
-		w.drawn, w.turn = interval, random() < w.turnProbability(load)
+	if interval := now.Sub(w.Began) / turnInterval; interval > w.drawn {
+		// Intervals in which the node had no request to send count as well, and a turn
+		// stays until it is used.
+		missed := math.Pow(1-w.turnProbability(load), float64(interval-w.drawn))
+		w.turn = w.turn || random() < 1-missed
+		w.drawn = interval
 	}
 	if w.turn {
 		return w.turnSize
@@ -140,7 +144,7 @@
 	if load.Slots > 0 {
 		wanted = min(wanted, max(1, load.Slots-load.Others))
 	}
-	probability := float64(wanted) / float64(max(1, load.Nodes))
+	probability := min(1, float64(wanted)/float64(max(1, load.Nodes)))
 	if w.overloaded {
 		probability = min(probability, float64(turnInterval)/float64(maxClosed))
 	}
@@ -202,6 +206,6 @@
 	}
 	w.overloaded, w.halvedAt = true, now
 	if w.own /= 2; w.own < 1 {
-		w.own, w.turn, w.closedSince = 0, false, time.Time{}
+		w.own, w.turn, w.closedSince, w.drawn = 0, false, time.Time{}, now.Sub(w.Began)/turnInterval
 	}
 }
--- a/internal/placement/directory_test.go
+++ b/internal/placement/directory_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
@@ -124,3 +125,32 @@
 		qt.Check(t, found <= changeAllocations, qt.IsTrue, qt.Commentf("%v allocations with %d servers", found, servers))
 	}
 }
+
+// TestRunsListedLaterHaveATime guards against servers that a node floods since it takes them for
+// old ones, and against a node that takes all servers for new ones when it starts.
+func TestRunsListedLaterHaveATime(t *testing.T) {
+	c := qt.New(t)
+	f := &directoryFixture{view: &roster.View{Servers: make(map[fleet.ServerID]*roster.Server)}}
+	f.directory = &Directory{View: func() *roster.View { return f.view }}
+	register := func(boot fleet.BootID, draining bool, ids ...fleet.ServerID) {
+		f.change(func(servers map[fleet.ServerID]*roster.Server) {
+			for _, id := range ids {
+				servers[id] = &roster.Server{ID: id, Boot: boot, Pool: "p", Slots: 2, Draining: draining}
+			}
+		})
+	}
+	listed := func() (times []time.Time) {
+		for _, replica := range listing(f.directory, fleet.Item{}) {
+			times = append(times, replica.ListedAt)
+		}
+		return times
+	}
+	register("1", false, "s0", "s1")
+	c.Check(listed(), qt.DeepEquals, []time.Time{{}, {}})
+	register("1", false, "s2")
+	register("2", false, "s1")
+	times := listed()
+	c.Check(times[0].IsZero() && !times[1].IsZero() && !times[2].IsZero(), qt.IsTrue)
+	register("1", true, "s0", "s2")
+	c.Check(listed(), qt.DeepEquals, times)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -65,6 +65,10 @@
 	// server that has started or recovered gets few requests at first: adaptive, off, or
 	// empty. If it is empty, that depends on the manifest and the servers.
 	ServerPace string `json:"serverPace,omitempty"`
+	// ReadServerPace has requests with a close objective ask the health path of their server
+	// how long work takes there before they are sent, where servers report that. Each of
+	// them takes a connection.
+	ReadServerPace bool `json:"readServerPace,omitempty"`
 }
 
 // Values of [Platform.ServerPace].
