Start window: turns by the rate of requests

A turn of 4 / nodes in each 100 ms whatever comes kept a server idle whose nodes have few requests each: the node that has a turn has no request then. Now a request that has just come gets a turn with 4 / (nodes x rate of such requests), so that all nodes together send about four in 100 ms or as many as come; nodes with requests waiting draw as before.

--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -43,6 +43,8 @@
 	// reporting holds the pools of which a server has reported how long work takes.
 	reporting map[fleet.PoolID]bool
 	lowTimes  map[lowTimeKey]*pace.LowTime
+	// demands holds the rates of the calls of each queue.
+	demands map[queueKey]*pace.Demand
 }
 
 // lowTimeKey identifies the answers whose times to the first byte are comparable.
@@ -73,6 +75,7 @@
 	}
 	p.reporting = make(map[fleet.PoolID]bool)
 	p.lowTimes = make(map[lowTimeKey]*pace.LowTime)
+	p.demands = make(map[queueKey]*pace.Demand)
 }
 
 // applies reports whether the pace of the servers of a pool counts.
@@ -115,14 +118,48 @@
 	return times.Low(call.Tokens)
 }
 
+// recordArrival records that a call has come.
+func (p *paceState) recordArrival(call *Call, now time.Time) {
+	if !p.applies(call.Pool) {
+		return
+	}
+	key := queueKey{pool: call.Pool, model: call.Item.Model}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	demand := p.demands[key]
+	if demand == nil {
+		demand = &pace.Demand{}
+		p.demands[key] = demand
+	}
+	demand.Record(now)
+}
+
+// maxNewCall is the age up to which a call counts as one that has just come: those that wait
+// are tried again at intervals of up to this time.
+const maxNewCall = notifiedStartInterval
+
+// want describes a call to the window of a server.
+func (p *paceState) want(call *Call, now time.Time) pace.Want {
+	if now.Sub(call.Started) >= maxNewCall {
+		return pace.Want{Rate: 1}
+	}
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	want := pace.Want{Since: call.Started}
+	if demand := p.demands[queueKey{pool: call.Pool, model: call.Item.Model}]; demand != nil {
+		want.Rate = demand.Rate(now)
+	}
+	return want
+}
+
 // maxNewRun is the time after the first listing of a run up to which it counts as started
 // when the node first has a call for it: a server may get its first model late.
 const maxNewRun = time.Minute
 
 // applyPace completes a candidate by the pace of the server. available is set if the server
 // can be sent calls. The caller holds the lock.
-func (s *serverState) applyPace(now time.Time, replica *Replica, pool fleet.PoolID, candidate *route.Candidate, available bool) {
-	if !s.pace.applies(pool) {
+func (s *serverState) applyPace(now time.Time, replica *Replica, call *Call, candidate *route.Candidate, available bool) {
+	if !s.pace.applies(call.Pool) {
 		s.endWindow(now, pace.Inapplicable)
 		s.recovers = ""
 		return
@@ -144,7 +181,7 @@
 		s.endWindow(now, end)
 		return
 	}
-	candidate.Window = s.window.Limit(now, load, s.pace.random)
+	candidate.Window = s.window.Limit(now, s.pace.want(call, now), load, s.pace.random)
 	if candidate.Window == 0 {
 		// The limit stays, since the window soon opens.
 		candidate.InFlight = math.MaxInt32
--- a/internal/dispatch/servers.go
+++ b/internal/dispatch/servers.go
@@ -195,7 +195,7 @@
 		candidate.TimeToFirstByte = time.Duration(float64(s.firstByte) * decay)
 	}
 	available := !s.unavailable(now, replica, call)
-	s.applyPace(now, replica, call.Pool, &candidate, available)
+	s.applyPace(now, replica, call, &candidate, available)
 	if s.rateLimits.Available(s.id, replica.Boot) == 0 || !available || !s.fitsCache(replica, call) {
 		exclude(&candidate)
 	}
--- a/internal/pace/doc.go
+++ b/internal/pace/doc.go
@@ -19,11 +19,14 @@
 // begins when the node first listed the new run, or can send requests to the server again. It
 // begins at 0 and opens in turns:
 //
-//   - In each 100 ms the node gets a turn with the probability of 4 / nodes, so that about
-//     four nodes try the server at once. If the load reports show that more requests of
-//     other nodes run there, about as many nodes get a turn, but no more than there are
-//     free slots. A turn stays until it is used. After a sign of overload it comes in 500 ms
-//     on average at the soonest.
+//   - A node that has requests waiting gets a turn in each 100 ms with the probability of
+//     4 / nodes, so that about four nodes try the server at once. A request that has just
+//     come gets a turn with the probability of 4 / (nodes x rate), where rate is the number
+//     of such requests in 100 ms: all nodes together send about four in 100 ms, or as many as
+//     come if those are fewer. If the load reports show that more requests of other nodes
+//     run there, about as many take the place of the four, but no more than there are free
+//     slots. A turn stays until it is used. After a sign of overload the probability is at
+//     most 1 / 5.
 //   - A node that has had no turn for 500 ms since it first wanted one gets it.
 //   - A turn allows one request, or 4 / nodes if that is more.
 //
--- a/internal/pace/window.go
+++ b/internal/pace/window.go
@@ -11,6 +11,8 @@
 	startRequests = 4
 	// turnInterval is the time for which a turn is drawn.
 	turnInterval = 100 * time.Millisecond
+	// minRate keeps the division by a rate finite.
+	minRate = 1e-9
 	// maxClosed is the time for which a node that wants to send a request gets no turn.
 	maxClosed = 500 * time.Millisecond
 	// Answers are good up to goodRatio times the low time to the first byte, and a sign of
@@ -65,13 +67,28 @@
 	// closedSince is when the node first wanted to send a request since the last turn;
 	// zero if it has not.
 	closedSince time.Time
-	// drawn is the number of the last interval for which a turn was drawn, turn is set if the
-	// node has one, and turnSize the number of requests that a turn allows.
-	drawn    time.Duration
+	// drawn is what a turn was last drawn for, turn is set if the node has one, and turnSize
+	// is the number of requests that a turn allows.
+	drawn    draw
 	turn     bool
 	turnSize int
 }
 
+// draw is what a turn is drawn for: an interval and a request.
+type draw struct {
+	interval time.Duration
+	since    time.Time
+}
+
+// Want is what is known of a request that the node would send to the server.
+type Want struct {
+	// Since is when the request came; zero for those that wait, which share their turns.
+	Since time.Time
+	// Rate is the number of such requests that come to the node in 100 ms, at most 1; it is 1
+	// for requests that wait.
+	Rate float64
+}
+
 // Load is what is known of a server.
 type Load struct {
 	// Nodes is the number of nodes that send requests to it.
@@ -83,7 +100,7 @@
 
 // Begin begins the window, anew if it has begun.
 func (w *Window) Begin(now time.Time, cause Cause) {
-	*w = Window{Cause: cause, Began: now, troubleAt: now, drawn: -1}
+	*w = Window{Cause: cause, Began: now, troubleAt: now, drawn: draw{interval: -1}}
 }
 
 // Active reports whether the window has begun and not ended.
@@ -107,8 +124,9 @@
 }
 
 // Limit returns how many requests the node may have at the server at once, and draws whether
-// the node gets a turn. random returns a number from 0 up to but excluding 1.
-func (w *Window) Limit(now time.Time, load Load, random func() float64) int {
+// the node gets a turn, once for each request. random returns a number from 0 up to but
+// excluding 1.
+func (w *Window) Limit(now time.Time, want Want, load Load, random func() float64) int {
 	if !w.Active() {
 		return math.MaxInt
 	}
@@ -122,29 +140,23 @@
 	if w.closedSince.IsZero() {
 		w.closedSince = now
 	}
-	if now.Sub(w.closedSince) >= maxClosed {
-		return w.turnSize
-	}
-	if interval := now.Sub(w.Began) / turnInterval; interval > w.drawn {
-		// Intervals in which the node had no request to send count as well, and a turn
-		// stays until it is used.
-		missed := math.Pow(1-w.turnProbability(load), float64(interval-w.drawn))
-		w.turn = w.turn || random() < 1-missed
-		w.drawn = interval
+	if draw := (draw{now.Sub(w.Began) / turnInterval, want.Since}); draw != w.drawn {
+		w.drawn = draw
+		w.turn = w.turn || random() < w.turnProbability(want, load)
 	}
-	if w.turn {
+	if w.turn || now.Sub(w.closedSince) >= maxClosed {
 		return w.turnSize
 	}
 	return 0
 }
 
-// turnProbability returns the probability with which the node gets a turn in an interval.
-func (w *Window) turnProbability(load Load) float64 {
+// turnProbability returns the probability with which the node gets a turn.
+func (w *Window) turnProbability(want Want, load Load) float64 {
 	wanted := max(startRequests, load.Others)
 	if load.Slots > 0 {
 		wanted = min(wanted, max(1, load.Slots-load.Others))
 	}
-	probability := min(1, float64(wanted)/float64(max(1, load.Nodes)))
+	probability := float64(wanted) / (float64(max(1, load.Nodes)) * min(1, max(minRate, want.Rate)))
 	if w.overloaded {
 		probability = min(probability, float64(turnInterval)/float64(maxClosed))
 	}
@@ -206,6 +218,6 @@
 	}
 	w.overloaded, w.halvedAt = true, now
 	if w.own /= 2; w.own < 1 {
-		w.own, w.turn, w.closedSince, w.drawn = 0, false, time.Time{}, now.Sub(w.Began)/turnInterval
+		w.own, w.turn, w.closedSince = 0, false, time.Time{}
 	}
 }
