--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -91,6 +91,8 @@
 	software atomic.Pointer[fleet.SoftwareVersion]
 	queue    *waitQueue
 	slot     *slot
+	// arrivedAt is when the call was passed to the dispatcher.
+	arrivedAt time.Time
 	// sent counts the attempts of which any byte may have reached a server,
 	// without those that the server is known not to have run.
 	sent atomic.Int32
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -155,7 +155,7 @@
 		defer func() { d.callObserver.Finished(call.Item, call.Pool, time.Now()) }()
 	}
 	call.queue = d.queueFor(call)
-	d.pace.recordArrival(call, call.Started)
+	d.pace.recordArrival(call, time.Now())
 	if call.slot, err = call.queue.acquire(call.Context, call); err != nil {
 		d.logAbsentVersion(call, err)
 		return err
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -120,6 +120,7 @@
 
 // recordArrival records that a call has come.
 func (p *paceState) recordArrival(call *Call, now time.Time) {
+	call.arrivedAt = now
 	if !p.applies(call.Pool) {
 		return
 	}
@@ -140,12 +141,12 @@
 
 // want describes a call to the window of a server.
 func (p *paceState) want(call *Call, now time.Time) pace.Want {
-	if now.Sub(call.Started) >= maxNewCall {
+	if now.Sub(call.arrivedAt) >= maxNewCall {
 		return pace.Want{Rate: 1}
 	}
 	p.mu.RLock()
 	defer p.mu.RUnlock()
-	want := pace.Want{Since: call.Started}
+	want := pace.Want{Since: call.arrivedAt}
 	if demand := p.demands[queueKey{pool: call.Pool, model: call.Item.Model}]; demand != nil {
 		want.Rate = demand.Rate(now)
 	}
