End windows of servers that were lost before they answered

A window does not end by time while none of the requests sent was answered, so the state of a server that was lost then was kept for ever, and counted in servers.startWindows. The removal of unused states now ends a window that is quiet. The test fails without that; go test of dispatch and pace passes.

--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -233,11 +233,12 @@
 	s.window.Stop()
 }
 
-// windowStays ends the window if it is over, and reports whether it goes on. The caller holds
+// windowStays reports whether a server that runs no request of this node keeps its window. One
+// that is quiet ends even if no request was answered: the server may be gone. The caller holds
 // the lock.
 func (s *serverState) windowStays(now time.Time) bool {
-	if end, ended := s.window.Ended(now, pace.Load{}); ended {
-		s.endWindow(now, end)
+	if s.window.Quiet(now) {
+		s.endWindow(now, pace.NoTrouble)
 	}
 	return s.window.Active()
 }
--- a/internal/dispatch/pace_internal_test.go
+++ b/internal/dispatch/pace_internal_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/guavatrack/guavatrack/internal/pace"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
@@ -59,3 +60,23 @@
 	hedge, _ = runner.firstByteTimeouts(slow)
 	c.Check(hedge, qt.Equals, plain)
 }
+
+// TestWindowOfALostServerEnds guards against states of servers that are kept for ever since
+// they were lost before they answered.
+func TestWindowOfALostServerEnds(t *testing.T) {
+	c := qt.New(t)
+	d := &Dispatcher{Directory: twoServers{}, Pace: func() PaceMode { return PaceAlways }}
+	d.once.Do(d.setUp)
+	call := &Call{Context: context.Background(), Pool: "p"}
+	state, now := d.servers.get("slow"), time.Now()
+	state.expectRecovery(pace.Unreachable)
+	replica := Replica{Server: "slow", Slots: 4, Ready: true}
+	state.candidate(now, &replica, call)
+	taken := &slot{server: state, replica: replica, call: call, started: now}
+	state.addSlot(now, taken)
+	state.removeSlot(taken)
+	d.servers.removeIdle(now.Add(time.Second))
+	c.Check(d.servers.get("slow") == state && d.meters.startWindows.Value() == 1, qt.IsTrue)
+	d.servers.removeIdle(now.Add(time.Minute))
+	c.Check(d.servers.get("slow") != state && d.meters.startWindows.Value() == 0, qt.IsTrue)
+}
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -192,10 +192,10 @@
 	c.Check(ends(&window, 20_000, 0), qt.Equals, pace.End(""))
 	window.RecordAnswer(after(2000), after(0), time.Second, 0)
 	c.Check(ends(&window, 9999, 0), qt.Equals, pace.End(""))
-	c.Check(ends(&window, 10_000, 0), qt.Equals, pace.Quiet)
+	c.Check(ends(&window, 10_000, 0), qt.Equals, pace.NoTrouble)
 	window.RecordTrouble(after(9000), after(8000))
 	c.Check(ends(&window, 10_000, 0), qt.Equals, pace.End(""))
-	c.Check(ends(&window, 19_000, 0), qt.Equals, pace.Quiet)
+	c.Check(ends(&window, 19_000, 0), qt.Equals, pace.NoTrouble)
 }
 
 // TestLowTimeIsThatOfItsSize guards against long prompts counting as slow, and against one
--- a/internal/pace/window.go
+++ b/internal/pace/window.go
@@ -42,8 +42,8 @@
 const (
 	// SlotsReached means that the requests that are allowed reach the server's slots.
 	SlotsReached End = "slotsReached"
-	// Quiet means that the server has rejected and failed no request for a time.
-	Quiet End = "quiet"
+	// NoTrouble means that the server has rejected and failed no request for a time.
+	NoTrouble End = "quiet"
 	// Inapplicable means that windows no longer apply to the server.
 	Inapplicable End = "inapplicable"
 )
@@ -116,13 +116,16 @@
 		return "", false
 	case load.Slots > 0 && int(w.own)+load.Others >= load.Slots:
 		return SlotsReached, true
-	case now.Sub(w.troubleAt) >= maxQuietTime && (w.Sent == 0 || w.Good > 0):
-		return Quiet, true
+	case w.Quiet(now) && (w.Sent == 0 || w.Good > 0):
+		return NoTrouble, true
 	default:
 		return "", false
 	}
 }
 
+// Quiet reports whether the server has rejected and failed no request for a time.
+func (w *Window) Quiet(now time.Time) bool { return now.Sub(w.troubleAt) >= maxQuietTime }
+
 // Limit returns how many requests the node may have at the server at once, and draws whether
 // the node gets a turn, once for each request. random returns a number from 0 up to but
 // excluding 1.
