--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -46,6 +46,11 @@
 	Allowance func() retry.Allowance
 	// Nodes returns the number of nodes that send calls to the same servers; nil means one.
 	Nodes func() int
+	// Pace says whether the pace of servers counts; nil means [PaceReported].
+	Pace func() PaceMode
+	// ReadPace has a call ask its server how long work takes there now before it is sent, if
+	// the servers of its pool report that and the Prober is a [LoadReader].
+	ReadPace bool
 	// PoisonPollInterval is the interval at which the notices of other nodes are
 	// read from the store; 0 means 2 s.
 	PoisonPollInterval time.Duration
@@ -71,6 +76,7 @@
 	budgets       budgets
 	link          linkState
 	brittle       brittlePools
+	pace          paceState
 	poison        *poison.Controller
 	// cutOff is when the stopping node cuts off its requests; nil if it does not stop.
 	cutOff     atomic.Pointer[time.Time]
@@ -104,6 +110,8 @@
 	d.servers.timestamps, _ = d.Directory.(TimestampedDirectory)
 	d.servers.loads, _ = d.Directory.(LoadDirectory)
 	d.servers.rateLimits = d.RateLimits
+	d.pace.setUp(d)
+	d.servers.pace = &d.pace
 	d.servers.setUp()
 }
 
@@ -152,10 +160,12 @@
 		defer func() { d.callObserver.Finished(call.Item, call.Pool, time.Now()) }()
 	}
 	call.queue = d.queueFor(call)
+	d.pace.recordArrival(call, time.Now())
 	if call.slot, err = call.queue.acquire(call.Context, call); err != nil {
 		d.logAbsentVersion(call, err)
 		return err
 	}
+	call.slot = d.confirmPace(call, call.slot)
 	return d.runCall(call)
 }
 
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -26,6 +26,10 @@
 		Name: loadRefusalsFalseName, Kind: metric.Counter,
 		Help: "those of them whose model was loaded when their time was up (a lower bound)",
 	},
+	{Name: startWindowsName, Kind: metric.Gauge, Help: "backend servers that have just started or recovered and get few requests of this node"},
+	{Name: startRejectionsName, Kind: metric.Counter, Help: "attempts that such servers rejected"},
+	{Name: paceReadsName, Kind: metric.Counter, Help: "backend servers asked how long work takes there before a request was sent"},
+	{Name: paceMovesName, Kind: metric.Counter, Help: "requests that went to another backend server since the one they were for was slow or full then"},
 	{Name: noLocalName, Kind: metric.Counter, Help: "bytes between regions because the region has no server for a request"},
 	{Name: deadlineName, Kind: metric.Counter, Help: "bytes between regions because a deadline would be missed"},
 	{Name: fullName, Kind: metric.Counter, Help: "bytes between regions because all servers of the region are full"},
@@ -45,6 +49,10 @@
 	refusedWaitingName    = "requests.refusedWaiting"
 	loadRefusalsName      = "requests.loadRefusals"
 	loadRefusalsFalseName = "requests.loadRefusalsFalse"
+	startWindowsName      = "servers.startWindows"
+	startRejectionsName   = "servers.startRejections"
+	paceReadsName         = "servers.paceReads"
+	paceMovesName         = "servers.paceMoves"
 	noLocalName           = "link.bytesNoLocal"
 	deadlineName          = "link.bytesDeadline"
 	fullName              = "link.bytesFull"
@@ -61,6 +69,9 @@
 	// loadRefusals counts the refusals for late loads that are checked, loadRefusalsFalse
 	// those that proved false.
 	loadRefusals, loadRefusalsFalse metrics.Counter
+	// startWindows is the number of servers in their start window.
+	startWindows                          metrics.Gauge
+	startRejections, paceReads, paceMoves metrics.Counter
 	// crossRegionBytes counts the bytes sent and received between regions.
 	crossRegionBytes map[route.Cause]metrics.Counter
 }
@@ -78,6 +89,10 @@
 	m.refusedWaiting = metrics.GetOrRegisterCounter(refusedWaitingName, registry)
 	m.loadRefusals = metrics.GetOrRegisterCounter(loadRefusalsName, registry)
 	m.loadRefusalsFalse = metrics.GetOrRegisterCounter(loadRefusalsFalseName, registry)
+	m.startWindows = metrics.GetOrRegisterGauge(startWindowsName, registry)
+	m.startRejections = metrics.GetOrRegisterCounter(startRejectionsName, registry)
+	m.paceReads = metrics.GetOrRegisterCounter(paceReadsName, registry)
+	m.paceMoves = metrics.GetOrRegisterCounter(paceMovesName, registry)
 	m.crossRegionBytes = map[route.Cause]metrics.Counter{
 		route.CauseNoLocal:  metrics.GetOrRegisterCounter(noLocalName, registry),
 		route.CauseDeadline: metrics.GetOrRegisterCounter(deadlineName, registry),
