Package connlimit: limits of connections, headers, bodies and their memory

Metrics of what is refused and closed. Not used yet.

Result: go test ./internal/connlimit passes, also with -race, and go test ./internal/node -run TestMetricsPage.

--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/guavatrack/guavatrack/internal/caller"
 	"github.com/guavatrack/guavatrack/internal/claim"
 	"github.com/guavatrack/guavatrack/internal/config"
+	"github.com/guavatrack/guavatrack/internal/connlimit"
 	"github.com/guavatrack/guavatrack/internal/dispatch"
 	"github.com/guavatrack/guavatrack/internal/edgelog"
 	"github.com/guavatrack/guavatrack/internal/grant"
@@ -28,7 +29,7 @@
 // Metrics returns the documentation of every metric that a node registers.
 func Metrics() []metric.Doc {
 	return slices.Concat(
-		batch.Metrics, caller.Metrics, claim.Metrics, config.Metrics, dispatch.Metrics, edgelog.Metrics, grant.Metrics, lookup.Metrics,
+		batch.Metrics, caller.Metrics, claim.Metrics, config.Metrics, connlimit.Metrics, dispatch.Metrics, edgelog.Metrics, grant.Metrics, lookup.Metrics,
 		member.Metrics, origin.Metrics, peer.Metrics, placement.Metrics, platform.Metrics, poison.Metrics, policy.Metrics, quota.Metrics, ratelimit.Metrics,
 		roster.Metrics,
 		vmlist.Metrics,
