--- a/internal/settings/platform.go
+++ b/internal/settings/platform.go
@@ -45,5 +45,6 @@
 	if p.Retries.Slack < 0 {
 		c.problems.Add("platform.retries.slack", "must not be below 0")
 	}
+	p.Limits.check(&c)
 	return c.problems
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -61,6 +61,8 @@
 	// Cores is the process's limit of processor time, in seconds per second; 0 if
 	// unknown. Nodes with more cores are preferred as scheduler.
 	Cores float64 `json:"cores,omitempty"`
+	// Limits bound what callers and other nodes may make the node hold.
+	Limits Limits `json:"limits,omitzero"`
 }
 
 // Retries limits the attempts beyond the first of each request, for each pool
