The port for other nodes bounds what unknown processes send

Cause: a message of up to 64 MiB was decoded as it arrived on each of 1,024 connections, without a deadline: 417 to 1,286 MiB with 600 connections. A connection whose writing failed stayed open. Change: memory for a message is reserved as it arrives and freed once it is decoded, messages have a minimum rate and a bound on their length, a connection must begin a message within 10 s (then every 4 min), connections without a message are displaced, one whose writing failed is closed, and params are not held while an answer waits. Without the new fields of Peer, connections and lengths are bounded as before.

--- a/internal/peer/connection.go
+++ b/internal/peer/connection.go
@@ -97,7 +97,7 @@
 	if p.InOtherRegion != nil && p.InOtherRegion(address) {
 		counted.crossSent, counted.crossReceived = p.counts.crossSent, p.counts.crossReceived
 	}
-	conn.rpc = p.serve(context.Background(), counted)
+	conn.rpc = p.serve(context.Background(), counted, nil)
 	close(conn.dialed)
 }
 
@@ -174,7 +174,7 @@
 }
 
 // countedConn counts the bytes of a connection and bounds each write by
-// writeTimeout.
+// writeTimeout. After a failed write it closes the connection: what follows would not be read.
 type countedConn struct {
 	net.Conn
 	sent, received           metrics.Counter
@@ -201,5 +201,8 @@
 	if c.crossSent != nil {
 		c.crossSent.Inc(int64(n))
 	}
+	if err != nil {
+		_ = c.Close()
+	}
 	return n, err
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -12,6 +12,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"encoding/json"
@@ -24,6 +25,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/guavatrack/guavatrack/internal/connlimit"
 	"github.com/guavatrack/guavatrack/internal/logs"
 	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
@@ -84,24 +86,35 @@
 	// InOtherRegion reports whether the address is in another region. Nil means that
 	// none is.
 	InOtherRegion func(address string) bool
+	// MaxInbound bounds the connections that other processes have open to this one, MaxMessage
+	// the length of a message; 0 means maxInboundConnections and maxMessageBytes. MaxPerAddress
+	// bounds the connections from one address; 0 means no bound. InboundMemory holds the memory of
+	// these connections and of the messages that arrive on them; nil means no bound.
+	MaxInbound    int
+	MaxPerAddress int
+	MaxMessage    int64
+	InboundMemory *connlimit.Account
 	Log           *slog.Logger
 	Metrics       metrics.Registry
 
-	once         sync.Once
-	handlers     map[string]Handler
-	ready        chan struct{}
-	listener     net.Listener
-	counts       counters
-	shards       [connShards]connShard
-	inboundSlots chan struct{}
+	once        sync.Once
+	handlers    map[string]Handler
+	ready       chan struct{}
+	listener    net.Listener
+	counts      counters
+	limitCounts *connlimit.Counters
+	shards      [connShards]connShard
 }
 
 func (p *Peer) init() {
 	p.once.Do(func() {
 		p.handlers = make(map[string]Handler)
 		p.ready = make(chan struct{})
-		p.inboundSlots = make(chan struct{}, maxInboundConnections)
 		p.counts = newCounters(p.Metrics)
+		p.limitCounts = connlimit.NewCounters(p.Metrics)
+		p.limitCounts.Refused = p.counts.inboundRefused
+		p.MaxInbound = cmp.Or(p.MaxInbound, maxInboundConnections)
+		p.MaxMessage = cmp.Or(p.MaxMessage, maxMessageBytes)
 		p.Log = logs.OrDiscard(p.Log)
 	})
 }
@@ -138,6 +151,11 @@
 	if p.listener, err = config.Listen(ctx, "tcp", p.Address); err != nil {
 		return err
 	}
+	p.listener = &connlimit.Listener{
+		Listener: p.listener, Counters: p.limitCounts, Table: &connlimit.Table{
+			Connections: p.MaxInbound, PerAddress: p.MaxPerAddress, Account: p.InboundMemory, Memory: connlimit.ConnectionMemory,
+		},
+	}
 	if p.TLS != nil {
 		p.listener = tls.NewListener(p.listener, p.TLS)
 	}
@@ -171,28 +189,14 @@
 // acceptRetryDelay is the delay after a failed accept, which prevents a busy loop.
 const acceptRetryDelay = 50 * time.Millisecond
 
-// accept serves an inbound connection, or closes it if too many are open.
+// accept serves an inbound connection.
 func (p *Peer) accept(ctx context.Context, conn net.Conn) {
-	select {
-	case p.inboundSlots <- struct{}{}:
-	default:
-		p.counts.inboundRefused.Inc(1)
-		_ = conn.Close()
-		return
-	}
-	rpcConn := p.serve(ctx, &countedConn{Conn: conn, sent: p.counts.bytesSent, received: p.counts.bytesReceived})
-	go func() {
-		select {
-		case <-rpcConn.DisconnectNotify():
-		case <-ctx.Done():
-			_ = rpcConn.Close()
-		}
-		<-p.inboundSlots
-	}()
+	limits := &inboundLimits{conn: conn, account: p.InboundMemory, counters: p.limitCounts}
+	p.serve(ctx, &countedConn{Conn: conn, sent: p.counts.bytesSent, received: p.counts.bytesReceived}, limits)
 }
 
-func (p *Peer) serve(ctx context.Context, conn net.Conn) *jsonrpc2.Conn {
-	stream := jsonrpc2.NewBufferedStream(conn, codec{})
+func (p *Peer) serve(ctx context.Context, conn net.Conn, limits *inboundLimits) *jsonrpc2.Conn {
+	stream := jsonrpc2.NewBufferedStream(conn, codec{maxBytes: p.MaxMessage, inbound: limits})
 	return jsonrpc2.NewConn(ctx, stream, &dispatcher{peer: p, slots: make(chan struct{}, maxConcurrentCalls)},
 		jsonrpc2.SetLogger(discardLogger{}))
 }
@@ -233,6 +237,8 @@
 		params = *request.Params
 	}
 	result, err := handler(ctx, params)
+	// The answer may wait for a node that does not read.
+	request.Params = nil
 	d.reply(ctx, conn, request, result, err)
 }
 
