Nodes bound what callers make them hold

Cause: no bound on connections (619 descriptors of 512), headers of 16 KB with short fields took 100 to 148 MiB of 64, net/http waited without limit for up to 256 KiB of the body of a refused request, and requests whose bodies stopped took the room of all others for 10 s. Change: all ports use connlimit. Bodies, answers, headers and connections share one account of 3/8 of platform.memory, bodies and answers 1/4 of it. A body has 64 KiB reserved, and the rest once that has arrived; 16 KiB must arrive in each 3 s. A request that is being read takes no place of those that run. If memory lacks, the connection of the body that has stalled longest is closed. Bodies announced over the limit are refused unread. A refused request with a body over 64 KiB or of unknown length closes the connection, a smaller rest is read for 0.5 s. All ports have write deadlines.

--- a/internal/drain/memory.go
+++ b/internal/drain/memory.go
@@ -1,6 +1,10 @@
 package drain
 
-import "sync"
+import (
+	"sync"
+
+	"github.com/guavatrack/guavatrack/internal/connlimit"
+)
 
 // Reservations is the memory that one request has reserved. Concurrent attempts may use it.
 // Its exported fields are set before use.
@@ -8,6 +12,8 @@
 	// Requests holds the sum over all requests, which Limit bounds, in bytes.
 	Requests *Requests
 	Limit    int64
+	// Account holds this memory and that of connections. It may be nil.
+	Account *connlimit.Account
 
 	mu       sync.Mutex
 	size     int64
@@ -22,6 +28,10 @@
 	if r.released || !r.Requests.reserve(size, r.Limit) {
 		return false
 	}
+	if !r.Account.Reserve(size) {
+		r.Requests.free(size)
+		return false
+	}
 	r.size += size
 	return true
 }
@@ -31,5 +41,6 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.Requests.free(r.size)
+	r.Account.Release(r.size)
 	r.size, r.released = 0, true
 }
--- a/internal/drain/requests.go
+++ b/internal/drain/requests.go
@@ -16,6 +16,8 @@
 type Requests struct {
 	mu      sync.Mutex
 	running map[*runningRequest]struct{}
+	// reading is the number of those that are being read.
+	reading int
 	// reservedMemory is the memory reserved for the bodies of the requests, in bytes.
 	reservedMemory int64
 	// allEnded is closed and replaced when the last request in progress has ended.
@@ -72,6 +74,26 @@
 	r.reservedMemory -= size
 }
 
+// BeginReading records that a request in progress is being read. The returned function must be
+// called when it has been read or refused; a second call does nothing.
+func (r *Requests) BeginReading() (done func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reading++
+	return sync.OnceFunc(func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.reading--
+	})
+}
+
+// Read returns the number of requests in progress that have been read.
+func (r *Requests) Read() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.running) - r.reading
+}
+
 // Running returns the number of requests in progress.
 func (r *Requests) Running() int {
 	r.mu.Lock()
--- a/internal/hosted/endpoints.go
+++ b/internal/hosted/endpoints.go
@@ -10,8 +10,10 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/guavatrack/guavatrack/internal/connlimit"
 	"github.com/guavatrack/guavatrack/internal/lookup"
 	"github.com/guavatrack/guavatrack/internal/member"
 	"github.com/guavatrack/guavatrack/internal/metric"
@@ -22,11 +24,17 @@
 )
 
 // Limits of connections. Of the limits in the manifest only the one on bodies is
-// enforced, by package platform.
+// enforced, by package platform. The numbers of connections and their memory are bounded by
+// package connlimit.
 const (
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 60 * time.Second
 	maxHeader     = 64 << 10
+	// answerTimeout limits the time to read a request and to write its answer. Requests of callers
+	// have deadlines of their own once they have been read.
+	answerTimeout = 15 * time.Second
+	// unreadTimeout limits the time in which net/http reads a body that no handler uses.
+	unreadTimeout = 500 * time.Millisecond
 )
 
 // Addresses are the addresses on which a node listens. If the settings give port 0,
@@ -42,29 +50,32 @@
 type endpoints struct {
 	addresses Addresses
 	// listeners are in the order of the fields of Addresses, without Peers.
-	listeners []net.Listener
+	listeners []*connlimit.Listener
 	// requests are the servers of requests, from callers and from other nodes.
 	requests []*http.Server
 	servers  []*http.Server
 }
 
-func newEndpoints(n *Node, peers *peer.Peer) (e *endpoints, err error) {
+func newEndpoints(n *Node, peers *peer.Peer, registry metrics.Registry) (e *endpoints, err error) {
 	defer func() {
 		if err != nil {
 			err = errors.Wrap(err, "listen")
 		}
 	}()
 	e = &endpoints{}
+	n.limitCounters = connlimit.NewCounters(registry)
 	platformSettings := n.Settings.Platform
+	limits := platformSettings.EffectiveLimits()
 	for _, endpoint := range []struct {
-		listen string
-		actual *string
+		listen      string
+		actual      *string
+		connections int
 	}{
-		{n.Settings.Callers.Listen, &e.addresses.Callers},
-		{platformSettings.Lookup, &e.addresses.Lookup},
-		{platformSettings.Readiness, &e.addresses.Readiness},
-		{platformSettings.Metrics, &e.addresses.Metrics},
-		{platformSettings.Forward, &e.addresses.Forward},
+		{n.Settings.Callers.Listen, &e.addresses.Callers, limits.CallerConnections},
+		{platformSettings.Lookup, &e.addresses.Lookup, limits.LookupConnections},
+		{platformSettings.Readiness, &e.addresses.Readiness, limits.ReadinessConnections},
+		{platformSettings.Metrics, &e.addresses.Metrics, limits.MetricsConnections},
+		{platformSettings.Forward, &e.addresses.Forward, limits.ForwardConnections},
 	} {
 		if endpoint.listen == "" {
 			continue
@@ -73,7 +84,13 @@
 		if err != nil {
 			return nil, err
 		}
-		e.listeners = append(e.listeners, listener)
+		e.listeners = append(e.listeners, &connlimit.Listener{
+			Listener: listener, HTTP: true, HeaderFields: limits.HeaderFields, Counters: n.limitCounters,
+			Table: &connlimit.Table{
+				Connections: endpoint.connections, PerAddress: limits.ConnectionsPerAddress,
+				Account: n.callerMemory, Memory: connlimit.ConnectionMemory,
+			},
+		})
 		*endpoint.actual = listener.Addr().String()
 	}
 	if err := peers.Listen(context.Background()); err != nil {
@@ -89,13 +106,16 @@
 	addressLookup := &platform.Lookup{Near: n.nearestAddresses, KeepFor: platformSettings.KeepFor.Std()}
 	metricsHandler := http.NewServeMux()
 	metricsHandler.Handle("GET /metrics", metric.Handler(n.components.Metrics, node.Metrics()))
-	handlers := []http.Handler{n.callerHandler(), addressLookup.Handler(), platform.Readiness(n.Ready), metricsHandler}
+	handlers := []http.Handler{
+		n.callerHandler(), withoutBody(addressLookup.Handler()), withoutBody(platform.Readiness(n.Ready)), withoutBody(metricsHandler),
+	}
 	if e.addresses.Forward != "" {
 		handlers = append(handlers, n.forwardHandler())
 	}
 	for i, handler := range handlers {
 		server := &http.Server{
 			Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+			WriteTimeout: answerTimeout, ConnState: e.listeners[i].ConnState, ConnContext: e.listeners[i].ConnContext,
 		}
 		e.servers = append(e.servers, server)
 		go func() { _ = server.Serve(e.listeners[i]) }()
@@ -106,6 +126,27 @@
 	}
 }
 
+// withoutBody returns a handler of requests whose bodies are not used. The connection of one that
+// has a body is closed after the answer.
+func withoutBody(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			w.Header().Set("Connection", "close")
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadTimeout))
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// connections returns the number of connections that callers and other nodes have open for
+// requests.
+func (e *endpoints) connections() (count int) {
+	for _, listener := range e.listeners {
+		count += listener.Table.Count()
+	}
+	return count
+}
+
 // nearestAddresses returns the addresses of the nodes that a caller at a place may
 // use. Nodes that reach no backend server, and suspected nodes, are included only if there
 // are no others. If all nodes are starting and this one is not leaving, its own address is
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -16,6 +16,7 @@
 	"go.uber.org/fx/fxevent"
 
 	"github.com/guavatrack/guavatrack/internal/backend"
+	"github.com/guavatrack/guavatrack/internal/connlimit"
 	"github.com/guavatrack/guavatrack/internal/dispatch"
 	"github.com/guavatrack/guavatrack/internal/drain"
 	"github.com/guavatrack/guavatrack/internal/edgelog"
@@ -52,6 +53,10 @@
 	cancel         context.CancelFunc
 	background     sync.WaitGroup
 	activeRequests drain.Requests
+	// callerMemory holds the memory of what callers make the node hold, peerMemory that of what
+	// other nodes send.
+	callerMemory, peerMemory *connlimit.Account
+	limitCounters            *connlimit.Counters
 	// edge records the callers that get no complete answer.
 	edge *edgelog.Recorder
 	// current holds the settings in force, some of which Reload changes.
@@ -109,6 +114,9 @@
 	}
 	n.current.Store(n.Settings.Platform)
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(n.Settings.Platform.Memory)))
+	limits := n.Settings.Platform.EffectiveLimits()
+	n.callerMemory = connlimit.NewAccount(int64(limits.CallerMemory))
+	n.peerMemory = connlimit.NewAccount(int64(limits.PeerMemory))
 	n.app = fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(n), providers, fx.Invoke(connect),
@@ -305,14 +313,27 @@
 }
 
 // Resources of requests. A request uses one connection to its caller and one to a
-// backend server. reservedDescriptors are left to the node itself. The bodies of
-// requests may take the node's memory divided by bodyMemoryDivisor.
+// backend server. Of the descriptors, reservedDescriptors are left to the node itself, but not more
+// than a part of them.
 const (
 	reservedDescriptors   = 400
+	maxReservedPart       = 4
 	descriptorsPerRequest = 2
-	bodyMemoryDivisor     = 4
 )
 
+// usableDescriptors returns the number of descriptors for requests.
+func (n *Node) usableDescriptors() int {
+	descriptors := n.Settings.Platform.Descriptors
+	return descriptors - min(reservedDescriptors, descriptors/maxReservedPart)
+}
+
+// requestRoom returns the number of requests that have a descriptor for a backend server beside
+// the open connections. Connections alone do not take all of them.
+func (n *Node) requestRoom() int {
+	usable := n.usableDescriptors()
+	return max(usable/8, usable-n.components.Endpoints.connections())
+}
+
 // manifestVersion returns the version of the manifest in force.
 func (n *Node) manifestVersion() edgelog.Version {
 	view := n.components.Roster.View()
@@ -339,13 +360,18 @@
 
 // newCallers returns a handler of requests that passes none on.
 func (n *Node) newCallers() *platform.Callers {
+	limits := n.Settings.Platform.EffectiveLimits()
 	return &platform.Callers{
 		View: n.components.Roster.View, ManifestAge: n.components.Roster.ManifestAge,
 		Dispatcher: n.components.Dispatcher, Servers: n.components.Exchange,
 		Draining: n.draining.Load, Closing: n.leaving.Load, Active: &n.activeRequests,
-		MaxRunning:    (n.Settings.Platform.Descriptors - reservedDescriptors) / descriptorsPerRequest,
-		MaxBodyMemory: int64(n.Settings.Platform.Memory) / bodyMemoryDivisor,
-		Edge:          n.edge,
-		Quotas:        n.components.Quotas,
+		MaxRunning:    n.usableDescriptors() / descriptorsPerRequest,
+		MaxBodyMemory: int64(limits.BodyMemory),
+		Limits: platform.CallerLimits{
+			Account: n.callerMemory, Room: n.requestRoom, BodyPause: limits.BodyPause.Std(), BodyRate: int64(limits.BodyRate),
+			Counters: n.limitCounters,
+		},
+		Edge:   n.edge,
+		Quotas: n.components.Quotas,
 	}
 }
--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -142,8 +142,16 @@
 	return &roster.ManifestExchange{Roster: rosterController, Peers: peers, Announce: members.ExchangeSoon, Log: n.Log, Metrics: registry}
 }
 
+// messageShare divides the memory for messages of other nodes: the largest message is in memory
+// twice while it is decoded.
+const messageShare = 2
+
 func newPeers(n *Node, registry metrics.Registry) *peer.Peer {
-	return &peer.Peer{Address: n.Settings.Peers.Listen, Log: n.Log, Metrics: registry}
+	limits := n.Settings.Platform.EffectiveLimits()
+	return &peer.Peer{
+		Address: n.Settings.Peers.Listen, MaxInbound: limits.PeerConnections, MaxPerAddress: limits.ConnectionsPerAddress,
+		InboundMemory: n.peerMemory, MaxMessage: int64(limits.PeerMemory) / messageShare, Log: n.Log, Metrics: registry,
+	}
 }
 
 func newMembers(
