--- a/internal/connlimit/account.go
+++ b/internal/connlimit/account.go
@@ -2,7 +2,8 @@
 
 import "sync"
 
-// Account is an amount of memory of which parts are reserved. It may be used concurrently.
+// Account is an amount, of memory or of connections, of which parts are reserved. It may be used
+// concurrently.
 type Account struct {
 	limit int64
 
@@ -10,10 +11,10 @@
 	used int64
 }
 
-// NewAccount returns an account of a limit, in bytes.
+// NewAccount returns an account of a limit.
 func NewAccount(limit int64) *Account { return &Account{limit: limit} }
 
-// Reserve reserves memory and reports whether there was room for it. A nil account has no limit.
+// Reserve reserves an amount and reports whether there was room for it. A nil account has no limit.
 func (a *Account) Reserve(size int64) bool {
 	if a == nil {
 		return true
@@ -27,7 +28,7 @@
 	return true
 }
 
-// Release frees memory that was reserved.
+// Release frees an amount that was reserved.
 func (a *Account) Release(size int64) {
 	if a == nil {
 		return
@@ -37,7 +38,7 @@
 	a.used -= size
 }
 
-// Used returns the memory that is reserved, in bytes.
+// Used returns the amount that is reserved.
 func (a *Account) Used() int64 {
 	if a == nil {
 		return 0
--- a/internal/connlimit/table.go
+++ b/internal/connlimit/table.go
@@ -52,6 +52,8 @@
 	// Account holds the memory of the connections, of which each takes Memory bytes.
 	Account *Account
 	Memory  int64
+	// Places holds connections that several tables share; nil means no bound beside Connections.
+	Places *Account
 
 	mu         sync.Mutex
 	count      int
@@ -85,7 +87,7 @@
 	case t.PerAddress > 0 && t.perAddress[address] >= t.PerAddress:
 		matches = func(e *Entry) bool { return e.address == address }
 	case t.Connections > 0 && t.count >= t.Connections:
-	case t.Account.Reserve(t.Memory):
+	case t.reserve():
 		t.insert(now, entry)
 		return nil, true
 	}
@@ -99,13 +101,25 @@
 		return nil, false
 	}
 	t.remove(displaced)
-	if !t.Account.Reserve(t.Memory) {
+	if !t.reserve() {
 		return displaced, false
 	}
 	t.insert(now, entry)
 	return displaced, true
 }
 
+// reserve reserves what a connection takes.
+func (t *Table) reserve() bool {
+	if !t.Places.Reserve(1) {
+		return false
+	}
+	if !t.Account.Reserve(t.Memory) {
+		t.Places.Release(1)
+		return false
+	}
+	return true
+}
+
 // DisplaceReading removes the connection whose request has made no progress for the longest time,
 // so that the memory of its body becomes free, and returns its entry; nil if there is none beside
 // the one given.
@@ -208,6 +222,7 @@
 		delete(t.perAddress, entry.address)
 	}
 	t.Account.Release(t.Memory)
+	t.Places.Release(1)
 }
 
 // Count returns the number of connections.
--- a/internal/hosted/endpoints.go
+++ b/internal/hosted/endpoints.go
@@ -66,16 +66,18 @@
 	n.limitCounters = connlimit.NewCounters(registry)
 	platformSettings := n.Settings.Platform
 	limits := platformSettings.EffectiveLimits()
+	places := connlimit.NewAccount(int64(limits.RequestConnections))
 	for _, endpoint := range []struct {
 		listen      string
 		actual      *string
 		connections int
+		places      *connlimit.Account
 	}{
-		{n.Settings.Callers.Listen, &e.addresses.Callers, limits.CallerConnections},
-		{platformSettings.Lookup, &e.addresses.Lookup, limits.LookupConnections},
-		{platformSettings.Readiness, &e.addresses.Readiness, limits.ReadinessConnections},
-		{platformSettings.Metrics, &e.addresses.Metrics, limits.MetricsConnections},
-		{platformSettings.Forward, &e.addresses.Forward, limits.ForwardConnections},
+		{n.Settings.Callers.Listen, &e.addresses.Callers, limits.CallerConnections, places},
+		{platformSettings.Lookup, &e.addresses.Lookup, limits.LookupConnections, places},
+		{platformSettings.Readiness, &e.addresses.Readiness, limits.ReadinessConnections, nil},
+		{platformSettings.Metrics, &e.addresses.Metrics, limits.MetricsConnections, nil},
+		{platformSettings.Forward, &e.addresses.Forward, limits.ForwardConnections, places},
 	} {
 		if endpoint.listen == "" {
 			continue
@@ -88,7 +90,7 @@
 			Listener: listener, HTTP: true, HeaderFields: limits.HeaderFields, Counters: n.limitCounters,
 			Table: &connlimit.Table{
 				Connections: endpoint.connections, PerAddress: limits.ConnectionsPerAddress,
-				Account: n.callerMemory, Memory: connlimit.ConnectionMemory,
+				Places: endpoint.places, Account: n.callerMemory, Memory: connlimit.ConnectionMemory,
 			},
 		})
 		*endpoint.actual = listener.Addr().String()
@@ -138,8 +140,8 @@
 	})
 }
 
-// connections returns the number of connections that callers and other nodes have open for
-// requests.
+// connections returns the number of connections that are open to the listeners, but for that of
+// other nodes.
 func (e *endpoints) connections() (count int) {
 	for _, listener := range e.listeners {
 		count += listener.Table.Count()
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -327,11 +327,14 @@
 	return descriptors - min(reservedDescriptors, descriptors/maxReservedPart)
 }
 
+// minRoomPart is the part of the usable descriptors that connections do not take from requests.
+const minRoomPart = 16
+
 // requestRoom returns the number of requests that have a descriptor for a backend server beside
-// the open connections. Connections alone do not take all of them.
+// the open connections.
 func (n *Node) requestRoom() int {
 	usable := n.usableDescriptors()
-	return max(usable/8, usable-n.components.Endpoints.connections())
+	return max(usable/minRoomPart, usable-n.components.Endpoints.connections()-n.components.Peers.InboundConnections())
 }
 
 // manifestVersion returns the version of the manifest in force.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -103,6 +103,7 @@
 	listener    net.Listener
 	counts      counters
 	limitCounts *connlimit.Counters
+	inbound     *connlimit.Table
 	shards      [connShards]connShard
 }
 
@@ -136,6 +137,10 @@
 // is closed.
 func (p *Peer) ListenAddress() string { return p.listener.Addr().String() }
 
+// InboundConnections returns the number of connections that other processes have open to this one.
+// It must not be called before Ready is closed.
+func (p *Peer) InboundConnections() int { return p.inbound.Count() }
+
 // Listen opens the listening socket if it is not open. Run calls it.
 func (p *Peer) Listen(ctx context.Context) (err error) {
 	p.init()
@@ -151,11 +156,10 @@
 	if p.listener, err = config.Listen(ctx, "tcp", p.Address); err != nil {
 		return err
 	}
-	p.listener = &connlimit.Listener{
-		Listener: p.listener, Counters: p.limitCounts, Table: &connlimit.Table{
-			Connections: p.MaxInbound, PerAddress: p.MaxPerAddress, Account: p.InboundMemory, Memory: connlimit.ConnectionMemory,
-		},
+	p.inbound = &connlimit.Table{
+		Connections: p.MaxInbound, PerAddress: p.MaxPerAddress, Account: p.InboundMemory, Memory: connlimit.ConnectionMemory,
 	}
+	p.listener = &connlimit.Listener{Listener: p.listener, Counters: p.limitCounts, Table: p.inbound}
 	if p.TLS != nil {
 		p.listener = tls.NewListener(p.listener, p.TLS)
 	}
--- a/internal/settings/limits.go
+++ b/internal/settings/limits.go
@@ -16,7 +16,9 @@
 	CallerMemory fleet.Bytes `json:"callerMemory,omitempty"`
 	BodyMemory   fleet.Bytes `json:"bodyMemory,omitempty"`
 	PeerMemory   fleet.Bytes `json:"peerMemory,omitempty"`
-	// These are the connections open to each listener.
+	// RequestConnections are those open to the listeners of callers, of the look-up and of requests
+	// that other nodes pass on, all together; the others are those open to one listener.
+	RequestConnections   int `json:"requestConnections,omitempty"`
 	CallerConnections    int `json:"callerConnections,omitempty"`
 	ForwardConnections   int `json:"forwardConnections,omitempty"`
 	PeerConnections      int `json:"peerConnections,omitempty"`
@@ -55,10 +57,13 @@
 	connections := func(set, dividend, divisor int) int {
 		return cmp.Or(set, max(minListenerConnections, p.Descriptors*dividend/divisor))
 	}
-	limits.CallerConnections = connections(limits.CallerConnections, 5, 8)
-	limits.ForwardConnections = connections(limits.ForwardConnections, 1, 16)
+	limits.RequestConnections = connections(limits.RequestConnections, 5, 8)
+	// One listener can't take the connections of the others. Callers keep idle connections to the
+	// look-up as well.
+	limits.CallerConnections = connections(limits.CallerConnections, 9, 16)
+	limits.ForwardConnections = connections(limits.ForwardConnections, 1, 8)
+	limits.LookupConnections = connections(limits.LookupConnections, 1, 4)
 	limits.PeerConnections = connections(limits.PeerConnections, 1, 6)
-	limits.LookupConnections = connections(limits.LookupConnections, 1, 32)
 	limits.ReadinessConnections = connections(limits.ReadinessConnections, 1, 64)
 	limits.MetricsConnections = connections(limits.MetricsConnections, 1, 64)
 	limits.HeaderFields = cmp.Or(limits.HeaderFields, defaultHeaderFields)
@@ -76,6 +81,7 @@
 		{"callerMemory", int64(l.CallerMemory)},
 		{"bodyMemory", int64(l.BodyMemory)},
 		{"peerMemory", int64(l.PeerMemory)},
+		{"requestConnections", int64(l.RequestConnections)},
 		{"callerConnections", int64(l.CallerConnections)},
 		{"forwardConnections", int64(l.ForwardConnections)},
 		{"peerConnections", int64(l.PeerConnections)},
