Crowds at all ports at once; fewer refused connections are read

Cause: refused connections that are read for a while have no place, up to 16 at each of 6 listeners: trials with crowds at all ports at once had up to 505 of 512 descriptors. Change: 1 for each 16 places of a listener, 16 at most. A test has crowds of three kinds at all ports at once (4,200 connections).

--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -31,10 +31,13 @@
 // Bounds of the end of a refused connection. What arrives is read for a while, since a close with
 // unread data resets the connection, and the sender might not get the answer.
 const (
-	lingerTime    = 100 * time.Millisecond
-	lingerBytes   = 64 << 10
-	maxLingering  = 16
-	answerTimeout = time.Second
+	lingerTime  = 100 * time.Millisecond
+	lingerBytes = 64 << 10
+	// maxLingering bounds the refused connections that are read at a time, which have no place. It is
+	// less for a listener with few places.
+	maxLingering      = 16
+	placesPerLingerer = 16
+	answerTimeout     = time.Second
 )
 
 // Listener bounds the connections of a socket. Its exported fields are set before use.
@@ -53,7 +56,7 @@
 
 // Accept returns the next connection that is within the limits.
 func (l *Listener) Accept() (net.Conn, error) {
-	l.once.Do(func() { l.slots = make(chan struct{}, maxLingering) })
+	l.once.Do(func() { l.slots = make(chan struct{}, l.lingering()) })
 	for {
 		raw, err := l.Listener.Accept()
 		if err != nil {
@@ -74,13 +77,21 @@
 	}
 }
 
+// lingering returns the bound on the refused connections that are read at a time.
+func (l *Listener) lingering() int {
+	if l.Table.Connections == 0 {
+		return maxLingering
+	}
+	return min(maxLingering, max(1, l.Table.Connections/placesPerLingerer))
+}
+
 func addressOf(connection net.Conn) netip.Addr {
 	address, _ := netip.ParseAddrPort(connection.RemoteAddr().String())
 	return address.Addr().Unmap()
 }
 
 // refuse closes a connection after an answer, which fits into the buffer of a new connection.
-// Beyond maxLingering at a time connections are closed at once after that.
+// Beyond a number at a time connections are closed at once after that.
 func (l *Listener) refuse(raw net.Conn) {
 	select {
 	case l.slots <- struct{}{}:
--- a/internal/hostile/crowd_test.go
+++ b/internal/hostile/crowd_test.go
@@ -318,3 +318,37 @@
 		write(connection, text)
 	})
 }
+
+// TestCrowdsAtAllPortsAtOnce guards against limits that hold for each port alone but not together.
+// Bodies that stop, headers that do not end and answers that are not read are spread over the ports.
+func TestCrowdsAtAllPortsAtOnce(t *testing.T) {
+	fields := shortFields()
+	behaviours := []behaviour{
+		func(t target, connection net.Conn, index int) { write(connection, t.unfinished(index)) },
+		func(t target, connection net.Conn, index int) { write(connection, t.header("POST", index, fields)) },
+		func(t target, connection net.Conn, index int) {
+			_ = connection.(*net.TCPConn).SetReadBuffer(4 << 10)
+			text := t.header("POST", index, fmt.Sprintf("Content-Length: %d\r\n\r\n", legalBody)) + filler[:legalBody]
+			for write(connection, text) {
+			}
+		},
+	}
+	n := startNode(t)
+	var mu sync.Mutex
+	var crowds sync.WaitGroup
+	most := 0
+	for number, target := range targets {
+		behave := behaviours[number%len(behaviours)]
+		crowds.Go(func() {
+			open := n.meet(target, behave)
+			mu.Lock()
+			defer mu.Unlock()
+			most = max(most, open)
+		})
+	}
+	crowds.Wait()
+	n.waitServed()
+	t.Logf("memory %.1f MiB at most, descriptors %d at most", float64(n.peakMemory())/(1<<20), most)
+	n.Check(n.peakMemory() <= int64(memoryLimit), qt.IsTrue, qt.Commentf("memory: %d", n.peakMemory()))
+	n.Check(most <= descriptorLimit, qt.IsTrue, qt.Commentf("descriptors: %d", most))
+}
