--- a/internal/settings/platform.go
+++ b/internal/settings/platform.go
@@ -48,5 +48,6 @@
 	if p.ServerPace != "" {
 		c.oneOf("platform.serverPace", p.ServerPace, ServerPaceAdaptive, ServerPaceOff)
 	}
+	p.Limits.check(&c)
 	return c.problems
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -69,6 +69,8 @@
 	// how long work takes there before they are sent, where servers report that. Each of
 	// them takes a connection.
 	ReadServerPace bool `json:"readServerPace,omitempty"`
+	// Limits bound what callers and other nodes may make the node hold.
+	Limits Limits `json:"limits,omitzero"`
 }
 
 // Values of [Platform.ServerPace].
