--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -199,12 +199,23 @@
 }
 
 func newQuotas(
-	n *Node, rosterController *roster.Controller, owner quotaLease, peers *peer.Peer, registry metrics.Registry,
+	n *Node, rosterController *roster.Controller, members *member.Controller, owner quotaLease, peers *peer.Peer,
+	registry metrics.Registry,
 ) *quota.Controller {
 	return &quota.Controller{
 		Node: n.ID, Lease: owner, Peers: peers, Manifest: func() *roster.Manifest { return rosterController.View().Manifest },
-		Log: n.Log, Metrics: registry,
+		Claimants: func() []fleet.NodeID { return claimants(members) }, Log: n.Log, Metrics: registry,
+	}
+}
+
+// claimants returns the nodes in the order in which they claim a free lease.
+func claimants(members *member.Controller) (nodes []fleet.NodeID) {
+	candidates := healthyNodes(members)
+	slices.SortFunc(candidates, func(a, b member.Info) int { return compareLeasePriority(&a, &b) })
+	for i := range candidates {
+		nodes = append(nodes, candidates[i].Node)
 	}
+	return nodes
 }
 
 const (
--- a/internal/lease/controller.go
+++ b/internal/lease/controller.go
@@ -72,6 +72,8 @@
 	// request.
 	failedRequests int
 	lastRequestAt  time.Duration
+	// promisedAt is when a deputy last gave a promise, or this process gained the lease.
+	promisedAt time.Duration
 }
 
 func (c *Controller) init() {
@@ -149,6 +151,18 @@
 	return c.State.record.Deputy
 }
 
+// Unpromised returns how long this process has held the lease without a promise of the deputies
+// that it named; 0 if it is not the holder or named none.
+func (c *Controller) Unpromised() time.Duration {
+	c.init()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if deputy, _, _, found := c.State.Deputy(); !found || deputy == "" {
+		return 0
+	}
+	return c.Clock() - c.promisedAt
+}
+
 // Suspected reports whether the holder is suspected to have failed.
 func (c *Controller) Suspected() bool {
 	c.init()
@@ -260,6 +274,7 @@
 	released := c.released
 	if !released {
 		c.State.ClaimSucceeded(sent, c.Clock(), record, expect+1)
+		c.promisedAt = c.Clock()
 	}
 	handoverLeft := c.State.actFrom - c.Clock()
 	c.mu.Unlock()
--- a/internal/lease/promise.go
+++ b/internal/lease/promise.go
@@ -80,7 +80,7 @@
 		c.mu.Lock()
 		if promised {
 			c.State.PromiseReceived(deputy, sent)
-			c.failedRequests = 0
+			c.failedRequests, c.promisedAt = 0, c.Clock()
 		} else {
 			c.failedRequests++
 		}
--- a/internal/quota/charge.go
+++ b/internal/quota/charge.go
@@ -27,7 +27,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	held := c.wallet(a.organisation)
-	if now < held.overUntil && held.available(now) < Tokens(tokens) {
+	// While no owner answers, a call would only wait in vain for its tokens.
+	noOwner := c.failedAsks > 0 && now-c.failedSince >= maxOwnerWait
+	if (noOwner || now < held.overUntil) && held.available(now) < Tokens(tokens) {
 		return c.noTokens(held, Tokens(tokens))
 	}
 	return nil
@@ -53,7 +55,7 @@
 	for left := Tokens(tokens); left > 0 && len(a.spent) > 0; {
 		last := &a.spent[len(a.spent)-1]
 		part := min(left, last.tokens)
-		held.add(credit{tokens: part, expires: last.expires})
+		held.add(credit{tokens: part, expires: last.expires, grantedAt: last.grantedAt})
 		left -= part
 		if last.tokens -= part; last.tokens == 0 {
 			a.spent = a.spent[:len(a.spent)-1]
--- a/internal/quota/controller.go
+++ b/internal/quota/controller.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -61,6 +62,9 @@
 	Suspect()
 	Suspected() bool
 	ClearSuspicion()
+	// Unpromised returns how long this node has been the owner without a promise of a deputy
+	// that it named.
+	Unpromised() time.Duration
 }
 
 // Controller holds this node's tokens and, while it is the owner, the accounts. Its exported
@@ -71,6 +75,11 @@
 	Peers Peers
 	// Manifest returns the manifest in force; nil if there is none.
 	Manifest func() *roster.Manifest
+	// Claimants returns the nodes that may become the owner, the first to claim first. The
+	// first few of them read the lease if no owner answers, and the others ask those, so
+	// that an owner that is lost does not make each node read the store. Nil means that
+	// this node reads it.
+	Claimants func() []fleet.NodeID
 	// Window is the window in which quotas are kept; 0 means [DefaultWindow].
 	Window time.Duration
 	// Clock includes the time for which the VM was suspended; nil means [wait.BootTime].
@@ -89,11 +98,20 @@
 	wallets map[fleet.OrganisationID]*wallet
 	// owner and deputy are the nodes to ask, as the last answer says; empty if unknown.
 	owner, deputy fleet.NodeID
-	// failedAsks counts the failed requests since the last answer of an owner.
-	failedAsks int
+	// named is set if a node that is not the owner has named the one in owner.
+	named bool
+	// failedAsks counts the failed requests since the last answer of an owner, failedSince is
+	// when the first of them was sent. suspectAt is when a node that is none of the first
+	// claimants reads the lease.
+	failedAsks             int
+	failedSince, suspectAt time.Duration
+	// answeredAt is when an owner last answered; 0 if none has.
+	answeredAt time.Duration
 
 	ledgerMu sync.Mutex
 	ledger   Ledger
+	// askedAt is when another node last asked this one.
+	askedAt time.Duration
 	// term is the term for which the ledger is open; 0 if it was never.
 	term fleet.FencingNumber
 }
@@ -101,10 +119,22 @@
 const (
 	askMethod  = "quota.ask"
 	askTimeout = 300 * time.Millisecond
-	// askFailedPause is the pause after a request that no owner answered.
-	askFailedPause = 30 * time.Millisecond
-	// asksUntilSuspicion is the number of failed requests after which the lease is read.
-	asksUntilSuspicion = 6
+	// askFailedPause is the pause after a request that no owner answered. It is doubled up
+	// to maxAskFailedPause.
+	askFailedPause    = 30 * time.Millisecond
+	maxAskFailedPause = 240 * time.Millisecond
+	// firstClaimants is the number of nodes that read the lease once no owner answers;
+	// suspectInterval is the time after which, and between two times that, another one does.
+	firstClaimants  = 3
+	suspectInterval = 12 * time.Second
+	// cutOffTime is the time without any message of another node after which an owner counts
+	// as cut off, cutOffPause the time for which it does not renew the lease then: longer
+	// than a lease.
+	cutOffTime  = 2 * time.Second
+	cutOffPause = 10 * time.Second
+	// answerFreshness is the time after an answer of the owner for which a node that is
+	// asked in its place does not doubt it.
+	answerFreshness = time.Second
 	// maxWait bounds how long an attempt waits for tokens, maxOwnerWait the same while no
 	// owner answers.
 	maxWait      = 300 * time.Millisecond
@@ -124,13 +154,20 @@
 type askEntry struct {
 	Organisation fleet.OrganisationID `json:"organisation"`
 	// Need is the smallest amount that is of use; Want the whole.
-	Need     Tokens `json:"need,omitempty"`
-	Want     Tokens `json:"want,omitempty"`
-	GiveBack Tokens `json:"giveBack,omitempty"`
+	Need     Tokens        `json:"need,omitempty"`
+	Want     Tokens        `json:"want,omitempty"`
+	GiveBack []givenCredit `json:"giveBack,omitempty"`
 	// Refused are the tokens of requests that the node has refused since it last asked.
 	Refused Tokens `json:"refused,omitempty"`
 }
 
+// givenCredit is a part of a grant that the node gives back.
+type givenCredit struct {
+	// GrantedAt is [askResponse.At] of the grant.
+	GrantedAt time.Duration `json:"grantedAt"`
+	Tokens    Tokens        `json:"tokens"`
+}
+
 // askRequest asks the owner for tokens.
 type askRequest struct {
 	Node    fleet.NodeID `json:"node"`
@@ -142,6 +179,9 @@
 	Organisation fleet.OrganisationID `json:"organisation"`
 	Tokens       Tokens               `json:"tokens,omitempty"`
 	RetryInMs    int64                `json:"retryInMs,omitempty"`
+	// Unknown reports that the owner's manifest has no quota of the organisation: one of the
+	// two nodes does not have the latest manifest yet.
+	Unknown bool `json:"unknown,omitempty"`
 }
 
 // askResponse is the answer of the owner, or of a node that is not.
@@ -149,7 +189,9 @@
 	NotOwner bool         `json:"notOwner,omitempty"`
 	Owner    fleet.NodeID `json:"owner,omitempty"`
 	Deputy   fleet.NodeID `json:"deputy,omitempty"`
-	Entries  []grantEntry `json:"entries,omitempty"`
+	// At is the time of the grants by the clock of the owner.
+	At      time.Duration `json:"at,omitempty"`
+	Entries []grantEntry  `json:"entries,omitempty"`
 }
 
 // Register registers the methods that nodes call on each other.
@@ -205,10 +247,12 @@
 
 // Run asks the owner for the tokens that attempts wait for, until the context ends.
 func (c *Controller) Run(ctx context.Context) error {
-	for !c.InUse() && wait.For(ctx, inUseInterval) {
-	}
 	for ctx.Err() == nil {
-		c.wake.Wait(ctx, checkInterval)
+		if !c.InUse() {
+			wait.For(ctx, inUseInterval)
+			continue
+		}
+		c.wake.Wait(ctx, c.nextCheck())
 		for ctx.Err() == nil && c.askOnce(ctx) {
 		}
 		c.recordOwner()
@@ -216,22 +260,40 @@
 	return ctx.Err()
 }
 
+// nextCheck returns the time until the owner may have tokens for an attempt that waits, at
+// most checkInterval.
+func (c *Controller) nextCheck() time.Duration {
+	now := c.Clock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	next := checkInterval
+	for _, held := range c.wallets {
+		if len(held.waiting) > 0 {
+			next = min(next, held.askAt-now)
+		}
+	}
+	return max(next, minOver/2)
+}
+
 // askOnce sends one request to the owner if there is something to ask for, and reports whether
 // it was answered with tokens.
 func (c *Controller) askOnce(ctx context.Context) (granted bool) {
 	now := c.Clock()
+	suspected := c.Lease.Suspected()
+	claimants := c.firstClaimants()
 	c.mu.Lock()
 	request, awaited := c.nextRequest(now)
-	target := c.target()
+	target := c.target(claimants)
+	failing := c.failedAsks > 0
 	c.mu.Unlock()
-	// While the owner is suspected, a request without entries finds out whether it answers.
-	if len(request.Entries) == 0 && !c.Lease.Suspected() {
+	// While no owner is known to answer, a request without entries finds out whether one does.
+	if len(request.Entries) == 0 && !suspected && !failing {
 		return false
 	}
 	response, err := c.send(ctx, target, request)
 	if err != nil {
-		c.recordFailure(target, awaited, err)
-		wait.For(ctx, askFailedPause)
+		pause := c.recordFailure(now, target, awaited, err)
+		wait.For(ctx, pause)
 		return awaited
 	}
 	return c.receive(now, response)
@@ -242,16 +304,23 @@
 func (c *Controller) nextRequest(now time.Duration) (request askRequest, awaited bool) {
 	request.Node = c.Node
 	for id, held := range c.wallets {
-		entry := askEntry{Organisation: id, GiveBack: held.lapsing(now)}
+		if held.idle(now) {
+			delete(c.wallets, id)
+			continue
+		}
+		entry := askEntry{Organisation: id}
+		for _, lapsing := range held.lapsing(now) {
+			entry.GiveBack = append(entry.GiveBack, givenCredit{GrantedAt: lapsing.grantedAt, Tokens: lapsing.tokens})
+		}
 		c.dropOverdue(now, held)
 		if len(held.waiting) > 0 && now >= held.askAt {
-			entry.Need, entry.Want = held.needs()
+			entry.Need, entry.Want = held.needs(now)
 			awaited = true
 		}
-		entry.Refused, held.refused = min(held.refused, maxAmount), 0
 		c.meters.lapsed.Inc(int64(held.lapsed))
 		held.lapsed = 0
-		if entry.Want > 0 || entry.GiveBack > 0 || entry.Refused > 0 {
+		if entry.Want > 0 || len(entry.GiveBack) > 0 {
+			entry.Refused, held.refused = min(held.refused, maxAmount), 0
 			request.Entries = append(request.Entries, entry)
 		}
 	}
@@ -273,7 +342,7 @@
 
 // noTokens returns the refusal of an attempt that got no tokens. The caller holds the lock.
 func (c *Controller) noTokens(held *wallet, need Tokens) error {
-	if c.failedAsks > 0 {
+	if c.failedAsks > 0 || held.unknown {
 		c.meters.noOwner.Inc(1)
 		return &refusal.Refusal{
 			Reason: refusal.NoServer, Message: "the quota of the organisation cannot be read", RetryAfter: noOwnerRetryAfter,
@@ -290,23 +359,46 @@
 // same time.
 func spread(d time.Duration) time.Duration { return d + time.Duration(rand.Float64()*float64(d)/2) }
 
-// target returns the node to ask: the owner and its deputy in turn while neither answers. The
-// caller holds the lock.
-func (c *Controller) target() fleet.NodeID {
+// firstClaimants returns the nodes that read the lease if no owner answers.
+func (c *Controller) firstClaimants() []fleet.NodeID {
+	if c.Claimants == nil {
+		return []fleet.NodeID{c.Node}
+	}
+	claimants := c.Claimants()
+	return claimants[:min(firstClaimants, len(claimants))]
+}
+
+// isFirstClaimant reports whether this node reads the lease if no owner answers.
+func (c *Controller) isFirstClaimant() bool {
+	claimants := c.firstClaimants()
+	return len(claimants) < firstClaimants || slices.Contains(claimants, c.Node)
+}
+
+// target returns the node to ask: the owner, its deputy and the first claimants in turn while
+// none answers. The caller holds the lock.
+func (c *Controller) target(claimants []fleet.NodeID) fleet.NodeID {
 	if _, holds := c.Lease.Holds(); holds {
 		return c.Node
 	}
-	owner, deputy := c.owner, c.deputy
-	if owner == "" {
-		owner = c.Lease.Holder()
+	candidates := append([]fleet.NodeID{
+		cmp.Or(c.owner, c.Lease.Holder()), cmp.Or(c.deputy, c.Lease.Deputy()), c.Lease.Holder(),
+	}, claimants...)
+	var others []fleet.NodeID
+	for _, node := range candidates {
+		if node != "" && node != c.Node && !slices.Contains(others, node) {
+			others = append(others, node)
+		}
 	}
-	if deputy == "" {
-		deputy = c.Lease.Deputy()
+	if len(others) == 0 {
+		return ""
 	}
-	if c.failedAsks%2 == 1 && deputy != "" || owner == "" {
-		return deputy
+	// A node that was named in place of another one is asked next, but not each time: two
+	// nodes may name each other.
+	if c.named && c.failedAsks%2 == 1 {
+		c.named = false
+		return others[0]
 	}
-	return owner
+	return others[c.failedAsks%len(others)]
 }
 
 // errNoOwner reports that a node is not the owner.
@@ -337,29 +429,38 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if response.Owner != target {
-		c.owner = response.Owner
+		c.owner, c.named = response.Owner, response.Owner != ""
 	}
 	if response.Deputy != "" {
 		c.deputy = response.Deputy
 	}
 }
 
-// recordFailure records that no owner answered. The tokens that were given back are lost.
-func (c *Controller) recordFailure(target fleet.NodeID, awaited bool, err error) {
+// recordFailure records that no owner answered a request sent at a time, and returns the time
+// until the next one. The tokens that were given back are lost.
+func (c *Controller) recordFailure(asked time.Duration, target fleet.NodeID, awaited bool, err error) (pause time.Duration) {
+	first := c.isFirstClaimant()
+	now := c.Clock()
 	c.mu.Lock()
+	if c.failedAsks == 0 {
+		c.failedSince, c.suspectAt = asked, asked+suspectInterval
+	}
 	c.failedAsks++
-	failed := c.failedAsks
-	if failed%asksUntilSuspicion == 0 {
-		c.owner, c.deputy = "", ""
+	failed, suspect := c.failedAsks, first || now >= c.suspectAt
+	if now >= c.suspectAt {
+		c.suspectAt = now + wait.Jitter(2*suspectInterval)
 	}
 	c.mu.Unlock()
 	if failed == 1 {
 		c.Log.Info("no tokens of the owner of the accounts", slog.String("node", string(target)),
 			slog.Bool("awaited", awaited), slog.Any("error", err))
 	}
-	if failed%asksUntilSuspicion == 0 || target == "" {
+	if suspect {
 		c.Lease.Suspect()
+	} else {
+		c.Lease.ClearSuspicion() // One read is enough: the lease is read until then.
 	}
+	return wait.Jitter(2 * min(askFailedPause<<min(failed-1, 8), maxAskFailedPause))
 }
 
 // receive gives what was granted to the attempts that wait for it, and reports whether
@@ -370,14 +471,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.failedAsks > 0 {
-		c.Log.Info("owner of the accounts answers", slog.String("node", string(response.Owner)), slog.Int("failedBefore", c.failedAsks))
+		c.Log.Info("owner of the accounts answers", slog.String("node", string(response.Owner)),
+			slog.Int("failedBefore", c.failedAsks), slog.Duration("noneFor", now-c.failedSince))
 	}
-	c.owner, c.deputy, c.failedAsks = response.Owner, response.Deputy, 0
+	c.owner, c.deputy, c.failedAsks, c.answeredAt = response.Owner, response.Deputy, 0, now
 	for _, entry := range response.Entries {
 		held := c.wallet(entry.Organisation)
+		held.unknown = entry.Unknown
 		if entry.Tokens > 0 {
 			granted = true
-			held.add(credit{tokens: entry.Tokens, expires: asked + CreditLifetime})
+			held.add(credit{tokens: entry.Tokens, expires: asked + CreditLifetime, grantedAt: response.At})
 			held.serve(now)
 			continue
 		}
@@ -386,20 +489,75 @@
 	return granted
 }
 
+// recordOwner records whether this node is the owner. A new one opens the ledger at once and not
+// with the first request, since it grants nothing for a credit's lifetime after.
 func (c *Controller) recordOwner() {
+	c.ledgerMu.Lock()
+	_, holds := c.open()
+	c.ledgerMu.Unlock()
 	value := int64(0)
-	if _, holds := c.Lease.Holds(); holds {
+	if holds {
 		value = 1
 	}
 	c.meters.owner.Update(value)
 }
 
-// RunLease runs the lease of the owner, from when the manifest first has a quota until the
-// context ends.
+// RunLease runs the lease of the owner while the manifest has a quota, until the context ends.
 func (c *Controller) RunLease(ctx context.Context, run func(context.Context) error) error {
-	for !c.InUse() && wait.For(ctx, inUseInterval) {
+	for ctx.Err() == nil {
+		if !c.InUse() {
+			wait.For(ctx, inUseInterval)
+			continue
+		}
+		c.awaitOwner(ctx)
+		if err := c.runWhileInUse(ctx, run); err != nil {
+			return err
+		}
+	}
+	return ctx.Err()
+}
+
+// awaitOwner waits until an owner answers, at most suspectInterval. The first claimants don't
+// wait: one of them becomes the owner if there is none.
+func (c *Controller) awaitOwner(ctx context.Context) {
+	wait.Until(ctx, suspectInterval, checkInterval, func() bool {
+		return c.isFirstClaimant() || !c.Lease.Suspected()
+	})
+}
+
+// cutOff reports whether this node is the owner and no other node has reached it since a time:
+// no deputy answers and nobody asks for tokens.
+func (c *Controller) cutOff(since time.Duration) bool {
+	unpromised := c.Lease.Unpromised()
+	c.ledgerMu.Lock()
+	defer c.ledgerMu.Unlock()
+	return unpromised > cutOffTime && c.Clock()-max(c.askedAt, since) > cutOffTime
+}
+
+// runWhileInUse runs the lease until the manifest has no quota, or this node as the owner is cut
+// off from the others. Then it renews the lease no more for a time, so that another one follows.
+func (c *Controller) runWhileInUse(parent context.Context, run func(context.Context) error) error {
+	ctx, cancel := context.WithCancel(parent)
+	defer cancel()
+	ended, began := make(chan error, 1), c.Clock()
+	go func() { ended <- run(ctx) }()
+	for {
+		select {
+		case err := <-ended:
+			return err
+		case <-time.After(inUseInterval):
+		}
+		if !c.InUse() {
+			cancel()
+		}
+		if c.cutOff(began) {
+			c.Log.Warn("no other node reaches the owner of the accounts, the lease is not renewed")
+			cancel()
+			err := <-ended
+			wait.Until(parent, cutOffPause, checkInterval, func() bool { return !c.cutOff(began) })
+			return err
+		}
 	}
-	return run(ctx)
 }
 
 // Account returns the account of an organisation for one call.
--- a/internal/quota/owner.go
+++ b/internal/quota/owner.go
@@ -25,20 +25,15 @@
 	}
 	c.ledgerMu.Lock()
 	defer c.ledgerMu.Unlock()
+	if request.Node != c.Node {
+		c.askedAt = c.Clock()
+	}
 	// The right to grant is checked here, right before: the process may have been suspended.
-	term, holds := c.Lease.Holds()
-	now := c.Clock()
+	now, holds := c.open()
 	if !holds {
-		// The former owner is gone or has given up the lease; this node may be its deputy.
-		c.Lease.Suspect()
-		return askResponse{NotOwner: true, Owner: c.Lease.Holder(), Deputy: c.Lease.Deputy()}, nil
+		return c.notOwner(now), nil
 	}
-	if term != c.term {
-		c.ledger.Open(now)
-		c.term = term
-		c.Log.Info("accounts of organisations opened", slog.Uint64("term", uint64(term)))
-	}
-	response.Owner, response.Deputy = c.Node, c.Lease.Deputy()
+	response.Owner, response.Deputy, response.At = c.Node, c.Lease.Deputy(), now
 	for _, entry := range request.Entries {
 		granted, err := c.grant(now, request.Node, entry)
 		if err != nil {
@@ -52,13 +47,39 @@
 	return response, nil
 }
 
+// open opens the ledger if this node has become the owner, and reports whether it is. The caller
+// holds the lock of the ledger.
+func (c *Controller) open() (now time.Duration, holds bool) {
+	term, holds := c.Lease.Holds()
+	now = c.Clock()
+	if holds && term != c.term {
+		c.ledger.Open(now)
+		c.term = term
+		c.Log.Info("accounts of organisations opened", slog.Uint64("term", uint64(term)))
+	}
+	return now, holds
+}
+
+// notOwner answers a request that reached a node other than the owner. Unless that one has
+// answered lately it is gone or has given up the lease, and this node may follow it.
+func (c *Controller) notOwner(now time.Duration) askResponse {
+	c.mu.Lock()
+	owner, fresh := c.owner, c.failedAsks == 0 && c.answeredAt > 0 && now-c.answeredAt < answerFreshness
+	c.mu.Unlock()
+	if fresh && owner != c.Node {
+		return askResponse{NotOwner: true, Owner: owner}
+	}
+	c.Lease.Suspect()
+	return askResponse{NotOwner: true, Owner: c.Lease.Holder(), Deputy: c.Lease.Deputy()}
+}
+
 // grant handles the request of a node for one organisation. The caller holds the lock of the
 // ledger.
 func (c *Controller) grant(now time.Duration, node fleet.NodeID, entry askEntry) (granted grantEntry, err error) {
 	granted.Organisation = entry.Organisation
 	quota := c.quotaOf(entry.Organisation)
 	if quota == nil {
-		granted.RetryInMs = unknownRetry.Milliseconds()
+		granted.Unknown, granted.RetryInMs = true, unknownRetry.Milliseconds()
 		return granted, nil
 	}
 	if err := c.takeBack(now, node, entry, quota); err != nil {
@@ -86,16 +107,16 @@
 // takeBack takes back what a node gives back. Tokens that are not known to be granted, since
 // another node was the owner then, are not counted.
 func (c *Controller) takeBack(now time.Duration, node fleet.NodeID, entry askEntry, quota *roster.Quota) error {
-	if entry.GiveBack == 0 {
-		return nil
-	}
-	err := c.ledger.GiveBack(now, node, entry.Organisation, quota, entry.GiveBack)
-	switch {
-	case err == nil:
-		c.meters.givenBack.Inc(int64(entry.GiveBack))
-	case errors.Is(err, ErrNotGranted):
-		c.Log.Info("tokens given back are not known", slog.String("node", string(node)), slog.Any("error", err))
-		return nil
+	for _, given := range entry.GiveBack {
+		err := c.ledger.GiveBack(now, node, entry.Organisation, quota, given.GrantedAt, given.Tokens)
+		switch {
+		case err == nil:
+			c.meters.givenBack.Inc(int64(given.Tokens))
+		case errors.Is(err, ErrNotGranted):
+			c.Log.Info("tokens given back are not known", slog.String("node", string(node)), slog.Any("error", err))
+		default:
+			return err
+		}
 	}
-	return err
+	return nil
 }
--- a/internal/quota/wallet.go
+++ b/internal/quota/wallet.go
@@ -9,6 +9,8 @@
 type credit struct {
 	tokens  Tokens
 	expires time.Duration
+	// grantedAt is when the owner granted them, by its clock.
+	grantedAt time.Duration
 }
 
 // spend is an attempt that waits for tokens. One result is sent to it.
@@ -33,6 +35,8 @@
 	// overUntil is until when requests are refused without asking the owner again, since it
 	// had nothing; retryIn is the time that it named.
 	overUntil, retryIn time.Duration
+	// unknown is set while the owner's manifest has no quota of the organisation.
+	unknown bool
 	// askAt is when the owner may be asked again.
 	askAt time.Duration
 	// perSecond is the average rate at which the node spends, as of spentAt.
@@ -73,6 +77,14 @@
 	return sum
 }
 
+// idleTime is the time after which an organisation without requests is forgotten.
+const idleTime = 10 * time.Second
+
+// idle reports whether there is nothing to remember of the organisation.
+func (w *wallet) idle(now time.Duration) bool {
+	return len(w.waiting) == 0 && len(w.credits) == 0 && w.lapsed == 0 && now-w.spentAt > idleTime && now-w.overUntil > idleTime
+}
+
 // take takes tokens of the credits that lapse first, if there are enough.
 func (w *wallet) take(now time.Duration, tokens Tokens) (spent []credit, enough bool) {
 	if w.available(now) < tokens {
@@ -82,7 +94,7 @@
 	for left > 0 {
 		first := &w.credits[0]
 		part := min(left, first.tokens)
-		spent = append(spent, credit{tokens: part, expires: first.expires})
+		spent = append(spent, credit{tokens: part, expires: first.expires, grantedAt: first.grantedAt})
 		left -= part
 		if first.tokens -= part; first.tokens == 0 {
 			w.credits = w.credits[1:]
@@ -104,8 +116,9 @@
 	w.credits = slices.Insert(w.credits, at, added)
 }
 
-// needs returns the smallest need of the attempts that wait, and what to ask for.
-func (w *wallet) needs() (need, want Tokens) {
+// needs returns the smallest amount that serves an attempt that waits, besides the credits,
+// and what to ask for.
+func (w *wallet) needs(now time.Duration) (need, want Tokens) {
 	for i, waiting := range w.waiting {
 		if i == 0 || waiting.need < need {
 			need = waiting.need
@@ -115,24 +128,25 @@
 	if ahead := Tokens(min(w.perSecond*prefetchTime.Seconds(), float64(maxAmount/2))); ahead >= minPrefetch*need {
 		want += ahead
 	}
-	return need, min(want, maxAmount)
+	held := w.available(now)
+	need = min(max(need-held, 0), maxAmount)
+	return need, min(max(want-held, need, 1), maxAmount)
 }
 
-// lapsing removes the credits that lapse soon and that no attempt waits for, and returns
-// their tokens.
-func (w *wallet) lapsing(now time.Duration) (tokens Tokens) {
+// lapsing removes and returns the credits that lapse soon and that no attempt waits for.
+func (w *wallet) lapsing(now time.Duration) (lapsing []credit) {
 	if len(w.waiting) > 0 {
-		return 0
+		return nil
 	}
 	w.available(now)
 	w.credits = slices.DeleteFunc(w.credits, func(c credit) bool {
 		if c.expires-now >= giveBackTime {
 			return false
 		}
-		tokens += c.tokens
+		lapsing = append(lapsing, c)
 		return true
 	})
-	return tokens
+	return lapsing
 }
 
 // serve gives the credits to the attempts that wait, in the order of their arrival.
--- a/internal/quota/window.go
+++ b/internal/quota/window.go
@@ -59,15 +59,23 @@
 	w.sum += amount
 }
 
-// subtract counts a part of the grants since a time as not granted, the earliest first: they
-// would have left the window first, so that no more is forgotten than was given back.
-func (w *window) subtract(amount float64, since time.Duration) {
-	for number := max(slotOf(since), w.newest-int64(len(w.slots))+1); number <= w.newest && amount > 0; number++ {
+// subtract counts a part of the grants at a time as not granted. After clamp no more is
+// subtracted than is still counted.
+func (w *window) subtract(amount float64, at time.Duration) {
+	if number := slotOf(at); number > w.newest-int64(len(w.slots)) && number <= w.newest {
 		slot := w.slot(number)
 		part := min(amount, *slot)
 		*slot -= part
 		w.sum -= part
-		amount -= part
+	}
+}
+
+// clamp counts at most an amount in each slot so far.
+func (w *window) clamp(most float64) {
+	w.sum = 0
+	for i := range w.slots {
+		w.slots[i] = min(w.slots[i], most)
+		w.sum += w.slots[i]
 	}
 }
 
