--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -237,7 +237,8 @@
 	a.outstanding[node] = append(a.outstanding[node], outstanding{tokens: tokens, grantedAt: now})
 }
 
-// GiveBack takes back tokens that a node was granted at a time and will not spend. It fails
+// GiveBack takes back tokens that a node was granted at a time and will not spend. They count
+// in the window no more, but don't fill the bucket: that may have been full since. It fails
 // with [ErrInvalidAmount] or [ErrNotGranted].
 func (l *Ledger) GiveBack(
 	now time.Duration, node fleet.NodeID, id fleet.OrganisationID, quota *roster.Quota, grantedAt time.Duration, tokens Tokens,
@@ -252,7 +253,6 @@
 		return errors.Wrapf(ErrNotGranted, "organisation %q: %d given back", id, tokens)
 	}
 	a.outstanding[node][at].tokens -= tokens
-	a.level = min(a.level+float64(tokens), capacity(quota))
 	a.granted.subtract(float64(tokens), grantedAt)
 	a.all.subtract(float64(tokens), grantedAt)
 	return nil
--- a/internal/quota/ledger_test.go
+++ b/internal/quota/ledger_test.go
@@ -249,6 +249,26 @@
 	c.Check(l.Refused(now, "o", quota, -1), qt.ErrorIs, ErrInvalidAmount)
 }
 
+// TestReturnDoesNotFillTheBucket guards against an owner that grants more at once than the next
+// owner counts for it: the bucket was filled again since the grant that is given back.
+func TestReturnDoesNotFillTheBucket(t *testing.T) {
+	c := qt.New(t)
+	var l Ledger
+	quota := &roster.Quota{PerSecond: 100_000, Burst: 100_000}
+	l.Open(0)
+	take := func(now time.Duration) Tokens {
+		grant, err := l.Take(now, "a", "o", quota, 1, 1_000_000)
+		c.Assert(err, qt.IsNil)
+		return grant.Tokens
+	}
+	first, second := time.Minute, time.Minute+900*time.Millisecond
+	early := take(first)
+	late := take(second)
+	c.Assert(l.GiveBack(second, "a", "o", quota, first, early), qt.IsNil)
+	late += take(second)
+	c.Check(late <= Tokens(quota.Burst), qt.IsTrue, qt.Commentf("%d at once", late))
+}
+
 // TestLowerLimitIsUsedAtOnce guards against an organisation that gets nothing for a window after
 // its limit was lowered, since what it had used under the higher one counts.
 func TestLowerLimitIsUsedAtOnce(t *testing.T) {
