Quotas: tokens are checked when the first byte may be sent

Cause: between Spend and the first byte lie the dial (up to 1 s) and any suspension, so a request could be sent a window after its tokens had lapsed. Tokens of hedged attempts were kept in one list, so a refund could give back those of the attempt that ran. Change: Spend returns a Charge for the attempt; MarkSent renews it and, if its tokens have lapsed and no others are at hand, has the connection closed before anything is written. The attempt ends with a refusal (503, not run).

--- a/internal/backend/sends.go
+++ b/internal/backend/sends.go
@@ -13,8 +13,9 @@
 // [RecordConns].
 type Sends struct {
 	// OnSend is called as soon as a connection is available, which is before the first
-	// byte is written; it may be nil.
-	OnSend func()
+	// byte is written; it may be nil. If it returns false the connection is closed, so that
+	// nothing is sent.
+	OnSend func() bool
 
 	mu sync.Mutex
 	// count is the number of connections. net/http sends a request without a body again
@@ -32,8 +33,8 @@
 }
 
 func (s *Sends) record(connection httptrace.GotConnInfo) {
-	if s.OnSend != nil {
-		s.OnSend()
+	if s.OnSend != nil && !s.OnSend() {
+		_ = connection.Conn.Close()
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/dispatch/account.go
+++ b/internal/dispatch/account.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/guavatrack/guavatrack/pkg/refusal"
 )
 
 // Account is the quota of an organisation, as one call sees it.
@@ -13,9 +16,22 @@
 	Admit(tokens int) error
 	// Spend takes tokens for an attempt that is about to be sent. It may wait a short
 	// time and fails with a refusal if it gets none.
-	Spend(ctx context.Context, tokens int) error
+	Spend(ctx context.Context, tokens int) (Charge, error)
+}
+
+// Charge is the tokens of one attempt.
+type Charge interface {
+	// Renew reports whether the attempt may be sent at this moment. Tokens that have lapsed
+	// since they were taken are replaced if others are at hand.
+	Renew() bool
 	// Refund gives back the tokens of an attempt that no server has run.
-	Refund(tokens int)
+	Refund()
+}
+
+// errLapsed is the refusal of an attempt whose tokens lapsed before it was sent: the process was
+// suspended, or it took long to connect.
+var errLapsed = &refusal.Refusal{
+	Reason: refusal.NoServer, Message: "the tokens of the request lapsed before it was sent", RetryAfter: 100 * time.Millisecond,
 }
 
 // spend takes the tokens of the attempt from the account of the call, right before it is sent.
@@ -24,8 +40,8 @@
 	if call.Account == nil {
 		return nil
 	}
-	err := call.Account.Spend(a.ctx, call.Charge)
-	a.charged = err == nil
+	var err error
+	a.charge, err = call.Account.Spend(a.ctx, call.Charge)
 	return err
 }
 
@@ -33,8 +49,18 @@
 func (a *Attempt) refund() {
 	var failure *FailureError
 	notRun := !a.slot.sent.Load() || errors.As(a.err, &failure) && failure.NotRun
-	if a.charged && notRun {
-		a.charged = false
-		a.slot.call.Account.Refund(a.slot.call.Charge)
+	if a.charge != nil && notRun {
+		a.charge.Refund()
+		a.charge = nil
+	}
+}
+
+// renewCharge reports whether the tokens of the attempt are still valid. It ends the attempt if
+// they are not.
+func (a *Attempt) renewCharge() bool {
+	if a.charge == nil || a.charge.Renew() {
+		return true
 	}
+	a.cancel(errLapsed)
+	return false
 }
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -116,8 +116,8 @@
 type Message interface {
 	// Open sends the call to the server of the attempt and reads the first piece
 	// of a streamed answer, or the whole of any other answer. It calls
-	// [Attempt.MarkSent] before it writes the first byte. It must not send
-	// anything to the caller, since a concurrent attempt may answer first.
+	// [Attempt.MarkSent] before it writes the first byte, and writes none if that
+	// returns false. It must not send anything to the caller, since a concurrent attempt may answer first.
 	Open(ctx context.Context, attempt *Attempt) (Answer, error)
 	// Resumable reports whether an answer of which the caller has received a
 	// part can be continued from another server.
@@ -176,8 +176,8 @@
 	silentProgress uint64
 	// probing is set while the server is probed because the attempt makes no progress.
 	probing bool
-	// charged is set once the account of the call was charged for it.
-	charged bool
+	// charge is what the account of the call was charged for it; nil if nothing.
+	charge Charge
 	// failedNumber is its position among the failed attempts of the call, from 1; 0 if
 	// it is none of them.
 	failedNumber int
@@ -191,11 +191,16 @@
 	return a
 }
 
-// MarkSent records that bytes of the call may reach the server from now on.
-func (a *Attempt) MarkSent() {
+// MarkSent records that bytes of the call may reach the server from now on. It returns false if
+// none may be sent, since the tokens of the attempt have lapsed.
+func (a *Attempt) MarkSent() bool {
+	if !a.slot.sent.Load() && !a.renewCharge() {
+		return false
+	}
 	if a.slot.sent.CompareAndSwap(false, true) {
 		a.slot.call.sent.Add(1)
 	}
+	return true
 }
 
 // progressBytes is the number of bytes that count as progress of an answer. A byte now
--- a/internal/dispatch/callrunner.go
+++ b/internal/dispatch/callrunner.go
@@ -189,6 +189,9 @@
 		if a.err == nil {
 			a.answer, a.err = r.call.Message.Open(a.ctx, a)
 		}
+		if a.err != nil && errors.Is(context.Cause(a.ctx), errLapsed) {
+			a.err = errLapsed
+		}
 		if a.err == nil {
 			now := time.Now()
 			taken.recordAnswer(now)
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -88,7 +88,10 @@
 // try sends a request to one node. sent reports whether that may have run it.
 func (f *Forwarder) try(ctx context.Context, request *http.Request) (response *http.Response, sent bool, err error) {
 	var written atomic.Bool
-	sends := &backend.Sends{OnSend: func() { written.Store(true) }}
+	sends := &backend.Sends{OnSend: func() bool {
+		written.Store(true)
+		return true
+	}}
 	response, err = f.Transport.RoundTrip(request.WithContext(sends.Trace(ctx)))
 	if err != nil {
 		return nil, written.Load(), err
--- a/internal/quota/charge.go
+++ b/internal/quota/charge.go
@@ -2,26 +2,23 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/guavatrack/guavatrack/internal/dispatch"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
-// charge is the account of an organisation as one call sees it.
-type charge struct {
+// organisationAccount is the account of an organisation as one call sees it.
+type organisationAccount struct {
 	controller   *Controller
 	organisation fleet.OrganisationID
-
-	mu sync.Mutex
-	// spent holds what attempts of the call have spent.
-	spent []credit
 }
 
-var _ dispatch.Account = (*charge)(nil)
+var _ dispatch.Account = (*organisationAccount)(nil)
 
 // Admit implements [dispatch.Account].
-func (a *charge) Admit(tokens int) error {
+func (a *organisationAccount) Admit(tokens int) error {
 	c := a.controller
 	now := c.Clock()
 	c.mu.Lock()
@@ -36,31 +33,62 @@
 }
 
 // Spend implements [dispatch.Account].
-func (a *charge) Spend(ctx context.Context, tokens int) error {
-	result := a.controller.spend(ctx, a.organisation, min(Tokens(tokens), maxAmount))
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.spent = append(a.spent, result.spent...)
-	return result.err
+func (a *organisationAccount) Spend(ctx context.Context, tokens int) (dispatch.Charge, error) {
+	need := min(Tokens(tokens), maxAmount)
+	result := a.controller.spend(ctx, a.organisation, need)
+	if result.err != nil {
+		return nil, result.err
+	}
+	return &charge{controller: a.controller, organisation: a.organisation, tokens: need, spent: result.spent}, nil
+}
+
+// charge is the tokens of one attempt.
+type charge struct {
+	controller   *Controller
+	organisation fleet.OrganisationID
+	tokens       Tokens
+
+	mu    sync.Mutex
+	spent []credit
 }
 
-// Refund implements [dispatch.Account]. What has lapsed is not given back.
-func (a *charge) Refund(tokens int) {
+var _ dispatch.Charge = (*charge)(nil)
+
+// Renew implements [dispatch.Charge].
+func (a *charge) Renew() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	c := a.controller
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	held := c.wallet(a.organisation)
-	for left := Tokens(tokens); left > 0 && len(a.spent) > 0; {
-		last := &a.spent[len(a.spent)-1]
-		part := min(left, last.tokens)
-		held.add(credit{tokens: part, expires: last.expires, grantedAt: last.grantedAt})
-		left -= part
-		if last.tokens -= part; last.tokens == 0 {
-			a.spent = a.spent[:len(a.spent)-1]
-		}
+	now := c.Clock()
+	if !slices.ContainsFunc(a.spent, func(spent credit) bool { return now >= spent.expires }) {
+		return true
+	}
+	spent, enough := c.wallet(a.organisation).take(now, a.tokens)
+	if enough {
+		a.refund()
+		a.spent = spent
+	}
+	return enough
+}
+
+// Refund implements [dispatch.Charge]. What has lapsed is not given back.
+func (a *charge) Refund() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.controller.mu.Lock()
+	defer a.controller.mu.Unlock()
+	a.refund()
+}
+
+// refund puts the tokens back. The caller holds both locks.
+func (a *charge) refund() {
+	held := a.controller.wallet(a.organisation)
+	for _, spent := range a.spent {
+		held.add(spent)
 	}
+	a.spent = nil
 }
 
 // spend takes tokens for an attempt, and waits for them if this node has too few.
--- a/internal/quota/controller.go
+++ b/internal/quota/controller.go
@@ -562,5 +562,5 @@
 
 // Account returns the account of an organisation for one call.
 func (c *Controller) Account(id fleet.OrganisationID) dispatch.Account {
-	return &charge{controller: c, organisation: id}
+	return &organisationAccount{controller: c, organisation: id}
 }
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -131,7 +131,7 @@
 	account := node.Account(id)
 	err := account.Admit(tokens)
 	if err == nil {
-		err = account.Spend(ctx, tokens)
+		_, err = account.Spend(ctx, tokens)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/quota/owner_test.go
+++ b/internal/quota/owner_test.go
@@ -14,6 +14,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/guavatrack/guavatrack/internal/dispatch"
 	"github.com/guavatrack/guavatrack/internal/lease"
 	"github.com/guavatrack/guavatrack/internal/peer/peertest"
 	"github.com/guavatrack/guavatrack/internal/quota"
@@ -314,3 +315,31 @@
 		f.Check(ok && refused.Reason == refusal.NoServer, qt.IsTrue)
 	})
 }
+
+// TestChargeLapses guards against a node that was suspended after it took tokens and sends its
+// request a window later, and against tokens of an attempt that has not run being lost or given
+// back twice.
+func TestChargeLapses(t *testing.T) {
+	inFleet(t, 2, map[fleet.OrganisationID]*roster.Quota{"o": leasedQuota}, func(f *testFleet) {
+		time.Sleep(20 * time.Second)
+		account := f.nodes[1].Account("o")
+		spend := func() dispatch.Charge {
+			charge, err := account.Spend(context.Background(), 1000)
+			f.Assert(err, qt.IsNil)
+			return charge
+		}
+		charge := spend()
+		asked := f.messages.Load()
+		f.Check(charge.Renew(), qt.IsTrue)
+		charge.Refund()
+		charge.Refund()
+		charge = spend()
+		f.Check(f.messages.Load(), qt.Equals, asked)
+		time.Sleep(600 * time.Millisecond)
+		f.Check(charge.Renew(), qt.IsFalse)
+		other := spend()
+		f.Check(f.messages.Load() > asked, qt.IsTrue)
+		other.Refund()
+		f.Check(charge.Renew(), qt.IsTrue)
+	})
+}
