One token bucket for limits that servers name and for quotas

Cause: internal/ratelimit and internal/quota each had one. Change: internal/tokenbucket holds the level, filling, debt and the time until an amount is there; each package keeps its own clock. Owner, requests and answers stay apart (the reason is in docs/design/quotas.md). Measured: tests of tokenbucket, ratelimit and quota pass, the first two with -race -cpu 1 too.

--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/guavatrack/guavatrack/internal/roster"
+	"github.com/guavatrack/guavatrack/internal/tokenbucket"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
@@ -60,7 +61,7 @@
 type account struct {
 	// quota is the one that was last in force.
 	quota roster.Quota
-	level float64
+	level tokenbucket.Bucket
 	asOf  time.Duration
 	// granted is what counts against the quota in force, all what counts against the highest
 	// of the last window, highest, which is in force or was until highestUntil.
@@ -122,10 +123,9 @@
 		l.accounts[id] = a
 	}
 	if elapsed := now - a.asOf; elapsed > 0 {
-		filled := elapsed.Seconds() * quota.PerSecond
-		a.level, a.backlog, a.asOf = a.level+filled, max(0, a.backlog-filled), now
+		a.backlog = max(0, a.backlog-a.level.Fill(elapsed, quota.PerSecond, capacity(quota)))
+		a.asOf = now
 	}
-	a.level = min(a.level, capacity(quota))
 	a.granted.advance(now)
 	a.all.advance(now)
 	l.follow(now, a, quota)
@@ -161,7 +161,7 @@
 		}
 		quota := a.quota
 		idle := now - a.asOf
-		isFull := a.level+idle.Seconds()*quota.PerSecond >= capacity(&quota) && (now-l.openedAt).Seconds()*quota.PerSecond >= capacity(&quota)
+		isFull := a.level.Missing(capacity(&quota)) <= idle.Seconds()*quota.PerSecond && (now-l.openedAt).Seconds()*quota.PerSecond >= capacity(&quota)
 		if isFull && idle > a.granted.span+slotTime && a.backlog <= idle.Seconds()*quota.PerSecond {
 			delete(l.accounts, id)
 		}
@@ -196,14 +196,14 @@
 	a := l.account(now, id, quota)
 	room := min(l.mostInWindow(quota)-a.granted.sum, a.highest-a.all.sum)
 	// A request that is larger than the bucket takes it into debt: it would else never run.
-	if required := min(float64(need), capacity(quota)); a.level < required || room < float64(need) {
+	if required := min(float64(need), capacity(quota)); a.level.Missing(required) > 0 || room < float64(need) {
 		grant.RetryIn = a.readyIn(now, required, l.mostInWindow(quota)-float64(need), quota.PerSecond)
 		grant.Began, a.over, a.refusedAt = !a.over, true, now
 		return grant, nil
 	}
-	spare := math.Floor(min(a.level, room))
+	spare := math.Floor(min(float64(a.level), room))
 	grant.Tokens = max(need, Tokens(min(float64(want), max(spare, 0))))
-	a.level -= float64(grant.Tokens)
+	a.level.Take(float64(grant.Tokens))
 	a.granted.add(float64(grant.Tokens))
 	a.all.add(float64(grant.Tokens))
 	a.recordGrant(now, node, grant.Tokens)
@@ -216,9 +216,8 @@
 // readyIn returns the time until a need may be met: until the bucket holds what is required
 // besides the backlog, and no more than most is left in the window.
 func (a *account) readyIn(now time.Duration, required, most, perSecond float64) time.Duration {
-	missing := max(0, required-a.level) + a.backlog
-	filled := time.Duration(min(missing/perSecond, a.granted.span.Seconds()) * float64(time.Second))
-	return max(filled, a.granted.roomIn(now, most), slotTime)
+	missing := min(a.level.Missing(required)+a.backlog, perSecond*a.granted.span.Seconds())
+	return max(tokenbucket.FillTime(missing, perSecond), a.granted.roomIn(now, most), slotTime)
 }
 
 // Refused records that a node has refused requests of so many tokens. It fails with
--- a/internal/ratelimit/limit.go
+++ b/internal/ratelimit/limit.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/guavatrack/guavatrack/internal/tokenbucket"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
@@ -55,8 +56,8 @@
 
 // bucket hands out tokens at a rate.
 type bucket struct {
-	level float64
-	asOf  time.Time
+	tokenbucket.Bucket
+	asOf time.Time
 }
 
 // burstTime is the time whose tokens a bucket holds at most, in addition to one.
@@ -64,20 +65,16 @@
 
 // fill adds the tokens of the time since the last call.
 func (b *bucket) fill(now time.Time, rate Rate) {
-	if elapsed := now.Sub(b.asOf).Seconds(); elapsed > 0 {
-		most := 1 + float64(rate)*burstTime.Seconds()
-		b.level = min(b.level+elapsed*float64(rate), most)
+	if elapsed := now.Sub(b.asOf); elapsed > 0 {
+		b.Fill(elapsed, float64(rate), 1+float64(rate)*burstTime.Seconds())
 		b.asOf = now
 	}
 }
 
 // whole returns the number of whole tokens in the bucket.
-func (b *bucket) whole() int { return int(min(max(b.level, 0), math.MaxInt32)) }
+func (b *bucket) whole() int { return int(min(max(b.Bucket, 0), math.MaxInt32)) }
 
 // readyIn returns the time until the bucket has a whole token.
 func (b *bucket) readyIn(rate Rate) time.Duration {
-	if b.level >= 1 {
-		return 0
-	}
-	return time.Duration((1 - b.level) / float64(rate) * float64(time.Second))
+	return tokenbucket.FillTime(b.Missing(1), float64(rate))
 }
--- a/internal/ratelimit/server.go
+++ b/internal/ratelimit/server.go
@@ -78,7 +78,7 @@
 		return false
 	}
 	if s.own {
-		s.bucket.level--
+		s.bucket.Take(1)
 	} else {
 		s.tokens--
 	}
@@ -105,7 +105,7 @@
 		if s.late {
 			s.opensAt = now.Add(tokenLifetime)
 		}
-		s.bucket = bucket{level: 1, asOf: s.opensAt}
+		s.bucket = bucket{Bucket: 1, asOf: s.opensAt}
 	}
 	if !own && owner != s.owner {
 		s.tokens, s.askAt = 0, now
@@ -141,6 +141,6 @@
 	}
 	s.askedAt[node] = now
 	tokens = min(max(wanted, 0), s.available(now, s.Boot))
-	s.bucket.level -= float64(tokens)
+	s.bucket.Take(float64(tokens))
 	return tokens, s.readyIn(now, s.Boot)
 }
