--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -14,7 +14,7 @@
 
 const (
 	// ConnectionMemory is the memory of a connection in bytes: its two goroutines, the buffers of
-	// net/http and a short header. 600 connections took 17.5 KiB each, garbage included.
+	// net/http and a short header. 600 connections took about 18 KiB each, garbage included.
 	ConnectionMemory = 16 << 10
 	// freeHeaderMemory is the memory of a header that is part of ConnectionMemory. More is reserved
 	// in steps of headerStep.
