Quotas: the owner has nodes space their requests if they send too many

Cause: a message a request: 13,000 a second at 410 nodes, for an owner with less than a core. Records of grants are dropped from the front.

--- a/internal/quota/controller.go
+++ b/internal/quota/controller.go
@@ -105,11 +105,15 @@
 	// claimants reads the lease.
 	failedAsks             int
 	failedSince, suspectAt time.Duration
+	// askAfter is when the owner may be asked again, as it has told.
+	askAfter time.Duration
 	// answeredAt is when an owner last answered; 0 if none has.
 	answeredAt time.Duration
 
 	ledgerMu sync.Mutex
 	ledger   Ledger
+	// load limits the requests of all nodes.
+	load askLoad
 	// askedAt is when another node last asked this one.
 	askedAt time.Duration
 	// term is the term for which the ledger is open; 0 if it was never.
@@ -190,8 +194,11 @@
 	Owner    fleet.NodeID `json:"owner,omitempty"`
 	Deputy   fleet.NodeID `json:"deputy,omitempty"`
 	// At is the time of the grants by the clock of the owner.
-	At      time.Duration `json:"at,omitempty"`
-	Entries []grantEntry  `json:"entries,omitempty"`
+	At time.Duration `json:"at,omitempty"`
+	// PauseMs is the time that the node waits between two requests, since all nodes together
+	// send too many.
+	PauseMs int64        `json:"pauseMs,omitempty"`
+	Entries []grantEntry `json:"entries,omitempty"`
 }
 
 // Register registers the methods that nodes call on each other.
@@ -253,13 +260,21 @@
 			continue
 		}
 		c.wake.Wait(ctx, c.nextCheck())
-		for ctx.Err() == nil && c.askOnce(ctx) {
+		for c.awaitPause(ctx) && c.askOnce(ctx) {
 		}
 		c.recordOwner()
 	}
 	return ctx.Err()
 }
 
+// awaitPause waits until the owner may be asked again, and reports whether the context is active.
+func (c *Controller) awaitPause(ctx context.Context) bool {
+	c.mu.Lock()
+	pause := c.askAfter - c.Clock()
+	c.mu.Unlock()
+	return wait.For(ctx, min(pause, maxPause))
+}
+
 // nextCheck returns the time until the owner may have tokens for an attempt that waits, at
 // most checkInterval.
 func (c *Controller) nextCheck() time.Duration {
@@ -474,6 +489,7 @@
 		c.Log.Info("owner of the accounts answers", slog.String("node", string(response.Owner)),
 			slog.Int("failedBefore", c.failedAsks), slog.Duration("noneFor", now-c.failedSince))
 	}
+	c.askAfter = asked + min(time.Duration(response.PauseMs)*time.Millisecond, maxPause)
 	c.owner, c.deputy, c.failedAsks, c.answeredAt = response.Owner, response.Deputy, 0, now
 	for _, entry := range response.Entries {
 		held := c.wallet(entry.Organisation)
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -243,7 +243,7 @@
 		perSecond float64
 		messages  float64
 		bytes     float64
-	}{{84, 350, 1.1, 300}, {410, 13_000, 1.1, 300}} {
+	}{{84, 350, 1.1, 200}, {410, 13_000, 0.6, 150}} {
 		quotas := make(map[fleet.OrganisationID]*roster.Quota)
 		for i := range organisations {
 			quotas[fleet.OrganisationID(fmt.Sprint("organisation-", i))] = &roster.Quota{PerSecond: 5000 * size.perSecond / organisations, Burst: 10_000 * size.perSecond / organisations}
@@ -268,3 +268,22 @@
 		})
 	}
 }
+
+// BenchmarkAsk is one request for tokens, with the encoding of both messages.
+func BenchmarkAsk(b *testing.B) {
+	f := &testFleet{owner: "n0", term: 1, began: time.Now().Add(-time.Minute)}
+	f.setQuotas(map[fleet.OrganisationID]*roster.Quota{"o": {PerSecond: 1e9, Burst: 1e9}})
+	peers := peertest.Endpoint{Network: &f.network, Node: "n0"}
+	node := &quota.Controller{
+		Node: "n0", Lease: &oneLease{fleet: f, node: "n0"}, Peers: peers, Manifest: f.manifest.Load,
+		Clock: func() time.Duration { return time.Since(f.began) },
+	}
+	node.Register()
+	request := json.RawMessage(`{"node":"n1","entries":[{"organisation":"o","need":2000,"want":2000}]}`)
+	for b.Loop() {
+		var answer json.RawMessage
+		if err := peers.Call(context.Background(), "n0", "quota.ask", request, &answer); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -170,7 +170,10 @@
 
 // dropOld drops the records of grants to a node that can no longer be given back.
 func (a *account) dropOld(now time.Duration, node fleet.NodeID) {
-	kept := slices.DeleteFunc(a.outstanding[node], func(o outstanding) bool { return now-o.grantedAt > returnTime })
+	kept := a.outstanding[node]
+	for len(kept) > 0 && now-kept[0].grantedAt > returnTime {
+		kept = kept[1:]
+	}
 	if len(kept) == 0 {
 		delete(a.outstanding, node)
 		return
--- a/internal/quota/owner.go
+++ b/internal/quota/owner.go
@@ -27,6 +27,7 @@
 	defer c.ledgerMu.Unlock()
 	if request.Node != c.Node {
 		c.askedAt = c.Clock()
+		response.PauseMs = c.load.pauseAfter(c.askedAt, request.Node).Milliseconds()
 	}
 	// The right to grant is checked here, right before: the process may have been suspended.
 	now, holds := c.open()
