--- a/internal/quota/owner_test.go
+++ b/internal/quota/owner_test.go
@@ -220,6 +220,22 @@
 	})
 }
 
+// TestOwnerThatLeavesIsReplaced guards against a planned stop of the owner that stops an
+// organisation for as long as its loss.
+func TestOwnerThatLeavesIsReplaced(t *testing.T) {
+	inLeasedFleet(t, 7, leasedQuota, func(f *leasedFleet) {
+		f.load("o", 2*leasedQuota.PerSecond, 20*time.Second, f.from(1))
+		time.Sleep(10 * time.Second)
+		f.leases[0].Release(context.Background())
+		time.Sleep(8 * time.Second)
+		gap := f.gap(9 * time.Second)
+		f.Logf("no request sent for %v", gap)
+		f.Check(gap <= 2*time.Second, qt.IsTrue)
+		f.requests.Wait()
+		f.checkNeverOver("o", leasedQuota)
+	})
+}
+
 // TestStoreIsCalledForRenewalsOnly guards against nodes that read the store in calm, or each of
 // them while an owner is replaced, and against renewals without a quota.
 func TestStoreIsCalledForRenewalsOnly(t *testing.T) {
