--- a/internal/quota/ledger_test.go
+++ b/internal/quota/ledger_test.go
@@ -193,8 +193,8 @@
 // messages late, lost or out of order, nodes suspended before they send or lost, owners that
 // follow each other at any time, quotas that change.
 func TestNeverOverTheQuota(t *testing.T) {
-	// Of 300 plays at least one finds each fault that was tried: a new owner that counts too
-	// little of what the one before granted, tokens given back that count at another time.
+	// Of 300 plays at least one finds each of these faults: a new owner that counts too little
+	// of what the one before granted, no window, credits that do not lapse.
 	const playsPerCheck = 3
 	rapid.Check(t, func(rt *rapid.T) {
 		for range playsPerCheck {
