A new owner of the accounts is announced, also on the VM of the last one

Cause: after a restart of all nodes only the node on the last owner's VM may claim the lease at once. And nodes found a new owner by asking one node after the other, the last one 2 s after the accounts were open. Change: answers of nodes that are not the owner name its VM, and a node on that VM claims; a new owner publishes an urgent fact.

--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -203,6 +203,7 @@
 		wait.For(ctx, urgentNoticeInterval)
 		n.components.Poison.Receive()
 		n.components.RateLimits.Receive()
+		n.components.Quotas.Receive()
 		if read%urgentReads == 0 {
 			n.components.LeaveNotices.Receive()
 		}
--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -213,8 +213,8 @@
 	registry metrics.Registry,
 ) *quota.Controller {
 	return &quota.Controller{
-		Node: n.ID, Lease: owner, Peers: peers, Manifest: func() *roster.Manifest { return rosterController.View().Manifest },
-		Claimants: func() []fleet.NodeID { return claimants(members) }, Log: n.Log, Metrics: registry,
+		Node: n.ID, VM: n.vmID(), Lease: owner, Peers: peers, Manifest: func() *roster.Manifest { return rosterController.View().Manifest },
+		Claimants: func() []fleet.NodeID { return claimants(members) }, Facts: members, Log: n.Log, Metrics: registry,
 	}
 }
 
--- a/internal/lease/controller.go
+++ b/internal/lease/controller.go
@@ -286,6 +286,15 @@
 	c.Log.Info("lease gained", slog.Uint64("fencing", uint64(record.Fencing)), slog.Duration("actsIn", max(0, handoverLeft)))
 }
 
+// HolderVM returns the VM that held the lease when the record was last read; empty if it is
+// unknown. A process that starts on it may claim the lease at once.
+func (c *Controller) HolderVM() string {
+	c.init()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.State.record.Holder
+}
+
 // mayClaimAtOnce reports whether this process may claim the lease without the claim
 // delay. The caller holds the lock.
 func (c *Controller) mayClaimAtOnce() bool {
--- a/internal/quota/controller.go
+++ b/internal/quota/controller.go
@@ -14,6 +14,7 @@
 
 	"github.com/guavatrack/guavatrack/internal/dispatch"
 	"github.com/guavatrack/guavatrack/internal/logs"
+	"github.com/guavatrack/guavatrack/internal/member"
 	"github.com/guavatrack/guavatrack/internal/metric"
 	"github.com/guavatrack/guavatrack/internal/peer"
 	"github.com/guavatrack/guavatrack/internal/roster"
@@ -62,6 +63,8 @@
 	Suspect()
 	Suspected() bool
 	ClearSuspicion()
+	// HolderVM returns the VM of the owner, as last read; empty if unknown.
+	HolderVM() string
 	// Unpromised returns how long this node has been the owner without a promise of a deputy
 	// that it named.
 	Unpromised() time.Duration
@@ -70,9 +73,13 @@
 // Controller holds this node's tokens and, while it is the owner, the accounts. Its exported
 // fields are set before Register.
 type Controller struct {
-	Node  fleet.NodeID
+	Node fleet.NodeID
+	// VM is the VM of this node as the lease names it.
+	VM    string
 	Lease Lease
 	Peers Peers
+	// Facts tell the other nodes of a new owner; nil if they find out by asking.
+	Facts member.FactStore
 	// Manifest returns the manifest in force; nil if there is none.
 	Manifest func() *roster.Manifest
 	// Claimants returns the nodes that may become the owner, the first to claim first. The
@@ -93,6 +100,9 @@
 		owner                                               metrics.Gauge
 	}
 	wake wait.Signal
+	// ownerNamed ends the pause after a request that no owner answered.
+	ownerNamed wait.Signal
+	notices    member.Notices[ownerNotice]
 
 	mu      sync.Mutex
 	wallets map[fleet.OrganisationID]*wallet
@@ -100,6 +110,11 @@
 	owner, deputy fleet.NodeID
 	// named is set if a node that is not the owner has named the one in owner.
 	named bool
+	// onHolderVM is set if another node has said, since an owner last answered, that the last
+	// one ran on this VM.
+	onHolderVM bool
+	// namedTerm is the latest term of which a notice has named the owner.
+	namedTerm fleet.FencingNumber
 	// failedAsks counts the failed requests since the last answer of an owner, failedSince is
 	// when the first of them was sent. suspectAt is when a node that is none of the first
 	// claimants reads the lease.
@@ -193,6 +208,8 @@
 	NotOwner bool         `json:"notOwner,omitempty"`
 	Owner    fleet.NodeID `json:"owner,omitempty"`
 	Deputy   fleet.NodeID `json:"deputy,omitempty"`
+	// HolderVM is the VM of the last owner that the node has read of.
+	HolderVM string `json:"holderVm,omitempty"`
 	// At is the time of the grants by the clock of the owner.
 	At time.Duration `json:"at,omitempty"`
 	// PauseMs is the time that the node waits between two requests, since all nodes together
@@ -216,6 +233,8 @@
 		c.Clock = wait.BootTime
 	}
 	c.wake, c.wallets, c.ledger.Window = wait.NewSignal(), make(map[fleet.OrganisationID]*wallet), c.Window
+	c.ownerNamed = wait.NewSignal()
+	c.notices = member.Notices[ownerNotice]{Kind: noticeKind, Node: c.Node, Facts: c.Facts, Log: c.Log}
 	c.Peers.Handle(askMethod, peer.Typed(c.handleAsk))
 }
 
@@ -307,8 +326,7 @@
 	}
 	response, err := c.send(ctx, target, request)
 	if err != nil {
-		pause := c.recordFailure(now, target, awaited, err)
-		wait.For(ctx, pause)
+		c.ownerNamed.Wait(ctx, c.recordFailure(now, target, awaited, err))
 		return awaited
 	}
 	return c.receive(now, response)
@@ -389,6 +407,15 @@
 	return len(claimants) < firstClaimants || slices.Contains(claimants, c.Node)
 }
 
+// claimsFirst reports whether this node reads the lease if no owner answers: also on the VM of
+// the last owner, since only a node there may claim the lease at once after a restart of all.
+func (c *Controller) claimsFirst() bool {
+	c.mu.Lock()
+	onHolderVM := c.onHolderVM
+	c.mu.Unlock()
+	return onHolderVM || c.isFirstClaimant()
+}
+
 // target returns the node to ask: the owner, its deputy and the first claimants in turn while
 // none answers. The caller holds the lock.
 func (c *Controller) target(claimants []fleet.NodeID) fleet.NodeID {
@@ -449,12 +476,13 @@
 	if response.Deputy != "" {
 		c.deputy = response.Deputy
 	}
+	c.onHolderVM = c.onHolderVM || c.VM != "" && response.HolderVM == c.VM
 }
 
 // recordFailure records that no owner answered a request sent at a time, and returns the time
 // until the next one. The tokens that were given back are lost.
 func (c *Controller) recordFailure(asked time.Duration, target fleet.NodeID, awaited bool, err error) (pause time.Duration) {
-	first := c.isFirstClaimant()
+	first := c.claimsFirst()
 	now := c.Clock()
 	c.mu.Lock()
 	if c.failedAsks == 0 {
@@ -491,6 +519,7 @@
 	}
 	c.askAfter = asked + min(time.Duration(response.PauseMs)*time.Millisecond, maxPause)
 	c.owner, c.deputy, c.failedAsks, c.answeredAt = response.Owner, response.Deputy, 0, now
+	c.onHolderVM = false
 	for _, entry := range response.Entries {
 		held := c.wallet(entry.Organisation)
 		held.unknown = entry.Unknown
@@ -537,7 +566,7 @@
 // wait: one of them becomes the owner if there is none.
 func (c *Controller) awaitOwner(ctx context.Context) {
 	wait.Until(ctx, suspectInterval, checkInterval, func() bool {
-		return c.isFirstClaimant() || !c.Lease.Suspected()
+		return c.claimsFirst() || !c.Lease.Suspected()
 	})
 }
 
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -45,6 +45,7 @@
 }
 func (l *oneLease) Deputy() fleet.NodeID      { return "" }
 func (l *oneLease) Unpromised() time.Duration { return 0 }
+func (l *oneLease) HolderVM() string          { return "" }
 func (l *oneLease) Suspect()                  { l.suspected.Store(true) }
 func (l *oneLease) Suspected() bool           { return l.suspected.Load() }
 func (l *oneLease) ClearSuspicion()           { l.suspected.Store(false) }
--- a/internal/quota/owner.go
+++ b/internal/quota/owner.go
@@ -57,6 +57,7 @@
 		c.ledger.Open(now)
 		c.term = term
 		c.Log.Info("accounts of organisations opened", slog.Uint64("term", uint64(term)))
+		c.announce(term)
 	}
 	return now, holds
 }
@@ -71,7 +72,7 @@
 		return askResponse{NotOwner: true, Owner: owner}
 	}
 	c.Lease.Suspect()
-	return askResponse{NotOwner: true, Owner: c.Lease.Holder(), Deputy: c.Lease.Deputy()}
+	return askResponse{NotOwner: true, Owner: c.Lease.Holder(), Deputy: c.Lease.Deputy(), HolderVM: c.Lease.HolderVM()}
 }
 
 // grant handles the request of a node for one organisation. The caller holds the lock of the
--- a/internal/quota/owner_test.go
+++ b/internal/quota/owner_test.go
@@ -90,12 +90,15 @@
 	return nodes
 }
 
-// add adds a node.
-func (f *leasedFleet) add(i int) {
+// add adds a node on a VM of its own.
+func (f *leasedFleet) add(i int) { f.addOn(i, fmt.Sprint("n", i)) }
+
+// addOn adds a node on a VM.
+func (f *leasedFleet) addOn(i int, vm string) {
 	id := fleet.NodeID(fmt.Sprint("n", i))
 	clock := func() time.Duration { return time.Since(f.began) }
 	controller := &lease.Controller{
-		Name: "quota", State: lease.State{VM: string(id), Node: id, LeaseDuration: 8 * time.Second, ShortLeaseDuration: time.Second},
+		Name: "quota", State: lease.State{VM: vm, Node: id, LeaseDuration: 8 * time.Second, ShortLeaseDuration: time.Second},
 		Store: f.store, Key: table.Key{Partition: "quota", Sort: "lease"}, Peers: peertest.Endpoint{Network: &f.network, Node: id},
 		Clock: clock, ClaimDelay: func() time.Duration { return min(2*time.Second, time.Duration(i)*150*time.Millisecond) },
 		Deputies: func() (others []fleet.NodeID) {
@@ -108,7 +111,7 @@
 		},
 	}
 	node := &quota.Controller{
-		Node: id, Lease: controller, Peers: countedPeers{peertest.Endpoint{Network: &f.network, Node: id}, f.testFleet},
+		Node: id, VM: vm, Lease: controller, Peers: countedPeers{peertest.Endpoint{Network: &f.network, Node: id}, f.testFleet},
 		Manifest: f.manifest.Load, Clock: clock, Claimants: f.members, Log: slog.New(slog.NewTextHandler(&f.logs, nil)),
 	}
 	controller.Register()
@@ -201,6 +204,35 @@
 	}
 }
 
+// TestOwnerFollowsARestartOfAllNodes guards against organisations that are refused until the lease
+// has expired: after a restart of all nodes only the one on the last owner's VM may claim it
+// sooner, and that need not be among the first claimants.
+func TestOwnerFollowsARestartOfAllNodes(t *testing.T) {
+	inLeasedFleet(t, 7, leasedQuota, func(f *leasedFleet) {
+		f.Assert(f.holder(), qt.Equals, 0)
+		for i := range 7 {
+			f.lose(i)
+		}
+		time.Sleep(time.Second)
+		var group sync.WaitGroup
+		for i := range 7 {
+			f.addOn(7+i, fmt.Sprint("n", 6-i))
+		}
+		for i := range 7 {
+			f.start(7+i, &group)
+		}
+		f.load("o", leasedQuota.PerSecond, 6*time.Second, f.from(7))
+		time.Sleep(4 * time.Second)
+		f.Check(f.holder(), qt.Equals, 13)
+		f.Check(f.gap(time.Second) <= time.Second/2, qt.IsTrue)
+		f.requests.Wait()
+		for i := range 7 {
+			f.stops[7+i]()
+		}
+		group.Wait()
+	})
+}
+
 // TestOwnerCutOffGrantsNoMore guards against two owners: one that is cut off from all nodes but
 // not from the store goes on while its deputy has taken the lease.
 func TestOwnerCutOffGrantsNoMore(t *testing.T) {
