--- a/internal/quota/controller.go
+++ b/internal/quota/controller.go
@@ -166,7 +166,7 @@
 	maxEntries = 10_000
 	// noOwnerRetryAfter is the Retry-After while no owner answers: about the time that
 	// another one takes to follow.
-	noOwnerRetryAfter = time.Second
+	noOwnerRetryAfter = 1500 * time.Millisecond
 )
 
 // askEntry asks for tokens of one organisation, and gives back others.
@@ -378,7 +378,7 @@
 	if c.failedAsks > 0 || held.unknown {
 		c.meters.noOwner.Inc(1)
 		return &refusal.Refusal{
-			Reason: refusal.NoServer, Message: "the quota of the organisation cannot be read", RetryAfter: noOwnerRetryAfter,
+			Reason: refusal.NoServer, Message: "the quota of the organisation cannot be read", RetryAfter: spread(noOwnerRetryAfter),
 		}
 	}
 	c.meters.refused.Inc(1)
