Edge of callers and accounts of quotas: files by concept

Change: attributes of calls, reading of bodies, messages and the choice of who claims the lease have files of their own; no behaviour changes.

--- a/internal/quota/controller.go
+++ b/internal/quota/controller.go
@@ -169,55 +169,6 @@
 	noOwnerRetryAfter = 1500 * time.Millisecond
 )
 
-// askEntry asks for tokens of one organisation, and gives back others.
-type askEntry struct {
-	Organisation fleet.OrganisationID `json:"organisation"`
-	// Need is the smallest amount that is of use; Want the whole.
-	Need     Tokens        `json:"need,omitempty"`
-	Want     Tokens        `json:"want,omitempty"`
-	GiveBack []givenCredit `json:"giveBack,omitempty"`
-	// Refused are the tokens of requests that the node has refused since it last asked.
-	Refused Tokens `json:"refused,omitempty"`
-}
-
-// givenCredit is a part of a grant that the node gives back.
-type givenCredit struct {
-	// GrantedAt is [askResponse.At] of the grant.
-	GrantedAt time.Duration `json:"grantedAt"`
-	Tokens    Tokens        `json:"tokens"`
-}
-
-// askRequest asks the owner for tokens.
-type askRequest struct {
-	Node    fleet.NodeID `json:"node"`
-	Entries []askEntry   `json:"entries"`
-}
-
-// grantEntry is what the owner grants for one organisation.
-type grantEntry struct {
-	Organisation fleet.OrganisationID `json:"organisation"`
-	Tokens       Tokens               `json:"tokens,omitempty"`
-	RetryInMs    int64                `json:"retryInMs,omitempty"`
-	// Unknown reports that the owner's manifest has no quota of the organisation: one of the
-	// two nodes does not have the latest manifest yet.
-	Unknown bool `json:"unknown,omitempty"`
-}
-
-// askResponse is the answer of the owner, or of a node that is not.
-type askResponse struct {
-	NotOwner bool         `json:"notOwner,omitempty"`
-	Owner    fleet.NodeID `json:"owner,omitempty"`
-	Deputy   fleet.NodeID `json:"deputy,omitempty"`
-	// HolderVM is the VM of the last owner that the node has read of.
-	HolderVM string `json:"holderVm,omitempty"`
-	// At is the time of the grants by the clock of the owner.
-	At time.Duration `json:"at,omitempty"`
-	// PauseMs is the time that the node waits between two requests, since all nodes together
-	// send too many.
-	PauseMs int64        `json:"pauseMs,omitempty"`
-	Entries []grantEntry `json:"entries,omitempty"`
-}
-
 // Register registers the methods that nodes call on each other.
 func (c *Controller) Register() {
 	c.Log = logs.OrDiscard(c.Log)
@@ -392,30 +343,6 @@
 // same time.
 func spread(d time.Duration) time.Duration { return d + time.Duration(rand.Float64()*float64(d)/2) }
 
-// firstClaimants returns the nodes that read the lease if no owner answers.
-func (c *Controller) firstClaimants() []fleet.NodeID {
-	if c.Claimants == nil {
-		return []fleet.NodeID{c.Node}
-	}
-	claimants := c.Claimants()
-	return claimants[:min(firstClaimants, len(claimants))]
-}
-
-// isFirstClaimant reports whether this node reads the lease if no owner answers.
-func (c *Controller) isFirstClaimant() bool {
-	claimants := c.firstClaimants()
-	return len(claimants) < firstClaimants || slices.Contains(claimants, c.Node)
-}
-
-// claimsFirst reports whether this node reads the lease if no owner answers: also on the VM of
-// the last owner, since only a node there may claim the lease at once after a restart of all.
-func (c *Controller) claimsFirst() bool {
-	c.mu.Lock()
-	onHolderVM := c.onHolderVM
-	c.mu.Unlock()
-	return onHolderVM || c.isFirstClaimant()
-}
-
 // target returns the node to ask: the owner, its deputy and the first claimants in turn while
 // none answers. The caller holds the lock.
 func (c *Controller) target(claimants []fleet.NodeID) fleet.NodeID {
