--- a/internal/hostile/crowd_test.go
+++ b/internal/hostile/crowd_test.go
@@ -49,8 +49,8 @@
 
 // header returns the header of a request, without the empty line at its end.
 func (t target) header(method string, index int, fields string) string {
-	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nGuavatrack-Attempt-Id: hostile-%d\r\nGuavatrack-Deadline-Ms: 4000\r\n%s",
-		method, t.path, standin.Host, index, fields)
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s%s",
+		method, t.path, standin.Host, standin.RequestHead(fmt.Sprint("hostile-", index), 4000), fields)
 }
 
 // framed returns a message to the port for other nodes.
