A cut-off owner of the accounts leaves the lease alone for longer than it lasts

Cause: found by reading the change. The pause was written as longer than a lease when that lasted 8 s; the lease was lengthened to 16 s, the pause stayed at 10 s. A cut-off owner without a deputy would have renewed the lease before another node could claim it. Change: 20 s. This changes behaviour for such an owner only.

--- a/internal/quota/controller.go
+++ b/internal/quota/controller.go
@@ -148,9 +148,9 @@
 	suspectInterval = 12 * time.Second
 	// cutOffTime is the time without any message of another node after which an owner counts
 	// as cut off, cutOffPause the time for which it does not renew the lease then: longer
-	// than a lease.
+	// than a lease, which lasts 16 s, so that another node can follow without a deputy.
 	cutOffTime  = 2 * time.Second
-	cutOffPause = 10 * time.Second
+	cutOffPause = 20 * time.Second
 	// answerFreshness is the time after an answer of the owner for which a node that is
 	// asked in its place does not doubt it.
 	answerFreshness = time.Second
