A reset while the request is being written is no end of an answer

What callers saw: a server answered a long upload at once with a 200 that had neither a length nor chunks, sent a part of the body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: the system reports a reset to the first call after it alone. If that is the write of the upload, the read that follows meets an end of file, which ends a body without framing in the regular way.

--- a/internal/backend/sends.go
+++ b/internal/backend/sends.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http/httptrace"
 	"sync"
 
@@ -40,7 +41,21 @@
 	defer s.mu.Unlock()
 	s.count++
 	s.kept = connection.Reused
-	s.conn, _ = connection.Conn.(*Conn)
+	s.conn = recorded(connection.Conn)
+}
+
+// recorded returns the [Conn] under a connection; nil if there is none.
+func recorded(connection net.Conn) *Conn {
+	for {
+		switch wrapped := connection.(type) {
+		case *Conn:
+			return wrapped
+		case interface{ NetConn() net.Conn }:
+			connection = wrapped.NetConn()
+		default:
+			return nil
+		}
+	}
 }
 
 // Kept reports whether the connection of the answer carried another request before. An
--- a/internal/caller/transport.go
+++ b/internal/caller/transport.go
@@ -38,7 +38,7 @@
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}).DialContext
 	}
-	t.pooled = &http1.Transport{Transport: &http.Transport{
+	t.pooled = http1.New(&http.Transport{
 		DialContext:         dial,
 		MaxIdleConns:        maxIdleConns,
 		MaxIdleConnsPerHost: maxIdlePerHost,
@@ -46,7 +46,7 @@
 		DisableCompression:  true,
 		ReadBufferSize:      connBuffer,
 		WriteBufferSize:     connBuffer,
-	}}
+	})
 	t.fresh = t.pooled.WithoutReuse()
 }
 
--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/guavatrack/guavatrack/internal/http1"
 	"github.com/guavatrack/guavatrack/internal/lookup"
 	"github.com/guavatrack/guavatrack/internal/operator"
 	"github.com/guavatrack/guavatrack/internal/settings"
@@ -41,8 +42,7 @@
 	if err != nil {
 		return usageError{"--caller-address: " + err.Error()}
 	}
-	client := &http.Client{Timeout: clientTimeout}
-	response, err := client.Do(request)
+	response, err := http1.NewClient(clientTimeout).Do(request)
 	if err != nil {
 		return errors.Join(operator.ErrUnreachable, err)
 	}
--- a/internal/cli/connect.go
+++ b/internal/cli/connect.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/guavatrack/guavatrack/internal/http1"
 	"github.com/guavatrack/guavatrack/internal/operator"
 )
 
@@ -36,7 +37,7 @@
 	}
 	client := &operator.Client{
 		URL:  c.Node,
-		HTTP: &http.Client{Timeout: clientTimeout, Transport: &http.Transport{TLSClientConfig: tlsConfig}},
+		HTTP: &http.Client{Timeout: clientTimeout, Transport: http1.New(&http.Transport{TLSClientConfig: tlsConfig})},
 	}
 	if c.Token != "" {
 		text, err := os.ReadFile(c.Token)
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -41,7 +41,7 @@
 type Client struct {
 	// Address is the host and port of the engine.
 	Address string
-	// HTTP makes the requests; nil means [http.DefaultClient]. Its timeout
+	// HTTP makes the requests; nil means a client like [http.DefaultClient]. Its timeout
 	// limits every call in addition to the context. Each POST opens a connection
 	// if its transport is one of net/http or [http1.Transport]: responses have no id, so an earlier
 	// one that comes once more on a kept connection would pass for that to an order.
@@ -140,7 +140,7 @@
 // http returns a copy of the HTTP client that follows no redirects, because
 // following one could send an order a second time.
 func (c *Client) http() *http.Client {
-	client := http.Client{}
+	client := http.Client{Transport: http1.Of(nil)}
 	if c.HTTP != nil {
 		client = *c.HTTP
 	}
--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -63,10 +63,10 @@
 var leaseKey = table.Key{Partition: "orders", Sort: "lease"}
 
 func newStore(n *Node) *platform.Store {
-	pooled := &http1.Transport{Transport: &http.Transport{
+	pooled := http1.New(&http.Transport{
 		DialContext: (&net.Dialer{Timeout: storeDialTimeout}).DialContext, IdleConnTimeout: storeIdleTimeout,
 		MaxIdleConnsPerHost: 4, DisableCompression: true, MaxResponseHeaderBytes: maxStoreHeader,
-	}}
+	})
 	return &platform.Store{
 		Address: n.Settings.Platform.Store, HTTP: &http.Client{Transport: pooled}, Fresh: &http.Client{Transport: pooled.WithoutReuse()},
 	}
@@ -331,10 +331,10 @@
 const forwardDialTimeout = 300 * time.Millisecond
 
 func newForwarder(n *Node, members *member.Controller) *forward.Forwarder {
-	transport := &http1.Transport{Transport: &http.Transport{
+	transport := http1.New(&http.Transport{
 		DialContext: backend.RecordConns((&net.Dialer{Timeout: forwardDialTimeout}).DialContext), DisableCompression: true,
 		DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeader,
-	}}
+	})
 	return &forward.Forwarder{Nodes: func() []forward.Node { return n.forwardTargets(members) }, Transport: transport, Log: n.Log}
 }
 
--- a/internal/http1/transport_test.go
+++ b/internal/http1/transport_test.go
@@ -33,7 +33,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				closed := false
-				transport := &http1.Transport{Transport: &http.Transport{
+				transport := http1.New(&http.Transport{
 					DialContext: func(context.Context, string, string) (net.Conn, error) {
 						node, server := net.Pipe()
 						go func() {
@@ -45,7 +45,7 @@
 						}()
 						return node, nil
 					},
-				}}
+				})
 				ctx, cancel := context.WithTimeout(c.Context(), time.Second)
 				defer cancel()
 				request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://192.0.2.1/", http.NoBody)
--- a/internal/vmlist/client.go
+++ b/internal/vmlist/client.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/guavatrack/guavatrack/internal/http1"
 )
 
 const (
@@ -23,7 +25,7 @@
 	// URL is the base URL of the service, without the path, such as
 	// "http://10.0.0.9:8080".
 	URL string
-	// HTTP makes the requests; nil means [http.DefaultClient]. Every call is
+	// HTTP makes the requests; nil means a client like [http.DefaultClient]. Every call is
 	// also limited to 5 s.
 	HTTP *http.Client
 }
@@ -43,7 +45,7 @@
 	}
 	client := c.HTTP
 	if client == nil {
-		client = http.DefaultClient
+		client = &http.Client{Transport: http1.Of(nil)}
 	}
 	response, err := client.Do(request)
 	if err != nil {
--- a/pkg/guavatrack/client.go
+++ b/pkg/guavatrack/client.go
@@ -24,6 +24,7 @@
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
+	"github.com/guavatrack/guavatrack/internal/http1"
 	"github.com/guavatrack/guavatrack/internal/wait"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 	"github.com/guavatrack/guavatrack/pkg/refusal"
@@ -43,11 +44,16 @@
 	Region fleet.Region
 	// Key is the caller's bearer token; empty means none.
 	Key string
-	// HTTP sends the requests; nil means [http.DefaultClient].
+	// HTTP sends the requests; nil means a client like [http.DefaultClient]. If its transport
+	// is one of net/http, a copy of that is used, which takes no broken answer for a whole one.
 	HTTP *http.Client
 	// Scheme is the URL scheme; empty means "https".
 	Scheme string
 
+	// checked is HTTP with the transport that is used; set by setUp.
+	checked http.Client
+	setUp   sync.Once
+
 	mu            sync.Mutex
 	cachedLookups map[string]*lookupResult
 }
@@ -342,11 +348,15 @@
 	}
 }
 
+// http returns the client that sends the requests.
 func (c *Client) http() *http.Client {
-	if c.HTTP != nil {
-		return c.HTTP
-	}
-	return http.DefaultClient
+	c.setUp.Do(func() {
+		if c.HTTP != nil {
+			c.checked = *c.HTTP
+		}
+		c.checked.Transport = http1.Of(c.checked.Transport)
+	})
+	return &c.checked
 }
 
 func (c *Client) scheme() string {
--- a/pkg/guavatrack/client_test.go
+++ b/pkg/guavatrack/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -37,6 +38,40 @@
 	return guavatrack.Request{Method: http.MethodPost, Path: "/orders/book", Body: []byte(`{}`)}
 }
 
+// TestPartOfAnAnswerIsRetried guards against a part of an answer that is returned as the
+// whole: whatever stands for the node answers each first attempt, before it has read the long
+// body, with neither a length nor chunks, and resets the connection after a part.
+func TestPartOfAnAnswerIsRetried(t *testing.T) {
+	const calls, size = 10, 8 << 20
+	c := qt.New(t)
+	var lookups, attempts atomic.Int64
+	var address string
+	address = startFakeNode(t, &lookups, func() []string { return []string{address} }, func(w http.ResponseWriter, r *http.Request) {
+		if attempts.Add(1)%2 == 0 {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(w, "booked")
+			return
+		}
+		connection, _, err := http.NewResponseController(w).Hijack()
+		c.Check(err, qt.IsNil)
+		_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\n\r\nboo")
+		_, _ = io.CopyN(io.Discard, connection, size/4)
+		c.Check(connection.(*net.TCPConn).SetLinger(0), qt.IsNil)
+		c.Check(connection.Close(), qt.IsNil)
+	})
+	for name, client := range map[string]*http.Client{"none": nil, "default": {}, "own": {Transport: &http.Transport{}}} {
+		c := qt.New(t)
+		caller := &guavatrack.Client{Nodes: []string{address}, Scheme: "http", HTTP: client}
+		for range calls {
+			request := bookingRequest()
+			request.Body = make([]byte, size)
+			response, err := caller.Do(t.Context(), request)
+			c.Assert(err, qt.IsNil)
+			c.Assert(string(response.Body), qt.Equals, "booked", qt.Commentf("HTTP client: %s", name))
+		}
+	}
+}
+
 func TestFailoverKeepsIdempotencyKey(t *testing.T) {
 	c := qt.New(t)
 	var lookups atomic.Int64
