The Go client takes no status below 200 for an answer

What callers saw: an answer whose status was 000 was returned by the Go client as an answer, with status 0 and the bytes of the engine in trouble.

Cause: net/http takes 000 for a status. Nodes refuse it (http1.Transport), the Go client read answers by net/http alone.

Evidence: TestBrokenHeadIsRetried fails on with no HTTP client, an empty one, one with a transport of net/http and one of another type.

Change: http1.Of checks the heads of transports of other types too. Why it works: each response that the client gets has passed the check of its status.

--- a/internal/caller/failures_test.go
+++ b/internal/caller/failures_test.go
@@ -1,6 +1,7 @@
 package caller_test
 
 import (
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -197,6 +198,29 @@
 	})
 }
 
+// brokenHeads are beginnings of answers, from the status on, that are none of the protocol.
+var brokenHeads = map[string]string{"status 000": "000 Nothing"}
+
+// TestBrokenHeadIsNoAnswer guards against callers that get bytes as an answer of a service
+// although their head is none of the protocol.
+func TestBrokenHeadIsNoAnswer(t *testing.T) {
+	for name, first := range brokenHeads {
+		t.Run(name, func(t *testing.T) {
+			withCluster(t, clusterConfig{services: 1, nodes: 1}, func(s *testCluster) {
+				s.serve("service0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					connection, _, err := http.NewResponseController(w).Hijack()
+					s.c.Check(err, qt.IsNil)
+					_, _ = io.WriteString(connection, "HTTP/1.1 "+first+"\r\nContent-Length: 6\r\n\r\nbroken")
+					s.c.Check(connection.Close(), qt.IsNil)
+				}))
+				got := s.send(0, http.MethodGet, "/orders/stock?of=bine", "")
+				s.c.Check(got.status >= http.StatusInternalServerError, qt.IsTrue, qt.Commentf("%d %s", got.status, got.body))
+				s.c.Check(got.body, qt.Not(qt.Contains), "broken")
+			})
+		})
+	}
+}
+
 func TestRequestWithoutServersIsRefusedNotRun(t *testing.T) {
 	withCluster(t, clusterConfig{engines: 1, services: 1, nodes: 1}, func(s *testCluster) {
 		s.mu.Lock()
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -12,13 +12,8 @@
 	"net/http"
 	"sync"
 	"time"
-
-	"github.com/go-faster/errors"
 )
 
-// ErrNoResponse is returned if a server sent a head that is no final answer to the request.
-var ErrNoResponse = errors.New("the server's bytes are no response to the request")
-
 // Transport is a [http.Transport] that takes only final responses of the protocol for
 // answers, and only whole ones. After any other head it closes the connection and fails. It is
 // made by [New].
@@ -40,16 +35,30 @@
 
 // Of returns a transport that takes for answers what a [Transport] does. It has the settings
 // of a transport of net/http, but no connections in common with it. nil stands for one
-// transport with the settings of [http.DefaultTransport]. A transport of another type is
-// returned as is.
+// transport with the settings of [http.DefaultTransport]. Of a transport of another type only
+// the heads are checked.
 func Of(transport http.RoundTripper) http.RoundTripper {
-	switch plain := transport.(type) {
-	case nil:
+	if transport == nil {
 		return defaultTransport()
+	}
+	return wrap(transport)
+}
+
+// defaultTransport returns the transport that nil stands for.
+var defaultTransport = sync.OnceValue(func() http.RoundTripper { return wrap(http.DefaultTransport) })
+
+// wrap is [Of] for a transport that is not nil.
+func wrap(transport http.RoundTripper) http.RoundTripper {
+	switch given := transport.(type) {
 	case *http.Transport:
-		return newCopy(plain)
+		if given.Dial != nil { //nolint:staticcheck // set by users of net/http before contexts
+			return checked{given}
+		}
+		return newCopy(given)
+	case *Transport, checked:
+		return given
 	default:
-		return transport
+		return checked{given}
 	}
 }
 
@@ -61,33 +70,12 @@
 	return New(copied)
 }
 
-// defaultTransport returns the transport that nil stands for.
-var defaultTransport = sync.OnceValue(ofDefault)
-
-// ofDefault returns a transport with the settings of [http.DefaultTransport]; that itself if
-// it is not of net/http.
-func ofDefault() http.RoundTripper {
-	if plain, is := http.DefaultTransport.(*http.Transport); is {
-		return newCopy(plain)
-	}
-	return http.DefaultTransport
-}
-
 // RoundTrip implements [http.RoundTripper].
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	response, err := t.Transport.RoundTrip(request)
-	if err != nil || isFinal(response.StatusCode) {
-		return response, err
-	}
-	// net/http does not use the connection again after such a status.
-	err = errors.Wrapf(ErrNoResponse, "status %03d", response.StatusCode)
-	return nil, errors.Join(err, response.Body.Close())
+	// net/http does not use a connection again after a status that is not final.
+	return checked{t.Transport}.RoundTrip(request)
 }
 
-// isFinal reports whether a status is that of a final response. No request of a node asks
-// for a change of protocol.
-func isFinal(status int) bool { return status >= http.StatusOK }
-
 // WithoutReuse returns a copy of the transport that opens a connection for each request.
 func (t *Transport) WithoutReuse() *Transport {
 	fresh := t.Clone()
@@ -98,11 +86,11 @@
 // NewClient returns a client with the settings of [http.DefaultTransport] and a timeout of
 // each call; 0 means none.
 func NewClient(timeout time.Duration) *http.Client {
-	return &http.Client{Transport: ofDefault(), Timeout: timeout}
+	return &http.Client{Transport: wrap(http.DefaultTransport), Timeout: timeout}
 }
 
 // WithoutReuse returns a copy of the transport that [Of] returns, which opens a connection for
-// each request. A transport of another type is returned as is.
+// each request, if the given one is of net/http.
 func WithoutReuse(transport http.RoundTripper) http.RoundTripper {
 	of := Of(transport)
 	if kept, is := of.(*Transport); is {
--- a/pkg/guavatrack/client_test.go
+++ b/pkg/guavatrack/client_test.go
@@ -72,6 +72,43 @@
 	}
 }
 
+// roundTripper is a transport that is not of net/http.
+type roundTripper struct{ *http.Transport }
+
+// brokenHeads are beginnings of answers, from the status on, that are none of the protocol.
+var brokenHeads = map[string]string{"status 000": "000 Nothing"}
+
+// TestBrokenHeadIsRetried guards against bytes that are returned as an answer although their
+// head is none of the protocol. Whatever stands for the node sends them in each first attempt.
+func TestBrokenHeadIsRetried(t *testing.T) {
+	for name, first := range brokenHeads {
+		for kind, client := range map[string]*http.Client{
+			"none": nil, "default": {}, "own": {Transport: &http.Transport{}}, "other": {Transport: &roundTripper{&http.Transport{}}},
+		} {
+			t.Run(name+", HTTP client: "+kind, func(t *testing.T) {
+				c := qt.New(t)
+				var lookups, attempts atomic.Int64
+				var address string
+				address = startFakeNode(t, &lookups, func() []string { return []string{address} }, func(w http.ResponseWriter, _ *http.Request) {
+					if attempts.Add(1) > 1 {
+						_, _ = io.WriteString(w, "booked")
+						return
+					}
+					connection, _, err := http.NewResponseController(w).Hijack()
+					c.Check(err, qt.IsNil)
+					_, _ = io.WriteString(connection, "HTTP/1.1 "+first+"\r\nContent-Length: 6\r\n\r\nbroken")
+					c.Check(connection.Close(), qt.IsNil)
+				})
+				caller := &guavatrack.Client{Nodes: []string{address}, Scheme: "http", HTTP: client}
+				response, err := caller.Do(t.Context(), bookingRequest())
+				c.Assert(err, qt.IsNil)
+				c.Check(response.Status, qt.Equals, http.StatusOK)
+				c.Check(string(response.Body), qt.Equals, "booked")
+			})
+		}
+	}
+}
+
 func TestFailoverKeepsIdempotencyKey(t *testing.T) {
 	c := qt.New(t)
 	var lookups atomic.Int64
