An answer with a blank in the name of a field is no answer

What callers saw: the answer of an engine in trouble in whose head the name of a field held a blank reached them as an answer. With "Content-Length : 30" or "Transfer-Encoding : chunked" the body was not the engine's: it ran to the end of the connection, with the bytes behind it or the coded bytes. A refusal with such a line was passed on as "not run".

Cause: net/http refuses every other byte that a name can't have, but keeps a field with a blank under the name as it came, where nothing finds it. Nothing in the product looked at the names.

Control bytes, bytes beyond ASCII, brackets and empty names were refused before: those cases pass on and are kept.

Change: http1.Transport checks the names in heads and behind the last chunk, and closes the connection after a broken head, also if the answer has no body; http1.ReadResponse does for an engine's report before an order.

Why it works: every answer that the product reads over HTTP passes one of the two, and the name that net/http keeps is the one on the wire.

--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -10,13 +10,16 @@
 import (
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 // Transport is a [http.Transport] that takes only final responses of the protocol for
-// answers, and only whole ones. After any other head it closes the connection and fails. It is
-// made by [New].
+// answers, and only whole ones. After any other head it closes the connection and fails with
+// [ErrNoResponse]. It is made by [New].
 type Transport struct {
 	*http.Transport
 }
@@ -72,8 +75,15 @@
 
 // RoundTrip implements [http.RoundTripper].
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	// net/http does not use a connection again after a status that is not final.
-	return checked{t.Transport}.RoundTrip(request)
+	var connection net.Conn
+	trace := &httptrace.ClientTrace{GotConn: func(got httptrace.GotConnInfo) { connection = got.Conn }}
+	ctx := httptrace.WithClientTrace(request.Context(), trace)
+	response, err := checked{t.Transport}.RoundTrip(request.WithContext(ctx))
+	if errors.Is(err, ErrNoResponse) && connection != nil {
+		// net/http may use the connection again if the answer has no body.
+		_ = connection.Close()
+	}
+	return response, err
 }
 
 // WithoutReuse returns a copy of the transport that opens a connection for each request.
--- a/pkg/guavatrack/client_test.go
+++ b/pkg/guavatrack/client_test.go
@@ -76,7 +76,13 @@
 type roundTripper struct{ *http.Transport }
 
 // brokenHeads are beginnings of answers, from the status on, that are none of the protocol.
-var brokenHeads = map[string]string{"status 000": "000 Nothing"}
+var brokenHeads = map[string]string{
+	"status 000":                      "000 Nothing",
+	"blank before the colon":          "200 OK\r\nOdd : a",
+	"blank inside a name":             "200 OK\r\nOdd Name: a",
+	"blank in the name of the coding": "200 OK\r\nTransfer-Encoding : chunked",
+	"control byte in a name":          "200 OK\r\nOd\x01d: a",
+}
 
 // TestBrokenHeadIsRetried guards against bytes that are returned as an answer although their
 // head is none of the protocol. Whatever stands for the node sends them in each first attempt.
