A folded line in the head of an answer is no answer

What callers saw: a head in which the name of a field held its blank at the start reached them as an answer, with the line joined to the field before it, or with a body that was not the engine's if the line was to frame it.

Cause: net/http joins a line that begins with a blank or a tab to the field before it. RFC 9112, 5.2, forbids servers to send such lines and lets a proxy refuse them.

Change: connections of http1.Transport look for such lines in the heads of each response and fail from there on.

Why it works: the bytes before the line reach net/http without the end of the head, and then only the error, so that no head with such a line is ever parsed to its end.

Heads inside TLS and the report before an order are not searched.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -11,7 +12,7 @@
 )
 
 // conn is a connection whose reads tell a reset from the end of the server's bytes, also while
-// a request is being written.
+// a request is being written, and fail at a line of a head that continues another one.
 //
 // The system reports a reset to one call, the first one after it. If that is a write, the
 // reads that follow meet an end of file, which ends a body with neither a length nor chunks.
@@ -23,11 +24,32 @@
 	// writeErr is the error of the first write that failed. It is accessed while writing is
 	// taken.
 	writeErr error
+
+	// expectsHead is set when a request is about to be written: the next bytes read are the
+	// head of its response.
+	expectsHead atomic.Bool
+	// folds and folded, which is set once a line was found, are used by the goroutine that
+	// reads.
+	folds  foldScanner
+	folded bool
 }
 
-// Read implements [net.Conn]. An end of file after the connection broke is an error.
+// errFolded is the error of reads from a line on that continues another one.
+var errFolded = errors.Wrap(ErrNoResponse, "line of a head that begins with a blank")
+
+// Read implements [net.Conn]. An end of file after the connection broke is an error, and so is
+// a line of a head that continues another one, from then on.
 func (c *conn) Read(buf []byte) (int, error) {
+	if c.folded {
+		return 0, errFolded
+	}
 	count, err := c.Conn.Read(buf)
+	if count > 0 && c.expectsHead.Swap(false) {
+		c.folds.begin()
+	}
+	if count, c.folded = c.folds.scan(buf[:count]); c.folded {
+		return count, errFolded
+	}
 	if errors.Is(err, io.EOF) {
 		if broke := breakOf(c.firstWriteError()); broke != nil {
 			err = errors.Wrap(broke, "connection broke before the end of the answer")
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -76,7 +76,12 @@
 // RoundTrip implements [http.RoundTripper].
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	var connection net.Conn
-	trace := &httptrace.ClientTrace{GotConn: func(got httptrace.GotConnInfo) { connection = got.Conn }}
+	trace := &httptrace.ClientTrace{GotConn: func(got httptrace.GotConnInfo) {
+		connection = got.Conn
+		if plain, is := connection.(*conn); is {
+			plain.expectsHead.Store(true)
+		}
+	}}
 	ctx := httptrace.WithClientTrace(request.Context(), trace)
 	response, err := checked{t.Transport}.RoundTrip(request.WithContext(ctx))
 	if errors.Is(err, ErrNoResponse) && connection != nil {
