Stand-ins and the soak send broken answers

Change: faults of platform/standin: an answer before the body of the request is read, with neither a length nor chunks, reset after a part; status 000; a blank or a control byte in the name of a field, or a blank in that of the length. The soak plays them (--broken) beside long uploads. Its proxies pass a reset on as one also if the system reported it to a write of the other direction, which they read as an orderly end.

--- a/cmd/guavasoak/main.go
+++ b/cmd/guavasoak/main.go
@@ -27,6 +27,7 @@
 	ServerFaults  int           `long:"server-faults" default:"3" description:"faults in a run that backend servers play"`
 	Releases      int           `long:"releases" default:"4" description:"changes of an engine's software version in a run"`
 	Refusals      int           `long:"refusals" default:"2" description:"times in a run in which backend servers write refusals once more"`
+	Broken        int           `long:"broken" default:"0" description:"times in a run in which backend servers send broken answers, beside long uploads"`
 	Organisations int           `long:"organisations" default:"0" description:"organisations whose keys callers send; without any they need none"`
 	RemoveKey     bool          `long:"remove-key" description:"take the key of the last organisation away in the middle of a run"`
 	Span          time.Duration `long:"span" default:"10s" description:"time within which all faults begin and end"`
@@ -60,7 +61,7 @@
 	}
 	run := &soak.Run{
 		Binary: o.Binary, Dir: dir, Seed: seed, Nodes: o.Nodes, Engines: o.Engines, Callers: o.Callers,
-		Faults: o.Faults, ServerFaults: o.ServerFaults, RefusalFaults: o.Refusals, Releases: o.Releases, Span: o.Span,
+		Faults: o.Faults, ServerFaults: o.ServerFaults, RefusalFaults: o.Refusals, BrokenFaults: o.Broken, Releases: o.Releases, Span: o.Span,
 		Organisations: o.Organisations, RemoveKey: o.RemoveKey,
 		Log: func(format string, args ...any) {
 			if o.Verbose {
--- a/internal/hosted/framing_test.go
+++ b/internal/hosted/framing_test.go
@@ -131,6 +131,34 @@
 	f.Check(f.site.Ledger.Runs(answer.ID), qt.Equals, 1)
 }
 
+// brokenAnswers are the faults of answers that may reach no caller: one that is reset after a
+// part while a long upload is written, and heads that are none of the protocol.
+var brokenAnswers = map[string]standin.Fault{
+	"early reset": standin.EarlyReset, "status 000": standin.ZeroStatus, "blank in a name": standin.BlankName,
+	"blank in the name of the length": standin.BlankLength, "control byte in a name": standin.ControlName,
+}
+
+// TestBrokenAnswersReachNoCaller has the first server that gets a request send a broken answer.
+// A call that may run again is answered by another one; the others are known to have failed.
+func TestBrokenAnswersReachNoCaller(t *testing.T) {
+	f := newFixture(t, &standin.Site{Engines: 3, Services: 3, Models: 3}, 1)
+	for name, fault := range brokenAnswers {
+		f.faultServices(fault)
+		answer := f.send(0, http.MethodGet, standin.Repeatable+"stock", "", "")
+		f.Check(answer.err, qt.IsNil, qt.Commentf("%s", name))
+		f.Check(answer.Status, qt.Equals, http.StatusOK, qt.Commentf("%s: %s", name, answer.Body))
+		f.Check(answer.Body, qt.Matches, `GET /repeatable/stock by service\d: `)
+		f.Check(f.site.Ledger.Runs(answer.ID), qt.Equals, 2, qt.Commentf("%s", name))
+		f.faultServices(fault)
+		answer = f.send(0, http.MethodPost, standin.Once+"book", "", "{}")
+		f.Check(answer.err, qt.IsNil, qt.Commentf("%s", name))
+		f.Check(answer.Status, qt.Equals, http.StatusBadGateway, qt.Commentf("%s: %s", name, answer.Body))
+		f.Check(answer.Signature, qt.Equals, "", qt.Commentf("%s", name))
+		f.faultEngines(fault)
+		f.checkCompleteStream(f.send(0, http.MethodPost, standin.Resumable+"chat", "m1", "hello"))
+	}
+}
+
 // rawAnswer returns the bytes with which a server itself answers.
 func (f *fixture) rawAnswer(server *standin.Server, request *http.Request) string {
 	f.Helper()
@@ -143,9 +171,19 @@
 	return string(answer)
 }
 
-// TestUnframedAnswersHaveNeitherLengthNorChunks checks the stand-ins themselves.
+// TestUnframedAnswersHaveNeitherLengthNorChunks checks the stand-ins themselves, and that they
+// send broken heads.
 func TestUnframedAnswersHaveNeitherLengthNorChunks(t *testing.T) {
 	f := newFixture(t, &standin.Site{Engines: 1, Services: 1, Models: 3}, 0)
+	for fault, want := range map[standin.Fault]string{
+		standin.ZeroStatus: `HTTP/1\.1 000 Nothing`, standin.BlankName: `Odd Name: 1`, standin.BlankLength: `Content-Length : \d*`,
+		standin.ControlName: "Odd\x01Name: 1",
+	} {
+		f.faultServices(fault)
+		request, err := standin.NewRequest(f.site.ServiceList[0].Address, http.MethodPost, "/x", "", "hello")
+		f.Assert(err, qt.IsNil)
+		f.Check(f.rawAnswer(&f.site.ServiceList[0].Server, request), qt.Matches, `(?s)(.*\r\n)?`+want+`\r\n.*hello(MORE)?`)
+	}
 	for _, fault := range []standin.Fault{standin.Unframed, standin.UnframedClose, standin.UnframedCut} {
 		f.faultServices(fault)
 		f.faultEngines(fault)
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -14,14 +14,25 @@
 	"github.com/guavatrack/guavatrack/platform/standin"
 )
 
-// requestBody is the body of each request.
+// requestBody is the body of each request but long uploads.
 const requestBody = "hello"
 
+// longUpload is the body of a long upload.
+var longUpload = strings.Repeat("u", uploadSize)
+
+// drawBody returns the body of the next request to a service.
+func (r *Run) drawBody() string {
+	if r.BrokenFaults > 0 && r.uploads.Add(1)%2 == 0 {
+		return longUpload
+	}
+	return requestBody
+}
+
 // sendRequest sends a randomly drawn request to a random node and checks its
 // answer.
 func (r *Run) sendRequest(random *rand.Rand) {
 	n := r.nodes[random.IntN(len(r.nodes))]
-	method, path, model := http.MethodPost, standin.Once, ""
+	method, path, model, body := http.MethodPost, standin.Once, "", requestBody
 	switch random.IntN(4) {
 	case 0:
 		r.sendResumable(random)
@@ -31,14 +42,17 @@
 	case 2:
 		method, path = http.MethodGet, standin.Repeatable
 	}
-	request, err := standin.NewRequest(n.config.Callers.Listen, method, path+"x", model, requestBody)
+	if model == "" {
+		body = r.drawBody()
+	}
+	request, err := standin.NewRequest(n.config.Callers.Listen, method, path+"x", model, body)
 	r.recordError(err)
 	r.authorize(request, r.drawKey(random))
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 	defer cancel()
 	answer, err := standin.Send(request.WithContext(ctx))
 	r.count(answer.Status == http.StatusOK && err == nil)
-	r.checkAnswer(answer, err, path, model != "")
+	r.checkAnswer(answer, err, path, model != "", body)
 }
 
 // count counts a request or stream, and pauses if it was not served.
@@ -92,6 +106,9 @@
 	if answer.AnswerID != "" && answer.AnswerID != answer.ID {
 		r.recordBreach("%s got the answer to %s", answer.ID, answer.AnswerID)
 	}
+	if answer.Signature == standin.BrokenSignature {
+		r.recordBreach("%s: an answer with a broken head (%d)", answer.ID, answer.Status)
+	}
 	if answer.Status == http.StatusOK && answer.Signature == "" {
 		r.recordBreach("%s: an answer that no server signed", answer.ID)
 	}
@@ -100,7 +117,7 @@
 // checkAnswer records a violation if the answer breaks a guarantee: those of checkOrigin,
 // or a request that must run at most once ran again, the stream has a gap, or a part of the
 // answer looks like all.
-func (r *Run) checkAnswer(answer standin.Answer, err error, path string, stream bool) {
+func (r *Run) checkAnswer(answer standin.Answer, err error, path string, stream bool, body string) {
 	r.checkOrigin(answer)
 	if runs := r.site.Ledger.Runs(answer.ID); path == standin.Once && runs > 1 {
 		r.recordBreach("%s ran %d times", answer.ID, runs)
@@ -113,8 +130,8 @@
 		return
 	}
 	// A service ends its answer with the body of the request.
-	if err == nil && !strings.HasSuffix(answer.Body, ": "+requestBody) {
-		r.recordBreach("%s: ended as whole with %q", answer.ID, answer.Body)
+	if err == nil && !strings.HasSuffix(answer.Body, ": "+body) {
+		r.recordBreach("%s: ended as whole with %.100q", answer.ID, answer.Body)
 	}
 }
 
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -150,6 +150,19 @@
 	{"repeated refusals", func(r *Run, _ int) func() { return r.faultInTurn(refusalFaults) }},
 }
 
+// brokenFaults are the faults that servers play in turn in the fault of that name, and sound
+// answers between them, so that the uploads and their retries meet each.
+var brokenFaults = []standin.Fault{
+	standin.EarlyReset, standin.None, standin.ZeroStatus, standin.EarlyReset, standin.BlankName, standin.None,
+	standin.EarlyReset, standin.BlankLength, standin.None, standin.ControlName, standin.EarlyReset,
+}
+
+// brokenFaultKinds lists the kind of fault in which servers send broken answers. It is apart
+// so that a seed selects the same faults of the other lists as before.
+var brokenFaultKinds = []faultKind{
+	{"broken answers", func(r *Run, _ int) func() { return r.faultInTurn(brokenFaults) }},
+}
+
 // faultInTurn has all backend servers play faults in turn until end is called.
 func (r *Run) faultInTurn(faults []standin.Fault) (end func()) {
 	var count atomic.Uint64
@@ -180,6 +193,7 @@
 	serverFaultStream  = 1 << 32
 	releaseStream      = 1 << 33
 	refusalFaultStream = 1 << 34
+	brokenFaultStream  = 1 << 35
 )
 
 // drawFaults returns the faults of a seed. Each begins and ends within the span.
@@ -188,6 +202,7 @@
 		drawKinds(faultKinds, rand.NewPCG(r.Seed, faultStream), r.Faults, r.Span),
 		drawKinds(serverFaultKinds, rand.NewPCG(r.Seed, serverFaultStream), r.ServerFaults, r.Span),
 		drawKinds(refusalFaultKinds, rand.NewPCG(r.Seed, refusalFaultStream), r.RefusalFaults, r.Span),
+		drawKinds(brokenFaultKinds, rand.NewPCG(r.Seed, brokenFaultStream), r.BrokenFaults, r.Span),
 		drawKinds(releaseKinds, rand.NewPCG(r.Seed, releaseStream), r.Releases, r.Span),
 	)
 }
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
 )
 
 // Mode is how a [Proxy] treats its connections.
@@ -144,10 +145,29 @@
 			return
 		}
 		if _, writeErr := to.Write(buffer[:count]); writeErr != nil || err != nil {
-			if !errors.Is(err, io.EOF) {
+			if !errors.Is(err, io.EOF) || writeErr != nil || wasReset(from) {
 				reset(to)
+				reset(from)
 			}
 			return
 		}
 	}
 }
+
+// wasReset reports whether a connection that reached its end was reset: the system may have
+// reported that to a write of the other direction.
+func wasReset(conn net.Conn) (was bool) {
+	tcp, is := conn.(*net.TCPConn)
+	if !is {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return true // closed by the other direction
+	}
+	err = raw.Control(func(descriptor uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
+		was = err != nil || info.State == unix.BPF_TCP_CLOSE
+	})
+	return was || err != nil
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -33,6 +33,10 @@
 	callerTimeout = 6 * time.Second
 	// unservedPause is how long a caller pauses after a request that was not served.
 	unservedPause = 50 * time.Millisecond
+	// uploadSize is the size of the body of a long upload, maxBody the limit on bodies, in
+	// bytes. An upload does not fit into the buffers of the sockets on its way.
+	uploadSize = 8 << 20
+	maxBody    = uploadSize + 1<<10
 	// recoveryLimit is the time within which every node must serve every model at
 	// the start and after the faults. It is long because machines differ in speed:
 	// the check is that the system recovers, not how fast.
@@ -50,8 +54,9 @@
 	// Faults is the number of faults of processes and links, ServerFaults that of faults
 	// that backend servers play themselves: silences that end, and answers without
 	// framing. RefusalFaults is the number of times in which servers write refusals once
-	// more. All begin and end within Span.
-	Faults, ServerFaults, RefusalFaults int
+	// more, BrokenFaults that in which they send broken answers; with any of these, every
+	// second request to a service is a long upload. All begin and end within Span.
+	Faults, ServerFaults, RefusalFaults, BrokenFaults int
 	// Releases is the number of times that an engine is replaced by one of another
 	// software version or comes back with it.
 	Releases int
@@ -68,6 +73,7 @@
 	nodes   []*node
 	servers []*Proxy
 	asked   atomic.Int64
+	uploads atomic.Int64
 	served  atomic.Int64
 	takenUp atomic.Int64
 	wentOn  atomic.Int64
@@ -145,12 +151,20 @@
 	return fastEventTime
 }
 
+// bodyLimit returns the limit on the size of requests' bodies in bytes; 0 means the usual one.
+func (r *Run) bodyLimit() int64 {
+	if r.BrokenFaults > 0 {
+		return maxBody
+	}
+	return 0
+}
+
 // start starts the platform, a proxy in front of each of its servers, and the
 // nodes.
 func (r *Run) start() error {
 	r.site = &standin.Site{
 		Engines: r.Engines, Services: 2, Models: 3 * r.Engines, EventTime: r.eventTime(), HandOver: handOver,
-		Excused: r.orderLatenessExcused, Organisations: r.organisations(),
+		Excused: r.orderLatenessExcused, Organisations: r.organisations(), BodyLimit: r.bodyLimit(),
 	}
 	if err := r.site.Start(); err != nil {
 		return err
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -61,6 +61,19 @@
 	}
 }
 
+// brokenSeeds lists the seeds of the short run with broken answers.
+var brokenSeeds = []uint64{1}
+
+// TestBrokenAnswersReachNoCaller guards against parts of answers that pass for the whole, and
+// answers with broken heads, beside faults: servers reset connections after a part of an
+// answer while long uploads are written, and send status 000 and names of fields with blanks
+// and control bytes.
+func TestBrokenAnswersReachNoCaller(t *testing.T) {
+	for _, seed := range brokenSeeds {
+		runSeed(t, &soak.Run{Seed: seed, Faults: 3, BrokenFaults: 5})
+	}
+}
+
 // keySeeds lists the seeds of the short run with organisations, of which one loses its key.
 var keySeeds = []uint64{1}
 
