--- a/internal/http1/fold_test.go
+++ b/internal/http1/fold_test.go
@@ -102,11 +102,5 @@
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://192.0.2.1/", http.NoBody)
 	c.Assert(err, qt.IsNil)
-	response, err := transport.RoundTrip(request)
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(response.Body)
-	return string(text), err
+	return exchange(transport, request)
 }
--- a/internal/http1/reset_test.go
+++ b/internal/http1/reset_test.go
@@ -1,7 +1,6 @@
 package http1_test
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -17,6 +16,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/guavatrack/guavatrack/internal/http1"
+	"github.com/guavatrack/guavatrack/internal/standin"
 )
 
 const (
@@ -36,39 +36,25 @@
 	"HTTP/1.0":          "HTTP/1.0 200 OK\r\n\r\n",
 }
 
-// tcpServer calls answer with each connection of which it has read the head of a request,
-// and nothing of the body, and closes the connection afterwards.
-type tcpServer struct{ net.Listener }
-
-func newTCPServer(c *qt.C, answer func(connection *net.TCPConn)) tcpServer {
-	listener, err := (&net.ListenConfig{}).Listen(c.Context(), "tcp", "127.0.0.1:0")
+// startEarlyServer starts a server that answers before it has read the body of a request, and
+// returns its address.
+func startEarlyServer(c *qt.C, answer func(connection *net.TCPConn)) (address string) {
+	server := &standin.EarlyServer{Answer: func(connection *net.TCPConn, _ *http.Request) { answer(connection) }}
+	address, err := server.Listen(c.Context())
 	c.Assert(err, qt.IsNil)
-	var handlers sync.WaitGroup
-	c.Cleanup(func() {
-		_ = listener.Close()
-		handlers.Wait()
-	})
-	handlers.Go(func() {
-		for {
-			accepted, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			handlers.Go(func() {
-				defer func() { _ = accepted.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(accepted)); err == nil {
-					answer(accepted.(*net.TCPConn))
-				}
-			})
-		}
-	})
-	return tcpServer{listener}
+	c.Cleanup(server.Close)
+	return address
 }
 
 // upload sends a request with a long body over a new connection and reads the answer.
 func upload(c *qt.C, transport http.RoundTripper, address string) (body string, err error) {
 	request, err := http.NewRequestWithContext(c.Context(), http.MethodPost, "http://"+address+"/", bytes.NewReader(longUpload))
 	c.Assert(err, qt.IsNil)
+	return exchange(transport, request)
+}
+
+// exchange sends a request and reads the body of the answer.
+func exchange(transport http.RoundTripper, request *http.Request) (body string, err error) {
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		return "", err
@@ -87,7 +73,7 @@
 	for name, head := range unframedHeads {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			server := newTCPServer(c, func(connection *net.TCPConn) {
+			address := startEarlyServer(c, func(connection *net.TCPConn) {
 				_, _ = io.WriteString(connection, head+answerPart)
 				time.Sleep(partTime)
 				_ = connection.SetLinger(0)
@@ -95,7 +81,7 @@
 			transport := http1.New(&http.Transport{DisableKeepAlives: true})
 			whole := 0
 			for range exchanges {
-				if _, err := upload(c, transport, server.Addr().String()); err == nil {
+				if _, err := upload(c, transport, address); err == nil {
 					whole++
 				}
 			}
@@ -118,12 +104,12 @@
 				c := qt.New(t)
 				for range exchanges {
 					released := make(chan struct{})
-					server := newTCPServer(c, func(connection *net.TCPConn) {
+					address := startEarlyServer(c, func(connection *net.TCPConn) {
 						_, _ = io.WriteString(connection, head+answerPart)
 						_ = connection.CloseWrite()
 						then(connection, released)
 					})
-					body, err := upload(c, http1.New(&http.Transport{DisableKeepAlives: true}), server.Addr().String())
+					body, err := upload(c, http1.New(&http.Transport{DisableKeepAlives: true}), address)
 					close(released)
 					c.Check(err, qt.IsNil)
 					c.Check(body, qt.Equals, answerPart)
