http1: one check of a response's head for the transport and the raw read

Cause: found by reading the change. The check of a head and the closing of its body stood twice, and the doc comment of Of left out transports that are only checked. Change: answerOf; no change of behaviour. Measured: tests of internal/http1, platform and pkg/guavatrack pass; linter clean.

--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -20,13 +20,10 @@
 
 // RoundTrip implements [http.RoundTripper].
 func (c checked) RoundTrip(request *http.Request) (*http.Response, error) {
-	response, err := c.RoundTripper.RoundTrip(request)
+	response, err := answerOf(c.RoundTripper.RoundTrip(request))
 	if err != nil {
 		return nil, err
 	}
-	if err := checkHead(response); err != nil {
-		return nil, errors.Join(err, response.Body.Close())
-	}
 	// Only chunks may be followed by a trailer section.
 	if slices.Contains(response.TransferEncoding, "chunked") {
 		response.Body = &trailedBody{response.Body, response}
@@ -37,7 +34,11 @@
 // ReadResponse reads the head of a response to a request as [http.ReadResponse] does. It fails
 // with [ErrNoResponse] if that is no answer.
 func ReadResponse(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
-	response, err := http.ReadResponse(reader, request)
+	return answerOf(http.ReadResponse(reader, request))
+}
+
+// answerOf closes the body of a response whose head is no answer, and fails then.
+func answerOf(response *http.Response, err error) (*http.Response, error) {
 	if err != nil {
 		return nil, err
 	}
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -38,8 +38,8 @@
 
 // Of returns a transport that takes for answers what a [Transport] does. It has the settings
 // of a transport of net/http, but no connections in common with it. nil stands for one
-// transport with the settings of [http.DefaultTransport]. Of a transport of another type only
-// the heads are checked.
+// transport with the settings of [http.DefaultTransport]. Of a transport of another type, or
+// one with the deprecated field Dial, only heads and trailer sections are checked.
 func Of(transport http.RoundTripper) http.RoundTripper {
 	if transport == nil {
 		return defaultTransport()
