--- a/review/_script3/client.go
+++ b/review/_script3/client.go
@@ -31,8 +31,10 @@
 	Node *Node
 	// Method is POST unless it is set.
 	Method, Path string
-	Record       *Record
-	client       *http.Client
+	// Model is the model that is asked for; empty for an application.
+	Model  string
+	Record *Record
+	client *http.Client
 }
 
 func newRequester(node *Node, path string, record *Record) *Requester {
@@ -56,6 +58,10 @@
 	request.Host = standin.Host
 	request.Header.Set("Guavatrack-Attempt-Id", a.ID)
 	request.Header.Set("Guavatrack-Deadline-Ms", fmt.Sprint(limit.Milliseconds()))
+	if q.Model != "" {
+		request.Header.Set("Guavatrack-Model", q.Model)
+		request.Header.Set("Guavatrack-Token-Usage", "100,50")
+	}
 	a.Sent = time.Now()
 	response, err := q.client.Do(request)
 	if err == nil {
