--- a/review/_script3/rig.go
+++ b/review/_script3/rig.go
@@ -92,10 +92,19 @@
 	exited  chan struct{}
 }
 
+// usedPorts holds the ports that freePort has returned.
+var usedPorts = make(map[int]bool)
+
+// freePort returns an address on loopback that is free and that it has not returned before.
 func freePort() string {
 	for {
-		address := "127.0.0.1:" + strconv.Itoa(firstPort+rand.IntN(portCount))
+		port := firstPort + rand.IntN(portCount)
+		if usedPorts[port] {
+			continue
+		}
+		address := "127.0.0.1:" + strconv.Itoa(port)
 		if listener, err := net.Listen("tcp", address); err == nil {
+			usedPorts[port] = true
 			_ = listener.Close()
 			return address
 		}
