--- a/review/_script3/main.go
+++ b/review/_script3/main.go
@@ -83,6 +83,11 @@
 	for i := range nodes {
 		c.Nodes = append(c.Nodes, NewNode(c.Root, c.Dir, fmt.Sprint("front-", i+1), site.StoreAddress, c.Record))
 	}
+	c.startNodes()
+}
+
+// startNodes starts the processes of the nodes and waits until these are ready.
+func (c *Case) startNodes() {
 	for _, node := range c.Nodes {
 		node.Start()
 	}
--- a/review/_script3/rig.go
+++ b/review/_script3/rig.go
@@ -128,6 +128,12 @@
 	return n
 }
 
+// MoveTo gives the machine another zone, before its process is started.
+func (n *Node) MoveTo(place, in string) {
+	n.fields["zone"], n.fields["region"] = place, in
+	n.WriteSettings()
+}
+
 // WriteSettings places the settings file.
 func (n *Node) WriteSettings() {
 	check(os.WriteFile(n.settings+".new", []byte(fill(n.template, n.fields)), 0o600))
