--- /dev/null
+++ b/review/_more3/signals/run.sh
@@ -0,0 +1,5 @@
+#!/bin/bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")/../../.." || exit 2
+[ -x target/review-3 ] && [ -x target/guavatrack ] || exit 2
+exec target/review-3 signals "$PWD" review/_more3/signals/record.txt
