--- a/review/_script3/popular.go
+++ b/review/_script3/popular.go
@@ -24,21 +24,25 @@
 // Traffic of the case: a record that many requesters read, and orders.
 const (
 	records        = 1
-	readersPerNode = 12
+	readersPerNode = 15
+	enginesPerZone = 3
 	readWork       = 100 * time.Millisecond
 	timeLimit      = 3 * time.Second
 )
 
 func init() { cases["popular"] = playPopular }
 
-// playPopular has all engines of one zone crash at once, two of six, while requesters read a
+// zones are those of the sheet.
+var zones = []string{"zatec-yard", "louny-store", "brno-hall"}
+
+// playPopular has all engines of one zone crash at once, three of nine, while requesters read a
 // popular record. They are back after 4.5 s. Then comes the final fault: all processes of the
 // system are killed and start again.
 func playPopular(c *Case) {
 	c.start(&standin.Site{Engines: 1, Models: 3}, 3)
 	var apps []*App
-	for i, place := range []string{"zatec-yard", "zatec-yard", "louny-store", "louny-store", "brno-hall", "brno-hall"} {
-		apps = append(apps, startAppIn(c, fmt.Sprint("i-app-", i+1), place, readWork))
+	for i := range enginesPerZone * len(zones) {
+		apps = append(apps, startAppIn(c, fmt.Sprint("i-app-", i+1), zones[i/enginesPerZone], readWork))
 	}
 	time.Sleep(2500 * time.Millisecond)
 	began := time.Now()
@@ -48,13 +52,15 @@
 	}
 	if c.Trouble {
 		time.AfterFunc(crashAt, func() {
-			apps[0].Crash(c)
-			apps[1].Crash(c)
+			for _, app := range apps[:enginesPerZone] {
+				app.Crash(c)
+			}
 		})
 		time.AfterFunc(crashAt+engineDown, func() {
-			startAppIn(c, "i-app-7", "zatec-yard", readWork)
-			startAppIn(c, "i-app-8", "zatec-yard", readWork)
-			c.Say("two new engines in place of those that crashed")
+			for i := range enginesPerZone {
+				startAppIn(c, fmt.Sprint("i-app-new-", i+1), zones[0], readWork)
+			}
+			c.Say("new engines in place of those that crashed")
 		})
 	}
 	back := make(chan time.Time, 1)
--- a/review/_script3/rig.go
+++ b/review/_script3/rig.go
@@ -43,7 +43,7 @@
 // settingsOf returns the fields from which the platform fills in the template.
 func settingsOf(name, store string, ports map[string]string) map[string]any {
 	return map[string]any{
-		"nodeName": name, "zone": zone, "region": region, "ip": "127.0.0.1",
+		"nodeName": name, "zone": zone, "region": region, "ip": host,
 		"zones":  map[string]any{zone: region, "louny-store": region, "brno-hall": "moravia-south"},
 		"listen": map[string]any{"front": ports["front"], "ready": ports["ready"], "directory": ports["directory"]},
 		"limits": map[string]any{"cpuShare": 0.4, "cores": 1, "memoryMb": 284, "maxFds": 4200},
@@ -92,6 +92,9 @@
 	exited  chan struct{}
 }
 
+// host is the loopback address of the nodes of this run, so that runs side by side share no ports.
+var host = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250))
+
 // usedPorts holds the ports that freePort has returned.
 var usedPorts = make(map[int]bool)
 
@@ -102,7 +105,7 @@
 		if usedPorts[port] {
 			continue
 		}
-		address := "127.0.0.1:" + strconv.Itoa(port)
+		address := net.JoinHostPort(host, strconv.Itoa(port))
 		if listener, err := net.Listen("tcp", address); err == nil {
 			usedPorts[port] = true
 			_ = listener.Close()
