Send no caller to a region that is lost: one list of the nodes that may be used

Cause: only a region's own nodes declare each other dead. That a whole region can't be reached is a state of its own, which View.Live heeds; healthyNodes of package hosted read the records instead. Six choices used it: the directory, claimants of the accounts' lease, owners of server limits, deputies, targets of passed-on requests and holders of copies.

Candidates try all targets at once after a failure, and together after the first report. The state outlasts a change of the candidates and is passed on to nodes that join; a message from the region at any node ends it. A node that gets no answer from its own region uses itself, judges the other regions itself and probes through them. A node that joins no longer tries all lost nodes of its region first.

--- a/internal/hosted/endpoints.go
+++ b/internal/hosted/endpoints.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -14,12 +12,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/guavatrack/guavatrack/internal/connlimit"
-	"github.com/guavatrack/guavatrack/internal/lookup"
-	"github.com/guavatrack/guavatrack/internal/member"
 	"github.com/guavatrack/guavatrack/internal/metric"
 	"github.com/guavatrack/guavatrack/internal/node"
 	"github.com/guavatrack/guavatrack/internal/peer"
-	"github.com/guavatrack/guavatrack/pkg/fleet"
 	"github.com/guavatrack/guavatrack/platform"
 )
 
@@ -149,37 +144,6 @@
 	return count
 }
 
-// nearestAddresses returns the addresses of the nodes that a caller at a place may
-// use. Nodes that reach no backend server, and suspected nodes, are included only if there
-// are no others. If all nodes are starting and this one is not leaving, its own address is
-// returned.
-func (n *Node) nearestAddresses(place fleet.Place) []string {
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	healthy := healthyNodes(n.components.Members)
-	reaching := slices.DeleteFunc(slices.Clone(healthy), func(info member.Info) bool { return info.CutOff })
-	if near := lookup.NearestAddresses(place, reaching, random); len(near) > 0 {
-		return near
-	}
-	if near := lookup.NearestAddresses(place, healthy, random); len(near) > 0 {
-		return near
-	}
-	if near := lookup.NearestAddresses(place, n.components.Members.Members(), random); len(near) > 0 || n.leaving.Load() {
-		return near
-	}
-	return []string{n.Addresses().Callers}
-}
-
-// healthyNodes returns the nodes that serve requests and are not suspected to have
-// failed.
-func healthyNodes(members *member.Controller) (nodes []member.Info) {
-	for _, record := range members.Records() {
-		if record.Status == member.Alive && !record.Leaving && !record.Starting {
-			nodes = append(nodes, record.Info)
-		}
-	}
-	return nodes
-}
-
 // closeCallers stops accepting connections from callers and from nodes that pass requests
 // on, and closes each one once it is idle. The returned channel gets the result when all are
 // closed or the context ends.
--- a/internal/hosted/provide.go
+++ b/internal/hosted/provide.go
@@ -1,13 +1,8 @@
 package hosted
 
 import (
-	"cmp"
-	"hash/fnv"
-	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -18,7 +13,6 @@
 	"github.com/guavatrack/guavatrack/internal/forward"
 	"github.com/guavatrack/guavatrack/internal/http1"
 	"github.com/guavatrack/guavatrack/internal/lease"
-	"github.com/guavatrack/guavatrack/internal/lookup"
 	"github.com/guavatrack/guavatrack/internal/member"
 	"github.com/guavatrack/guavatrack/internal/origin"
 	"github.com/guavatrack/guavatrack/internal/peer"
@@ -104,17 +98,6 @@
 	maxManifestCopyAge = 2 * time.Second
 )
 
-// nodeAddresses returns the addresses of this node's sockets and those of the members.
-func nodeAddresses(own Addresses, members *member.Controller) []string {
-	others := members.Members()
-	addresses := make([]string, 0, 5+2*len(others))
-	addresses = append(addresses, own.Callers, own.Peers, own.Lookup, own.Readiness, own.Metrics)
-	for _, info := range others {
-		addresses = append(addresses, info.CallerAddress, info.PeerAddress)
-	}
-	return addresses
-}
-
 func newManifestRelay(
 	n *Node, store *platform.Store, peers *peer.Peer, members *member.Controller, registry metrics.Registry,
 ) *roster.Relay[*roster.Manifest] {
@@ -218,68 +201,6 @@
 	}
 }
 
-// claimants returns the nodes in the order in which they claim a free lease.
-func claimants(members *member.Controller) (nodes []fleet.NodeID) {
-	candidates := healthyNodes(members)
-	slices.SortFunc(candidates, func(a, b member.Info) int { return compareLeasePriority(&a, &b) })
-	for i := range candidates {
-		nodes = append(nodes, candidates[i].Node)
-	}
-	return nodes
-}
-
-const (
-	// claimDelayPerNode is how long a node delays its claim of the lease for each
-	// node with a higher lease priority, maxClaimDelay the upper bound of the sum.
-	claimDelayPerNode = 150 * time.Millisecond
-	maxClaimDelay     = 2 * time.Second
-	// discoveryTime is the time after its start within which a node has discovered
-	// the others.
-	discoveryTime = 1200 * time.Millisecond
-)
-
-// claimDelay returns how long to wait before the lease is claimed. Before the end
-// of discoveryTime the node may not have discovered nodes with a higher priority.
-func (n *Node) claimDelay(members *member.Controller) time.Duration {
-	delay := time.Duration(0)
-	for _, info := range members.Members() {
-		if info.Node != n.ID && !info.Leaving && compareLeasePriority(&info, &members.Self) < 0 {
-			delay += claimDelayPerNode
-		}
-	}
-	return max(min(delay, maxClaimDelay), discoveryTime-time.Since(members.Self.StartedAt))
-}
-
-// compareLeasePriority orders nodes by their priority for holding the lease: nodes
-// with more processor time first, and among equal ones those that started last. If
-// nodes are restarted one after the other, the one that started last is the last
-// to be stopped again.
-func compareLeasePriority(a, b *member.Info) int {
-	return cmp.Or(cmp.Compare(b.Weight, a.Weight), b.StartedAt.Compare(a.StartedAt), cmp.Compare(a.Node, b.Node))
-}
-
-// deputies returns the nodes that may become the deputy of this one, in order of
-// preference: nodes with more processor time first, and among equal ones those in
-// other failure domains.
-func (n *Node) deputies(members *member.Controller) (nodes []fleet.NodeID) {
-	sameDomain := func(info *member.Info) int {
-		if info.FailureDomain == n.Settings.Node.FailureDomain {
-			return 1
-		}
-		return 0
-	}
-	candidates := healthyNodes(members)
-	slices.SortFunc(candidates, func(a, b member.Info) int {
-		return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(sameDomain(&a), sameDomain(&b)), compareLeasePriority(&a, &b))
-	})
-	for i := range candidates {
-		if candidates[i].Node != n.ID {
-			nodes = append(nodes, candidates[i].Node)
-		}
-	}
-	return nodes
-}
-
 func newDirectory() *placement.Directory { return &placement.Directory{} }
 
 func newReporter(
@@ -338,24 +259,6 @@
 	return &forward.Forwarder{Nodes: func() []forward.Node { return n.forwardTargets(members) }, Transport: transport, Log: n.Log}
 }
 
-// forwardTargets returns the nodes to which requests may be passed on, in random order: those
-// of this node's failure domain first, then those of its region, then the others.
-func (n *Node) forwardTargets(members *member.Controller) (targets []forward.Node) {
-	healthy := healthyNodes(members)
-	rand.Shuffle(len(healthy), func(i, j int) { healthy[i], healthy[j] = healthy[j], healthy[i] })
-	slices.SortStableFunc(healthy, func(a, b member.Info) int {
-		own := n.Settings.Node.Place
-		return cmp.Compare(lookup.Distance(own, a.Place), lookup.Distance(own, b.Place))
-	})
-	for i := range healthy {
-		info := &healthy[i]
-		if info.Node != n.ID && info.ForwardAddress != "" && !info.CutOff {
-			targets = append(targets, forward.Node{ID: info.Node, Address: info.ForwardAddress})
-		}
-	}
-	return targets
-}
-
 func newOrigins(
 	n *Node, platformStore *platform.Store, store table.Store, rosterController *roster.Controller,
 	leaseController *lease.Controller, peers *peer.Peer, members *member.Controller, engines *platform.Engines,
@@ -367,24 +270,6 @@
 	}
 }
 
-// others returns the other nodes that serve requests, those of this node's region first.
-func (n *Node) others(members *member.Controller) (nodes []fleet.NodeID) {
-	remote := func(info member.Info) int {
-		if info.Region == n.Settings.Node.Region {
-			return 0
-		}
-		return 1
-	}
-	healthy := healthyNodes(members)
-	slices.SortStableFunc(healthy, func(a, b member.Info) int { return cmp.Compare(remote(a), remote(b)) })
-	for i := range healthy {
-		if healthy[i].Node != n.ID {
-			nodes = append(nodes, healthy[i].Node)
-		}
-	}
-	return nodes
-}
-
 func newDispatcher(
 	n *Node, directory *placement.Directory, reporter *placement.Reporter, exchange *platform.Exchange,
 	members *member.Controller, store table.Store, gossip *poison.Gossip, origins *origin.Controller, limits *ratelimit.Controller,
@@ -436,27 +321,11 @@
 			if found == nil {
 				return ""
 			}
-			return ownerOf(server, found.Region, healthyNodes(members))
+			return ownerOf(server, found.Region, members)
 		},
 	}
 }
 
-// ownerOf returns the node that hands out the tokens of a limited server: one of its
-// region, if any, that has the highest hash with the server.
-func ownerOf(server fleet.ServerID, region fleet.Region, nodes []member.Info) (owner fleet.NodeID) {
-	var highest uint64
-	local := false
-	for i := range nodes {
-		hash := fnv.New64a()
-		_, _ = io.WriteString(hash, string(server)+"/"+string(nodes[i].Node))
-		inRegion := nodes[i].Region == region
-		if owner == "" || inRegion && !local || inRegion == local && hash.Sum64() > highest {
-			owner, highest, local = nodes[i].Node, hash.Sum64(), inRegion
-		}
-	}
-	return owner
-}
-
 const (
 	// retryShare is the share of the fleet's retry allowance that the nodes use.
 	// minNodes is the minimum number of nodes by which the burst is divided: some
--- a/internal/member/controller.go
+++ b/internal/member/controller.go
@@ -331,6 +331,23 @@
 	return c.view.Live(time.Now())
 }
 
+// Healthy returns the live members that serve requests and are not suspected to have failed,
+// ordered by id; see [View.Healthy]. The slice must not be changed.
+func (c *Controller) Healthy() []Info {
+	c.init()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.Healthy(time.Now())
+}
+
+// Isolated reports whether no node of this node's region answers it.
+func (c *Controller) Isolated() bool {
+	c.init()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.Isolated()
+}
+
 // KnownNodes returns the number of nodes in the view, dead ones included.
 func (c *Controller) KnownNodes() int {
 	c.init()
@@ -339,7 +356,8 @@
 	return len(c.view.entries) + 1
 }
 
-// Records returns the records of all nodes in the view, dead ones included.
+// Records returns the records of all nodes in the view, dead ones and those of unreachable
+// regions included: they don't tell which nodes may be used.
 func (c *Controller) Records() []Record {
 	c.init()
 	c.mu.Lock()
--- a/internal/member/exchange.go
+++ b/internal/member/exchange.go
@@ -19,12 +19,32 @@
 	}
 	v.expire(now)
 	actions := v.dueLinkExchanges(now)
-	if target, found := v.nextNeighbor(); found {
+	for _, target := range v.dueNeighbors() {
 		actions = append(actions, v.exchangeWith(now, target))
 	}
 	return actions
 }
 
+// dueNeighbors returns the nodes of this region to exchange messages with in this tick: the next
+// neighbour. While none answers, it is several others at once that are not suspected yet, so that
+// a node that is left alone, or starts alone, finds that out soon.
+func (v *View) dueNeighbors() []fleet.NodeID {
+	if v.unanswered >= isolatedAfterFailures/2 {
+		nodes := slices.DeleteFunc(v.liveInRegion(v.self.Region), func(node fleet.NodeID) bool {
+			return v.entries[node].Status == Suspect
+		})
+		if len(nodes) > 0 {
+			slices.Sort(nodes)
+			v.random.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+			return nodes[:min(len(nodes), neighborOrders)]
+		}
+	}
+	if target, found := v.nextNeighbor(); found {
+		return []fleet.NodeID{target}
+	}
+	return nil
+}
+
 // exchangeWith returns an exchange with a neighbour. The message to a suspect
 // includes its own record, so that its answer refutes the suspicion.
 func (v *View) exchangeWith(now time.Time, target fleet.NodeID) Action {
@@ -157,12 +177,16 @@
 
 // Receive merges a request and returns the answer.
 func (v *View) Receive(now time.Time, request Message) Message {
+	v.recordMessage(now, request.Region)
 	known := v.mergeMessage(now, request)
 	reply := v.newMessage(now, v.queuesFor(request.Region), request)
 	reply.KnownMembers, reply.KnownFacts, reply.Buckets = known.KnownMembers, known.KnownFacts, nil
 	if len(request.Buckets) == digestBuckets {
 		reply.Members = v.differingRecords(reply.Members, request.Buckets)
 		reply.Buckets = slices.Clone(v.bucketDigests[:])
+		if request.Region == v.self.Region {
+			reply.Facts = append(reply.Facts, v.unreachableReports(now)...)
+		}
 	}
 	if e, found := v.entries[request.From]; found && !e.live() {
 		// The sender is alive despite its record and has to refute it.
@@ -211,9 +235,7 @@
 // MergeAnswer merges the answer to a message.
 func (v *View) MergeAnswer(now time.Time, to fleet.NodeID, request, answer Message) {
 	queues := v.queuesFor(answer.Region)
-	if answer.Region != v.self.Region {
-		v.recordLinkResult(now, answer.Region, true)
-	}
+	v.recordMessage(now, answer.Region)
 	for _, i := range answer.KnownMembers {
 		if i >= 0 && i < len(request.Members) {
 			queues.members.feedback(request.Members[i].Node)
@@ -238,6 +260,16 @@
 	}
 }
 
+// recordMessage records that a message of a node of a region was received: the region can be
+// reached.
+func (v *View) recordMessage(now time.Time, region fleet.Region) {
+	if region == v.self.Region {
+		v.unanswered = 0
+		return
+	}
+	v.recordLinkResult(now, region, true)
+}
+
 // queueMissing queues the records of differing buckets that the answer, which was
 // to contain them, lacks or has in an older version.
 func (v *View) queueMissing(queues *updateQueues, answer Message) {
@@ -268,8 +300,10 @@
 }
 
 // HandleFailure handles an exchange in which a node answered neither on an open nor on
-// a new connection. It returns the indirect probes to make. If there is no node
-// to probe through, the target becomes a suspect at once.
+// a new connection. It returns what is to be done next: for a node of another region the next
+// exchanges with that region if they are due, for one of this region indirect probes: through nodes of this region, or
+// of the other ones if none of this region answers. If there is no node to probe through, the
+// target becomes a suspect at once.
 func (v *View) HandleFailure(now time.Time, to fleet.NodeID, began time.Time) []Action {
 	e, found := v.entries[to]
 	if !found || v.PausedSince(began) {
@@ -277,14 +311,10 @@
 	}
 	if e.Region != v.self.Region {
 		v.recordLinkResult(now, e.Region, false)
-		return nil
-	}
-	via := slices.DeleteFunc(v.liveInRegion(v.self.Region), func(node fleet.NodeID) bool { return node == to })
-	if len(via) == 0 {
-		for _, region := range v.otherRegions() {
-			via = append(via, v.linkTarget(region))
-		}
+		return v.dueLinkExchanges(now)
 	}
+	v.unanswered++
+	via := v.intermediates(to)
 	if len(via) == 0 {
 		v.suspect(now, to)
 		return nil
@@ -294,6 +324,21 @@
 	return []Action{{Target: to, Via: via[:min(len(via), indirectProbes)]}}
 }
 
+// intermediates returns the nodes through which a node of this region may be probed: the others
+// of the region, or one of each other region if there are none or none answers.
+func (v *View) intermediates(target fleet.NodeID) (nodes []fleet.NodeID) {
+	nodes = slices.DeleteFunc(v.liveInRegion(v.self.Region), func(node fleet.NodeID) bool { return node == target })
+	regions := v.otherRegions()
+	if len(nodes) > 0 && (!v.Isolated() || len(regions) == 0) {
+		return nodes
+	}
+	nodes = nil
+	for _, region := range regions {
+		nodes = append(nodes, v.linkTarget(region))
+	}
+	return nodes
+}
+
 // ProbeResult is the result of one indirect probe.
 type ProbeResult int
 
@@ -312,6 +357,9 @@
 // intermediate node answered, the fault may be this node's own, and the target is
 // not suspected.
 func (v *View) HandleProbeResults(now time.Time, target fleet.NodeID, began time.Time, results []ProbeResult) {
+	if !v.Isolated() && slices.ContainsFunc(results, func(result ProbeResult) bool { return result != ProbeNoAnswer }) {
+		v.unanswered = 0
+	}
 	if v.PausedSince(began) || slices.Contains(results, ProbeReached) || !slices.Contains(results, ProbeUnreachable) {
 		return
 	}
--- a/internal/member/fact.go
+++ b/internal/member/fact.go
@@ -26,7 +26,7 @@
 	// The clock keeps versions increasing after the previous value has expired.
 	fact.Version = max(v.facts[fact.id()].Version+1, uint64(max(now.UnixMilli(), 0)))
 	fact.expires = now.Add(min(lifetime, maxFactLifetime))
-	v.storeFact(fact)
+	v.storeFact(now, fact)
 	return true
 }
 
@@ -41,15 +41,19 @@
 		return true
 	}
 	fact.expires = now.Add(min(time.Duration(fact.TTLMillis)*time.Millisecond, maxFactLifetime))
-	v.storeFact(fact)
+	v.storeFact(now, fact)
 	return false
 }
 
 // storeFact stores a fact and queues it for sending. Only
 // cross-region facts are sent to other regions, and only from their owner's
 // region, so that each crosses a link once.
-func (v *View) storeFact(fact Fact) {
+func (v *View) storeFact(now time.Time, fact Fact) {
+	fact.receivedAt = now
 	v.facts[fact.id()] = fact
+	if fact.Kind == unreachableFactKind {
+		v.recordReport(now, &fact)
+	}
 	v.localQueues.facts.add(fact.id())
 	v.immediateDue = v.immediateDue || fact.Urgent
 	if !fact.CrossRegion || fact.Region != v.self.Region {
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -82,6 +82,9 @@
 // live reports whether the node counts as a member.
 func (r Record) live() bool { return r.Status == Alive || r.Status == Suspect }
 
+// serves reports whether the node serves requests and is not suspected to have failed.
+func (r *Record) serves() bool { return r.Status == Alive && !r.Leaving && !r.Starting }
+
 // hash returns the record's contribution to the digest of a view, 0 if the node
 // is not live. Suspicion is short-lived and is not part of it.
 func (r Record) hash() uint64 {
@@ -117,6 +120,8 @@
 	Value     json.RawMessage `json:"value,omitempty"`
 
 	expires time.Time
+	// receivedAt is when this node stored the fact.
+	receivedAt time.Time
 }
 
 // factKey identifies a fact.
--- a/internal/member/registration.go
+++ b/internal/member/registration.go
@@ -291,7 +291,8 @@
 }
 
 // joinTargets returns the registered nodes that are neither live in the view nor
-// have left, in random order, those of the own region first.
+// have left, in random order: those of the own region first, but nodes of the other regions in
+// turn with them after maxJoins, since all of the own region may be lost.
 func (c *Controller) joinTargets(others []registrationRecord) []joinTarget {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -308,7 +309,17 @@
 			otherRegions = append(otherRegions, joinTarget{other.Node, other.PeerAddress})
 		}
 	}
-	return append(sameRegion, otherRegions...)
+	first := min(maxJoins, len(sameRegion))
+	return append(slices.Clone(sameRegion[:first]), inTurn(otherRegions, sameRegion[first:])...)
+}
+
+// inTurn returns the targets of two lists, one of each in turn.
+func inTurn(a, b []joinTarget) (targets []joinTarget) {
+	for len(a) > 0 && len(b) > 0 {
+		targets = append(targets, a[0], b[0])
+		a, b = a[1:], b[1:]
+	}
+	return slices.Concat(targets, a, b)
 }
 
 // joinRounds is the number of exchanges in a join. In the first one each side
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -27,6 +27,9 @@
 	// mismatchLimit is the number of consecutive exchanges with different digests
 	// after which the records of differing buckets are fetched.
 	mismatchLimit = 4
+	// isolatedAfterFailures is the least number of consecutive failed exchanges with nodes of
+	// its own region after which a node counts itself as isolated.
+	isolatedAfterFailures = 4
 	// deadRetention is how long the records of nodes that are dead or have left are kept.
 	deadRetention = 10 * time.Minute
 )
@@ -67,7 +70,8 @@
 	// when it has changed.
 	version uint64
 	derived derivedLists
-	live    liveList
+	live    memberList
+	healthy memberList
 
 	localQueues updateQueues
 	links       map[fleet.Region]*regionLink
@@ -75,6 +79,7 @@
 	neighbors       []fleet.NodeID
 	neighborsStale  bool // neighbors must be recomputed
 	cursor          int
+	unanswered      int            // failed exchanges with this region since a message was received from it
 	suspectsToProbe []fleet.NodeID // suspects to exchange messages with next
 
 	immediateDue      bool // a change is to be sent before the next tick
@@ -315,22 +320,47 @@
 	v.putRecord(now, record)
 }
 
-// liveList is the list of live members as of a version of the view, without those
-// of the regions that were unreachable.
-type liveList struct {
+// memberList is a list of members as of a version of the view, without those of the regions
+// that were unreachable.
+type memberList struct {
 	version     uint64
 	unreachable []fleet.Region
 	members     []Info
 }
 
+// in returns the members that are in none of the unreachable regions and whose records match,
+// ordered by id. The list is made anew if the view or the regions have changed.
+func (l *memberList) in(v *View, unreachable []fleet.Region, matches func(*Record) bool) []Info {
+	if l.members == nil || l.version != v.version || !slices.Equal(l.unreachable, unreachable) {
+		*l = memberList{version: v.version, unreachable: unreachable, members: v.outside(unreachable, matches)}
+	}
+	return l.members
+}
+
 // Live returns the live members, this node included unless it has left, ordered
 // by id. Nodes of unreachable regions are left out. The slice must not be changed.
 func (v *View) Live(now time.Time) []Info {
+	return v.live.in(v, v.unreachableRegions(now), func(record *Record) bool { return record.live() })
+}
+
+// Healthy returns the live members that serve requests: those that are neither suspected nor
+// starting nor leaving, ordered by id. Nodes of unreachable regions are left out. The slice
+// must not be changed.
+//
+// A node that gets no answer from its own region can't tell whether the others are lost or
+// itself cut off, and returns itself alone, unless it reaches no backend server either.
+func (v *View) Healthy(now time.Time) []Info {
 	unreachable := v.unreachableRegions(now)
-	if v.live.members == nil || v.live.version != v.version || !slices.Equal(v.live.unreachable, unreachable) {
-		v.live = liveList{version: v.version, unreachable: unreachable, members: v.liveOutside(unreachable)}
+	if v.Isolated() && !v.self.CutOff {
+		unreachable = append(unreachable, v.self.Region)
 	}
-	return v.live.members
+	return v.healthy.in(v, unreachable, (*Record).serves)
+}
+
+// Isolated reports whether no node of this region, if there are others, answers this one.
+func (v *View) Isolated() bool {
+	neighbors := len(v.Neighbors())
+	return neighbors > 0 && v.unanswered >= max(isolatedAfterFailures, neighbors)
 }
 
 // unreachableRegions returns the regions that are unreachable, ordered by name.
@@ -345,15 +375,15 @@
 	return regions
 }
 
-// liveOutside returns the live members that are in none of the regions, ordered by
-// id.
-func (v *View) liveOutside(regions []fleet.Region) []Info {
+// outside returns this node and the members that are in none of the regions, if their records
+// match, ordered by id.
+func (v *View) outside(regions []fleet.Region, matches func(*Record) bool) []Info {
 	list := make([]Info, 0, len(v.entries)+1)
-	if v.self.Status != Left {
+	if matches(&v.self) {
 		list = append(list, v.self.Info)
 	}
 	for _, e := range v.entries {
-		if e.live() && !slices.Contains(regions, e.Region) {
+		if matches(&e.Record) && !slices.Contains(regions, e.Region) {
 			list = append(list, e.Info)
 		}
 	}
