Count servers that crash together once against a request

Cause: a request is identified by its content, each crashed server counted as a crash of its own against it, and two convict, without a way back.

Ruled out: the final fault (refused before it); a window of time as the remedy (a repeat that crashes its server 5 ms later would count as the same crash).

Change: a crash has a generation, 1 above those that its node knew when the run began; crashes of one generation count once. No clocks are compared, and crashes of nodes of an older version count as before. A refused request has a trial after 30 s, 90 s and so on, after 3 s if its crashes came at one moment, none without the store. An answer that begins after a crash clears the request (so far only a trial did), and one answered in the last 3 s needs no trial after one generation.

--- a/internal/dispatch/callrunner.go
+++ b/internal/dispatch/callrunner.go
@@ -131,7 +131,7 @@
 		return nil, err
 	}
 	watch := r.watchForSilence(a)
-	stopClearing := r.clearParts(a)
+	stopClearing := r.clearBegun(a)
 	err = a.answer.Relay()
 	stopClearing()
 	next = watch.end(err)
@@ -187,6 +187,7 @@
 			a.err = a.spend()
 		}
 		if a.err == nil {
+			taken.generation = r.poison.Generation(r.call.Digest)
 			a.answer, a.err = r.call.Message.Open(a.ctx, a)
 		}
 		if a.err != nil && errors.Is(context.Cause(a.ctx), errLapsed) {
--- a/internal/dispatch/isolate.go
+++ b/internal/dispatch/isolate.go
@@ -93,25 +93,25 @@
 	return d.checkPoison(call)
 }
 
-// recordAnswered records that a request was answered: it clears the parts of its prompt,
-// and the request itself if it was suspected.
+// recordAnswered records that a request was answered: it clears the request and the parts of
+// its prompt.
 func (d *Dispatcher) recordAnswered(call *Call, began time.Time) {
-	d.poison.RecordCompletion(began, call.Parts)
+	d.poison.RecordCompletion(began, call.Digest, call.Parts)
 	if call.exclusive {
 		digest, ctx := call.Digest, context.WithoutCancel(call.Context)
 		d.background.Go(func() { d.poison.RecordSuccess(ctx, digest) })
 	}
 }
 
-// clearParts clears the parts of a call's prompt once its answer has been written for
-// longer than a part takes to crash a server: a stream may last for long.
-func (d *Dispatcher) clearParts(a *Attempt) (stop func()) {
+// clearBegun clears a request and the parts of its prompt once its answer has been written for
+// longer than it takes to crash a server: a stream may last for long.
+func (d *Dispatcher) clearBegun(a *Attempt) (stop func()) {
 	call := a.slot.call
-	if !call.Stream || len(call.Parts) == 0 {
+	if !call.Stream {
 		return func() {}
 	}
 	began := a.slot.answered()
-	timer := time.AfterFunc(crashWindow, func() { d.poison.RecordCompletion(began, call.Parts) })
+	timer := time.AfterFunc(crashWindow, func() { d.poison.RecordCompletion(began, call.Digest, call.Parts) })
 	return func() { timer.Stop() }
 }
 
--- a/internal/dispatch/servers.go
+++ b/internal/dispatch/servers.go
@@ -333,7 +333,7 @@
 	var runs []poison.Run
 	for taken := range s.running {
 		if taken.replica.Boot == boot && taken.sent.Load() && taken.mayHaveBegun(now) {
-			runs = append(runs, poison.Run{Digest: taken.call.Digest, Parts: taken.call.Parts})
+			runs = append(runs, poison.Run{Digest: taken.call.Digest, Generation: taken.generation, Parts: taken.call.Parts})
 		}
 	}
 	s.mu.Unlock()
--- a/internal/dispatch/silentend.go
+++ b/internal/dispatch/silentend.go
@@ -37,8 +37,8 @@
 // silentRun is a run of a server's process that is silent and takes no connections.
 type silentRun struct {
 	boot fleet.BootID
-	// digests are those of the requests that it may have begun to run before that.
-	digests []poison.Digest
+	// requests are those that it may have begun to run before that, without their parts.
+	requests []poison.Run
 }
 
 // silentEnd awaits whether a silent run has ended.
@@ -58,7 +58,7 @@
 	if !known || taken.replica.Boot == "" || !taken.sent.Load() || !taken.mayHaveBegun(time.Now()) || d.isDraining(taken) {
 		return
 	}
-	if !taken.server.addSilent(taken.replica.Boot, taken.call.Digest) {
+	if !taken.server.addSilent(taken.replica.Boot, poison.Run{Digest: taken.call.Digest, Generation: taken.generation}) {
 		return
 	}
 	end := &silentEnd{Dispatcher: d, state: taken.server, replica: taken.replica, lister: lister, since: time.Now()}
@@ -84,43 +84,40 @@
 		time.AfterFunc(silentEndInterval, e.check)
 		return
 	}
-	digests := e.state.takeSilent(e.replica.Boot)
+	runs := e.state.takeSilent(e.replica.Boot)
 	e.Log.Info("run of a silent server", slog.String("server", string(e.replica.Server)), slog.String("boot", string(e.replica.Boot)),
-		slog.Bool("ended", !listed), slog.Duration("after", time.Since(e.since)), slog.Int("requests", len(digests)))
-	if listed || len(digests) == 0 {
+		slog.Bool("ended", !listed), slog.Duration("after", time.Since(e.since)), slog.Int("requests", len(runs)))
+	if listed || len(runs) == 0 {
 		return
 	}
-	runs := make([]poison.Run, len(digests))
-	for i, digest := range digests {
-		runs[i] = poison.Run{Digest: digest}
-	}
 	e.poison.RecordCrash(e.replica.Server, e.replica.Boot, runs)
 }
 
 // addSilent adds a request to those held against a silent run. It reports whether it is the
 // first one.
-func (s *serverState) addSilent(boot fleet.BootID, digest poison.Digest) (first bool) {
+func (s *serverState) addSilent(boot fleet.BootID, run poison.Run) (first bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.silent == nil || s.silent.boot != boot {
 		s.silent = &silentRun{boot: boot}
 		first = true
 	}
-	if len(s.silent.digests) < maxSilentRequests && !slices.Contains(s.silent.digests, digest) {
-		s.silent.digests = append(s.silent.digests, digest)
+	isSame := func(other poison.Run) bool { return other.Digest == run.Digest && other.Generation == run.Generation }
+	if len(s.silent.requests) < maxSilentRequests && !slices.ContainsFunc(s.silent.requests, isSame) {
+		s.silent.requests = append(s.silent.requests, run)
 	}
 	return first
 }
 
 // takeSilent removes a silent run and returns the requests held against it.
-func (s *serverState) takeSilent(boot fleet.BootID) (digests []poison.Digest) {
+func (s *serverState) takeSilent(boot fleet.BootID) (requests []poison.Run) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.silent == nil || s.silent.boot != boot {
 		return nil
 	}
-	digests, s.silent = s.silent.digests, nil
-	return digests
+	requests, s.silent = s.silent.requests, nil
+	return requests
 }
 
 // checkUnanswered probes the server of an attempt that had no answer when its call ended, if
--- a/internal/dispatch/slot.go
+++ b/internal/dispatch/slot.go
@@ -26,6 +26,9 @@
 	fresh bool
 	// sent is set before the first byte is sent to the server.
 	sent atomic.Bool
+	// generation is that of a crash by the run; see [poison.Controller.Generation]. It is
+	// set before sent.
+	generation int
 	// answeredAt is when the answer began; nil if it hasn't.
 	answeredAt atomic.Pointer[time.Time]
 	// bytes is the size of the request and of the answer so far.
--- a/internal/poison/controller.go
+++ b/internal/poison/controller.go
@@ -62,7 +62,8 @@
 	once                     sync.Once
 	mu                       sync.Mutex
 	notices                  NoticeSet
-	completed                completions
+	completed                completions  // of requests with parts, by part
+	answered                 completions  // of requests, by their own digests
 	known                    atomic.Int64 // the number of notices
 	activeTrials             map[Digest]Trial
 	crashes, refused, trials metrics.Counter
@@ -105,7 +106,7 @@
 // vain. The caller holds the lock.
 func (c *Controller) find(now time.Time, digest Digest, parts []Digest) Finding {
 	verdict, until := c.notices.CheckIn(now, digest, parts)
-	if verdict == Unrestricted {
+	if verdict == Unrestricted || verdict == Exclusive && c.isTrusted(now, digest) {
 		return Finding{}
 	}
 	if verdict == Exclusive && digest.IsPart() {
@@ -116,6 +117,12 @@
 	return c.finding(now, digest, verdict, until)
 }
 
+// isTrusted reports whether a request needs no trial: its runs crashed together, while others
+// were answered here lately. The caller holds the lock.
+func (c *Controller) isTrusted(now time.Time, digest Digest) bool {
+	return !digest.IsPart() && c.notices.crashCount(now, digest) < MaxCrashes && c.answered.lately(now, digest)
+}
+
 // finding returns a verdict with what it follows from. The caller holds the lock.
 func (c *Controller) finding(now time.Time, digest Digest, verdict Verdict, until time.Time) Finding {
 	return Finding{
@@ -124,6 +131,16 @@
 	}
 }
 
+// Generation returns the generation of a crash by a run of a request that begins now.
+func (c *Controller) Generation(digest Digest) int {
+	if c.known.Load() == 0 {
+		return 1
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.notices.Get(digest).generation()
+}
+
 // TrialRefusal returns the finding on a digest whose trial BeginTrial has refused.
 func (c *Controller) TrialRefusal(digest Digest, until time.Time) Finding {
 	c.mu.Lock()
@@ -181,7 +198,7 @@
 // node began. It returns the notices that this changed. The caller holds the lock.
 func (c *Controller) clearCompleted(now time.Time, digests ...Digest) (cleared []Notice) {
 	for _, digest := range digests {
-		began := c.completed.last(digest)
+		began := c.completionsOf(digest).last(digest)
 		notice := c.notices.Get(digest)
 		if began.IsZero() || !slices.ContainsFunc(notice.Crashes, func(crash Crash) bool {
 			return crash.At.After(notice.ClearedAt) && !crash.At.After(began)
@@ -194,22 +211,28 @@
 	return cleared
 }
 
-// RecordCompletion records that a request with parts was answered, and when the answer
-// began. Parts that crash servers do so as an answer begins, so it clears them of the
-// crashes before.
-func (c *Controller) RecordCompletion(began time.Time, parts []Digest) {
-	if len(parts) == 0 {
-		return
+// completionsOf returns the record of completed answers that a digest belongs to.
+func (c *Controller) completionsOf(digest Digest) *completions {
+	if digest.IsPart() {
+		return &c.completed
 	}
+	return &c.answered
+}
+
+// RecordCompletion records that a request was answered, and when the answer began. What
+// crashes servers does so as an answer begins, so it clears the request and the parts of its
+// prompt of the crashes before.
+func (c *Controller) RecordCompletion(began time.Time, digest Digest, parts []Digest) {
 	c.once.Do(c.setUp)
 	c.mu.Lock()
 	now := time.Now()
+	c.answered.record(now, began, digest)
 	for _, part := range parts {
 		c.completed.record(now, began, part)
 	}
 	var cleared []Notice
 	if c.known.Load() > 0 {
-		cleared = c.clearCompleted(now, parts...)
+		cleared = c.clearCompleted(now, append(slices.Clone(parts), digest)...)
 	}
 	c.mu.Unlock()
 	c.replicateAll(cleared)
@@ -223,8 +246,10 @@
 	c.catchUp()
 	now := time.Now()
 	running := make([]Digest, len(runs))
-	for i := range runs {
-		running[i] = runs[i].Digest
+	generations := make(map[Digest]int, len(runs))
+	for i, run := range runs {
+		running[i] = run.Digest
+		generations[run.Digest] = earlierGeneration(generations[run.Digest], run.Generation)
 	}
 	c.mu.Lock()
 	parts := blamedParts(now, runs, &c.completed)
@@ -233,7 +258,14 @@
 	described := make([]string, 0, maxLoggedParts)
 	for _, digest := range slices.Concat(parts, suspects) {
 		before, verdict := c.notices.Get(digest), c.partVerdict(now, digest)
-		notice := c.notices.RecordCrash(now, digest, server, boot)
+		crash := Crash{Server: server, Boot: boot, At: now}
+		if !digest.IsPart() {
+			crash.Generation = generations[digest]
+			if !slices.Contains(running, digest) {
+				crash.Generation = before.generation() // the trial of another node
+			}
+		}
+		notice := c.notices.recordCrash(digest, crash)
 		notices = append(notices, notice)
 		c.logPart(now, verdict, notice)
 		if digest.IsPart() && len(described) < maxLoggedParts {
@@ -368,8 +400,8 @@
 	return c.grantAlone(digest)
 }
 
-// grantAlone decides on a trial without the table. A refused part has none, since each
-// node would grant one.
+// grantAlone decides on a trial without the table. A digest that was refused has none, since
+// each node would grant one.
 func (c *Controller) grantAlone(digest Digest) (Verdict, time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -378,8 +410,12 @@
 	if trialOnOtherNode(now, notice, c.Node) {
 		return Refuse, notice.Trial.Deadline
 	}
-	if digest.IsPart() && c.notices.crashCount(now, digest) >= MaxPartCrashes {
-		return Refuse, now.Add(firstPartBackoff)
+	refusedFrom := MaxCrashes
+	if digest.IsPart() {
+		refusedFrom = MaxPartCrashes
+	}
+	if c.notices.crashCount(now, digest) >= refusedFrom {
+		return Refuse, now.Add(firstBackoff)
 	}
 	return c.notices.Check(now, digest)
 }
--- a/internal/poison/notice.go
+++ b/internal/poison/notice.go
@@ -5,8 +5,9 @@
 // its caller sends it again, at any node. When a backend server crashes, the
 // requests that ran on it become suspects. A suspect may run once more, in a
 // trial: no other request of the node runs on the same server. If that server
-// crashes too, every node refuses the request until its notice expires. If the
-// request succeeds it is no longer a suspect.
+// crashes too, every node refuses the request until a further trial is due. If the
+// request succeeds it is no longer a suspect. Crashes of runs that were under way at
+// the same time count as one, since servers also crash together for other causes.
 //
 // Requests may also share a part of their prompts that crashes each server that begins
 // to answer. A part has a digest and a notice as a request has. Several crashes are
@@ -51,6 +52,9 @@
 	Server fleet.ServerID `json:"server"`
 	Boot   fleet.BootID   `json:"boot"`
 	At     time.Time      `json:"at"`
+	// Generation is 1 more than the highest generation of the crashes that were known to the
+	// node when the run began; 0 if unknown. It counts for requests only.
+	Generation int `json:"generation,omitempty"`
 }
 
 // Notice is the state of one digest that nodes exchange.
@@ -76,7 +80,8 @@
 	Parts []Digest `json:"-"`
 }
 
-// MaxCrashes is the number of crashes from which a request is refused.
+// MaxCrashes is the number of crashes from which a request is refused until a further trial is
+// due.
 const MaxCrashes = 2
 
 // maxNoticeCrashes is the number of crashes that a notice holds, the latest ones. A notice
@@ -107,8 +112,12 @@
 	Occupied
 )
 
-// CrashCount returns the number of crashes after the last success.
+// CrashCount returns the number of crashes after the last success; of those of a request that
+// ran on several servers at a time only one.
 func (n Notice) CrashCount() int {
+	if !n.Digest.IsPart() {
+		return n.requestCrashes()
+	}
 	count := 0
 	for _, crash := range n.Crashes {
 		if crash.At.After(n.ClearedAt) {
@@ -134,9 +143,14 @@
 	earliest := make(map[run]Crash)
 	for _, crash := range slices.Concat(n.Crashes, other.Crashes) {
 		id := run{crash.Server, crash.Boot}
-		if first, found := earliest[id]; !found || crash.At.Before(first.At) {
-			earliest[id] = crash
+		first, found := earliest[id]
+		if found {
+			crash.Generation = earlierGeneration(first.Generation, crash.Generation)
+			if first.At.Before(crash.At) {
+				crash.At = first.At
+			}
 		}
+		earliest[id] = crash
 	}
 	n.Crashes = slices.SortedFunc(maps.Values(earliest), compareCrashes)
 	if other.ClearedAt.After(n.ClearedAt) {
@@ -190,10 +204,8 @@
 		return Unrestricted, time.Time{}
 	case digest.IsPart():
 		return notice.partVerdict(now, s.crashCount(now, digest))
-	case notice.CrashCount() >= MaxCrashes:
-		return Refuse, notice.ExpiresAt
 	default:
-		return Exclusive, notice.ExpiresAt
+		return notice.requestVerdict(now)
 	}
 }
 
@@ -262,15 +274,20 @@
 	return digests
 }
 
-// RecordCrash records a crash against a digest and returns the merged notice.
+// RecordCrash records a crash, of a run of which nothing is known, against a digest and returns
+// the merged notice.
 func (s *NoticeSet) RecordCrash(now time.Time, digest Digest, server fleet.ServerID, boot fleet.BootID) Notice {
-	lifetime := NoticeLifetime
+	return s.recordCrash(digest, Crash{Server: server, Boot: boot, At: now})
+}
+
+// recordCrash records a crash that was noticed just now.
+func (s *NoticeSet) recordCrash(digest Digest, crash Crash) Notice {
+	refusedFrom := MaxCrashes
 	if digest.IsPart() {
-		lifetime = max(lifetime, partLifetimeBackoffs*partBackoff(s.Get(digest).CrashCount()+1))
+		refusedFrom = MaxPartCrashes
 	}
-	return s.Merge(now, Notice{
-		Digest: digest, Crashes: []Crash{{Server: server, Boot: boot, At: now}}, ExpiresAt: now.Add(lifetime),
-	})
+	lifetime := max(NoticeLifetime, lifetimeBackoffs*backoff(s.Get(digest).CrashCount()+1-refusedFrom))
+	return s.Merge(crash.At, Notice{Digest: digest, Crashes: []Crash{crash}, ExpiresAt: crash.At.Add(lifetime)})
 }
 
 // RecordSuccess records that a suspect succeeded and returns the merged notice.
@@ -298,7 +315,7 @@
 		known = Notice{Digest: notice.Digest}
 	}
 	notice = known.Merge(notice)
-	notice.Crashes = notice.Crashes[max(0, len(notice.Crashes)-maxNoticeCrashes):]
+	notice.Crashes = latestCrashes(notice.Crashes)
 	s.byDigest[notice.Digest] = notice
 	if notice.Digest.IsPart() && notice.CrashCount() >= MaxPartCrashes {
 		s.refusedParts[notice.Digest] = struct{}{}
--- a/internal/poison/notice_test.go
+++ b/internal/poison/notice_test.go
@@ -23,7 +23,8 @@
 	for range rapid.IntRange(0, 3).Draw(t, "crashes") {
 		notice.Crashes = append(notice.Crashes, poison.Crash{
 			Server: fleet.ServerID(fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "server"))), Boot: "b",
-			At: now.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, "at")) * time.Second),
+			At:         now.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, "at")) * time.Second),
+			Generation: rapid.IntRange(0, 3).Draw(t, "generation"),
 		})
 	}
 	if rapid.Bool().Draw(t, "cleared") {
--- a/internal/poison/part.go
+++ b/internal/poison/part.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -29,66 +30,14 @@
 	MaxPartCrashes = 3
 )
 
-// A refused part with crashes apart from each other may have a further trial after
-// firstPartBackoff from its last crash.
-// Each further crash multiplies the time by partBackoffFactor, up to maxPartBackoff. The
-// notice is valid for partLifetimeBackoffs such times, so that it doesn't expire before
-// the trial.
-const (
-	firstPartBackoff     = 30 * time.Second
-	partBackoffFactor    = 3
-	maxPartBackoff       = time.Hour
-	partLifetimeBackoffs = 2
-)
-
-// partBackoff returns how long after its last crash a part with a number of crashes is
-// refused.
-func partBackoff(crashes int) time.Duration {
-	backoff := firstPartBackoff
-	for range crashes - MaxPartCrashes {
-		backoff = min(backoff*partBackoffFactor, maxPartBackoff)
-	}
-	return backoff
-}
-
-// Crashes of several servers at one moment mostly have a cause outside, such as the loss of
-// power or of a link.
-const (
-	// sharedMoment is the time within which crashes count as one moment.
-	sharedMoment = 2 * time.Second
-	// sharedPause is how long after the last crash a part is refused all of whose crashes
-	// came at one moment: all nodes have heard of them by then, and a trial that crashes its
-	// server does so apart from them. Each crash beyond [MaxPartCrashes] adds sharedPauseStep.
-	sharedPause     = sharedMoment + time.Second
-	sharedPauseStep = 100 * time.Millisecond
-)
-
-// refusedFor returns how long after its last crash a part is refused, of whose crashes some
-// count.
-func (n Notice) refusedFor(crashes int) time.Duration {
+// partRefusedFor returns how long after its last crash a part is refused, of whose crashes
+// some count.
+func (n Notice) partRefusedFor(crashes int) time.Duration {
 	atFirst, apart := n.crashesByMoment()
 	if apart == 0 {
 		return sharedPause + time.Duration(crashes-MaxPartCrashes)*sharedPauseStep
 	}
-	return partBackoff(max(MaxPartCrashes, min(atFirst, MaxPartCrashes-1)+apart))
-}
-
-// crashesByMoment counts the crashes after the last success that came at the moment of the
-// first one, and those apart from it.
-func (n Notice) crashesByMoment() (atFirst, apart int) {
-	var first time.Time
-	for _, crash := range n.Crashes {
-		switch {
-		case !crash.At.After(n.ClearedAt):
-		case first.IsZero():
-			first, atFirst = crash.At, 1
-		case crash.At.Sub(first) < sharedMoment:
-			atFirst++
-		default:
-			apart++
-		}
-	}
-	return atFirst, apart
+	return backoff(max(0, min(atFirst, MaxPartCrashes-1)+apart-MaxPartCrashes))
 }
 
 // partVerdict returns the verdict on the requests with a part, of whose crashes some
@@ -98,7 +47,7 @@
 		return Unrestricted, time.Time{}
 	}
 	if crashes >= MaxPartCrashes {
-		if next := n.Crashes[len(n.Crashes)-1].At.Add(n.refusedFor(crashes)); now.Before(next) {
+		if next := n.Crashes[len(n.Crashes)-1].At.Add(n.partRefusedFor(crashes)); now.Before(next) {
 			return Refuse, next
 		}
 	}
@@ -133,6 +82,9 @@
 // written for long, since what crashes a server does so as it begins to write.
 type Run struct {
 	Digest Digest
+	// Generation is that of a crash by the run: what [Controller.Generation] returned before
+	// the run began; 0 if unknown.
+	Generation int
 	// Parts are the parts of its prompt that may be the cause.
 	Parts []Digest
 }
@@ -166,13 +118,13 @@
 // Bounds of the record of completed answers.
 const (
 	// latelyCompleted is the time for which the parts of a completed answer are
-	// blamed after others only.
+	// blamed after others only, and for which its request needs no trial after one crash.
 	latelyCompleted = 3 * time.Second
 	// maxCompletions bounds each of the two generations of the record.
 	maxCompletions = 2048
 )
 
-// completions records when the latest answers to requests with a part began, of those
+// completions records when the latest answers to requests with a digest began, of those
 // that were completed. It has two generations, of which the older one is dropped when the
 // newer one is full or old. It is not safe for concurrent use.
 type completions struct {
@@ -223,7 +175,11 @@
 	described := make([]string, 0, len(n.Crashes))
 	for _, crash := range n.Crashes {
 		if crash.At.After(n.ClearedAt) {
-			described = append(described, string(crash.Server)+" at "+crash.At.UTC().Format(evidenceTime))
+			text := string(crash.Server) + " at " + crash.At.UTC().Format(evidenceTime)
+			if crash.Generation > 0 {
+				text += ", generation " + strconv.Itoa(crash.Generation)
+			}
+			described = append(described, text)
 		}
 	}
 	return described
