Split the halves of package poison and the isolated node of member

Trials, the record of completed answers and findings have files of their own, beside backoff.go and generation.go; what an isolated node does stands in member/isolation.go.

--- a/internal/member/exchange.go
+++ b/internal/member/exchange.go
@@ -25,26 +25,6 @@
 	return actions
 }
 
-// dueNeighbors returns the nodes of this region to exchange messages with in this tick: the next
-// neighbour. While none answers, it is several others at once that are not suspected yet, so that
-// a node that is left alone, or starts alone, finds that out soon.
-func (v *View) dueNeighbors() []fleet.NodeID {
-	if v.unanswered >= isolatedAfterFailures/2 {
-		nodes := slices.DeleteFunc(v.liveInRegion(v.self.Region), func(node fleet.NodeID) bool {
-			return v.entries[node].Status == Suspect
-		})
-		if len(nodes) > 0 {
-			slices.Sort(nodes)
-			v.random.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
-			return nodes[:min(len(nodes), neighborOrders)]
-		}
-	}
-	if target, found := v.nextNeighbor(); found {
-		return []fleet.NodeID{target}
-	}
-	return nil
-}
-
 // exchangeWith returns an exchange with a neighbour. The message to a suspect
 // includes its own record, so that its answer refutes the suspicion.
 func (v *View) exchangeWith(now time.Time, target fleet.NodeID) Action {
@@ -300,10 +280,9 @@
 }
 
 // HandleFailure handles an exchange in which a node answered neither on an open nor on
-// a new connection. It returns what is to be done next: for a node of another region the next
-// exchanges with that region if they are due, for one of this region indirect probes: through nodes of this region, or
-// of the other ones if none of this region answers. If there is no node to probe through, the
-// target becomes a suspect at once.
+// a new connection. For a node of another region it returns the next exchanges with that
+// region that are due, for one of this region the indirect probes to make. If there is no node
+// to probe through, the target becomes a suspect at once.
 func (v *View) HandleFailure(now time.Time, to fleet.NodeID, began time.Time) []Action {
 	e, found := v.entries[to]
 	if !found || v.PausedSince(began) {
@@ -324,21 +303,6 @@
 	return []Action{{Target: to, Via: via[:min(len(via), indirectProbes)]}}
 }
 
-// intermediates returns the nodes through which a node of this region may be probed: the others
-// of the region, or one of each other region if there are none or none answers.
-func (v *View) intermediates(target fleet.NodeID) (nodes []fleet.NodeID) {
-	nodes = slices.DeleteFunc(v.liveInRegion(v.self.Region), func(node fleet.NodeID) bool { return node == target })
-	regions := v.otherRegions()
-	if len(nodes) > 0 && (!v.Isolated() || len(regions) == 0) {
-		return nodes
-	}
-	nodes = nil
-	for _, region := range regions {
-		nodes = append(nodes, v.linkTarget(region))
-	}
-	return nodes
-}
-
 // ProbeResult is the result of one indirect probe.
 type ProbeResult int
 
--- a/internal/member/regionlink.go
+++ b/internal/member/regionlink.go
@@ -10,8 +10,8 @@
 
 const (
 	// maxGatewayCandidates is the number of nodes of each region that may act as
-	// the gateway to another region. The first candidate does; each further one
-	// takes over if all before it report the region as unreachable.
+	// the gateway to another region. The first candidate does; the others join in
+	// once one before them reports the region as unreachable.
 	maxGatewayCandidates = 3
 	// maxLinkTargets is the number of nodes of the other region that are tried: in turn
 	// while they answer, all at once after a failure.
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -27,9 +27,6 @@
 	// mismatchLimit is the number of consecutive exchanges with different digests
 	// after which the records of differing buckets are fetched.
 	mismatchLimit = 4
-	// isolatedAfterFailures is the least number of consecutive failed exchanges with nodes of
-	// its own region after which a node counts itself as isolated.
-	isolatedAfterFailures = 4
 	// deadRetention is how long the records of nodes that are dead or have left are kept.
 	deadRetention = 10 * time.Minute
 )
@@ -357,12 +354,6 @@
 	return v.healthy.in(v, unreachable, (*Record).serves)
 }
 
-// Isolated reports whether no node of this region, if there are others, answers this one.
-func (v *View) Isolated() bool {
-	neighbors := len(v.Neighbors())
-	return neighbors > 0 && v.unanswered >= max(isolatedAfterFailures, neighbors)
-}
-
 // unreachableRegions returns the regions that are unreachable, ordered by name.
 func (v *View) unreachableRegions(now time.Time) []fleet.Region {
 	var regions []fleet.Region
--- a/internal/poison/part.go
+++ b/internal/poison/part.go
@@ -1,9 +1,7 @@
 package poison
 
 import (
-	"cmp"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 )
@@ -114,85 +112,3 @@
 	}
 	return blamed
 }
-
-// Bounds of the record of completed answers.
-const (
-	// latelyCompleted is the time for which the parts of a completed answer are
-	// blamed after others only, and for which its request needs no trial after one crash.
-	latelyCompleted = 3 * time.Second
-	// maxCompletions bounds each of the two generations of the record.
-	maxCompletions = 2048
-)
-
-// completions records when the latest answers to requests with a digest began, of those
-// that were completed. It has two generations, of which the older one is dropped when the
-// newer one is full or old. It is not safe for concurrent use.
-type completions struct {
-	newer, older map[Digest]time.Time
-	since        time.Time
-}
-
-// record records a completed answer that began at a time.
-func (c *completions) record(now, began time.Time, part Digest) {
-	if c.newer == nil || len(c.newer) >= maxCompletions || now.Sub(c.since) > latelyCompleted {
-		c.newer, c.older, c.since = make(map[Digest]time.Time), c.newer, now
-	}
-	if began.After(c.newer[part]) {
-		c.newer[part] = began
-	}
-}
-
-// last returns when the latest completed answer of a part began; zero if none is known.
-func (c *completions) last(part Digest) time.Time {
-	newer, older := c.newer[part], c.older[part]
-	if older.After(newer) {
-		return older
-	}
-	return newer
-}
-
-// lately reports whether an answer to a request with the part began lately and was
-// completed.
-func (c *completions) lately(now time.Time, part Digest) bool {
-	last := c.last(part)
-	return !last.IsZero() && now.Sub(last) <= latelyCompleted
-}
-
-// Finding is the verdict on a request with the digest that it is due to: that of the
-// request or of one of its parts.
-type Finding struct {
-	Verdict Verdict
-	// Until is the time until which the verdict is valid; zero for [Unrestricted].
-	Until   time.Time
-	Digest  Digest
-	Crashes int
-	// Notice is what the verdict follows from; empty for [Unrestricted].
-	Notice Notice
-}
-
-// Evidence describes each crash that was recorded after the last success, for the log.
-func (n Notice) Evidence() []string {
-	described := make([]string, 0, len(n.Crashes))
-	for _, crash := range n.Crashes {
-		if crash.At.After(n.ClearedAt) {
-			text := string(crash.Server) + " at " + crash.At.UTC().Format(evidenceTime)
-			if crash.Generation > 0 {
-				text += ", generation " + strconv.Itoa(crash.Generation)
-			}
-			described = append(described, text)
-		}
-	}
-	return described
-}
-
-// evidenceTime is the format of times of crashes in the log.
-const evidenceTime = "15:04:05.000Z"
-
-// stricter returns the stricter of two findings; of two equal ones that with more
-// crashes, and then the first.
-func stricter(a, b Finding) Finding {
-	if cmp.Or(cmp.Compare(a.Verdict, b.Verdict), cmp.Compare(a.Crashes, b.Crashes)) < 0 {
-		return b
-	}
-	return a
-}
