--- a/internal/poison/notice.go
+++ b/internal/poison/notice.go
@@ -84,6 +84,15 @@
 // due.
 const MaxCrashes = 2
 
+// refusedFrom returns the number of crashes from which a digest is refused until a further trial
+// is due.
+func (d Digest) refusedFrom() int {
+	if d.IsPart() {
+		return MaxPartCrashes
+	}
+	return MaxCrashes
+}
+
 // maxNoticeCrashes is the number of crashes that a notice holds, the latest ones. A notice
 // with as many fits into a fact.
 const maxNoticeCrashes = 8
@@ -282,11 +291,7 @@
 
 // recordCrash records a crash that was noticed just now.
 func (s *NoticeSet) recordCrash(digest Digest, crash Crash) Notice {
-	refusedFrom := MaxCrashes
-	if digest.IsPart() {
-		refusedFrom = MaxPartCrashes
-	}
-	lifetime := max(NoticeLifetime, lifetimeBackoffs*backoff(s.Get(digest).CrashCount()+1-refusedFrom))
+	lifetime := max(NoticeLifetime, lifetimeBackoffs*backoff(s.Get(digest).CrashCount()+1-digest.refusedFrom()))
 	return s.Merge(crash.At, Notice{Digest: digest, Crashes: []Crash{crash}, ExpiresAt: crash.At.Add(lifetime)})
 }
 
--- a/internal/poison/trial.go
+++ b/internal/poison/trial.go
@@ -108,11 +108,7 @@
 	if trialOnOtherNode(now, notice, c.Node) {
 		return Refuse, notice.Trial.Deadline
 	}
-	refusedFrom := MaxCrashes
-	if digest.IsPart() {
-		refusedFrom = MaxPartCrashes
-	}
-	if c.notices.crashCount(now, digest) >= refusedFrom {
+	if c.notices.crashCount(now, digest) >= digest.refusedFrom() {
 		return Refuse, now.Add(firstBackoff)
 	}
 	return c.notices.Check(now, digest)
