Members: log which regions are unreachable and whether a node is isolated

Both are beliefs on which callers are sent elsewhere; so far only the number of members was logged, which does not tell a lost region from lost nodes.

--- a/internal/hosted/nodes.go
+++ b/internal/hosted/nodes.go
@@ -15,9 +15,9 @@
 )
 
 // Which nodes are used for what. Each choice starts from [member.Controller.Healthy], so that
-// nodes of a region that is lost are in none of them. What has to be told apart from it:
-// acknowledgements of a manifest count the nodes of unreachable regions (package config), and
-// budgets are divided by all nodes that were ever known.
+// nodes of a region that is lost are in none of them. Exceptions: acknowledgements of a
+// configuration count the nodes of unreachable regions (package config), budgets are divided by
+// all nodes that were ever known, and a node that reaches no other one owns no server's limit.
 
 // nearestAddresses returns the addresses of the nodes that a caller at a place may
 // use. Nodes that reach no backend server, and suspected nodes, are included only if there
--- a/internal/member/controller.go
+++ b/internal/member/controller.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -66,8 +67,11 @@
 	registration registration
 	// registerSignal has the node's record written again.
 	registerSignal wait.Signal
-	// reportedMembers is the number of live members that was logged last.
-	reportedMembers int
+	// reportedMembers, reportedRegions and reportedIsolated are what was logged last: the number
+	// of live members, the unreachable regions, and whether this node is isolated.
+	reportedMembers  int
+	reportedRegions  []fleet.Region
+	reportedIsolated bool
 }
 
 func (c *Controller) init() {
@@ -141,15 +145,24 @@
 	})
 }
 
-// reportMembers logs a change of the number of live members and updates the gauge.
-// It is called once per interval, so that nodes that start at the same time are one
-// change and not one for each of them. The caller holds the lock.
+// reportMembers logs a change of the number of live members, of the unreachable regions and of
+// whether this node is isolated, and updates the gauge. It is called once per interval, so that
+// nodes that start at the same time are one change and not one for each of them. The caller holds
+// the lock.
 func (c *Controller) reportMembers(now time.Time) {
 	count, before := len(c.view.Live(now)), c.reportedMembers
 	if before != 0 && count != before {
 		c.Log.Info("members changed", slog.Int("members", count), slog.Int("before", before))
 	}
 	c.reportedMembers = count
+	if regions := c.view.unreachableRegions(now); !slices.Equal(regions, c.reportedRegions) {
+		c.Log.Info("unreachable regions changed", slog.Any("regions", regions), slog.Any("before", c.reportedRegions))
+		c.reportedRegions = regions
+	}
+	if isolated := c.view.Isolated(); isolated != c.reportedIsolated {
+		c.Log.Info("isolation changed", slog.Bool("isolated", isolated), slog.Int("unanswered", c.view.unanswered))
+		c.reportedIsolated = isolated
+	}
 	c.counts.members.Update(int64(count))
 }
 
