--- a/internal/hosted/nodes_test.go
+++ b/internal/hosted/nodes_test.go
@@ -22,10 +22,10 @@
 // region last. The returned function takes the power from all nodes of a region.
 func startMembers(ctx context.Context, done *sync.WaitGroup, regions ...fleet.Region) (nodes []*Node, lose func(fleet.Region)) {
 	network, store := standin.NewNetwork(), standin.NewTable()
-	ctxOf := make(map[fleet.Region]context.Context)
 	stops := make(map[fleet.Region]context.CancelFunc)
 	for _, region := range regions {
-		ctxOf[region], stops[region] = context.WithCancel(ctx)
+		regionCtx, stop := context.WithCancel(ctx)
+		stops[region] = stop
 		for range 3 {
 			id := fleet.NodeID(fmt.Sprintf("n%02d", len(nodes)))
 			address := string(region) + "/" + string(id)
@@ -39,7 +39,7 @@
 			}
 			port.Resolve = members.Resolve
 			members.Register()
-			done.Go(func() { _ = members.Run(ctxOf[region]) })
+			done.Go(func() { _ = members.Run(regionCtx) })
 			node := &Node{ID: id, Settings: settings.Settings{Node: settings.Node{Place: place}}}
 			node.components.Members = members
 			nodes = append(nodes, node)
