Clear a request of crashes at the node that answered it alone

Cause: since each node that answers a request whose crash it hears of cleared it for all: a notice and a write to the store per node and crash, for a read that is popular at many nodes.

Change: only a trial's success is sent to all, as before; each other node that answers the request clears it for itself. Notices of requests go out with the next exchange again and not at once.

--- a/internal/poison/controller.go
+++ b/internal/poison/controller.go
@@ -184,7 +184,10 @@
 }
 
 // clearCompleted clears digests of the crashes before the latest completed answer of this
-// node began. It returns the notices that this changed. The caller holds the lock.
+// node began. It returns the notices of parts that this changed. A request is cleared at this
+// node alone: others that answer it do the same, and if all sent that to all, a read that is
+// popular at many nodes would cost as many messages to each for every crash. The caller holds the
+// lock.
 func (c *Controller) clearCompleted(now time.Time, digests ...Digest) (cleared []Notice) {
 	for _, digest := range digests {
 		began := c.completionsOf(digest).last(digest)
@@ -195,7 +198,9 @@
 			continue
 		}
 		success := Notice{Digest: digest, ClearedAt: began, ExpiresAt: now.Add(NoticeLifetime)}
-		cleared = append(cleared, c.merge(now, success))
+		if merged := c.merge(now, success); digest.IsPart() {
+			cleared = append(cleared, merged)
+		}
 	}
 	return cleared
 }
--- a/internal/poison/gossip.go
+++ b/internal/poison/gossip.go
@@ -29,11 +29,15 @@
 	g.notices = member.Notices[Notice]{Kind: factKind, Node: g.Node, Facts: g.Facts, Log: logs.OrDiscard(g.Log)}
 }
 
-// Publish publishes a notice to the other nodes at once, until the notice expires: many requests
-// may share a part, and many callers may send one request.
+// Publish publishes a notice to the other nodes until the notice expires. Those of parts
+// are urgent: many requests may share one.
 func (g *Gossip) Publish(notice Notice) {
 	g.once.Do(g.setUp)
-	g.notices.PublishUrgent(string(notice.Digest), notice, time.Until(notice.ExpiresAt))
+	publish := g.notices.Publish
+	if notice.Digest.IsPart() {
+		publish = g.notices.PublishUrgent
+	}
+	publish(string(notice.Digest), notice, time.Until(notice.ExpiresAt))
 }
 
 // Receive passes the new notices of other nodes to Merge. It must not be called
