Tell all nodes of a trial that succeeded, though the request is cleared here

Cause: since an answer clears a request at its own node alone, and a trial's success is to be sent to all. But the answer of a trial is recorded as an answer first; RecordSuccess then found no crash that counts and told nobody. Every other node, and the store, kept the request suspected: a trial of its own at each node, for ten minutes. Found by reading the change again.

Change: RecordSuccess goes by the crashes that are held, not by those that still count.

--- a/internal/poison/controller.go
+++ b/internal/poison/controller.go
@@ -304,10 +304,12 @@
 	}()
 }
 
-// RecordSuccess records that a request succeeded, if it is suspected.
+// RecordSuccess records that a request that was run in a trial succeeded, and tells the other
+// nodes. It does so even if [Controller.RecordCompletion] has cleared the request here already,
+// which the others don't learn.
 func (c *Controller) RecordSuccess(ctx context.Context, digest Digest) {
 	c.mu.Lock()
-	if c.notices.crashCount(time.Now(), digest) == 0 {
+	if len(c.notices.Get(digest).Crashes) == 0 {
 		c.mu.Unlock()
 		return
 	}
--- a/internal/poison/generation_test.go
+++ b/internal/poison/generation_test.go
@@ -73,6 +73,31 @@
 	})
 }
 
+// TestTrialThatSucceedsIsToldToAll guards against a request that is suspected at all other nodes,
+// and in the store, after its trial was answered: the node clears it for itself as the answer is
+// complete, and then has to tell the others all the same.
+func TestTrialThatSucceedsIsToldToAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := standin.NewTable()
+		second := &poison.Controller{Store: store, Node: "n2"}
+		first := &poison.Controller{Store: store, Node: "n1", Publish: second.Merge}
+		crashRun(first, "s0", first.Generation("d"))
+		c.Assert(second.Check("d", nil).Verdict, qt.Equals, poison.Exclusive)
+		time.Sleep(time.Second)
+		verdict, _ := first.BeginTrial(t.Context(), "d", poison.Trial{Server: "s1", Boot: "b", Deadline: time.Now().Add(time.Second)})
+		c.Assert(verdict, qt.Equals, poison.Exclusive)
+		first.RecordCompletion(time.Now(), "d", nil)
+		first.RecordSuccess(t.Context(), "d")
+		first.EndTrial("d")
+		synctest.Wait()
+		c.Check(second.Check("d", nil).Verdict, qt.Equals, poison.Unrestricted)
+		restarted := &poison.Controller{Store: store, Node: "n3"}
+		verdict, _ = restarted.BeginTrial(t.Context(), "d", poison.Trial{Server: "s1", Boot: "b", Deadline: time.Now().Add(time.Second)})
+		c.Check(verdict, qt.Equals, poison.Unrestricted, qt.Commentf("from the store"))
+	})
+}
+
 // TestCrashOfAnOlderVersionCounts guards against poison that is let through while nodes of two
 // versions run side by side: the older ones record no generation, and drop it from what they
 // write again.
