One verdict for requests and parts, and other twins of the last changes

Cause: reading the change again. The verdict and the pause of requests were a second copy of those of parts; a test brought a table that is away, which standin.TableFaults has; three lists of nodes were sorted and stripped alike; a fact's time to live and the key of a report were written out twice; a test counted late sends itself.

No behaviour, bound or expectation is changed.

--- a/internal/dispatch/parts_test.go
+++ b/internal/dispatch/parts_test.go
@@ -301,19 +301,19 @@
 	return float64(began) / float64(max(1, all))
 }
 
-// sendsAfter returns the number of requests with the part that were sent later than
-// [contact] after the fifth crash.
-func (f *partFleet) sendsAfter(fifth time.Time) (count int) {
+// sendsAfter returns the number of requests that crash servers that were sent later than
+// [contact] after a crash.
+func (f *partFleet) sendsAfter(crash time.Time) (count int) {
 	for _, sent := range f.sends {
-		if sent.After(fifth.Add(contact)) {
+		if sent.After(crash.Add(contact)) {
 			count++
 		}
 	}
 	return count
 }
 
-// maxSends is the number of requests with a crashing part that may be sent after the
-// fifth crash has become known.
+// maxSends is the number of requests that crash servers that may be sent after the last
+// crash that is allowed for has become known: the fifth one of a part, the third of a request.
 const maxSends = 3
 
 // TestPartThatCrashesServersIsRefused guards against server after server being lost to
--- a/internal/dispatch/popular_test.go
+++ b/internal/dispatch/popular_test.go
@@ -182,14 +182,12 @@
 }
 
 // sendsAfterThird returns the number of poisonous requests that were sent later than [contact]
-// after the third one. No more than three may be.
-func (f *partFleet) sendsAfterThird() (late int) {
-	for _, sent := range f.sends {
-		if len(f.sends) >= 3 && sent.After(f.sends[2].Add(contact)) {
-			late++
-		}
+// after the third one.
+func (f *partFleet) sendsAfterThird() int {
+	if len(f.sends) < 3 {
+		return 0
 	}
-	return late
+	return f.sendsAfter(f.sends[2])
 }
 
 // TestReadThatTurnsBadIsContained has a read that was answered all the time crash each server from
@@ -206,7 +204,7 @@
 				var reads popularReads
 				reads.run(f, readers, time.Now().Add(time.Minute), func() bool { return !time.Now().Before(turnsBad) })
 				late := f.sendsAfterThird()
-				c.Check(late <= 3, qt.IsTrue, qt.Commentf("%d sent late", late))
+				c.Check(late <= maxSends, qt.IsTrue, qt.Commentf("%d sent late", late))
 				c.Logf("sent to servers %d times, %d times late", len(f.sends), late)
 			})
 		})
@@ -255,7 +253,7 @@
 				reads.run(f, popularReaders, began.Add(length), never)
 				callers.Wait()
 				late := f.sendsAfterThird()
-				c.Check(late <= 3, qt.IsTrue, qt.Commentf("the poison reached servers at %v", f.sends))
+				c.Check(late <= maxSends, qt.IsTrue, qt.Commentf("the poison reached servers at %v", f.sends))
 				refused := 0
 				for i, crash := range f.crashes {
 					until := began.Add(length)
--- a/internal/hosted/nodes.go
+++ b/internal/hosted/nodes.go
@@ -51,11 +51,18 @@
 }
 
 // claimants returns the nodes in the order in which they claim a free lease.
-func claimants(members *member.Controller) (nodes []fleet.NodeID) {
+func claimants(members *member.Controller) []fleet.NodeID {
+	return sortedNodes(members, "", compareLeasePriority)
+}
+
+// sortedNodes returns the nodes that may be used, but for one, in an order.
+func sortedNodes(members *member.Controller, except fleet.NodeID, compare func(a, b *member.Info) int) (nodes []fleet.NodeID) {
 	candidates := slices.Clone(members.Healthy())
-	slices.SortFunc(candidates, func(a, b member.Info) int { return compareLeasePriority(&a, &b) })
+	slices.SortStableFunc(candidates, func(a, b member.Info) int { return compare(&a, &b) })
 	for i := range candidates {
-		nodes = append(nodes, candidates[i].Node)
+		if candidates[i].Node != except {
+			nodes = append(nodes, candidates[i].Node)
+		}
 	}
 	return nodes
 }
@@ -93,23 +100,16 @@
 // deputies returns the nodes that may become the deputy of this one, in order of
 // preference: nodes with more processor time first, and among equal ones those in
 // other failure domains.
-func (n *Node) deputies(members *member.Controller) (nodes []fleet.NodeID) {
+func (n *Node) deputies(members *member.Controller) []fleet.NodeID {
 	sameDomain := func(info *member.Info) int {
 		if info.FailureDomain == n.Settings.Node.FailureDomain {
 			return 1
 		}
 		return 0
 	}
-	candidates := slices.Clone(members.Healthy())
-	slices.SortFunc(candidates, func(a, b member.Info) int {
-		return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(sameDomain(&a), sameDomain(&b)), compareLeasePriority(&a, &b))
+	return sortedNodes(members, n.ID, func(a, b *member.Info) int {
+		return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(sameDomain(a), sameDomain(b)), compareLeasePriority(a, b))
 	})
-	for i := range candidates {
-		if candidates[i].Node != n.ID {
-			nodes = append(nodes, candidates[i].Node)
-		}
-	}
-	return nodes
 }
 
 // forwardTargets returns the nodes to which requests may be passed on, in random order: those
@@ -131,21 +131,14 @@
 }
 
 // others returns the other nodes that serve requests, those of this node's region first.
-func (n *Node) others(members *member.Controller) (nodes []fleet.NodeID) {
-	remote := func(info member.Info) int {
+func (n *Node) others(members *member.Controller) []fleet.NodeID {
+	remote := func(info *member.Info) int {
 		if info.Region == n.Settings.Node.Region {
 			return 0
 		}
 		return 1
 	}
-	healthy := slices.Clone(members.Healthy())
-	slices.SortStableFunc(healthy, func(a, b member.Info) int { return cmp.Compare(remote(a), remote(b)) })
-	for i := range healthy {
-		if healthy[i].Node != n.ID {
-			nodes = append(nodes, healthy[i].Node)
-		}
-	}
-	return nodes
+	return sortedNodes(members, n.ID, func(a, b *member.Info) int { return cmp.Compare(remote(a), remote(b)) })
 }
 
 // ownerOf returns the node that hands out the tokens of a limited server: one of its
--- a/internal/hosted/nodes_test.go
+++ b/internal/hosted/nodes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -93,10 +94,5 @@
 }
 
 func containsAny(text string, parts []string) bool {
-	for _, part := range parts {
-		if strings.Contains(text, part) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(parts, func(part string) bool { return strings.Contains(text, part) })
 }
--- a/internal/member/exchange.go
+++ b/internal/member/exchange.go
@@ -130,8 +130,7 @@
 	}
 	for _, key := range queues.facts.take(len(v.entries)+1, keys) {
 		if fact, found := v.facts[key]; found && now.Before(fact.expires) {
-			fact.TTLMillis = fact.expires.Sub(now).Milliseconds()
-			message.Facts = append(message.Facts, fact)
+			message.Facts = append(message.Facts, fact.toSend(now))
 		}
 	}
 	if queues.mismatches >= mismatchLimit {
--- a/internal/member/isolation.go
+++ b/internal/member/isolation.go
@@ -22,11 +22,14 @@
 	return neighbors > 0 && v.unanswered >= max(isolatedAfterFailures, neighbors)
 }
 
+// seemsIsolated reports whether this node has to find out if it is isolated.
+func (v *View) seemsIsolated() bool { return v.unanswered >= isolatedAfterFailures/2 }
+
 // dueNeighbors returns the nodes of this region to exchange messages with in this tick: the next
 // neighbour. While none answers, it is several others at once that are not suspected yet, so that
 // a node that is left alone, or starts alone, finds that out soon.
 func (v *View) dueNeighbors() []fleet.NodeID {
-	if v.unanswered >= isolatedAfterFailures/2 {
+	if v.seemsIsolated() {
 		nodes := slices.DeleteFunc(v.liveInRegion(v.self.Region), func(node fleet.NodeID) bool {
 			return v.entries[node].Status == Suspect
 		})
--- a/internal/member/lostregion_test.go
+++ b/internal/member/lostregion_test.go
@@ -8,7 +8,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,7 +16,6 @@
 
 	"github.com/guavatrack/guavatrack/internal/member"
 	"github.com/guavatrack/guavatrack/internal/standin"
-	"github.com/guavatrack/guavatrack/internal/table"
 	"github.com/guavatrack/guavatrack/pkg/fleet"
 )
 
@@ -33,7 +31,6 @@
 type controllers struct {
 	network *standin.Network
 	table   *standin.Table
-	away    atomic.Bool // the table doesn't answer
 	nodes   []*member.Controller
 	stops   map[fleet.NodeID]context.CancelFunc
 	lost    map[string]bool // addresses of nodes without power
@@ -42,26 +39,6 @@
 	done    sync.WaitGroup
 }
 
-// awayTable is the table, which does not answer while it is away.
-type awayTable struct {
-	*standin.Table
-	away *atomic.Bool
-}
-
-func (t awayTable) Query(ctx context.Context, span table.Range) ([]table.Record, error) {
-	if t.away.Load() {
-		return nil, table.ErrUnavailable
-	}
-	return t.Table.Query(ctx, span)
-}
-
-func (t awayTable) Transact(ctx context.Context, token table.Token, writes []table.Write) error {
-	if t.away.Load() {
-		return table.ErrUnavailable
-	}
-	return t.Table.Transact(ctx, token, writes)
-}
-
 // runControllers runs a function in virtual time with nodes in regions of the given sizes.
 func runControllers(t *testing.T, sizes []int, play func(c *qt.C, f *controllers)) {
 	t.Helper()
@@ -104,7 +81,7 @@
 		Self: member.Info{
 			Node: id, Place: fleet.Place{Region: region}, PeerAddress: address, CallerAddress: "caller-" + address, StartedAt: time.Now(),
 		},
-		Peers: port, Store: awayTable{f.table, &f.away}, Interval: nodeInterval, Rand: rand.New(rand.NewPCG(7, uint64(number))),
+		Peers: port, Store: f.table, Interval: nodeInterval, Rand: rand.New(rand.NewPCG(7, uint64(number))),
 	}
 	port.Resolve = node.Resolve
 	node.Register()
@@ -203,7 +180,7 @@
 			}
 			runControllers(t, test.sizes, func(c *qt.C, f *controllers) {
 				c.Assert(f.wrong(), qt.Equals, "")
-				f.away.Store(test.away)
+				f.table.SetFaults(standin.TableFaults{Down: test.away})
 				f.lose(test.lost)
 				named := f.untilRight(time.Minute)
 				c.Logf("lost nodes were named for %s", named)
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -132,6 +132,12 @@
 
 func (f Fact) id() factKey { return factKey{f.Kind, f.Key, f.Owner} }
 
+// toSend returns the fact as it is sent, with its remaining time to live.
+func (f Fact) toSend(now time.Time) Fact {
+	f.TTLMillis = f.expires.Sub(now).Milliseconds()
+	return f
+}
+
 // Message is one direction of an exchange between two nodes.
 type Message struct {
 	From   fleet.NodeID `json:"from"`
--- a/internal/member/regionlink.go
+++ b/internal/member/regionlink.go
@@ -82,10 +82,15 @@
 	})
 }
 
+// reportKey returns the key of a node's report on a region.
+func reportKey(node fleet.NodeID, region fleet.Region) factKey {
+	return factKey{unreachableFactKind, string(region), node}
+}
+
 // reportedUnreachable reports whether a node reports the region as unreachable, and has
 // done so since the region was last reached.
 func (v *View) reportedUnreachable(now time.Time, node fleet.NodeID, region fleet.Region) bool {
-	fact, found := v.facts[factKey{unreachableFactKind, string(region), node}]
+	fact, found := v.facts[reportKey(node, region)]
 	return found && now.Before(fact.expires) && string(fact.Value) == unreachableValue &&
 		fact.receivedAt.After(v.linkTo(region).reachedAt)
 }
@@ -144,9 +149,7 @@
 	for region := range v.links {
 		for _, node := range v.gatewayCandidates(region) {
 			if v.reportedUnreachable(now, node, region) {
-				fact := v.facts[factKey{unreachableFactKind, string(region), node}]
-				fact.TTLMillis = fact.expires.Sub(now).Milliseconds()
-				reports = append(reports, fact)
+				reports = append(reports, v.facts[reportKey(node, region)].toSend(now))
 			}
 		}
 	}
@@ -157,7 +160,7 @@
 // first candidate, or another one while a better one reports the region as unreachable. A node
 // that gets no answer from its own region tries the others at the same time.
 func (v *View) isGatewayTo(now time.Time, region fleet.Region) bool {
-	if v.unanswered >= isolatedAfterFailures/2 {
+	if v.seemsIsolated() {
 		return true
 	}
 	reported := false
--- a/internal/poison/controller.go
+++ b/internal/poison/controller.go
@@ -253,11 +253,13 @@
 	for _, digest := range slices.Concat(parts, suspects) {
 		before, verdict := c.notices.Get(digest), c.partVerdict(now, digest)
 		crash := Crash{Server: server, Boot: boot, At: now}
-		if !digest.IsPart() {
-			crash.Generation = generations[digest]
-			if !slices.Contains(running, digest) {
-				crash.Generation = before.generation() // the trial of another node
-			}
+		generation, ran := generations[digest]
+		switch {
+		case digest.IsPart():
+		case ran:
+			crash.Generation = generation
+		default: // the trial of another node
+			crash.Generation = before.generation()
 		}
 		notice := c.notices.recordCrash(digest, crash)
 		notices = append(notices, notice)
--- a/internal/poison/generation.go
+++ b/internal/poison/generation.go
@@ -1,9 +1,6 @@
 package poison
 
-import (
-	"slices"
-	"time"
-)
+import "slices"
 
 // A request that many callers send alike runs on several servers at a time. If these crash
 // together, such as by a loss of power, that says nothing about the request: what it proves is
@@ -40,27 +37,8 @@
 	return count + len(generations)
 }
 
-// requestVerdict returns the verdict on a request with crashes after the last success, and the
-// time until which it is valid. A refused one has a further trial after a pause.
-func (n Notice) requestVerdict(now time.Time) (Verdict, time.Time) {
-	if crashes := n.requestCrashes(); crashes >= MaxCrashes {
-		if next := n.Crashes[len(n.Crashes)-1].At.Add(n.requestRefusedFor(crashes)); now.Before(next) {
-			return Refuse, next
-		}
-	}
-	return Exclusive, n.ExpiresAt
-}
-
-// requestRefusedFor returns how long after its last crash a request is refused.
-func (n Notice) requestRefusedFor(crashes int) time.Duration {
-	if _, apart := n.crashesByMoment(); apart == 0 {
-		return sharedPause
-	}
-	return backoff(crashes - MaxCrashes)
-}
-
-// earlierGeneration returns the known generation of one crash that two nodes have recorded: the lower one,
-// since a node may have heard of the crash before it recorded it.
+// earlierGeneration returns the known generation of one crash that two nodes have recorded: the
+// lower one, since a node may have heard of the crash before it recorded it.
 func earlierGeneration(a, b int) int {
 	if a == 0 || b == 0 {
 		return max(a, b)
--- a/internal/poison/notice.go
+++ b/internal/poison/notice.go
@@ -84,15 +84,6 @@
 // due.
 const MaxCrashes = 2
 
-// refusedFrom returns the number of crashes from which a digest is refused until a further trial
-// is due.
-func (d Digest) refusedFrom() int {
-	if d.IsPart() {
-		return MaxPartCrashes
-	}
-	return MaxCrashes
-}
-
 // maxNoticeCrashes is the number of crashes that a notice holds, the latest ones. A notice
 // with as many fits into a fact.
 const maxNoticeCrashes = 8
@@ -192,8 +183,8 @@
 	if !found || now.After(notice.ExpiresAt) {
 		return 0
 	}
-	if !digest.IsPart() {
-		return notice.CrashCount()
+	if count := notice.CrashCount(); count == 0 || !digest.IsPart() {
+		return count
 	}
 	var refused []Notice
 	for part := range s.refusedParts {
@@ -207,15 +198,7 @@
 // Check returns the verdict on a request, or on those with a part, and the time until
 // which it is valid. The time is zero for [Unrestricted].
 func (s *NoticeSet) Check(now time.Time, digest Digest) (verdict Verdict, until time.Time) {
-	notice, found := s.byDigest[digest]
-	switch {
-	case !found, now.After(notice.ExpiresAt), notice.CrashCount() == 0:
-		return Unrestricted, time.Time{}
-	case digest.IsPart():
-		return notice.partVerdict(now, s.crashCount(now, digest))
-	default:
-		return notice.requestVerdict(now)
-	}
+	return s.byDigest[digest].verdict(now, s.crashCount(now, digest))
 }
 
 // CheckIn returns the verdict on requests with a digest whose prompts have the given parts.
--- a/internal/poison/part.go
+++ b/internal/poison/part.go
@@ -28,30 +28,6 @@
 	MaxPartCrashes = 3
 )
 
-// partRefusedFor returns how long after its last crash a part is refused, of whose crashes
-// some count.
-func (n Notice) partRefusedFor(crashes int) time.Duration {
-	atFirst, apart := n.crashesByMoment()
-	if apart == 0 {
-		return sharedPause + time.Duration(crashes-MaxPartCrashes)*sharedPauseStep
-	}
-	return backoff(max(0, min(atFirst, MaxPartCrashes-1)+apart-MaxPartCrashes))
-}
-
-// partVerdict returns the verdict on the requests with a part, of whose crashes some
-// count, and the time until which it is valid.
-func (n Notice) partVerdict(now time.Time, crashes int) (Verdict, time.Time) {
-	if crashes < suspectPartCrashes {
-		return Unrestricted, time.Time{}
-	}
-	if crashes >= MaxPartCrashes {
-		if next := n.Crashes[len(n.Crashes)-1].At.Add(n.partRefusedFor(crashes)); now.Before(next) {
-			return Refuse, next
-		}
-	}
-	return Exclusive, n.ExpiresAt
-}
-
 // unexplained returns the number of crashes after the last success that no stronger part
 // explains: one with more crashes, this one among them.
 func (n Notice) unexplained(refused []Notice) int {
