Poison: one way to record a crash in a set of notices

Cause: since NoticeSet.RecordCrash was a wrapper that only tests called, and recordSuccessAt had been one of a single caller before.

Change: RecordCrash takes the crash; tests name its fields. No assertion and no behaviour changes.

--- a/internal/dispatch/evidence_test.go
+++ b/internal/dispatch/evidence_test.go
@@ -23,7 +23,7 @@
 		bad := poison.PartDigest("bad")
 		var notices poison.NoticeSet
 		for _, server := range []fleet.ServerID{"x1", "x2", "x3"} {
-			d.MergePoisonNotice(notices.RecordCrash(time.Now(), bad, server, "b"))
+			d.MergePoisonNotice(notices.RecordCrash(bad, poison.Crash{Server: server, Boot: "b", At: time.Now()}))
 			time.Sleep(time.Second)
 		}
 		call := s.call("refused", nil)
--- a/internal/dispatch/occupied_test.go
+++ b/internal/dispatch/occupied_test.go
@@ -29,7 +29,7 @@
 		time.AfterFunc(trialTime, func() { other.EndTrial("another") })
 		call := s.call("suspect", func(call *dispatch.Call) { call.MaxAttempts, call.Idempotent = 2, true })
 		var notices poison.NoticeSet
-		d.MergePoisonNotice(notices.RecordCrash(time.Now(), call.Digest, "lost", "b"))
+		d.MergePoisonNotice(notices.RecordCrash(call.Digest, poison.Crash{Server: "lost", Boot: "b", At: time.Now()}))
 		c.Check(d.Do(call), qt.IsNil)
 		c.Check(s.runs["suspect"], qt.HasLen, 1)
 	})
--- a/internal/dispatch/parts_test.go
+++ b/internal/dispatch/parts_test.go
@@ -434,7 +434,7 @@
 		time.Sleep(100 * time.Millisecond)
 		var notices poison.NoticeSet
 		for i := range poison.MaxPartCrashes {
-			d.MergePoisonNotice(notices.RecordCrash(time.Now(), bad, fleet.ServerID(fmt.Sprint("x", i)), "b"))
+			d.MergePoisonNotice(notices.RecordCrash(bad, poison.Crash{Server: fleet.ServerID(fmt.Sprint("x", i)), Boot: "b", At: time.Now()}))
 		}
 		group.Wait()
 		// The queue is served until its next tick.
--- a/internal/poison/controller.go
+++ b/internal/poison/controller.go
@@ -261,7 +261,7 @@
 		default: // the trial of another node
 			crash.Generation = before.generation()
 		}
-		notice := c.notices.recordCrash(digest, crash)
+		notice := c.notices.RecordCrash(digest, crash)
 		notices = append(notices, notice)
 		c.logPart(now, verdict, notice)
 		if digest.IsPart() && len(described) < maxLoggedParts {
--- a/internal/poison/notice.go
+++ b/internal/poison/notice.go
@@ -266,26 +266,16 @@
 	return digests
 }
 
-// RecordCrash records a crash, of a run of which nothing is known, against a digest and returns
-// the merged notice.
-func (s *NoticeSet) RecordCrash(now time.Time, digest Digest, server fleet.ServerID, boot fleet.BootID) Notice {
-	return s.recordCrash(digest, Crash{Server: server, Boot: boot, At: now})
-}
-
-// recordCrash records a crash that was noticed just now.
-func (s *NoticeSet) recordCrash(digest Digest, crash Crash) Notice {
+// RecordCrash records a crash that was noticed just now against a digest and returns the merged
+// notice.
+func (s *NoticeSet) RecordCrash(digest Digest, crash Crash) Notice {
 	lifetime := max(NoticeLifetime, lifetimeBackoffs*backoff(s.Get(digest).CrashCount()+1-digest.refusedFrom()))
 	return s.Merge(crash.At, Notice{Digest: digest, Crashes: []Crash{crash}, ExpiresAt: crash.At.Add(lifetime)})
 }
 
 // RecordSuccess records that a suspect succeeded and returns the merged notice.
 func (s *NoticeSet) RecordSuccess(now time.Time, digest Digest) Notice {
-	return s.recordSuccessAt(now, now, digest)
-}
-
-// recordSuccessAt records a success that proves nothing about crashes after a time.
-func (s *NoticeSet) recordSuccessAt(now, at time.Time, digest Digest) Notice {
-	return s.Merge(now, Notice{Digest: digest, ClearedAt: at, ExpiresAt: now.Add(NoticeLifetime)})
+	return s.Merge(now, Notice{Digest: digest, ClearedAt: now, ExpiresAt: now.Add(NoticeLifetime)})
 }
 
 // Merge merges a notice into the set and returns the result. An expired notice
--- a/internal/poison/notice_test.go
+++ b/internal/poison/notice_test.go
@@ -55,13 +55,13 @@
 		return found
 	}
 	c.Assert(verdict(now), qt.Equals, poison.Unrestricted)
-	notices.RecordCrash(now, "d", "s1", "b1")
-	notices.RecordCrash(now.Add(time.Second), "d", "s1", "b1")
+	notices.RecordCrash("d", poison.Crash{Server: "s1", Boot: "b1", At: now})
+	notices.RecordCrash("d", poison.Crash{Server: "s1", Boot: "b1", At: now.Add(time.Second)})
 	c.Assert(verdict(now), qt.Equals, poison.Exclusive, qt.Commentf("one crash noted twice"))
 	notices.RecordSuccess(now.Add(2*time.Second), "d")
 	c.Assert(verdict(now), qt.Equals, poison.Unrestricted)
-	notices.RecordCrash(now.Add(3*time.Second), "d", "s2", "b2")
-	notices.RecordCrash(now.Add(4*time.Second), "d", "s3", "b3")
+	notices.RecordCrash("d", poison.Crash{Server: "s2", Boot: "b2", At: now.Add(3 * time.Second)})
+	notices.RecordCrash("d", poison.Crash{Server: "s3", Boot: "b3", At: now.Add(4 * time.Second)})
 	c.Assert(verdict(now.Add(5*time.Second)), qt.Equals, poison.Refuse)
 	c.Assert(verdict(now.Add(time.Hour)), qt.Equals, poison.Unrestricted)
 }
@@ -71,7 +71,7 @@
 	var notices poison.NoticeSet
 	running := []poison.Digest{"a", "b", "c"}
 	c.Assert(notices.Suspects(now, "s1", "x", running), qt.DeepEquals, running)
-	notices.RecordCrash(now, "b", "s0", "x")
+	notices.RecordCrash("b", poison.Crash{Server: "s0", Boot: "x", At: now})
 	c.Assert(notices.Suspects(now, "s1", "x", running), qt.DeepEquals, []poison.Digest{"b"})
 	// Another node runs the trial of a suspect on that server; this node does
 	// not run the suspect.
--- a/internal/poison/part_test.go
+++ b/internal/poison/part_test.go
@@ -23,7 +23,7 @@
 // recordCrash records a crash of a server of its own against parts.
 func recordCrash(notices *poison.NoticeSet, at time.Time, number int, parts ...poison.Digest) {
 	for _, part := range parts {
-		notices.RecordCrash(at, part, fleet.ServerID(fmt.Sprint("s", number)), "b")
+		notices.RecordCrash(part, poison.Crash{Server: fleet.ServerID(fmt.Sprint("s", number)), Boot: "b", At: at})
 	}
 }
 
@@ -192,7 +192,7 @@
 		notice := func(at time.Time) (notice poison.Notice) {
 			var notices poison.NoticeSet
 			for number := range poison.MaxPartCrashes {
-				notice = notices.RecordCrash(at, soundPart, fleet.ServerID(fmt.Sprint("s", number)), fleet.BootID(fmt.Sprint(at)))
+				notice = notices.RecordCrash(soundPart, poison.Crash{Server: fleet.ServerID(fmt.Sprint("s", number)), Boot: fleet.BootID(fmt.Sprint(at)), At: at})
 			}
 			return notice
 		}
